Lay out the workspace: base types, the operators' text and settings

Cause: nothing stood yet. The text and the settings come first because every role is checked against them. Keys are interned and never reused, so that a change of configuration keeps the state that hangs on a name.

--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,51 @@
+//! Keys, interned names, time and hashing.
+//!
+//! This crate exists so that the decision crates can share small `Copy` types without depending on
+//! anything that does I/O. Nothing here reads a clock or a random source.
+
+mod hash;
+mod names;
+mod time;
+
+pub use crate::{
+    hash::{hash_bytes, rendezvous_order, rendezvous_score, zone_first},
+    names::{Key, Names},
+    time::Millis,
+};
+
+/// Declares an index newtype that names one entity of an arena.
+#[macro_export]
+macro_rules! entity_key {
+    ($(#[$meta:meta])* $name:ident) => {
+        $(#[$meta])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub struct $name(u32);
+
+        impl $crate::Key for $name {
+            fn from_index(index: usize) -> Self {
+                $name(index as u32)
+            }
+
+            fn index(self) -> usize {
+                self.0 as usize
+            }
+        }
+    };
+}
+
+entity_key! {
+    /// Names one model or adapter.
+    ModelKey
+}
+entity_key! {
+    /// Names one endpoint.
+    EndpointKey
+}
+entity_key! {
+    /// Names one organisation.
+    OrgKey
+}
+entity_key! {
+    /// Names one service of an organisation.
+    ServiceKey
+}
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,209 @@
+//! Settings of one process.
+
+use std::net::SocketAddr;
+
+use crate::{
+    error::{ConfigError, ConfigErrors, Problem},
+    fields::{Fields, Value},
+    ini::{Section, parse},
+};
+
+/// Seconds a planned stop may take when the settings do not say.
+const DEFAULT_STOP_S: u64 = 30;
+/// Bytes of a request's body when the settings do not say.
+const DEFAULT_BODY: u64 = 8 << 20;
+/// Requests an engine runs at once when the settings do not say.
+const DEFAULT_SLOTS: u64 = 16;
+/// Requests an entry keeps at once when the settings do not say.
+const DEFAULT_REQUESTS: u64 = 10_000;
+
+/// Where the platform's services are.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// The transactional table.
+    pub table: SocketAddr,
+    /// The object store.
+    pub objects: SocketAddr,
+    /// The list of live and leaving instances.
+    pub instances: SocketAddr,
+}
+
+/// What both roles need.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// The instance's name, unique in the deployment.
+    pub instance: String,
+    /// The availability zone.
+    pub zone: String,
+    /// Where peers reach the process.
+    pub listen: SocketAddr,
+    /// The key that citronrill's own processes share; never logged.
+    pub secret: String,
+    /// Seconds a planned stop may take.
+    pub stop_s: u64,
+    /// The platform's services.
+    pub platform: PlatformSettings,
+}
+
+/// Settings of an entry process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// What both roles need.
+    pub common: Settings,
+    /// Where callers reach the process.
+    pub http: SocketAddr,
+    /// Bytes of a request's body at most.
+    pub body_limit: u64,
+    /// Requests kept at once at most.
+    pub request_limit: u64,
+}
+
+/// What kind of endpoint a side process stands beside.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SideKind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Plain,
+}
+
+impl Value for SideKind {
+    const EXPECTED: &'static str = "`engine` or `plain`";
+    fn parse(text: &str) -> Option<SideKind> {
+        match text {
+            "engine" => Some(SideKind::Engine),
+            "plain" => Some(SideKind::Plain),
+            _ => None,
+        }
+    }
+}
+
+/// Settings of a side process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SideSettings {
+    /// What both roles need.
+    pub common: Settings,
+    /// The endpoint's name.
+    pub endpoint: String,
+    /// Where the endpoint listens.
+    pub target: SocketAddr,
+    /// What kind of endpoint it is.
+    pub kind: SideKind,
+    /// Accelerator memory, in MB.
+    pub memory_mb: u64,
+    /// Requests run at once.
+    pub slots: u64,
+    /// Whether the engine refuses an order with an old fencing number.
+    pub fencing: bool,
+}
+
+impl EntrySettings {
+    /// Reads and checks the settings of an entry.
+    ///
+    /// # Errors
+    /// Every problem, each with file, line, section and key.
+    pub fn parse(file: &str, text: &str) -> Result<EntrySettings, ConfigErrors> {
+        read(file, text, "entry", |common, fields| {
+            Some(EntrySettings {
+                common,
+                http: fields.required("http")?,
+                body_limit: fields.or("body_limit", DEFAULT_BODY),
+                request_limit: fields.or("request_limit", DEFAULT_REQUESTS),
+            })
+        })
+    }
+}
+
+impl SideSettings {
+    /// Reads and checks the settings of a side process.
+    ///
+    /// # Errors
+    /// Every problem, each with file, line, section and key.
+    pub fn parse(file: &str, text: &str) -> Result<SideSettings, ConfigErrors> {
+        read(file, text, "side", |common, fields| {
+            let endpoint = fields.required("endpoint");
+            let target = fields.required("target");
+            let kind = fields.or("kind", SideKind::Engine);
+            let memory_mb = match kind {
+                SideKind::Engine => fields.required("memory_mb"),
+                SideKind::Plain => Some(fields.or("memory_mb", 0)),
+            };
+            Some(SideSettings {
+                common,
+                endpoint: endpoint?,
+                target: target?,
+                kind,
+                memory_mb: memory_mb?,
+                slots: fields.or("slots", DEFAULT_SLOTS).max(1),
+                fencing: fields.or("fencing", false),
+            })
+        })
+    }
+}
+
+/// Reads the three sections of a process's settings; `role` reads its own.
+fn read<T>(
+    file: &str,
+    text: &str,
+    kind: &'static str,
+    role: impl FnOnce(Settings, &mut Fields<'_>) -> Option<T>,
+) -> Result<T, ConfigErrors> {
+    let mut errors = Vec::new();
+    let sections = parse(file, text, &mut errors);
+    for section in &sections {
+        if !["instance", "platform", kind].contains(&section.kind.as_str()) {
+            let problem = Problem::UnknownSection("instance, platform, and entry or side");
+            errors.push(whole_section(file, section.line, &section.header(), problem));
+        }
+    }
+    let empty = Section { kind: kind.to_owned(), name: String::new(), line: 0, entries: vec![] };
+    let mut find = |kind: &str| {
+        let found = sections.iter().find(|section| section.kind == kind);
+        if found.is_none() {
+            errors.push(whole_section(file, 0, kind, Problem::MissingSection));
+        }
+        found.unwrap_or(&empty)
+    };
+    let (instance, platform, own) = (find("instance"), find("platform"), find(kind));
+    let common = read_platform(Fields::new(file, platform, &mut errors))
+        .and_then(|platform| read_instance(Fields::new(file, instance, &mut errors), platform));
+    let mut fields = Fields::new(file, own, &mut errors);
+    let settings = common.and_then(|common| role(common, &mut fields));
+    if settings.is_some() {
+        fields.finish();
+    }
+    match settings {
+        Some(settings) if errors.is_empty() => Ok(settings),
+        _ => Err(ConfigErrors(errors)),
+    }
+}
+
+fn whole_section(file: &str, line: usize, section: &str, problem: Problem) -> ConfigError {
+    let (file, section) = (file.to_owned(), section.to_owned());
+    ConfigError { file, line, section, key: String::new(), problem }
+}
+
+fn read_platform(mut fields: Fields<'_>) -> Option<PlatformSettings> {
+    let table = fields.required("table");
+    let objects = fields.required("objects");
+    let instances = fields.required("instances");
+    fields.finish();
+    Some(PlatformSettings { table: table?, objects: objects?, instances: instances? })
+}
+
+fn read_instance(mut fields: Fields<'_>, platform: PlatformSettings) -> Option<Settings> {
+    let instance = fields.required("name");
+    let zone = fields.required("zone");
+    let listen = fields.required("listen");
+    let secret = fields.required("secret");
+    let stop_s = fields.or("stop_s", DEFAULT_STOP_S);
+    fields.finish();
+    Some(Settings {
+        instance: instance?,
+        zone: zone?,
+        listen: listen?,
+        secret: secret?,
+        stop_s,
+        platform,
+    })
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
