--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod hash;
 mod names;
+mod table;
 mod time;
 
 pub use crate::{
     hash::{hash_bytes, rendezvous_order, rendezvous_score, zone_first},
     names::{Key, Names},
+    table::{Check, Outcome, Row, Txn, Write},
     time::Millis,
 };
 
--- /dev/null
+++ b/crates/decide/src/entry/home.rs
@@ -0,0 +1,532 @@
+//! Models whose home this process is: deciding loads and unloads for all entries.
+//!
+//! A burst for a cold model comes in at many entries at once. Each tells the model's home, found by
+//! rendezvous over the members, and the home decides once. The home is a hint and no authority: two
+//! processes that both believe to be it meet in the table, and if it does not act, the next in order
+//! does.
+
+use citronrill_base::{EndpointKey, Millis, ModelKey, Outcome, Txn};
+use citronrill_config::Class;
+use prost::Message;
+
+use super::{Effect, Entry, Purpose, Target, refusal_of};
+use crate::{
+    keepalive::{Learned, Traffic, day_slot},
+    log::LogEvent,
+    placement::{Ask, NoPlace, Scene, load_txn, plan},
+    refusal::RefusalKind,
+    rows::{Phase, ShareRow, endpoint_key, model_key},
+};
+
+/// How long the first in order has to act on a demand before the next is told, in milliseconds.
+const HOME_PATIENCE_MS: u64 = 400;
+/// After this many homes have not acted, the entry decides for itself.
+const HOME_TRIES: usize = 2;
+/// Demand beside a serving replica that lasts this long asks for another, in milliseconds.
+const SCALE_OUT_MS: u64 = 500;
+/// A use of a warm model is reported again after its keep time over this.
+const REPORT_PART: u64 = 4;
+const REPORT_MIN_MS: u64 = 1_000;
+const REPORT_MAX_MS: u64 = 30_000;
+/// The wait after a load that failed, doubled with each further one, in milliseconds.
+const FAILED_MS: u64 = 5_000;
+const FAILED_LIMIT_MS: u64 = 300_000;
+/// An organisation's replica is released for another one of it at most this often, in milliseconds.
+const RELEASE_MS: u64 = 1_000;
+
+/// Requests for a model, as one entry tells its home.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Demand {
+    /// The entry's address, for the answer.
+    pub from: String,
+    /// The model's name.
+    pub model: String,
+    /// Requests that wait; 0 for a mere report of use.
+    pub waiting: u64,
+    /// Milliseconds until the first one's deadline.
+    pub slack_ms: u64,
+    /// The most urgent class that waits.
+    pub class: Class,
+}
+
+/// What this entry has told of a model that it waits for.
+#[derive(Debug)]
+pub(super) struct DemandState {
+    since: Millis,
+    told: Millis,
+    tries: usize,
+}
+
+/// A model whose home this process is.
+#[derive(Debug)]
+pub(super) struct Home {
+    traffic: Traffic,
+    demand: Option<Demanded>,
+    crowded: Option<Millis>,
+    last_crowded: Millis,
+    askers: Vec<String>,
+    released: Millis,
+}
+
+/// The strongest demand since the last decision.
+#[derive(Debug, Clone, Copy)]
+struct Demanded {
+    deadline: Millis,
+    class: Class,
+}
+
+impl Entry {
+    /// Asks for a replica of a model that requests here wait for.
+    pub(super) fn want(
+        &mut self,
+        model: ModelKey,
+        deadline: Millis,
+        class: Class,
+        out: &mut Vec<Effect>,
+    ) {
+        let now = self.now;
+        let coming = |phase| matches!(phase, Phase::Wanted | Phase::Loading);
+        if self.view.replicas(model).any(|(_, phase)| coming(phase)) {
+            self.demands.remove(&model);
+            return;
+        }
+        let name = self.view.registry.models.name(model).to_owned();
+        let state = self.demands.get(&model);
+        if state.is_some_and(|state| now.since(state.told) < HOME_PATIENCE_MS) {
+            return;
+        }
+        let (since, tries) = state.map_or((now, 0), |state| (state.since, state.tries));
+        self.demands.insert(model, DemandState { since, told: now, tries: tries + 1 });
+        let waiting = self.queues.get(&Target::Model(model)).map_or(0, |queue| queue.len());
+        let demand = Demand {
+            from: self.profile.address.clone(),
+            model: name.clone(),
+            waiting: waiting.max(1) as u64,
+            slack_ms: deadline.since(now),
+            class,
+        };
+        let decider = self.decider(&name, tries);
+        match decider {
+            Some(to) => out.push(Effect::Demand { to, demand }),
+            None => self.demanded(demand, out),
+        }
+    }
+
+    /// The address to tell of a demand; `None` if this process is to decide.
+    fn decider(&self, model: &str, tries: usize) -> Option<String> {
+        if !self.policies.homes || tries >= HOME_TRIES {
+            return None;
+        }
+        let order = self.deciders(model);
+        let name = *order.get(tries)?;
+        let member = self.members.iter().find(|(member, _)| member == name);
+        let address = member.filter(|_| name != self.profile.instance)?.1.clone();
+        Some(address)
+    }
+
+    /// Reports the use of a model to its home, not more often than its keep time needs.
+    pub(super) fn report_use(&mut self, model: ModelKey, out: &mut Vec<Effect>) {
+        let Some(spec) = self.catalogue.models.get(&model) else { return };
+        let Some(org) = self.catalogue.organisations.get(&spec.org) else { return };
+        let learned = self.view.model_row(model).map(Learned::from_row).unwrap_or_default();
+        let keep = self.policies.keep.keep_ms(&learned, spec, org);
+        let pause = (keep / REPORT_PART).clamp(REPORT_MIN_MS, REPORT_MAX_MS);
+        let name = spec.name.clone();
+        let base = spec.base;
+        if self.reports.get(&model).is_some_and(|last| self.now.since(*last) < pause) {
+            return;
+        }
+        self.reports.insert(model, self.now);
+        let demand = Demand {
+            from: self.profile.address.clone(),
+            model: name.clone(),
+            waiting: 0,
+            slack_ms: 0,
+            class: Class::Normal,
+        };
+        match self.decider(&name, 0) {
+            Some(to) => out.push(Effect::Demand { to, demand }),
+            None => self.demanded(demand, out),
+        }
+        if let Some(base) = base {
+            self.report_use(base, out);
+        }
+    }
+
+    fn home(&mut self, model: ModelKey) -> &mut Home {
+        let now = self.now;
+        let row = self.view.model_row(model);
+        let traffic = || Traffic::adopt(row, now);
+        self.homes.entry(model).or_insert_with(|| Home {
+            traffic: traffic(),
+            demand: None,
+            crowded: None,
+            last_crowded: now,
+            askers: Vec::new(),
+            released: Millis(0),
+        })
+    }
+
+    pub(super) fn demanded(&mut self, demand: Demand, out: &mut Vec<Effect>) {
+        let model = self.view.registry.models.intern(&demand.model);
+        let now = self.now;
+        let home = self.home(model);
+        if demand.waiting == 0 {
+            return home.traffic.report(now);
+        }
+        let deadline = now + demand.slack_ms;
+        let stronger = match home.demand {
+            Some(known) => Demanded {
+                deadline: known.deadline.min(deadline),
+                class: known.class.min(demand.class),
+            },
+            None => Demanded { deadline, class: demand.class },
+        };
+        home.demand = Some(stronger);
+        if !home.askers.contains(&demand.from) {
+            home.askers.push(demand.from);
+        }
+        self.decide_load(model, out);
+    }
+
+    /// Decides a load for the demand there is, unless one is being decided.
+    fn decide_load(&mut self, model: ModelKey, out: &mut Vec<Effect>) {
+        let Some(demand) = self.homes.get(&model).and_then(|home| home.demand) else { return };
+        if self.deciding(&Purpose::Load(model)) || !self.store_up {
+            return;
+        }
+        if let Some(copies) = self.copies_wanted(model) {
+            let slack_ms = demand.deadline.since(self.now);
+            let ask = Ask { model, copies, slack_ms, class: demand.class };
+            self.try_load(&ask, out);
+        }
+    }
+
+    /// How many replicas the demand calls for; `None` if it may be met without another.
+    fn copies_wanted(&mut self, model: ModelKey) -> Option<u64> {
+        let now = self.now;
+        let decided = self.view.model_row(model).map_or(0, |row| row.holders.len() as u64);
+        if decided == 0 {
+            return Some(1);
+        }
+        let phases = self.view.replicas(model).map(|(_, phase)| phase).collect::<Vec<_>>();
+        if phases.iter().any(|phase| *phase != Phase::Ready) {
+            return None;
+        }
+        let home = self.home(model);
+        home.last_crowded = now;
+        let since = *home.crowded.get_or_insert(now);
+        (now.since(since) >= SCALE_OUT_MS).then_some(decided + 1)
+    }
+
+    fn try_load(&mut self, ask: &Ask, out: &mut Vec<Effect>) {
+        let busy = self.decisions.values().filter_map(|it| it.endpoint).collect();
+        let salt = self.random();
+        let order = self.new_order(2);
+        let scene = Scene {
+            view: &self.view,
+            catalogue: &self.catalogue,
+            busy: &busy,
+            avoided: &self.avoided,
+            parts: self.profile.share_parts,
+            salt,
+        };
+        match plan(&scene, self.policies.placement.as_ref(), ask) {
+            Ok(plan) => {
+                let txn = load_txn(&scene, &plan, ask, order);
+                let event = LogEvent::new("load").with("model", self.model_name(ask.model));
+                let name = self.view.endpoint_name(plan.endpoint);
+                out.push(Effect::Log(event.with("endpoint", name)));
+                self.decide(Purpose::Load(ask.model), Some(plan.endpoint), txn, out);
+            }
+            Err(reason) => self.no_place(ask.model, reason, out),
+        }
+    }
+
+    fn model_name(&self, model: ModelKey) -> &str {
+        self.view.registry.models.name(model)
+    }
+
+    fn no_place(&mut self, model: ModelKey, reason: NoPlace, out: &mut Vec<Effect>) {
+        if reason == NoPlace::ShareUsed && self.release_one(model, out) {
+            return;
+        }
+        let serving = self.view.replicas(model).any(|(_, phase)| phase == Phase::Ready);
+        let Some(kind) = refusal_of(reason).filter(|_| !serving) else {
+            if reason == NoPlace::Enough {
+                self.home(model).demand = None;
+            }
+            return;
+        };
+        let name = self.model_name(model).to_owned();
+        out.push(Effect::Log(
+            LogEvent::new("no_place").with("model", &name).with("why", kind.word()),
+        ));
+        let home = self.home(model);
+        home.demand = None;
+        for to in std::mem::take(&mut home.askers) {
+            if to == self.profile.address {
+                self.refuse_waiting(Target::Model(model), kind, out);
+            } else {
+                out.push(Effect::Verdict { to, model: name.clone(), kind });
+            }
+        }
+    }
+
+    /// Lets go of another replica of an organisation that has used up its share; whether one is
+    /// on its way out.
+    ///
+    /// The side refuses to unload what was used a moment ago, so a wrong choice costs a write.
+    fn release_one(&mut self, model: ModelKey, out: &mut Vec<Effect>) -> bool {
+        let Some(spec) = self.catalogue.models.get(&model) else { return false };
+        let (org, base) = (spec.org, spec.base);
+        let org_name = self.view.registry.organisations.name(org);
+        let (mut leaving, mut candidates) = (false, Vec::new());
+        for (key, row) in self.view.endpoints() {
+            for replica in row.replicas.iter().filter(|it| it.org == *org_name) {
+                let other = self.view.registry.models.get(&replica.model);
+                let needed = other.is_none_or(|other| other == model || Some(other) == base);
+                match replica.phase() {
+                    Phase::Unloading => leaving = true,
+                    Phase::Ready if !needed => candidates.extend(other.map(|it| (key, it))),
+                    Phase::Ready | Phase::Wanted | Phase::Loading => {}
+                }
+            }
+        }
+        let now = self.now;
+        if leaving || now.since(self.home(model).released) < RELEASE_MS {
+            return leaving || !candidates.is_empty();
+        }
+        let used = |it: &(EndpointKey, ModelKey)| self.reports.get(&it.1).copied();
+        candidates.sort_by_key(|it| (used(it), self.model_name(it.1).len()));
+        let Some((endpoint, victim)) = candidates.first().copied() else { return false };
+        self.home(model).released = now;
+        self.unload(victim, endpoint, "share", out);
+        true
+    }
+
+    pub(super) fn load_settled(
+        &mut self,
+        model: ModelKey,
+        outcome: Outcome,
+        out: &mut Vec<Effect>,
+    ) {
+        if let Outcome::Committed(_) = outcome {
+            let home = self.home(model);
+            home.demand = None;
+            home.crowded = None;
+            home.askers.clear();
+        }
+        if outcome == Outcome::Conflict {
+            // The rows that are read back show whether another decider was faster.
+            out.push(Effect::Log(LogEvent::new("conflict").with("model", self.model_name(model))));
+        }
+    }
+
+    pub(super) fn verdict(&mut self, model: &str, kind: RefusalKind, out: &mut Vec<Effect>) {
+        let Some(model) = self.view.registry.models.get(model) else { return };
+        if self.view.replicas(model).next().is_none() {
+            self.demands.remove(&model);
+            self.refuse_waiting(Target::Model(model), kind, out);
+        }
+    }
+
+    /// Reacts to a change of a model's replicas.
+    pub(super) fn replicas_changed(&mut self, model: ModelKey, out: &mut Vec<Effect>) {
+        let phases = self.view.replicas(model).map(|(_, phase)| phase).collect::<Vec<_>>();
+        let coming = phases.iter().any(|it| matches!(it, Phase::Wanted | Phase::Loading));
+        if coming {
+            self.loading_since.entry(model).or_insert(self.now);
+        } else {
+            self.loading_since.remove(&model);
+        }
+        if phases.is_empty() {
+            self.misplaced.retain(|(_, it), _| *it != model);
+        } else if !self.homes.contains_key(&model) && self.owns(self.model_name(model)) {
+            self.home(model);
+        }
+        if phases.contains(&Phase::Ready) {
+            self.demands.remove(&model);
+        }
+        self.dispatch(Target::Model(model), out);
+    }
+
+    /// Forgets the models whose home another member is now, and takes over those of this one.
+    pub(super) fn review_homes(&mut self) {
+        let kept = self.homes.keys().copied().filter(|it| self.owns(self.model_name(*it)));
+        let kept = kept.collect::<std::collections::HashSet<_>>();
+        let busy = |home: &Home| home.demand.is_some();
+        self.homes.retain(|model, home| kept.contains(model) || busy(home));
+        let warm = self.view.warm_models().filter(|it| !self.homes.contains_key(it));
+        let warm = warm.filter(|it| self.owns(self.model_name(*it))).collect::<Vec<_>>();
+        for model in warm {
+            self.home(model);
+        }
+    }
+
+    /// Notes a load that failed, so that its model is left alone for a while.
+    pub(super) fn note_failures(&mut self, model: ModelKey) {
+        let failures = self.view.model_row(model).map_or(0, |row| row.failures);
+        let known = self.cooldowns.get(&model).map_or(0, |(failures, _)| *failures);
+        if failures == 0 {
+            self.cooldowns.remove(&model);
+        } else if failures != known {
+            let pause = (FAILED_MS << (failures - 1).min(10)).min(FAILED_LIMIT_MS);
+            self.cooldowns.insert(model, (failures, self.now + pause));
+        }
+    }
+
+    /// Milliseconds for which a model that failed to load is left alone.
+    pub(super) fn cooldown(&self, model: ModelKey) -> Option<u64> {
+        let (_, until) = self.cooldowns.get(&model)?;
+        (*until > self.now).then(|| until.since(self.now))
+    }
+
+    /// Unloads what has been idle for long enough, and loads ahead of the part of the day.
+    pub(super) fn home_chores(&mut self, minute: u16, out: &mut Vec<Effect>) {
+        self.close_slot(minute, out);
+        if !self.store_up {
+            return;
+        }
+        let models = self.homes.keys().copied().collect::<Vec<_>>();
+        for model in models {
+            self.decide_load(model, out);
+            self.release_idle(model, out);
+        }
+    }
+
+    fn close_slot(&mut self, minute: u16, out: &mut Vec<Effect>) {
+        let slot = day_slot(minute);
+        let Some(last) = self.slot.replace(slot) else { return };
+        if last == slot {
+            return;
+        }
+        for home in self.homes.values_mut() {
+            let active = std::mem::take(&mut home.traffic.active);
+            home.traffic.learned.close_slot(last, active);
+        }
+        self.load_ahead(slot, out);
+    }
+
+    /// Loads models that are likely to be asked for in the part of the day that begins.
+    fn load_ahead(&mut self, slot: usize, out: &mut Vec<Effect>) {
+        if !self.store_up {
+            return;
+        }
+        let mut due = Vec::new();
+        for (key, model) in &self.catalogue.models {
+            let Some(row) = self.view.model_row(*key) else { continue };
+            let Some(org) = self.catalogue.organisations.get(&model.org) else { continue };
+            let learned = self.homes.get(key).map(|home| home.traffic.learned.clone());
+            let learned = learned.unwrap_or_else(|| Learned::from_row(row));
+            let likely = self.policies.keep.load_ahead(&learned, slot, model, org);
+            if likely && row.holders.is_empty() && self.owns(&model.name) {
+                due.push((*key, model.base.is_some()));
+            }
+        }
+        due.sort_unstable_by_key(|(key, adapter)| (*adapter, *key));
+        for (model, _) in due {
+            let class = Class::Batch;
+            self.home(model);
+            let ask = Ask { model, copies: 1, slack_ms: crate::keepalive::SLOT_MS, class };
+            self.try_load(&ask, out);
+        }
+    }
+
+    fn release_idle(&mut self, model: ModelKey, out: &mut Vec<Effect>) {
+        let ready = self.view.replicas(model).filter(|(_, phase)| *phase == Phase::Ready);
+        let ready = ready.map(|(endpoint, _)| endpoint).collect::<Vec<_>>();
+        if ready.is_empty() {
+            if self.view.replicas(model).next().is_none() {
+                self.drop_cold_home(model);
+            }
+            return;
+        }
+        let name = self.model_name(model).to_owned();
+        let carries = |endpoint: &EndpointKey| {
+            let row = self.view.endpoint(*endpoint);
+            row.is_some_and(|row| row.replicas.iter().any(|replica| replica.base == name))
+        };
+        let free = ready.iter().copied().filter(|endpoint| !carries(endpoint)).collect::<Vec<_>>();
+        let idle = self.now.since(self.homes[&model].traffic.last);
+        let Some(endpoint) = free.first().copied() else { return };
+        if self.queues.contains_key(&Target::Model(model)) {
+            return;
+        }
+        let keep = self.keep_ms(model);
+        if idle >= keep {
+            return self.unload(model, endpoint, "idle", out);
+        }
+        let calm = self.now.since(self.homes[&model].last_crowded);
+        if ready.len() > 1 && calm >= keep {
+            self.home(model).last_crowded = self.now;
+            self.unload(model, endpoint, "calm", out);
+        }
+    }
+
+    /// A model with nothing loaded needs no home until the next report.
+    fn drop_cold_home(&mut self, model: ModelKey) {
+        let Some(home) = self.homes.get(&model) else { return };
+        // What was learned of the last gap is kept as long as the gaps that are counted apart.
+        let old = self.now.since(home.traffic.last) > crate::keepalive::LEARN_MS;
+        if home.demand.is_none() && old {
+            self.homes.remove(&model);
+        }
+    }
+
+    /// Milliseconds that an idle replica of the model is kept.
+    fn keep_ms(&self, model: ModelKey) -> u64 {
+        let Some(spec) = self.catalogue.models.get(&model) else { return 0 };
+        let Some(org) = self.catalogue.organisations.get(&spec.org) else { return 0 };
+        if self.used_mb(spec.org) > org.share_mb {
+            return crate::keepalive::MIN_KEEP_MS;
+        }
+        let learned = &self.homes[&model].traffic.learned;
+        self.policies.keep.keep_ms(learned, spec, org)
+    }
+
+    fn used_mb(&self, org: citronrill_base::OrgKey) -> u64 {
+        let parts = 0..self.profile.share_parts;
+        let rows = parts.filter_map(|part| self.view.share(org, part).row);
+        rows.map(|row: ShareRow| row.used_mb).sum()
+    }
+
+    /// Marks a replica for unloading, and keeps what was learned on the model's row.
+    fn unload(
+        &mut self,
+        model: ModelKey,
+        endpoint: EndpointKey,
+        why: &'static str,
+        out: &mut Vec<Effect>,
+    ) {
+        let taken = self.decisions.values().any(|it| it.endpoint == Some(endpoint));
+        if taken || self.deciding(&Purpose::Unload(model)) {
+            return;
+        }
+        let Some(row) = self.view.endpoint(endpoint) else { return };
+        let name = self.model_name(model).to_owned();
+        let mut next = row.clone();
+        for replica in &mut next.replicas {
+            let member = replica.model == name || replica.base == name;
+            if member && replica.phase() == Phase::Ready {
+                replica.phase = Phase::Unloading.into();
+            }
+        }
+        if next == *row {
+            return;
+        }
+        let mut txn = Txn::default();
+        let endpoint_name = self.view.endpoint_name(endpoint).to_owned();
+        let version = self.view.endpoint_version(endpoint);
+        txn.put(endpoint_key(&endpoint_name), version, Some(next.encode_to_vec()));
+        if let Some(home) = self.homes.get(&model) {
+            let held = self.view.model(model);
+            let mut row = held.row.unwrap_or_default();
+            home.traffic.learned.to_row(&mut row);
+            txn.put(model_key(&name), held.version, Some(row.encode_to_vec()));
+        }
+        let event = LogEvent::new("unload").with("model", name).with("endpoint", endpoint_name);
+        out.push(Effect::Log(event.with("why", why)));
+        self.decide(Purpose::Unload(model), Some(endpoint), txn, out);
+    }
+}
--- /dev/null
+++ b/crates/decide/src/entry/mod.rs
@@ -0,0 +1,774 @@
+//! The reducer of an entry process: callers' requests, and the models whose home it is.
+
+mod claims;
+mod cleanup;
+mod config;
+mod home;
+mod queue;
+mod requests;
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+
+use citronrill_base::{
+    EndpointKey, Key, Millis, ModelKey, OrgKey, Outcome, Row, ServiceKey, Txn, rendezvous_order,
+};
+use citronrill_config::{ApiKeyHash, Catalogue, Class};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+pub use self::home::Demand;
+use self::{
+    claims::Claim,
+    config::TextState,
+    home::{DemandState, Home},
+    queue::WaitQueue,
+};
+use crate::{
+    call::{CancelAnswer, Decline},
+    keepalive::KeepAlive,
+    log::LogEvent,
+    placement::{NoPlace, Placement},
+    refusal::{Ran, Refusal, RefusalKind},
+    routing::Router,
+    rows::{HeadRow, MemberRow, member_key},
+    view::{Change, View},
+};
+
+/// A decision without an answer is looked into after this time, in milliseconds.
+const DECISION_PATIENCE_MS: u64 = 3_000;
+/// How often the slow chores run, in milliseconds.
+const CHORES_MS: u64 = 1_000;
+
+/// Names one request for the life of the process; never reused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestId(pub u64);
+
+/// What a caller asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Wish {
+    /// A model or adapter, by name.
+    Model(String),
+    /// A call of a plain service.
+    Plain {
+        /// The service's name.
+        service: String,
+        /// The HTTP method.
+        verb: String,
+        /// The path at the service, from `/`.
+        path: String,
+    },
+}
+
+/// A caller's request.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Its name.
+    pub id: RequestId,
+    /// Hash of the caller's API key.
+    pub key: ApiKeyHash,
+    /// What it asks for.
+    pub wish: Wish,
+    /// Milliseconds that the caller gives it; the service's deadline if it gives none.
+    pub deadline_ms: Option<u64>,
+    /// Hash of the caller's idempotency key.
+    pub once: Option<u64>,
+    /// Hash of the request's body.
+    pub content: u64,
+    /// Hash of the prompt's beginning; 0 if there is none.
+    pub prefix: u64,
+}
+
+/// Where a request can be served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) enum Target {
+    Model(ModelKey),
+    Plain(ServiceKey),
+}
+
+/// An instance as the platform's list has it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum InstanceState {
+    /// It runs.
+    Live,
+    /// It will be taken away.
+    Leaving,
+}
+
+/// What an entry's reducer is told.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// Time has passed; several times a second, with the minute after midnight.
+    Tick {
+        /// Minute of the day, for learning its pattern only.
+        minute: u16,
+    },
+    /// Rows of the feed or of a read.
+    Rows {
+        /// The rows.
+        rows: Vec<Row>,
+        /// Whether they come from the table itself, and not from a peer.
+        confirmed: bool,
+    },
+    /// Whether the table answers.
+    Store(bool),
+    /// A whole text as fetched.
+    Text {
+        /// Its version.
+        version: u64,
+        /// The text.
+        text: String,
+    },
+    /// The platform's list.
+    Instances(Vec<(String, InstanceState)>),
+    /// A caller's request.
+    Arrive(Arrival),
+    /// A caller wants to know its models.
+    List {
+        /// Names the question.
+        id: RequestId,
+        /// Hash of the caller's API key.
+        key: ApiKeyHash,
+    },
+    /// The first part of an answer was passed on to the caller.
+    Began(RequestId),
+    /// The whole answer was passed on.
+    Ended {
+        /// Which.
+        id: RequestId,
+        /// Requests that the side has running.
+        load: u32,
+        /// The answer, if the call was claimed.
+        answer: Option<Answer>,
+    },
+    /// The side will not run the call.
+    Declined {
+        /// Which.
+        id: RequestId,
+        /// Why.
+        why: Decline,
+        /// Requests that the side has running.
+        load: u32,
+    },
+    /// The call never left the process.
+    Unsent(RequestId),
+    /// The call was sent, and what became of it cannot be found out.
+    Lost(RequestId),
+    /// What a side says to a cancellation.
+    Cancelled(RequestId, CancelAnswer),
+    /// The caller went away.
+    CallerGone(RequestId),
+    /// An endpoint has been silent on an open connection, or takes none.
+    Silent(EndpointKey),
+    /// Another entry has requests for a model whose home this is.
+    Demand(Demand),
+    /// The model's home cannot have it loaded.
+    Verdict {
+        /// The model's name.
+        model: String,
+        /// Why.
+        kind: RefusalKind,
+    },
+    /// What became of a transaction.
+    Committed(u64, Outcome),
+    /// What a claim's read gave; `None` if the table did not answer.
+    ClaimRead(RequestId, Option<Row>),
+    /// Stop: take nothing new and finish what is there.
+    Drain,
+}
+
+/// The answer of a call that may run once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub content_type: String,
+    /// The body; `None` if it is too large to keep.
+    pub body: Option<Vec<u8>>,
+}
+
+/// What an entry's reducer wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Send a request to an endpoint.
+    Send {
+        /// Which.
+        id: RequestId,
+        /// Names this sending.
+        call: u64,
+        /// Where.
+        endpoint: EndpointKey,
+        /// The side's address.
+        address: String,
+        /// The model's name; empty for a plain service.
+        model: String,
+        /// The organisation's name.
+        org: String,
+        /// How urgent it is.
+        class: Class,
+        /// Milliseconds until the deadline.
+        slack_ms: u64,
+        /// Whether the answer is to be kept for a repeat.
+        claimed: bool,
+    },
+    /// Cancel a sending, and tell what the side says.
+    Cancel {
+        /// Which.
+        id: RequestId,
+        /// The sending.
+        call: u64,
+        /// Where.
+        endpoint: EndpointKey,
+    },
+    /// Refuse a request; its final answer.
+    Refuse(RequestId, Refusal),
+    /// Give a request the first answer under its idempotency key; its final answer.
+    Replay(RequestId, Answer),
+    /// Answer a question for models.
+    Models(RequestId, Result<Vec<String>, Refusal>),
+    /// Commit a transaction.
+    Commit(u64, Txn),
+    /// Read rows into the view.
+    Read(Vec<String>),
+    /// Read a claim.
+    ReadClaim(RequestId, String),
+    /// Fetch a whole text.
+    FetchText(HeadRow),
+    /// Tell a model's home of requests.
+    Demand {
+        /// The home's address.
+        to: String,
+        /// What is asked for.
+        demand: Demand,
+    },
+    /// Tell an entry that its demand cannot be met.
+    Verdict {
+        /// The entry's address.
+        to: String,
+        /// The model's name.
+        model: String,
+        /// Why.
+        kind: RefusalKind,
+    },
+    /// Tell a side that its row has changed.
+    Poke {
+        /// Where.
+        endpoint: EndpointKey,
+        /// The side's address.
+        address: String,
+    },
+    /// A new text is in force.
+    Configured(u64),
+    /// Write a line to the log.
+    Log(LogEvent),
+    /// All is finished: stop the process.
+    Drained,
+}
+
+/// What an entry knows of itself from its settings.
+#[derive(Debug, Clone)]
+pub struct EntryProfile {
+    /// The instance's name.
+    pub instance: String,
+    /// Where peers reach the process.
+    pub address: String,
+    /// The availability zone.
+    pub zone: String,
+    /// Drawn at the start of the process.
+    pub session: u64,
+    /// Requests kept at once.
+    pub request_limit: usize,
+    /// Parts that an organisation's share is divided into.
+    pub share_parts: u32,
+    /// Seed of the random choices.
+    pub seed: u64,
+}
+
+/// The rules that vary.
+pub struct Policies {
+    /// Where a model is loaded.
+    pub placement: Box<dyn Placement>,
+    /// Which replica gets a request.
+    pub router: Box<dyn Router>,
+    /// How long a replica is kept.
+    pub keep: Box<dyn KeepAlive>,
+    /// Whether demand goes to a model's home, or every entry decides for itself.
+    pub homes: bool,
+}
+
+impl Default for Policies {
+    fn default() -> Self {
+        Policies {
+            placement: Box::new(crate::placement::CheapestPlace),
+            router: Box::new(crate::routing::TwoChoices),
+            keep: Box::new(crate::keepalive::CheapestKeep),
+            homes: true,
+        }
+    }
+}
+
+#[derive(Debug)]
+enum State {
+    /// Its claim is being written.
+    Claiming,
+    /// It stands in its queue.
+    Waiting,
+    /// It was sent.
+    Sent { endpoint: EndpointKey, call: u64, began: bool },
+    /// It was cancelled at its deadline; the side has until then to say whether it ran.
+    Cancelling { endpoint: EndpointKey, began: bool, until: Millis },
+}
+
+#[derive(Debug)]
+struct Request {
+    target: Target,
+    org: OrgKey,
+    class: Class,
+    deadline: Millis,
+    sent_at: Millis,
+    repeatable: bool,
+    prefix: u64,
+    tries: u8,
+    avoid: Vec<EndpointKey>,
+    claim: Option<Claim>,
+    state: State,
+}
+
+/// What this process has seen of an endpoint.
+#[derive(Debug, Clone, Default)]
+struct Contact {
+    running: u32,
+    reported: u32,
+    reported_at: Millis,
+    suspect_until: Millis,
+    silences: u32,
+    busy_until: Millis,
+    left_epoch: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Purpose {
+    Load(ModelKey),
+    Unload(ModelKey),
+    Cleanup,
+    Member,
+    Claim(RequestId),
+    CloseClaim,
+}
+
+#[derive(Debug)]
+struct Decision {
+    purpose: Purpose,
+    endpoint: Option<EndpointKey>,
+    txn: Txn,
+    since: Millis,
+}
+
+/// The reducer.
+pub struct Entry {
+    profile: EntryProfile,
+    policies: Policies,
+    rng: SmallRng,
+    now: Millis,
+    view: View,
+    catalogue: Catalogue,
+    text: TextState,
+    requests: HashMap<RequestId, Request>,
+    deadlines: BTreeSet<(Millis, RequestId)>,
+    queues: HashMap<Target, WaitQueue>,
+    per_org: HashMap<OrgKey, usize>,
+    contacts: Vec<Contact>,
+    misplaced: HashMap<(EndpointKey, ModelKey), u64>,
+    retry_tokens: f64,
+    service_ms: HashMap<Target, f64>,
+    next_call: u64,
+    decisions: HashMap<u64, Decision>,
+    next_decision: u64,
+    orders: u64,
+    demands: HashMap<ModelKey, DemandState>,
+    homes: HashMap<ModelKey, Home>,
+    reports: HashMap<ModelKey, Millis>,
+    loading_since: HashMap<ModelKey, Millis>,
+    cooldowns: HashMap<ModelKey, (u32, Millis)>,
+    listed: HashMap<String, InstanceState>,
+    absent: HashMap<String, Millis>,
+    list_seen: bool,
+    avoided: HashSet<EndpointKey>,
+    members: Vec<(String, String)>,
+    store_up: bool,
+    slot: Option<usize>,
+    chores: Millis,
+    registered: bool,
+    draining: bool,
+    drained: bool,
+}
+
+impl Entry {
+    /// The reducer of a process that has just started.
+    pub fn new(profile: EntryProfile, policies: Policies, now: Millis) -> Entry {
+        let rng = SmallRng::seed_from_u64(profile.seed);
+        Entry {
+            profile,
+            policies,
+            rng,
+            now,
+            view: View::default(),
+            catalogue: Catalogue::empty(),
+            text: TextState::default(),
+            requests: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            queues: HashMap::new(),
+            per_org: HashMap::new(),
+            contacts: Vec::new(),
+            misplaced: HashMap::new(),
+            retry_tokens: requests::RETRY_LIMIT,
+            service_ms: HashMap::new(),
+            next_call: 0,
+            decisions: HashMap::new(),
+            next_decision: 0,
+            orders: 0,
+            demands: HashMap::new(),
+            homes: HashMap::new(),
+            reports: HashMap::new(),
+            loading_since: HashMap::new(),
+            cooldowns: HashMap::new(),
+            listed: HashMap::new(),
+            absent: HashMap::new(),
+            list_seen: false,
+            avoided: HashSet::new(),
+            members: Vec::new(),
+            store_up: false,
+            slot: None,
+            chores: now,
+            registered: false,
+            draining: false,
+            drained: false,
+        }
+    }
+
+    /// Takes in one event.
+    pub fn step(&mut self, now: Millis, event: Event, out: &mut Vec<Effect>) {
+        self.now = self.now.max(now);
+        match event {
+            Event::Tick { minute } => self.tick(minute, out),
+            Event::Rows { rows, confirmed } => self.rows(&rows, confirmed, out),
+            Event::Store(up) => self.store(up, out),
+            Event::Text { version, text } => self.whole_text(version, text, out),
+            Event::Instances(list) => self.instances(list, out),
+            Event::Arrive(arrival) => self.arrive(arrival, out),
+            Event::List { id, key } => self.list_models(id, &key, out),
+            Event::Began(id) => self.began(id),
+            Event::Ended { id, load, answer } => self.ended(id, load, answer, out),
+            Event::Declined { id, why, load } => self.declined(id, why, load, out),
+            Event::Unsent(id) => self.unsent(id, out),
+            Event::Lost(id) => self.lost(id, out),
+            Event::Cancelled(id, answer) => self.cancelled(id, answer, out),
+            Event::CallerGone(id) => self.caller_gone(id, out),
+            Event::Silent(endpoint) => self.silent(endpoint),
+            Event::Demand(demand) => self.demanded(demand, out),
+            Event::Verdict { model, kind } => self.verdict(&model, kind, out),
+            Event::Committed(id, outcome) => self.committed(id, outcome, out),
+            Event::ClaimRead(id, row) => self.claim_read(id, row, out),
+            Event::Drain => self.drain(out),
+        }
+        self.finish_drain(out);
+    }
+
+    fn tick(&mut self, minute: u16, out: &mut Vec<Effect>) {
+        self.expire(out);
+        self.time_out_decisions(out);
+        self.register(out);
+        let targets = self.queues.keys().copied().collect::<Vec<_>>();
+        for target in targets {
+            self.dispatch(target, out);
+        }
+        if self.now.since(self.chores) >= CHORES_MS {
+            self.chores = self.now;
+            self.refetch_text(out);
+            self.clean_up(out);
+            self.home_chores(minute, out);
+        }
+    }
+
+    fn rows(&mut self, rows: &[Row], confirmed: bool, out: &mut Vec<Effect>) {
+        self.text.confirmed |= confirmed;
+        let mut touched = Vec::new();
+        for row in rows {
+            match self.view.absorb(row) {
+                Some(Change::Endpoint(_, models)) => touched.extend(models),
+                Some(Change::Model(model)) => self.note_failures(model),
+                Some(Change::Members) => self.recount_members(),
+                Some(Change::Head(head)) => self.text.target = Some(head),
+                Some(Change::Delta(delta)) => self.text.keep_delta(delta),
+                Some(Change::Other) | None => {}
+            }
+        }
+        self.advance_text(out);
+        touched.sort_unstable();
+        touched.dedup();
+        for model in touched {
+            self.replicas_changed(model, out);
+        }
+    }
+
+    fn store(&mut self, up: bool, out: &mut Vec<Effect>) {
+        if self.store_up != up {
+            out.push(Effect::Log(LogEvent::new("store").with("up", up)));
+        }
+        self.store_up = up;
+    }
+
+    fn recount_members(&mut self) {
+        let avoided = |name: &str| matches!(self.listed.get(name), Some(InstanceState::Leaving));
+        self.members = self
+            .view
+            .members()
+            .filter(|(name, _)| !avoided(name) && !self.gone(name))
+            .map(|(name, row)| (name.to_owned(), row.address.clone()))
+            .collect();
+        self.review_homes();
+    }
+
+    /// Writes the own member row once the table answers.
+    fn register(&mut self, out: &mut Vec<Effect>) {
+        let own = self.view.member(&self.profile.instance);
+        let current = own.row.as_ref().is_some_and(|row| row.session == self.profile.session);
+        if current || self.draining || !self.store_up || self.deciding(&Purpose::Member) {
+            self.registered |= current;
+            return;
+        }
+        let row = MemberRow {
+            address: self.profile.address.clone(),
+            zone: self.profile.zone.clone(),
+            session: self.profile.session,
+        };
+        let mut txn = Txn::default();
+        let body = prost::Message::encode_to_vec(&row);
+        txn.put(member_key(&self.profile.instance), own.version, Some(body));
+        self.decide(Purpose::Member, None, txn, out);
+    }
+
+    fn deciding(&self, purpose: &Purpose) -> bool {
+        self.decisions.values().any(|decision| decision.purpose == *purpose)
+    }
+
+    fn decide(
+        &mut self,
+        purpose: Purpose,
+        endpoint: Option<EndpointKey>,
+        txn: Txn,
+        out: &mut Vec<Effect>,
+    ) {
+        self.next_decision += 1;
+        let id = self.next_decision;
+        let since = self.now;
+        out.push(Effect::Commit(id, txn.clone()));
+        self.decisions.insert(id, Decision { purpose, endpoint, txn, since });
+    }
+
+    /// A number that no other decision of any process has.
+    fn new_order(&mut self, count: u64) -> u64 {
+        let first = self.orders;
+        self.orders += count;
+        citronrill_base::hash_bytes(
+            format!("{}/{}/{first}", self.profile.instance, self.profile.session).as_bytes(),
+        ) >> 1
+    }
+
+    fn committed(&mut self, id: u64, outcome: Outcome, out: &mut Vec<Effect>) {
+        let Some(decision) = self.decisions.remove(&id) else { return };
+        if let Outcome::Committed(version) = outcome {
+            let rows = decision.txn.writes.iter().cloned();
+            let rows = rows.map(|it| Row { key: it.key, version, body: it.body });
+            let rows = rows.collect::<Vec<_>>();
+            self.rows(&rows, true, out);
+        }
+        match decision.purpose {
+            Purpose::Claim(request) => self.claim_committed(request, outcome, out),
+            Purpose::CloseClaim => {}
+            purpose => {
+                self.settle(&purpose, decision.endpoint, &decision.txn, outcome, out);
+            }
+        }
+    }
+
+    /// Goes on after a decision of the home.
+    ///
+    /// After a conflict or a lost answer the rows are read back. What they say is the truth either
+    /// way: if the transaction took effect after all, the view shows its replica and nothing more
+    /// is decided; if it is still on its way, the versions that it checks are the ones that the
+    /// next decision checks too, so only one of the two can take effect.
+    fn settle(
+        &mut self,
+        purpose: &Purpose,
+        endpoint: Option<EndpointKey>,
+        txn: &Txn,
+        outcome: Outcome,
+        out: &mut Vec<Effect>,
+    ) {
+        match outcome {
+            Outcome::Committed(_) => {
+                if let Some(address) = endpoint.and_then(|key| self.view.endpoint(key)) {
+                    let address = address.address.clone();
+                    out.extend(endpoint.map(|endpoint| Effect::Poke { endpoint, address }));
+                }
+            }
+            Outcome::Conflict | Outcome::Unknown => {
+                out.push(Effect::Read(txn.checks.iter().map(|it| it.key.clone()).collect()));
+            }
+        }
+        if let Purpose::Load(model) = purpose {
+            self.load_settled(*model, outcome, out);
+        }
+    }
+
+    fn time_out_decisions(&mut self, out: &mut Vec<Effect>) {
+        let late = |decision: &Decision| self.now.since(decision.since) >= DECISION_PATIENCE_MS;
+        let late = self.decisions.iter().filter(|(_, decision)| late(decision));
+        let late = late.map(|(id, _)| *id).collect::<Vec<_>>();
+        for id in late {
+            self.committed(id, Outcome::Unknown, out);
+        }
+    }
+
+    /// Names of the members that may decide for `item`, the first choice first.
+    fn deciders(&self, item: &str) -> Vec<&str> {
+        rendezvous_order(item, self.members.iter().map(|(name, _)| name.as_str()))
+    }
+
+    fn owns(&self, item: &str) -> bool {
+        let mut best = None;
+        for (name, _) in &self.members {
+            let score = citronrill_base::rendezvous_score(item, name);
+            best = best.max(Some((score, name.as_str())));
+        }
+        best.is_none_or(|(_, name)| name == self.profile.instance)
+    }
+
+    fn contact(&mut self, key: EndpointKey) -> &mut Contact {
+        if self.contacts.len() <= key.index() {
+            self.contacts.resize_with(key.index() + 1, Contact::default);
+        }
+        &mut self.contacts[key.index()]
+    }
+
+    fn drain(&mut self, out: &mut Vec<Effect>) {
+        if !self.draining {
+            self.draining = true;
+            out.push(Effect::Log(LogEvent::new("draining").with("requests", self.requests.len())));
+        }
+    }
+
+    /// Gives up the own member row when the last request is answered, then stops.
+    fn finish_drain(&mut self, out: &mut Vec<Effect>) {
+        if !self.draining || self.drained || !self.requests.is_empty() {
+            return;
+        }
+        self.drained = true;
+        let own = self.view.member(&self.profile.instance);
+        if own.row.is_some() && self.store_up {
+            let mut txn = Txn::default();
+            txn.put(member_key(&self.profile.instance), own.version, None);
+            self.decide(Purpose::Member, None, txn, out);
+        }
+        out.push(Effect::Drained);
+    }
+
+    fn random(&mut self) -> u64 {
+        self.rng.random()
+    }
+
+    /// The version of the text in force here.
+    pub fn version(&self) -> u64 {
+        self.catalogue.version
+    }
+
+    /// Whether the table itself has confirmed what is known, and not only a peer.
+    pub fn confirmed(&self) -> bool {
+        self.text.confirmed
+    }
+
+    /// The text in force.
+    pub fn catalogue(&self) -> &Catalogue {
+        &self.catalogue
+    }
+
+    /// The whole text in force.
+    pub fn text(&self) -> &str {
+        &self.text.text
+    }
+
+    /// What is known of the table.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Requests that have no final answer yet.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Requests that stand in a queue.
+    pub fn waiting_requests(&self) -> usize {
+        self.queues.values().map(WaitQueue::len).sum()
+    }
+
+    /// Models whose home this process believes to be.
+    pub fn home_models(&self) -> usize {
+        self.homes.len()
+    }
+
+    /// Whether new requests are taken.
+    pub fn ready(&self) -> bool {
+        !self.draining && self.catalogue.version > 0
+    }
+
+    /// Whether the table answered last.
+    pub fn store_is_up(&self) -> bool {
+        self.store_up
+    }
+
+    fn refuse(&mut self, id: RequestId, refusal: Refusal, out: &mut Vec<Effect>) {
+        if self.forget(id).is_some() {
+            out.push(Effect::Refuse(id, refusal));
+        }
+    }
+
+    /// Takes a request out of every index.
+    fn forget(&mut self, id: RequestId) -> Option<Request> {
+        let request = self.requests.remove(&id)?;
+        self.deadlines.remove(&(request.deadline, id));
+        if let Some(count) = self.per_org.get_mut(&request.org) {
+            *count = count.saturating_sub(1);
+        }
+        if let Some(queue) = self.queues.get_mut(&request.target) {
+            queue.remove(id, request.class, request.deadline);
+            if queue.is_empty() {
+                self.queues.remove(&request.target);
+            }
+        }
+        if let State::Sent { endpoint, .. } | State::Cancelling { endpoint, .. } = request.state {
+            let contact = self.contact(endpoint);
+            contact.running = contact.running.saturating_sub(1);
+        }
+        Some(request)
+    }
+}
+
+/// The refusal that a failed plan means for those that wait.
+fn refusal_of(reason: NoPlace) -> Option<RefusalKind> {
+    match reason {
+        NoPlace::ShareUsed => Some(RefusalKind::ShareUsed),
+        NoPlace::Full => Some(RefusalKind::PoolFull),
+        NoPlace::Unknown => Some(RefusalKind::Removed),
+        NoPlace::Enough | NoPlace::Busy => None,
+    }
+}
+
+/// Whether a call that was sent and given up ran, as the side says.
+fn ran(answer: CancelAnswer) -> Ran {
+    match answer {
+        CancelAnswer::NotRun => Ran::No,
+        CancelAnswer::Ran => Ran::Yes,
+        CancelAnswer::Unknown => Ran::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/decide/src/log.rs
@@ -0,0 +1,23 @@
+//! Log events as data; the runtime writes each as one line of key=value pairs.
+
+/// One event worth a line in the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogEvent {
+    /// What happened, in a fixed word.
+    pub event: &'static str,
+    /// Further keys and values.
+    pub fields: Vec<(&'static str, String)>,
+}
+
+impl LogEvent {
+    /// An event without fields.
+    pub fn new(event: &'static str) -> LogEvent {
+        LogEvent { event, fields: Vec::new() }
+    }
+
+    /// Adds a field.
+    pub fn with(mut self, key: &'static str, value: impl ToString) -> LogEvent {
+        self.fields.push((key, value.to_string()));
+        self
+    }
+}
--- /dev/null
+++ b/crates/decide/src/side/mod.rs
@@ -0,0 +1,542 @@
+//! The reducer of a side process: it owns one endpoint's ledger, engine and calls.
+
+mod calls;
+mod ledger;
+mod permits;
+mod reconcile;
+
+use std::collections::HashMap;
+
+use citronrill_base::{Millis, Outcome, Row, Txn};
+
+pub use self::calls::{Admission, Calls, RECORD_LIMIT};
+use crate::{
+    call::{CallId, CancelAnswer, Decline, Offer},
+    log::LogEvent,
+    rows::{EndpointRow, HEAD, HeadRow, Phase, WEIGHTS, WeightsRow, decode, endpoint_key},
+    view::Held,
+};
+
+/// An order is given only if the table confirmed the epoch to a request made at most this long ago,
+/// in milliseconds.
+pub const VERIFY_MS: u64 = 1_500;
+/// An order may be on its way to the engine for this long, in milliseconds; then its sender gives up.
+pub const ORDER_TRANSIT_MS: u64 = 2_000;
+/// After this time no order of a predecessor can reach the engine any more, in milliseconds.
+///
+/// A predecessor gives its last order at most [`VERIFY_MS`] after its last confirmation, which came
+/// before the successor's claim, and the order is on its way for at most [`ORDER_TRANSIT_MS`]. An
+/// engine that ignores fencing numbers gets no load order from the successor before that.
+pub const ORDER_TTL_MS: u64 = VERIFY_MS + ORDER_TRANSIT_MS + 500;
+/// How often the own row is read when nobody says that it changed.
+const READ_MS: u64 = 5_000;
+/// How often the engine is asked what it holds.
+const LIST_MS: u64 = 1_000;
+/// How long to wait for the table before asking again.
+const TABLE_PATIENCE_MS: u64 = 3_000;
+
+/// What a side process knows of itself from its settings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SideProfile {
+    /// The endpoint's name.
+    pub endpoint: String,
+    /// The platform's name of the instance.
+    pub instance: String,
+    /// Where entries reach the process.
+    pub address: String,
+    /// The availability zone.
+    pub zone: String,
+    /// Accelerator memory, in MB; 0 for a plain endpoint.
+    pub memory_mb: u64,
+    /// Requests run at once.
+    pub slots: u64,
+    /// Whether the engine refuses an order with an old fencing number.
+    pub fencing: bool,
+    /// Drawn at the start of the process.
+    pub session: u64,
+}
+
+/// One model that an engine holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldModel {
+    /// The model's name.
+    pub model: String,
+    /// Whether it serves; else it is still loading.
+    pub ready: bool,
+    /// Memory it takes now, in MB.
+    pub memory_mb: u64,
+}
+
+/// What an engine says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct EngineReport {
+    /// What it holds.
+    pub held: Vec<HeldModel>,
+    /// What it has cached.
+    pub cached: Vec<crate::rows::Cached>,
+}
+
+/// What a side's reducer is told.
+#[derive(Debug, Clone)]
+pub enum SideEvent {
+    /// Time has passed; several times a second.
+    Tick,
+    /// What a read gave; rows that do not exist are among them.
+    Rows(u64, Vec<Row>),
+    /// A read did not answer.
+    ReadFailed(u64),
+    /// What became of a transaction.
+    Committed(u64, Outcome),
+    /// What the engine holds; `None` if it did not answer.
+    Engine(Option<EngineReport>),
+    /// An order was carried out or refused.
+    OrderDone {
+        /// The order's id.
+        order: u64,
+        /// Whether the engine did it.
+        done: bool,
+    },
+    /// A call is offered.
+    Offer(Offer),
+    /// A call is to be cancelled.
+    Cancel {
+        /// Which.
+        id: CallId,
+        /// When it expires on this process's clock.
+        expires: u64,
+    },
+    /// A call has ended at the engine.
+    Ended(CallId),
+    /// Somebody says that the own row changed.
+    Poke,
+    /// Stop: finish what runs and take nothing new.
+    Drain {
+        /// Whether the endpoint goes too, so that its replicas are given back.
+        give_back: bool,
+    },
+}
+
+/// What a side's reducer wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SideEffect {
+    /// Read rows, under an id that the answer names.
+    Read(u64, Vec<String>),
+    /// Commit a transaction.
+    Commit(u64, Txn),
+    /// Ask the engine what it holds.
+    ListEngine,
+    /// Order the engine to load.
+    Load {
+        /// The order's id; safe to give twice.
+        order: u64,
+        /// The model's name.
+        model: String,
+        /// The base model's name, for an adapter.
+        base: String,
+        /// The fencing number.
+        fence: u64,
+        /// Memory when loaded, in MB.
+        memory_mb: u64,
+        /// Memory while loading, in MB.
+        peak_mb: u64,
+    },
+    /// Order the engine to unload.
+    Unload {
+        /// The order's id.
+        order: u64,
+        /// The model's name.
+        model: String,
+        /// The fencing number.
+        fence: u64,
+    },
+    /// Run an offered call.
+    Run(CallId),
+    /// Attach the sender to a call that runs or has run.
+    Attach(CallId),
+    /// Tell the sender that a call will not run.
+    Decline(CallId, Decline),
+    /// Stop a call at the engine.
+    Stop(CallId),
+    /// Answer a cancellation.
+    Cancelled(CallId, CancelAnswer),
+    /// Write a line to the log.
+    Log(LogEvent),
+    /// A successor owns the endpoint: stop the process.
+    Superseded,
+    /// All is given back: stop the process.
+    Drained,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mode {
+    Starting,
+    Serving,
+    Draining { give_back: bool },
+    Superseded,
+    Done,
+}
+
+#[derive(Debug)]
+struct PendingTxn {
+    id: u64,
+    txn: Txn,
+    since: Millis,
+}
+
+#[derive(Debug)]
+struct Order {
+    model: String,
+    load: bool,
+    since: Millis,
+}
+
+/// The reducer.
+#[derive(Debug)]
+pub struct Side {
+    profile: SideProfile,
+    mode: Mode,
+    now: Millis,
+    epoch: u64,
+    owned: Millis,
+    verified: Option<Millis>,
+    row: Held<EndpointRow>,
+    row_known: bool,
+    weights: Held<WeightsRow>,
+    weights_since: Millis,
+    head: Held<HeadRow>,
+    cache: HashMap<String, Row>,
+    txn: Option<PendingTxn>,
+    next_id: u64,
+    reading: Option<(u64, Millis)>,
+    last_read: Millis,
+    read_now: bool,
+    engine: Option<EngineReport>,
+    listed: Millis,
+    listing: Option<Millis>,
+    orders: HashMap<u64, Order>,
+    order_done: Millis,
+    failed: Vec<String>,
+    since: HashMap<u64, Millis>,
+    permits_seen: HashMap<u64, Millis>,
+    calls: Calls,
+}
+
+impl Side {
+    /// The reducer of a process that has just started.
+    pub fn new(profile: SideProfile, now: Millis) -> Side {
+        Side {
+            profile,
+            mode: Mode::Starting,
+            now,
+            epoch: 0,
+            owned: now,
+            verified: None,
+            row: Held::default(),
+            row_known: false,
+            weights: Held::default(),
+            weights_since: now,
+            head: Held::default(),
+            cache: HashMap::new(),
+            txn: None,
+            next_id: 0,
+            reading: None,
+            last_read: now,
+            read_now: true,
+            engine: None,
+            listed: now,
+            listing: None,
+            orders: HashMap::new(),
+            order_done: now,
+            failed: Vec::new(),
+            since: HashMap::new(),
+            permits_seen: HashMap::new(),
+            calls: Calls::default(),
+        }
+    }
+
+    /// Takes in one event.
+    pub fn step(&mut self, now: Millis, event: SideEvent, out: &mut Vec<SideEffect>) {
+        self.now = self.now.max(now);
+        self.calls.expire(self.now);
+        match event {
+            SideEvent::Tick => {}
+            SideEvent::Rows(id, rows) => self.answered(id, rows, out),
+            SideEvent::ReadFailed(id) => drop(self.end_read(id)),
+            SideEvent::Committed(id, outcome) => self.committed(id, outcome, out),
+            SideEvent::Engine(report) => self.listed(report),
+            SideEvent::OrderDone { order, done } => self.order_done(order, done),
+            SideEvent::Offer(offer) => self.offer(&offer, out),
+            SideEvent::Cancel { id, expires } => self.cancel(id, expires, out),
+            SideEvent::Ended(id) => self.calls.ended(now, id),
+            SideEvent::Poke => self.read_now = true,
+            SideEvent::Drain { give_back } => self.drain(give_back, out),
+        }
+        self.advance(out);
+    }
+
+    /// Ends the read that is under way, if `id` names it; gives the time at which it was asked.
+    fn end_read(&mut self, id: u64) -> Option<Millis> {
+        let (_, asked) = self.reading.filter(|(current, _)| *current == id)?;
+        self.reading = None;
+        Some(asked)
+    }
+
+    fn answered(&mut self, id: u64, rows: Vec<Row>, out: &mut Vec<SideEffect>) {
+        let asked = self.end_read(id);
+        self.absorb(rows, asked, out);
+    }
+
+    /// Takes in rows of a request made at `asked`; `None` if it was given up meanwhile.
+    fn absorb(&mut self, rows: Vec<Row>, asked: Option<Millis>, out: &mut Vec<SideEffect>) {
+        let own = endpoint_key(&self.profile.endpoint);
+        for row in rows {
+            if row.key == own {
+                self.absorb_own(&row, asked, out);
+            } else if row.key == WEIGHTS {
+                self.absorb_weights(&row);
+            } else if row.key == HEAD {
+                if row.version > self.head.version {
+                    self.head = Held { version: row.version, row: decode(&row.body) };
+                }
+            } else if self.cache.get(&row.key).is_none_or(|known| known.version <= row.version) {
+                self.cache.insert(row.key.clone(), row);
+            }
+        }
+    }
+
+    /// Takes in the own row and, if it carries the own epoch, trusts it from the time of asking.
+    ///
+    /// A process that is paused may be replaced meanwhile, and the answer to a read that it made
+    /// before is still waiting for it when it wakes up. The time of asking, on the own clock, shows
+    /// that such an answer proves nothing about now.
+    fn absorb_own(&mut self, row: &Row, asked: Option<Millis>, out: &mut Vec<SideEffect>) {
+        if row.version < self.row.version {
+            return;
+        }
+        self.row_known = true;
+        self.row = Held { version: row.version, row: decode(&row.body) };
+        let epoch = self.row.row.as_ref().map_or(0, |row| row.epoch);
+        match self.mode {
+            Mode::Starting | Mode::Done => {}
+            _ if epoch != self.epoch => self.supersede(out),
+            _ => self.verified = self.verified.max(asked),
+        }
+    }
+
+    fn supersede(&mut self, out: &mut Vec<SideEffect>) {
+        if self.mode != Mode::Superseded {
+            self.mode = Mode::Superseded;
+            self.verified = None;
+            out.push(SideEffect::Log(LogEvent::new("superseded").with("epoch", self.epoch)));
+            out.push(SideEffect::Superseded);
+        }
+    }
+
+    fn absorb_weights(&mut self, row: &Row) {
+        if row.version < self.weights.version {
+            return;
+        }
+        if row.version > self.weights.version {
+            self.weights_since = self.now;
+        }
+        self.weights = Held { version: row.version, row: decode(&row.body) };
+        self.note_permits();
+    }
+
+    fn listed(&mut self, report: Option<EngineReport>) {
+        let asked = self.listing.take();
+        if let (Some(report), Some(asked)) = (report, asked) {
+            self.listed = asked;
+            self.engine = Some(report);
+        }
+    }
+
+    fn order_done(&mut self, id: u64, done: bool) {
+        let Some(order) = self.orders.remove(&id) else { return };
+        // The engine's list decides what is true; a refusal only says that a load failed.
+        self.order_done = self.now;
+        if !done && order.load && !self.failed.contains(&order.model) {
+            self.failed.push(order.model);
+        }
+    }
+
+    fn offer(&mut self, offer: &Offer, out: &mut Vec<SideEffect>) {
+        if let Some(why) = self.unfit(offer) {
+            self.calls.refuse(offer, why);
+            out.push(SideEffect::Decline(offer.id, why));
+            return;
+        }
+        out.push(match self.calls.offer(self.now, self.profile.slots, offer) {
+            Admission::Run => SideEffect::Run(offer.id),
+            Admission::Known => SideEffect::Attach(offer.id),
+            Admission::Declined(why) => SideEffect::Decline(offer.id, why),
+        });
+    }
+
+    /// Why a call cannot run here whatever the load.
+    fn unfit(&self, offer: &Offer) -> Option<Decline> {
+        if offer.session != self.profile.session {
+            return Some(Decline::OtherSession);
+        }
+        if matches!(self.mode, Mode::Draining { .. } | Mode::Superseded | Mode::Done) {
+            return Some(Decline::Leaving);
+        }
+        if self.profile.memory_mb > 0 && !self.serves(&offer.model) {
+            return Some(Decline::NotLoaded);
+        }
+        None
+    }
+
+    /// Whether both the ledger and the engine say that the model serves.
+    fn serves(&self, model: &str) -> bool {
+        let row = self.row.row.as_ref().and_then(|row| row.replica(model));
+        row.is_some_and(|replica| replica.phase() == Phase::Ready) && self.engine_has(model, true)
+    }
+
+    fn cancel(&mut self, id: CallId, expires: u64, out: &mut Vec<SideEffect>) {
+        let answer = self.calls.cancel(self.now, id, expires);
+        if answer == CancelAnswer::Ran {
+            out.push(SideEffect::Stop(id));
+        }
+        out.push(SideEffect::Cancelled(id, answer));
+    }
+
+    fn drain(&mut self, give_back: bool, out: &mut Vec<SideEffect>) {
+        if matches!(self.mode, Mode::Starting | Mode::Serving | Mode::Draining { .. }) {
+            let started = self.mode != Mode::Starting;
+            self.mode = Mode::Draining { give_back: give_back && started };
+            out.push(SideEffect::Log(LogEvent::new("draining").with("give_back", give_back)));
+        }
+    }
+
+    fn engine_has(&self, model: &str, ready: bool) -> bool {
+        let held = self.engine.iter().flat_map(|report| &report.held);
+        held.filter(|held| held.model == model).any(|held| held.ready || !ready)
+    }
+
+    /// Reads what is due, then takes the next thing that can be done.
+    fn advance(&mut self, out: &mut Vec<SideEffect>) {
+        self.read_due(out);
+        self.list_due(out);
+        match self.mode {
+            Mode::Starting => self.take_over(out),
+            Mode::Serving | Mode::Draining { .. } => self.work(out),
+            Mode::Superseded | Mode::Done => {}
+        }
+    }
+
+    fn read_due(&mut self, out: &mut Vec<SideEffect>) {
+        if self.reading.is_some_and(|(_, since)| self.now.since(since) >= TABLE_PATIENCE_MS) {
+            self.reading = None;
+            self.read_now = true;
+        }
+        let due = self.read_now || self.now.since(self.last_read) >= READ_MS;
+        let stopped = matches!(self.mode, Mode::Superseded | Mode::Done);
+        if due && self.txn.is_none() && self.reading.is_none() && !stopped {
+            self.read_now = false;
+            self.last_read = self.now;
+            let own = endpoint_key(&self.profile.endpoint);
+            self.read(vec![own, WEIGHTS.to_owned(), HEAD.to_owned()], out);
+        }
+    }
+
+    fn read(&mut self, keys: Vec<String>, out: &mut Vec<SideEffect>) {
+        self.next_id += 1;
+        self.reading = Some((self.next_id, self.now));
+        out.push(SideEffect::Read(self.next_id, keys));
+    }
+
+    fn list_due(&mut self, out: &mut Vec<SideEffect>) {
+        if self.profile.memory_mb == 0 {
+            self.engine.get_or_insert_default();
+            return;
+        }
+        let waits = self.listing.is_some_and(|since| self.now.since(since) < TABLE_PATIENCE_MS);
+        let stale = self.engine.is_none() || self.listed <= self.order_done;
+        let due = stale || self.now.since(self.listed) >= LIST_MS;
+        if due && !waits && self.mode != Mode::Done {
+            self.listing = Some(self.now);
+            out.push(SideEffect::ListEngine);
+        }
+    }
+
+    fn commit(&mut self, txn: Txn, out: &mut Vec<SideEffect>) {
+        self.next_id += 1;
+        let id = self.next_id;
+        self.txn = Some(PendingTxn { id, txn: txn.clone(), since: self.now });
+        out.push(SideEffect::Commit(id, txn));
+    }
+
+    fn committed(&mut self, id: u64, outcome: Outcome, out: &mut Vec<SideEffect>) {
+        if self.txn.as_ref().is_none_or(|pending| pending.id != id) {
+            return;
+        }
+        let Some(pending) = self.txn.take() else { return };
+        match outcome {
+            Outcome::Committed(version) => {
+                let rows = pending.txn.writes.into_iter();
+                let rows = rows.map(|it| Row { key: it.key, version, body: it.body }).collect();
+                if self.mode == Mode::Starting {
+                    self.own(out);
+                }
+                self.absorb(rows, Some(pending.since), out);
+            }
+            // What is known is old, or may be: read all of it again before the next decision.
+            Outcome::Conflict | Outcome::Unknown => {
+                self.cache.clear();
+                self.read_now = true;
+            }
+        }
+    }
+
+    /// The endpoint's row as the side would write it, with its replicas and caches.
+    fn ledger(&self) -> EndpointRow {
+        self.row.row.clone().unwrap_or_default()
+    }
+
+    /// The session that callers must name.
+    pub fn session(&self) -> u64 {
+        self.profile.session
+    }
+
+    /// The version of the text that the table last showed.
+    pub fn config_version(&self) -> u64 {
+        self.head.row.as_ref().map_or(0, |head| head.version)
+    }
+
+    /// Whether the endpoint's row is owned and the process serves.
+    pub fn serving(&self) -> bool {
+        self.mode == Mode::Serving
+    }
+
+    /// Calls that run now.
+    pub fn running(&self) -> u64 {
+        self.calls.running()
+    }
+
+    /// Records of calls that are kept.
+    pub fn call_records(&self) -> usize {
+        self.calls.records()
+    }
+
+    /// The fencing number; 0 before the endpoint is owned.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// The endpoint's row as last read or written.
+    pub fn endpoint_row(&self) -> Option<&EndpointRow> {
+        self.row.row.as_ref()
+    }
+
+    /// The mode in a word, for dumps.
+    pub fn mode_word(&self) -> &'static str {
+        match self.mode {
+            Mode::Starting => "starting",
+            Mode::Serving => "serving",
+            Mode::Draining { .. } => "draining",
+            Mode::Superseded => "superseded",
+            Mode::Done => "done",
+        }
+    }
+}
