--- a/crates/decide/src/entry/mod.rs
+++ b/crates/decide/src/entry/mod.rs
@@ -325,7 +325,7 @@
     /// It was sent.
     Sent { endpoint: EndpointKey, call: u64, began: bool },
     /// It was cancelled at its deadline; the side has until then to say whether it ran.
-    Cancelling { endpoint: EndpointKey, began: bool, until: Millis },
+    Cancelling { endpoint: EndpointKey, call: u64, began: bool, until: Millis },
 }
 
 #[derive(Debug)]
@@ -794,6 +794,20 @@
         self.store_up
     }
 
+    /// The sending that stands for a request now, if it was sent.
+    pub fn current_call(&self, id: RequestId) -> Option<u64> {
+        match self.requests.get(&id)?.state {
+            State::Sent { call, .. } | State::Cancelling { call, .. } => Some(call),
+            State::Claiming | State::Waiting => None,
+        }
+    }
+
+    /// Whether a request's deadline has passed and its side was asked whether it ran.
+    pub fn is_cancelling(&self, id: RequestId) -> bool {
+        let state = self.requests.get(&id).map(|request| &request.state);
+        matches!(state, Some(State::Cancelling { .. }))
+    }
+
     fn refuse(&mut self, id: RequestId, refusal: Refusal, out: &mut Vec<Effect>) {
         if self.forget(id).is_some() {
             out.push(Effect::Refuse(id, refusal));
--- a/crates/decide/src/entry/requests.rs
+++ b/crates/decide/src/entry/requests.rs
@@ -511,7 +511,7 @@
                 self.refuse_unrun(id, Refusal::not_run(RefusalKind::Expired), out);
             }
             State::Sent { endpoint, call, began } => {
-                request.state = State::Cancelling { endpoint, began, until };
+                request.state = State::Cancelling { endpoint, call, began, until };
                 out.push(Effect::Cancel { id, call, endpoint });
             }
             State::Cancelling { until, .. } if until <= self.now => {
