Give no order while an own transaction is in doubt; say unknown after a lost sending

Cause, by fuzzing: (1) a side whose removal of a failed replica was unconfirmed ordered the load again, and the removal then took effect: the engine held a model that nobody had decided. Orders now wait until a later write of the own row is confirmed, which makes the lost one void. (2) a request whose first sending was lost and whose second was declined was refused as not run. (3) maps with a random seed made failures unrepeatable; all reducers use a fixed hasher now. Ruled out: checking the row once more before an order; a late write can still follow the check.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,12 +4,14 @@
 //! anything that does I/O. Nothing here reads a clock or a random source.
 
 mod hash;
+mod maps;
 mod names;
 mod table;
 mod time;
 
 pub use crate::{
     hash::{hash_bytes, rendezvous_order, rendezvous_score, zone_first},
+    maps::{FixedState, Map, Set},
     names::{Key, Names},
     table::{Check, Outcome, Row, Txn, Write},
     time::Millis,
--- a/crates/base/src/names.rs
+++ b/crates/base/src/names.rs
@@ -4,6 +4,8 @@
 
 use indexmap::IndexSet;
 
+use crate::maps::FixedState;
+
 /// A small `Copy` index into an arena.
 pub trait Key: Copy + Eq {
     /// Makes the key of the entity at `index`.
@@ -18,13 +20,13 @@
 /// same entity after it.
 #[derive(Debug, Clone)]
 pub struct Names<K> {
-    set: IndexSet<String>,
+    set: IndexSet<String, FixedState>,
     kind: PhantomData<K>,
 }
 
 impl<K: Key> Default for Names<K> {
     fn default() -> Self {
-        Names { set: IndexSet::new(), kind: PhantomData }
+        Names { set: IndexSet::default(), kind: PhantomData }
     }
 }
 
--- a/crates/config/src/catalogue.rs
+++ b/crates/config/src/catalogue.rs
@@ -1,8 +1,6 @@
 //! The operators' text, compiled.
 
-use std::collections::HashMap;
-
-use citronrill_base::{EndpointKey, ModelKey, OrgKey, ServiceKey};
+use citronrill_base::{EndpointKey, Map, ModelKey, OrgKey, ServiceKey};
 
 use crate::{
     error::{ConfigError, ConfigErrors, Problem},
@@ -167,13 +165,13 @@
     /// What all share.
     pub pool: Pool,
     /// Organisations.
-    pub organisations: HashMap<OrgKey, Organisation>,
+    pub organisations: Map<OrgKey, Organisation>,
     /// Services.
-    pub services: HashMap<ServiceKey, Service>,
+    pub services: Map<ServiceKey, Service>,
     /// Models and adapters.
-    pub models: HashMap<ModelKey, Model>,
+    pub models: Map<ModelKey, Model>,
     /// Endpoints with a section.
-    pub endpoints: HashMap<EndpointKey, EndpointSpec>,
+    pub endpoints: Map<EndpointKey, EndpointSpec>,
 }
 
 impl Catalogue {
@@ -182,10 +180,10 @@
         Catalogue {
             version: 0,
             pool: Pool { loads_second: 1, loads_once: 1 },
-            organisations: HashMap::new(),
-            services: HashMap::new(),
-            models: HashMap::new(),
-            endpoints: HashMap::new(),
+            organisations: Map::default(),
+            services: Map::default(),
+            models: Map::default(),
+            endpoints: Map::default(),
         }
     }
 
@@ -206,7 +204,7 @@
             registry,
             errors: &mut errors,
             catalogue: Catalogue { version, ..Catalogue::empty() },
-            lines: HashMap::new(),
+            lines: Map::default(),
             pool_seen: false,
         };
         for pass in [1, 2, 3, 4] {
@@ -239,7 +237,7 @@
     registry: &'a mut Registry,
     errors: &'a mut Vec<ConfigError>,
     catalogue: Catalogue,
-    lines: HashMap<ServiceKey, Section>,
+    lines: Map<ServiceKey, Section>,
     pool_seen: bool,
 }
 
@@ -449,7 +447,7 @@
     }
 
     fn count_dependants(&mut self) {
-        let mut counts: HashMap<ServiceKey, u64> = HashMap::new();
+        let mut counts: Map<ServiceKey, u64> = Map::default();
         for service in self.catalogue.services.values() {
             for depends in &service.depends {
                 *counts.entry(*depends).or_default() += 1;
--- a/crates/decide/src/entry/cleanup.rs
+++ b/crates/decide/src/entry/cleanup.rs
@@ -1,8 +1,8 @@
 //! Giving back what instances that are gone have held.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 
-use citronrill_base::{EndpointKey, Txn};
+use citronrill_base::{EndpointKey, Set, Txn};
 use prost::Message;
 
 use super::{Effect, Entry, Listed, Purpose};
@@ -24,7 +24,7 @@
         self.listed = list.into_iter().map(|it| (it.peer.name.clone(), it)).collect();
         let endpoints = self.view.endpoints().map(|(_, row)| row.instance.clone());
         let members = self.view.members().map(|(name, _)| name.to_owned());
-        let known = endpoints.chain(members).collect::<HashSet<_>>();
+        let known = endpoints.chain(members).collect::<Set<_>>();
         self.absent.retain(|name, _| known.contains(name) && !self.listed.contains_key(name));
         for name in known {
             if !self.listed.contains_key(&name) {
@@ -40,7 +40,7 @@
             let listed = self.listed.get(&row.instance);
             listed.is_some_and(|it| it.leaving) || self.gone(&row.instance)
         });
-        let leaving = leaving.map(|(key, _)| key).collect::<HashSet<_>>();
+        let leaving = leaving.map(|(key, _)| key).collect::<Set<_>>();
         for key in &leaving {
             if !self.avoided.contains(key) {
                 let name = self.view.endpoint_name(*key).to_owned();
--- a/crates/decide/src/entry/home.rs
+++ b/crates/decide/src/entry/home.rs
@@ -5,7 +5,7 @@
 //! processes that both believe to be it meet in the table, and if it does not act, the next in order
 //! does.
 
-use citronrill_base::{EndpointKey, Millis, ModelKey, Outcome, Txn};
+use citronrill_base::{EndpointKey, Millis, ModelKey, Outcome, Set, Txn};
 use citronrill_config::Class;
 use prost::Message;
 
@@ -354,7 +354,7 @@
     /// Forgets the models whose home another member is now, and takes over those of this one.
     pub(super) fn review_homes(&mut self) {
         let kept = self.homes.keys().copied().filter(|it| self.owns(self.model_name(*it)));
-        let kept = kept.collect::<std::collections::HashSet<_>>();
+        let kept = kept.collect::<Set<_>>();
         let busy = |home: &Home| home.demand.is_some();
         self.homes.retain(|model, home| kept.contains(model) || busy(home));
         let warm = self.view.warm_models().filter(|it| !self.homes.contains_key(it));
--- a/crates/decide/src/entry/requests.rs
+++ b/crates/decide/src/entry/requests.rs
@@ -91,6 +91,7 @@
             prefix: arrival.prefix,
             tries: 0,
             avoid: Vec::new(),
+            may_have_run: false,
             claim,
             state: State::Waiting,
         };
@@ -453,6 +454,9 @@
         self.silent(endpoint);
         if again && self.retry_tokens >= 1.0 {
             self.take_back(id);
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.may_have_run = true;
+            }
             return self.send_again(id, out);
         }
         let ran = if began { Ran::Yes } else { Ran::Unknown };
@@ -471,8 +475,14 @@
         }
     }
 
-    /// Refuses a request that surely did not run, and gives up its claim.
+    /// Refuses a request whose last sending surely did not run, and gives up its claim.
+    ///
+    /// An earlier sending may have run all the same: one whose side was lost is sent again if it may
+    /// be repeated, and a refusal of the second sending says nothing of the first.
     pub(super) fn refuse_unrun(&mut self, id: RequestId, refusal: Refusal, out: &mut Vec<Effect>) {
+        if self.requests.get(&id).is_some_and(|request| request.may_have_run) {
+            return self.refuse(id, Refusal { ran: Ran::Unknown, ..refusal }, out);
+        }
         let claim = self.requests.get_mut(&id).and_then(|request| request.claim.take());
         if let Some(claim) = claim {
             self.drop_claim(claim, out);
--- a/crates/decide/src/feed.rs
+++ b/crates/decide/src/feed.rs
@@ -6,9 +6,9 @@
 //! differ, the age of the data shows a loop, and the process goes further up, in the end to the
 //! table itself.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
-use citronrill_base::{Millis, Row, rendezvous_order};
+use citronrill_base::{Map, Millis, Row, rendezvous_order};
 
 /// Entries of a zone that poll the table.
 const READERS: usize = 2;
@@ -100,7 +100,7 @@
     name: String,
     zone: String,
     log: BTreeMap<u64, Vec<Row>>,
-    versions: HashMap<String, u64>,
+    versions: Map<String, u64>,
     sequence: u64,
     confirmed: Option<Millis>,
     asked: Option<Asked>,
@@ -108,7 +108,7 @@
     next_at: Millis,
     detour: usize,
     detour_since: Millis,
-    pulls: HashMap<u64, Pull>,
+    pulls: Map<u64, Pull>,
 }
 
 impl Feed {
@@ -118,7 +118,7 @@
             name: name.to_owned(),
             zone: zone.to_owned(),
             log: BTreeMap::new(),
-            versions: HashMap::new(),
+            versions: Map::default(),
             sequence: 0,
             confirmed: None,
             asked: None,
@@ -126,7 +126,7 @@
             next_at: now,
             detour: 0,
             detour_since: now,
-            pulls: HashMap::new(),
+            pulls: Map::default(),
         }
     }
 
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -1,8 +1,6 @@
 //! On which endpoint a model is loaded, and the transaction that decides it.
 
-use std::collections::HashSet;
-
-use citronrill_base::{EndpointKey, ModelKey, OrgKey, Txn, hash_bytes};
+use citronrill_base::{EndpointKey, ModelKey, OrgKey, Set, Txn, hash_bytes};
 use citronrill_config::{Catalogue, Class, Model};
 use prost::Message;
 
@@ -58,9 +56,9 @@
     /// The text in force.
     pub catalogue: &'a Catalogue,
     /// Endpoints that a decision under way will change.
-    pub busy: &'a HashSet<EndpointKey>,
+    pub busy: &'a Set<EndpointKey>,
     /// Endpoints that are leaving or gone by what this process has heard.
-    pub avoided: &'a HashSet<EndpointKey>,
+    pub avoided: &'a Set<EndpointKey>,
     /// Parts that an organisation's share is divided into.
     pub parts: u32,
     /// A random number.
--- a/crates/decide/src/side/calls.rs
+++ b/crates/decide/src/side/calls.rs
@@ -1,8 +1,8 @@
 //! Which calls a side runs: each at most once, and none after it was cancelled.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 
-use citronrill_base::Millis;
+use citronrill_base::{Map, Millis};
 use citronrill_config::Class;
 
 use crate::call::{CallId, CancelAnswer, Decline, Offer};
@@ -46,12 +46,12 @@
 /// The calls of one side process.
 #[derive(Debug, Default)]
 pub struct Calls {
-    records: HashMap<CallId, Record>,
+    records: Map<CallId, Record>,
     expiry: BTreeSet<(Millis, CallId)>,
     running: u64,
-    per_org: HashMap<String, u64>,
-    per_model: HashMap<String, u64>,
-    last_used: HashMap<String, Millis>,
+    per_org: Map<String, u64>,
+    per_model: Map<String, u64>,
+    last_used: Map<String, Millis>,
     limit: Option<usize>,
 }
 
@@ -201,7 +201,7 @@
     }
 }
 
-fn lower(counts: &mut HashMap<String, u64>, key: &str) {
+fn lower(counts: &mut Map<String, u64>, key: &str) {
     if let Some(count) = counts.get_mut(key) {
         *count -= 1;
         if *count == 0 {
--- a/crates/decide/src/side/ledger.rs
+++ b/crates/decide/src/side/ledger.rs
@@ -31,7 +31,20 @@
         if let Mode::Draining { give_back } = self.mode {
             return self.work_draining(give_back, out);
         }
-        let _ = self.settle(out) || self.start_wanted(out) || self.publish_caches(out);
+        let _ = self.settle_doubt(out)
+            || self.settle(out)
+            || self.start_wanted(out)
+            || self.publish_caches(out);
+    }
+
+    /// Writes the own row as it is, so that a transaction in doubt cannot take effect any more.
+    fn settle_doubt(&mut self, out: &mut Vec<SideEffect>) -> bool {
+        if !self.in_doubt || self.row.row.is_none() {
+            return false;
+        }
+        let row = self.ledger();
+        self.write_row(row, out);
+        true
     }
 
     /// A transaction without an answer counts as unknown; its row versions keep it harmless.
@@ -39,8 +52,7 @@
         let slow = |since| self.now.since(since) >= TABLE_PATIENCE_MS;
         if self.txn.as_ref().is_some_and(|pending| slow(pending.since)) {
             self.txn = None;
-            self.cache.clear();
-            self.read_now = true;
+            self.doubt();
         }
     }
 
@@ -199,7 +211,6 @@
         self.drop_permits(&next, &mut txn);
         let key = endpoint_key(&self.profile.endpoint);
         txn.put(key, self.row.version, Some(next.encode_to_vec()));
-        self.failed.retain(|model| *model != gone.model);
         self.since.remove(&gone.order);
         self.calls.unloaded(&gone.model);
         let event = LogEvent::new("removed").with("model", &gone.model).with("failed", failed);
--- a/crates/decide/src/side/mod.rs
+++ b/crates/decide/src/side/mod.rs
@@ -5,9 +5,7 @@
 mod permits;
 mod reconcile;
 
-use std::collections::HashMap;
-
-use citronrill_base::{Millis, Outcome, Row, Txn};
+use citronrill_base::{Map, Millis, Outcome, Row, Txn};
 
 pub use self::calls::{Admission, Calls, RECORD_LIMIT};
 use crate::{
@@ -206,7 +204,7 @@
     weights: Held<WeightsRow>,
     weights_since: Millis,
     head: Held<HeadRow>,
-    cache: HashMap<String, Row>,
+    cache: Map<String, Row>,
     txn: Option<PendingTxn>,
     next_id: u64,
     reading: Option<(u64, Millis)>,
@@ -215,12 +213,13 @@
     engine: Option<EngineReport>,
     listed: Millis,
     listing: Option<Millis>,
-    orders: HashMap<u64, Order>,
+    orders: Map<u64, Order>,
     order_done: Millis,
+    in_doubt: bool,
     failed: Vec<String>,
     caches_differ: Option<Millis>,
-    since: HashMap<u64, Millis>,
-    permits_seen: HashMap<u64, Millis>,
+    since: Map<u64, Millis>,
+    permits_seen: Map<u64, Millis>,
     calls: Calls,
 }
 
@@ -239,7 +238,7 @@
             weights: Held::default(),
             weights_since: now,
             head: Held::default(),
-            cache: HashMap::new(),
+            cache: Map::default(),
             txn: None,
             next_id: 0,
             reading: None,
@@ -248,12 +247,13 @@
             engine: None,
             listed: now,
             listing: None,
-            orders: HashMap::new(),
+            orders: Map::default(),
             order_done: now,
+            in_doubt: false,
             failed: Vec::new(),
             caches_differ: None,
-            since: HashMap::new(),
-            permits_seen: HashMap::new(),
+            since: Map::default(),
+            permits_seen: Map::default(),
             calls: Calls::default(),
         }
     }
@@ -320,7 +320,9 @@
         }
         self.row_known = true;
         self.row = Held { version: row.version, row: decode(&row.body) };
-        let epoch = self.row.row.as_ref().map_or(0, |row| row.epoch);
+        let row = self.ledger();
+        self.failed.retain(|model| row.replica(model).is_some());
+        let epoch = row.epoch;
         match self.mode {
             Mode::Starting | Mode::Done => {}
             _ if epoch != self.epoch => self.supersede(out),
@@ -487,20 +489,39 @@
         match outcome {
             Outcome::Committed(version) => {
                 let rows = pending.txn.writes.into_iter();
-                let rows = rows.map(|it| Row { key: it.key, version, body: it.body }).collect();
+                let rows = rows.map(|it| Row { key: it.key, version, body: it.body });
+                let rows = rows.collect::<Vec<_>>();
                 if self.mode == Mode::Starting {
                     self.own(out);
                 }
+                let own = endpoint_key(&self.profile.endpoint);
+                if rows.iter().any(|row: &Row| row.key == own) {
+                    self.in_doubt = false;
+                }
                 self.absorb(rows, Some(pending.since), out);
             }
-            // What is known is old, or may be: read all of it again before the next decision.
-            Outcome::Conflict | Outcome::Unknown => {
-                self.cache.clear();
-                self.read_now = true;
-            }
+            Outcome::Conflict => self.distrust(),
+            Outcome::Unknown => self.doubt(),
         }
     }
 
+    /// What is known is old: reads all of it again before the next decision.
+    fn distrust(&mut self) {
+        self.cache.clear();
+        self.read_now = true;
+    }
+
+    /// A transaction's outcome is unknown, and it may take effect at any time from now on.
+    ///
+    /// It may be the one that takes a replica out of the ledger. A load ordered meanwhile would leave
+    /// the engine with a model that nobody decided. Orders wait until another write to the own row
+    /// is confirmed: it moves the version that the lost transaction checks, which can then no longer
+    /// take effect.
+    fn doubt(&mut self) {
+        self.in_doubt = true;
+        self.distrust();
+    }
+
     /// The endpoint's row as the side would write it, with its replicas and caches.
     fn ledger(&self) -> EndpointRow {
         self.row.row.clone().unwrap_or_default()
--- a/crates/decide/src/side/reconcile.rs
+++ b/crates/decide/src/side/reconcile.rs
@@ -70,9 +70,11 @@
         }
     }
 
-    /// Whether the engine's list is newer than the last order's end.
+    /// Whether the engine's list is newer than the last order's end, and no own transaction is on its
+    /// way or in doubt: it may take out of the ledger what an order would load.
     fn may_order(&self) -> bool {
-        self.engine.is_some() && self.listed > self.order_done
+        let settled = self.txn.is_none() && !self.in_doubt;
+        settled && self.engine.is_some() && self.listed > self.order_done
     }
 
     /// Has the own row read again if there is an order to give.
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -3,9 +3,9 @@
 //! The view lags; every decision made from it checks the versions it was made from, so that a
 //! stale view costs a conflict and never a wrong write.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
-use citronrill_base::{EndpointKey, Key, ModelKey, OrgKey, Row};
+use citronrill_base::{EndpointKey, Key, Map, ModelKey, OrgKey, Row};
 use citronrill_config::Registry;
 use prost::Message;
 
@@ -51,12 +51,12 @@
     pub weights: Held<WeightsRow>,
     /// The version in force.
     pub head: Held<HeadRow>,
-    endpoints: HashMap<EndpointKey, Held<EndpointRow>>,
-    models: HashMap<ModelKey, Held<ModelRow>>,
-    shares: HashMap<(OrgKey, u32), Held<ShareRow>>,
+    endpoints: Map<EndpointKey, Held<EndpointRow>>,
+    models: Map<ModelKey, Held<ModelRow>>,
+    shares: Map<(OrgKey, u32), Held<ShareRow>>,
     members: BTreeMap<String, Held<MemberRow>>,
-    deltas: HashMap<String, u64>,
-    replicas: HashMap<ModelKey, Vec<EndpointKey>>,
+    deltas: Map<String, u64>,
+    replicas: Map<ModelKey, Vec<EndpointKey>>,
 }
 
 impl View {
--- /dev/null
+++ b/crates/lab/examples/trace.rs
@@ -0,0 +1,64 @@
+//! tmp
+use citronrill_lab::*;
+fn class(v: &Option<(usize, Vec<String>)>) -> Option<&'static str> {
+    v.as_ref().map(|(_, w)| {
+        let t = &w[0];
+        [
+            "not decided",
+            "refused as not run, but",
+            "ran at",
+            "the ledger has",
+            "no answer",
+            "after the rest",
+            "booked",
+            "overcommits",
+            "ended at",
+            "went back",
+            "replicas of",
+            "without its base",
+            "permit",
+            "its row has",
+        ]
+        .iter()
+        .find(|k| t.contains(**k))
+        .copied()
+        .unwrap_or("other")
+    })
+}
+fn main() {
+    let a: Vec<u64> = std::env::args().skip(1).map(|x| x.parse().unwrap()).collect();
+    let mut cur = random_actions(a[0], a[1] as usize);
+    let bad = |acts: &[Action]| fuzz(a[0], acts).violation;
+    let want = class(&bad(&cur));
+    println!("{want:?}");
+    loop {
+        let mut smaller = false;
+        let mut i = cur.len();
+        while i > 0 {
+            i -= 1;
+            let mut t = cur.clone();
+            t.remove(i);
+            if class(&bad(&t)) == want {
+                cur = t;
+                smaller = true;
+            }
+        }
+        if !smaller {
+            break;
+        }
+    }
+    println!("--- shrunk");
+    for x in &cur {
+        println!("{x:?}");
+    }
+    println!("{:?}", bad(&cur));
+    if std::env::var("LOUD").is_ok() {
+        let mut w = fuzz_world(a[0]);
+        w.run(2000);
+        w.loud = true;
+        for x in &cur {
+            println!("== {} {x:?}", w.now());
+            x.carry_out(&mut w);
+        }
+    }
+}
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -1,7 +1,8 @@
 //! A toy engine on virtual time.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
+use citronrill_base::Map;
 use citronrill_decide::{
     CallId, HeldModel,
     rows::{Cached, Tier},
@@ -46,7 +47,7 @@
     fence: u64,
     held: BTreeMap<String, Held>,
     ram: Vec<String>,
-    calls: HashMap<CallId, String>,
+    calls: Map<CallId, String>,
 }
 
 impl Engine {
@@ -61,7 +62,7 @@
             fence: 0,
             held: BTreeMap::new(),
             ram: Vec::new(),
-            calls: HashMap::new(),
+            calls: Map::default(),
         }
     }
 
--- a/crates/lab/src/fuzz.rs
+++ b/crates/lab/src/fuzz.rs
@@ -17,6 +17,9 @@
 /// Time after the last action in which everything must come to rest, in milliseconds.
 const REST_MS: u64 = 240_000;
 
+/// Time in which a planned stop comes to its end, in milliseconds.
+const DRAIN_MS: u64 = 40_000;
+
 /// One thing that happens to the world.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -258,6 +261,8 @@
 /// Ends all faults, replaces what is dead, and checks that everything is well again.
 fn rest(world: &mut World) -> Vec<String> {
     world.faults = Faults::default();
+    // Planned stops that are under way come to their end first.
+    world.run(DRAIN_MS);
     for entry in 0..ENTRIES {
         world.restart_entry(entry);
     }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -5,10 +5,10 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap, HashMap},
+    collections::{BTreeMap, BinaryHeap},
 };
 
-use citronrill_base::{Millis, Outcome, Row, Txn};
+use citronrill_base::{Map, Millis, Outcome, Row, Txn};
 use citronrill_config::{Catalogue, Registry, digest, hash_api_key};
 use citronrill_decide::{
     Answer, Arrival, CallId, CancelAnswer, Decline, Effect, EngineReport, Entry, EntryProfile,
@@ -112,7 +112,7 @@
     paused: u64,
     pub(crate) alive: bool,
     profile: SideProfile,
-    offers: HashMap<CallId, Sending>,
+    offers: Map<CallId, Sending>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -189,15 +189,17 @@
     /// Events that reducers have taken.
     pub steps: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
-    happenings: HashMap<u64, Happening>,
+    happenings: Map<u64, Happening>,
     next: u64,
     next_request: u64,
     listed: BTreeMap<String, Listed>,
-    pulls: HashMap<u64, (usize, u64, u64)>,
+    pulls: Map<u64, (usize, u64, u64)>,
     finished: Vec<Caller>,
     options: WorldOptions,
     idle_ms: f64,
     idle_at: u64,
+    /// Prints every effect.
+    pub loud: bool,
     /// What an oracle found wrong while something happened.
     pub violations: Vec<String>,
 }
@@ -227,14 +229,15 @@
             operations: Operations::default(),
             steps: 0,
             queue: BinaryHeap::new(),
-            happenings: HashMap::new(),
+            happenings: Map::default(),
             next: 0,
             next_request: 0,
             listed: BTreeMap::new(),
-            pulls: HashMap::new(),
+            pulls: Map::default(),
             finished: Vec::new(),
             idle_ms: 0.0,
             idle_at: 0,
+            loud: false,
             violations: Vec::new(),
             options,
         };
@@ -326,7 +329,7 @@
         self.listed.insert(peer.name.clone(), Listed { peer, entry: false, leaving: false });
         let start = self.now;
         let core = Side::new(profile.clone(), Millis(0));
-        let offers = HashMap::new();
+        let offers = Map::default();
         let (life, paused, alive) = (0, 0, true);
         self.sides.push(SideNode { core, endpoint, start, life, paused, alive, profile, offers });
         let delay = self.rng.random_range(0..100);
@@ -708,6 +711,9 @@
         self.entries[index].version = version;
         let life = self.entries[index].life;
         for effect in effects {
+            if self.loud && !matches!(effect, Effect::Feed(_)) {
+                println!("{} entry {index}: {effect:?}", self.now);
+            }
             self.entry_effect(index, life, effect);
         }
     }
@@ -719,6 +725,9 @@
         node.core.step(Millis(self.now - node.start), event, &mut effects);
         let life = node.life;
         for effect in effects {
+            if self.loud {
+                println!("{} side {index}: {effect:?}", self.now);
+            }
             self.side_effect(index, life, effect);
         }
     }
