Count a load's peak while draining; name a left owner by more than its epoch

Cause, by fuzzing: (1) draining marked a load that runs as unloading, and the ledger lost its peak. (2) an entry remembered that epoch 3 had left, the row was removed and began at 1 again, and the entry never used the endpoint any more. (3) a home unloaded as idle what others waited for. (4) a returned instance was cleaned up by an absence from before its return.

--- a/crates/decide/src/entry/cleanup.rs
+++ b/crates/decide/src/entry/cleanup.rs
@@ -35,6 +35,19 @@
         self.recount_members();
     }
 
+    /// Forgets an instance's absence when a new side process has claimed its endpoint.
+    ///
+    /// The list lags: an instance that was gone and is back may be in use before the list has it
+    /// again. Its absence up to then says nothing of the new process's replicas.
+    pub(super) fn note_owner(&mut self, key: EndpointKey) {
+        let Some(row) = self.view.endpoint(key) else { return };
+        let (epoch, instance) = (row.epoch, row.instance.clone());
+        if self.owners.insert(key, epoch) != Some(epoch) {
+            self.absent.remove(&instance);
+            self.avoided.remove(&key);
+        }
+    }
+
     fn note_leaving(&mut self, out: &mut Vec<Effect>) {
         let leaving = self.view.endpoints().filter(|(_, row)| {
             let listed = self.listed.get(&row.instance);
--- a/crates/decide/src/entry/home.rs
+++ b/crates/decide/src/entry/home.rs
@@ -174,6 +174,7 @@
         if demand.waiting == 0 {
             return home.traffic.report(now);
         }
+        home.traffic.last = now;
         let deadline = now + demand.slack_ms;
         let stronger = match home.demand {
             Some(known) => Demanded {
--- a/crates/decide/src/entry/mod.rs
+++ b/crates/decide/src/entry/mod.rs
@@ -357,7 +357,7 @@
     suspect_until: Millis,
     silences: u32,
     busy_until: Millis,
-    left_epoch: u64,
+    left_owner: Option<u64>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -408,6 +408,7 @@
     answered_at: Option<Millis>,
     listed: Map<String, Listed>,
     absent: Map<String, Millis>,
+    owners: Map<EndpointKey, u64>,
     list_seen: bool,
     avoided: Set<EndpointKey>,
     members: Vec<Peer>,
@@ -453,6 +454,7 @@
             answered_at: None,
             listed: Map::default(),
             absent: Map::default(),
+            owners: Map::default(),
             list_seen: false,
             avoided: Set::default(),
             members: Vec::new(),
@@ -581,7 +583,10 @@
         let mut touched = Vec::new();
         for row in rows {
             match self.view.absorb(row) {
-                Some(Change::Endpoint(_, models)) => touched.extend(models),
+                Some(Change::Endpoint(key, models)) => {
+                    self.note_owner(key);
+                    touched.extend(models);
+                }
                 Some(Change::Model(model)) => self.note_failures(model),
                 Some(Change::Members) => self.recount_members(),
                 Some(Change::Head(head)) => self.text.target = Some(head),
--- a/crates/decide/src/entry/requests.rs
+++ b/crates/decide/src/entry/requests.rs
@@ -9,7 +9,7 @@
     placement::load_ms,
     refusal::{Ran, Refusal, RefusalKind},
     routing::Candidate,
-    rows::{Phase, Tier},
+    rows::{EndpointRow, Phase, Tier},
 };
 
 /// Retries that may be saved up.
@@ -273,7 +273,7 @@
     ) -> Option<Candidate> {
         let row = self.view.endpoint(endpoint)?;
         let contact = self.contacts.get(endpoint.index()).cloned().unwrap_or_default();
-        let left = row.leaving || contact.left_epoch >= row.epoch;
+        let left = row.leaving || contact.left_owner == Some(owner(row));
         let away = self.now < contact.suspect_until || self.now < contact.busy_until;
         let full = u64::from(contact.running) >= row.slots;
         if left || away || full || self.avoided.contains(&endpoint) || avoid.contains(&endpoint) {
@@ -399,8 +399,8 @@
                 self.contact(endpoint).busy_until = until;
             }
             Decline::Leaving => {
-                let epoch = self.view.endpoint(endpoint).map_or(0, |row| row.epoch);
-                self.contact(endpoint).left_epoch = epoch;
+                let owner = self.view.endpoint(endpoint).map(owner);
+                self.contact(endpoint).left_owner = owner;
             }
             Decline::NotLoaded => {
                 if let Target::Model(model) = target {
@@ -585,3 +585,9 @@
         out.push(Effect::Models(id, Ok(names)));
     }
 }
+
+/// Names the side process that owns an endpoint. The epoch alone does not: it begins anew when an
+/// instance was gone and its row was removed.
+fn owner(row: &EndpointRow) -> u64 {
+    hash_bytes(format!("{}/{}", row.epoch, row.address).as_bytes())
+}
--- a/crates/decide/src/side/ledger.rs
+++ b/crates/decide/src/side/ledger.rs
@@ -64,11 +64,12 @@
             }
             return;
         }
-        let held = |replica: &Replica| matches!(replica.phase(), Phase::Loading | Phase::Ready);
-        if !row.leaving || row.replicas.iter().any(held) {
+        let ready = |replica: &Replica| replica.phase() == Phase::Ready;
+        if !row.leaving || row.replicas.iter().any(ready) {
             row.leaving = true;
-            // What is only wanted holds no memory and is removed as it is.
-            for replica in row.replicas.iter_mut().filter(|replica| held(replica)) {
+            // What is only wanted holds no memory and is removed as it is. A load is waited for: the
+            // engine holds its peak until it ends, and so must the ledger.
+            for replica in row.replicas.iter_mut().filter(|replica| ready(replica)) {
                 replica.phase = Phase::Unloading.into();
             }
             return self.write_row(row, out);
--- a/crates/lab/examples/trace.rs
+++ b/crates/lab/examples/trace.rs
@@ -59,6 +59,30 @@
         for x in &cur {
             println!("== {} {x:?}", w.now());
             x.carry_out(&mut w);
+            let v = check(&w);
+            if !v.is_empty() {
+                println!("VIOLATION {v:?}");
+                break;
+            }
+        }
+        w.loud = false;
+        w.faults = Faults::default();
+        w.run(40_000);
+        for i in 0..3 {
+            w.restart_entry(i);
+        }
+        for e in w.living_endpoints() {
+            if !w.has_side(e) {
+                w.start_side(e);
+            }
+        }
+        w.run(240_000);
+        w.loud = true;
+        for m in ["a0", "a1", "a2", "once", "b0", "b1", "a0-x", "b0-x"] {
+            println!("== {} rest {m}", w.now());
+            let id = w.request(0, m, None, None);
+            w.run(25_000);
+            println!("== {:?}", id.and_then(|id| w.callers.get(&id)).map(|c| c.ended));
         }
     }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -921,7 +921,8 @@
             SideEffect::Superseded | SideEffect::Drained => {
                 self.sides[index].alive = false;
                 self.sides[index].life += 1;
-                if effect == SideEffect::Drained {
+                let leaving = self.sides[index].core.endpoint_row().is_some_and(|row| row.leaving);
+                if effect == SideEffect::Drained && leaving {
                     let name = self.sides[index].profile.instance.clone();
                     let endpoint = self.sides[index].endpoint;
                     if self.engines[endpoint].is_empty() && !self.has_side(endpoint) {
