Answer a repeated call by what was decided on it; let epochs rise over a removed row

Cause, by fuzzing: (1) the copy of a call that ran was declined as leaving once the side drained, and the entry refused the request as not run. (2) a row that was removed and made again began at epoch 1. (3) entries asked for a model that fails to load again at once, in a loop; what waits is now refused and the model left alone.

--- a/crates/decide/src/entry/home.rs
+++ b/crates/decide/src/entry/home.rs
@@ -193,7 +193,7 @@
     /// Decides a load for the demand there is, unless one is being decided.
     fn decide_load(&mut self, model: ModelKey, out: &mut Vec<Effect>) {
         let Some(demand) = self.homes.get(&model).and_then(|home| home.demand) else { return };
-        if self.deciding(&Purpose::Load(model)) || !self.store_up {
+        if self.deciding(&Purpose::Load(model)) || !self.store_up || self.cooling(model) {
             return;
         }
         if let Some(copies) = self.copies_wanted(model) {
@@ -365,8 +365,15 @@
         }
     }
 
-    /// Notes a load that failed, so that its model is left alone for a while.
-    pub(super) fn note_failures(&mut self, model: ModelKey) {
+    /// Whether the model or its base failed to load a while ago.
+    fn cooling(&self, model: ModelKey) -> bool {
+        let base = self.catalogue.models.get(&model).and_then(|spec| spec.base);
+        self.cooldown(model).is_some() || base.is_some_and(|base| self.cooldown(base).is_some())
+    }
+
+    /// Notes a load that failed, so that its model is left alone for a while, and refuses what waits
+    /// for it: every entry would else ask again at once, and the load would fail again and again.
+    pub(super) fn note_failures(&mut self, model: ModelKey, out: &mut Vec<Effect>) {
         let failures = self.view.model_row(model).map_or(0, |row| row.failures);
         let known = self.cooldowns.get(&model).map_or(0, |(failures, _)| *failures);
         if failures == 0 {
@@ -374,6 +381,9 @@
         } else if failures != known {
             let pause = (FAILED_MS << (failures - 1).min(10)).min(FAILED_LIMIT_MS);
             self.cooldowns.insert(model, (failures, self.now + pause));
+            if self.view.replicas(model).all(|(_, phase)| phase != Phase::Ready) {
+                self.refuse_waiting(Target::Model(model), RefusalKind::LoadFailed, out);
+            }
         }
     }
 
--- a/crates/decide/src/entry/mod.rs
+++ b/crates/decide/src/entry/mod.rs
@@ -587,7 +587,7 @@
                     self.note_owner(key);
                     touched.extend(models);
                 }
-                Some(Change::Model(model)) => self.note_failures(model),
+                Some(Change::Model(model)) => self.note_failures(model, out),
                 Some(Change::Members) => self.recount_members(),
                 Some(Change::Head(head)) => self.text.target = Some(head),
                 Some(Change::Delta(delta)) => self.text.keep_delta(delta),
--- a/crates/decide/src/side/calls.rs
+++ b/crates/decide/src/side/calls.rs
@@ -61,12 +61,18 @@
         Calls { limit: Some(limit), ..Calls::default() }
     }
 
+    /// What was decided on a call before; a frame may come twice.
+    pub fn decided(&self, id: CallId) -> Option<Admission> {
+        match self.records.get(&id)?.state {
+            State::Running | State::Ended => Some(Admission::Known),
+            State::Refused(why) => Some(Admission::Declined(why)),
+        }
+    }
+
     /// Decides on an offered call.
     pub fn offer(&mut self, now: Millis, slots: u64, offer: &Offer) -> Admission {
-        match self.records.get(&offer.id).map(|record| record.state) {
-            Some(State::Running | State::Ended) => return Admission::Known,
-            Some(State::Refused(why)) => return Admission::Declined(why),
-            None => {}
+        if let Some(admission) = self.decided(offer.id) {
+            return admission;
         }
         if now.0 > offer.expires {
             return Admission::Declined(Decline::Expired);
--- a/crates/decide/src/side/mod.rs
+++ b/crates/decide/src/side/mod.rs
@@ -374,13 +374,20 @@
         }
     }
 
+    /// Decides on a call.
+    ///
+    /// What was decided before goes first: the copy of a call that runs, coming after the process
+    /// has begun to drain, must not be declined as one that never ran.
     fn offer(&mut self, offer: &Offer, out: &mut Vec<SideEffect>) {
-        if let Some(why) = self.unfit(offer) {
-            self.calls.refuse(offer, why);
-            out.push(SideEffect::Decline(offer.id, why));
-            return;
-        }
-        out.push(match self.calls.offer(self.now, self.profile.slots, offer) {
+        let admission = match (self.calls.decided(offer.id), self.unfit(offer)) {
+            (Some(admission), _) => admission,
+            (None, Some(why)) => {
+                self.calls.refuse(offer, why);
+                Admission::Declined(why)
+            }
+            (None, None) => self.calls.offer(self.now, self.profile.slots, offer),
+        };
+        out.push(match admission {
             Admission::Run => SideEffect::Run(offer.id),
             Admission::Known => SideEffect::Attach(offer.id),
             Admission::Declined(why) => SideEffect::Decline(offer.id, why),
--- a/crates/decide/src/side/reconcile.rs
+++ b/crates/decide/src/side/reconcile.rs
@@ -20,6 +20,8 @@
     /// Claims the endpoint once both its row and its engine have been read.
     ///
     /// The epoch rises with every side process; it is the fencing number of each order. The row's
+    /// row's version takes part in it, so that it rises over a removal of the row too: an engine that
+    /// has seen a higher number would refuse every order of the successor. The row's
     /// replicas are kept as they are: a predecessor that died in the middle of a load leaves its
     /// memory reserved, and what the engine really holds decides what is adopted.
     pub(super) fn take_over(&mut self, out: &mut Vec<SideEffect>) {
@@ -27,7 +29,7 @@
             return;
         }
         let mut row = self.ledger();
-        row.epoch += 1;
+        row.epoch = row.epoch.max(self.row.version) + 1;
         row.address = self.profile.address.clone();
         row.zone = self.profile.zone.clone();
         row.memory_mb = self.profile.memory_mb;
