Mark the side that was asked as leaving, and use fresh rows of others only

Cause: a late decline of a replaced side marked its successor as left; a side kept rows of models for minutes and met a conflict with each use.

--- a/crates/decide/src/entry/mod.rs
+++ b/crates/decide/src/entry/mod.rs
@@ -343,6 +343,7 @@
     prefix: u64,
     tries: u8,
     avoid: Vec<EndpointKey>,
+    owner: u64,
     may_have_run: bool,
     claim: Option<Claim>,
     state: State,
--- a/crates/decide/src/entry/requests.rs
+++ b/crates/decide/src/entry/requests.rs
@@ -91,6 +91,7 @@
             prefix: arrival.prefix,
             tries: 0,
             avoid: Vec::new(),
+            owner: 0,
             may_have_run: false,
             claim,
             state: State::Waiting,
@@ -299,8 +300,10 @@
         self.next_call += 1;
         let call = self.next_call;
         let now = self.now;
-        let address = self.view.endpoint(endpoint).map(|row| row.address.clone());
+        let Some(row) = self.view.endpoint(endpoint) else { return };
+        let (address, owner) = (row.address.clone(), owner(row));
         let Some(request) = self.requests.get_mut(&id) else { return };
+        request.owner = owner;
         request.state = State::Sent { endpoint, call, began: false };
         request.tries += 1;
         request.sent_at = now;
@@ -321,7 +324,7 @@
             id,
             call,
             endpoint,
-            address: address.unwrap_or_default(),
+            address,
             model,
             org: self.view.registry.organisations.name(org).to_owned(),
             class,
@@ -399,8 +402,9 @@
                 self.contact(endpoint).busy_until = until;
             }
             Decline::Leaving => {
-                let owner = self.view.endpoint(endpoint).map(owner);
-                self.contact(endpoint).left_owner = owner;
+                // The side that was asked says so, and not the one that owns the endpoint by now.
+                let owner = self.requests[&id].owner;
+                self.contact(endpoint).left_owner = Some(owner);
             }
             Decline::NotLoaded => {
                 if let Target::Model(model) = target {
--- a/crates/decide/src/side/ledger.rs
+++ b/crates/decide/src/side/ledger.rs
@@ -188,25 +188,22 @@
     fn remove(&mut self, row: EndpointRow, gone: &Replica, out: &mut Vec<SideEffect>) -> bool {
         let model = model_key(&gone.model);
         let share = share_key(&gone.org, gone.bucket);
-        let missing = [&model, &share].into_iter().filter(|key| !self.cache.contains_key(*key));
-        let missing = missing.cloned().collect::<Vec<_>>();
-        if !missing.is_empty() {
-            self.read(missing, out);
+        let (Some(model_held), Some(share_held)) = (self.cached(&model), self.cached(&share))
+        else {
+            self.read(vec![model, share], out);
             return true;
-        }
+        };
         let failed = self.failed.contains(&gone.model);
         let mut next = row;
         next.replicas.retain(|replica| replica.order != gone.order);
         let mut txn = Txn::default();
-        let held = &self.cache[&model];
-        let mut model_row = decode::<ModelRow>(&held.body).unwrap_or_default();
+        let mut model_row = decode::<ModelRow>(&model_held.body).unwrap_or_default();
         model_row.holders.retain(|holder| *holder != self.profile.endpoint);
         model_row.failures = if failed { model_row.failures + 1 } else { 0 };
-        txn.put(model, held.version, Some(model_row.encode_to_vec()));
-        let held = &self.cache[&share];
-        let mut share_row = decode::<ShareRow>(&held.body).unwrap_or_default();
+        txn.put(model, model_held.version, Some(model_row.encode_to_vec()));
+        let mut share_row = decode::<ShareRow>(&share_held.body).unwrap_or_default();
         share_row.used_mb = share_row.used_mb.saturating_sub(gone.memory_mb);
-        txn.put(share, held.version, Some(share_row.encode_to_vec()));
+        txn.put(share, share_held.version, Some(share_row.encode_to_vec()));
         self.drop_permits(&next, &mut txn);
         let key = endpoint_key(&self.profile.endpoint);
         txn.put(key, self.row.version, Some(next.encode_to_vec()));
--- a/crates/decide/src/side/mod.rs
+++ b/crates/decide/src/side/mod.rs
@@ -30,6 +30,8 @@
 const READ_MS: u64 = 5_000;
 /// How often the engine is asked what it holds.
 const LIST_MS: u64 = 1_000;
+/// How long a row of others is used after it was read, in milliseconds.
+const CACHE_MS: u64 = 1_000;
 /// How long to wait for the table before asking again.
 const TABLE_PATIENCE_MS: u64 = 3_000;
 
@@ -204,7 +206,7 @@
     weights: Held<WeightsRow>,
     weights_since: Millis,
     head: Held<HeadRow>,
-    cache: Map<String, Row>,
+    cache: Map<String, (Row, Millis)>,
     txn: Option<PendingTxn>,
     next_id: u64,
     reading: Option<(u64, Millis)>,
@@ -303,12 +305,18 @@
                 if row.version > self.head.version {
                     self.head = Held { version: row.version, row: decode(&row.body) };
                 }
-            } else if self.cache.get(&row.key).is_none_or(|known| known.version <= row.version) {
-                self.cache.insert(row.key.clone(), row);
+            } else {
+                self.cache.insert(row.key.clone(), (row, self.now));
             }
         }
     }
 
+    /// A row of others that was read a moment ago; an older one would only lead to a conflict.
+    fn cached(&self, key: &str) -> Option<&Row> {
+        let (row, at) = self.cache.get(key)?;
+        (self.now.since(*at) < CACHE_MS).then_some(row)
+    }
+
     /// Takes in the own row and, if it carries the own epoch, trusts it from the time of asking.
     ///
     /// A process that is paused may be replaced meanwhile, and the answer to a read that it made
--- a/crates/decide/src/side/permits.rs
+++ b/crates/decide/src/side/permits.rs
@@ -119,7 +119,7 @@
         names.sort_unstable();
         names.dedup();
         let keys = names.iter().map(|name| endpoint_key(name)).collect::<Vec<_>>();
-        let missing = keys.iter().filter(|key| !self.cache.contains_key(*key)).cloned();
+        let missing = keys.iter().filter(|key| self.cached(key).is_none()).cloned();
         let missing = missing.collect::<Vec<_>>();
         if !missing.is_empty() {
             self.read(missing, out);
@@ -131,7 +131,7 @@
             let row = if endpoint == own {
                 Some(mine.clone())
             } else {
-                let held = self.cache.get(&endpoint_key(endpoint));
+                let held = self.cached(&endpoint_key(endpoint));
                 held.and_then(|row| decode::<EndpointRow>(&row.body))
             };
             let replica = row.and_then(|row| row.replicas.into_iter().find(|it| it.order == order));
@@ -145,7 +145,7 @@
         weights.waiters.retain(|it| live(&it.endpoint, it.order, false));
         if before != (weights.permits.len(), weights.waiters.len()) {
             for key in &keys {
-                txn.check(key.clone(), self.cache[key].version);
+                txn.check(key.clone(), self.cache[key].0.version);
             }
             out.push(SideEffect::Log(LogEvent::new("stale_permits_dropped")));
         }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1076,8 +1076,8 @@
             let delay = self.sides[side].paused - self.now;
             return self.schedule(delay, Happening::RunEnds { side, life, call });
         }
-        let Some(sending) = self.sides[side].offers.remove(&call) else { return };
         self.to_side(side, life, SideEvent::Ended(call));
+        let Some(sending) = self.sides[side].offers.remove(&call) else { return };
         let load = self.sides[side].core.running() as u32;
         let claimed = self.callers.get(&sending.id).and_then(|caller| caller.once);
         let answer = claimed.map(|_| Answer {
