Settle a transaction in doubt while draining, and forget lost orders without a fresh read

Cause: both kept a draining side's replica in its ledger for ever, so the model stayed decided there and was served nowhere.

--- a/crates/decide/src/side/ledger.rs
+++ b/crates/decide/src/side/ledger.rs
@@ -28,13 +28,13 @@
         if self.txn.is_some() || self.reading.is_some() {
             return;
         }
+        if self.settle_doubt(out) {
+            return;
+        }
         if let Mode::Draining { give_back } = self.mode {
             return self.work_draining(give_back, out);
         }
-        let _ = self.settle_doubt(out)
-            || self.settle(out)
-            || self.start_wanted(out)
-            || self.publish_caches(out);
+        let _ = self.settle(out) || self.start_wanted(out) || self.publish_caches(out);
     }
 
     /// Writes the own row as it is, so that a transaction in doubt cannot take effect any more.
--- a/crates/decide/src/side/reconcile.rs
+++ b/crates/decide/src/side/reconcile.rs
@@ -55,6 +55,7 @@
 
     /// Gives the engine the orders that the ledger asks for.
     pub(super) fn order_engine(&mut self, out: &mut Vec<SideEffect>) {
+        self.forget_lost_orders();
         if !self.may_order() {
             return;
         }
@@ -62,7 +63,6 @@
             self.verify_for_orders();
             return;
         }
-        self.forget_lost_orders();
         let row = self.ledger();
         self.unload_undecided(&row, out);
         for replica in &row.replicas {
--- a/crates/lab/examples/cmp.rs
+++ b/crates/lab/examples/cmp.rs
@@ -52,4 +52,7 @@
             _ => {}
         }
     }
+    for e in 0..4 {
+        println!("{}\n", w.side_debug(e));
+    }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1223,6 +1223,13 @@
         &self.entries[index].core
     }
 
+    /// tmp
+    pub fn side_debug(&self, endpoint: usize) -> String {
+        let all = self.sides.iter().filter(|s| s.alive && s.endpoint == endpoint);
+        all.map(|s| format!("{:?}\n", s.core)).collect::<String>()
+            + &format!("{:?}", self.engines[endpoint])
+    }
+
     /// Loads that engines have begun.
     pub fn loads(&self) -> u64 {
         self.engines.iter().map(|engine| engine.loads).sum()
