Ask a side that keeps a model again only after another keep time

Cause: a home and a side with a long call passed a model between unloading and ready each second, two writes a time.

--- a/crates/decide/src/entry/home.rs
+++ b/crates/decide/src/entry/home.rs
@@ -66,6 +66,7 @@
     last_crowded: Millis,
     askers: Vec<String>,
     released: Millis,
+    asked: Vec<(EndpointKey, Millis)>,
 }
 
 /// The strongest demand since the last decision.
@@ -164,6 +165,7 @@
             last_crowded: now,
             askers: Vec::new(),
             released: Millis(0),
+            asked: Vec::new(),
         })
     }
 
@@ -460,21 +462,40 @@
         };
         let free = ready.iter().copied().filter(|endpoint| !carries(endpoint)).collect::<Vec<_>>();
         let idle = self.now.since(self.homes[&model].traffic.last);
-        let Some(endpoint) = free.first().copied() else { return };
-        if self.queues.contains_key(&Target::Model(model)) {
+        if free.is_empty() || self.queues.contains_key(&Target::Model(model)) {
             return;
         }
         let keep = self.keep_ms(model);
         if idle >= keep {
-            return self.unload(model, endpoint, "idle", out);
+            return self.unload_next(model, &free, keep, out);
         }
         let calm = self.now.since(self.homes[&model].last_crowded);
         if ready.len() > 1 && calm >= keep {
             self.home(model).last_crowded = self.now;
-            self.unload(model, endpoint, "calm", out);
+            self.unload(model, free[0], "calm", out);
         }
     }
 
+    /// Unloads one of an idle model's replicas.
+    ///
+    /// A side that still has calls of the model keeps it and says so by its row. It is asked again
+    /// only after another keep time: a long answer would else cost the table two writes a second.
+    fn unload_next(
+        &mut self,
+        model: ModelKey,
+        free: &[EndpointKey],
+        keep: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        let now = self.now;
+        let home = self.home(model);
+        home.asked.retain(|(_, at)| now.since(*at) < keep.max(REPORT_MIN_MS));
+        let due = free.iter().find(|it| !home.asked.iter().any(|(asked, _)| asked == *it));
+        let Some(endpoint) = due.copied() else { return };
+        home.asked.push((endpoint, now));
+        self.unload(model, endpoint, "idle", out);
+    }
+
     /// A model with nothing loaded needs no home until the next report.
     fn drop_cold_home(&mut self, model: ModelKey) {
         let Some(home) = self.homes.get(&model) else { return };
@@ -511,7 +532,7 @@
         out: &mut Vec<Effect>,
     ) {
         let taken = self.decisions.values().any(|it| it.endpoint == Some(endpoint));
-        if taken || self.deciding(&Purpose::Unload(model)) {
+        if taken || self.deciding(&Purpose::Unload(model, endpoint)) {
             return;
         }
         let Some(row) = self.view.endpoint(endpoint) else { return };
@@ -538,6 +559,6 @@
         }
         let event = LogEvent::new("unload").with("model", name).with("endpoint", endpoint_name);
         out.push(Effect::Log(event.with("why", why)));
-        self.decide(Purpose::Unload(model), Some(endpoint), txn, out);
+        self.decide(Purpose::Unload(model, endpoint), Some(endpoint), txn, out);
     }
 }
--- a/crates/decide/src/entry/mod.rs
+++ b/crates/decide/src/entry/mod.rs
@@ -364,7 +364,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Purpose {
     Load(ModelKey),
-    Unload(ModelKey),
+    Unload(ModelKey, EndpointKey),
     Cleanup,
     Member,
     Claim(RequestId),
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1020,7 +1020,9 @@
     }
 
     fn run_call(&mut self, side: SideIndex, life: u64, call: CallId) {
-        let Some(sending) = self.sides[side].offers.get(&call).copied() else { return };
+        let Some(sending) = self.sides[side].offers.get(&call).copied() else {
+            return self.schedule(1, Happening::RunEnds { side, life, call });
+        };
         let Some(caller) = self.callers.get_mut(&sending.id) else {
             return self.schedule(1, Happening::RunEnds { side, life, call });
         };
