--- a/crates/decide/src/entry/home.rs
+++ b/crates/decide/src/entry/home.rs
@@ -5,7 +5,7 @@
 //! processes that both believe to be it meet in the table, and if it does not act, the next in order
 //! does.
 
-use citronrill_base::{EndpointKey, Millis, ModelKey, Outcome, Set, Txn};
+use citronrill_base::{EndpointKey, Millis, ModelKey, Outcome, Row, Set, Txn};
 use citronrill_config::Class;
 use prost::Message;
 
@@ -65,6 +65,7 @@
     crowded: Option<Millis>,
     last_crowded: Millis,
     askers: Vec<String>,
+    followers: Vec<String>,
     released: Millis,
     asked: Vec<(EndpointKey, Millis)>,
 }
@@ -164,6 +165,7 @@
             crowded: None,
             last_crowded: now,
             askers: Vec::new(),
+            followers: Vec::new(),
             released: Millis(0),
             asked: Vec::new(),
         })
@@ -311,6 +313,7 @@
     pub(super) fn load_settled(
         &mut self,
         model: ModelKey,
+        endpoint: Option<EndpointKey>,
         outcome: Outcome,
         out: &mut Vec<Effect>,
     ) {
@@ -318,7 +321,10 @@
             let home = self.home(model);
             home.demand = None;
             home.crowded = None;
-            home.askers.clear();
+            home.followers = std::mem::take(&mut home.askers);
+            if let Some(endpoint) = endpoint {
+                self.announce(model, endpoint, out);
+            }
         }
         if outcome == Outcome::Conflict {
             // The rows that are read back show whether another decider was faster.
@@ -326,6 +332,36 @@
         }
     }
 
+    /// Hands an endpoint's row to the entries that asked for the model.
+    ///
+    /// Through the feed they would hear of the decision, and later of the model's being ready, up to
+    /// a poll later. Until they hear of the decision they ask the next in order, who would decide
+    /// again and meet a conflict; and a caller waits for the whole delay of the other.
+    fn announce(&mut self, model: ModelKey, endpoint: EndpointKey, out: &mut Vec<Effect>) {
+        let Some(home) = self.homes.get(&model) else { return };
+        let Some(row) = self.view.endpoint(endpoint) else { return };
+        let row = Row {
+            key: endpoint_key(self.view.endpoint_name(endpoint)),
+            version: self.view.endpoint_version(endpoint),
+            body: Some(row.encode_to_vec()),
+        };
+        for to in home.followers.iter().filter(|to| **to != self.profile.address) {
+            out.push(Effect::Announce { to: to.clone(), row: row.clone() });
+        }
+    }
+
+    /// Hands the row of a replica that has become ready to those that wait for it.
+    fn announce_ready(&mut self, model: ModelKey, out: &mut Vec<Effect>) {
+        if self.homes.get(&model).is_none_or(|home| home.followers.is_empty()) {
+            return;
+        }
+        let ready = self.view.replicas(model).find(|(_, phase)| *phase == Phase::Ready);
+        if let Some((endpoint, _)) = ready {
+            self.announce(model, endpoint, out);
+            self.home(model).followers.clear();
+        }
+    }
+
     pub(super) fn verdict(&mut self, model: &str, kind: RefusalKind, out: &mut Vec<Effect>) {
         let Some(model) = self.view.registry.models.get(model) else { return };
         if self.view.replicas(model).next().is_none() {
@@ -350,6 +386,7 @@
         }
         if phases.contains(&Phase::Ready) {
             self.demands.remove(&model);
+            self.announce_ready(model, out);
         }
         self.dispatch(Target::Model(model), out);
     }
--- a/crates/decide/src/entry/mod.rs
+++ b/crates/decide/src/entry/mod.rs
@@ -107,6 +107,8 @@
     },
     /// Rows that were read from the table.
     Rows(Vec<Row>),
+    /// Rows that a side or another entry hands on ahead of the feed.
+    Told(Vec<Row>),
     /// A source's answer to the feed; `None` if it failed.
     Fed(u64, Option<Page>),
     /// A child asks for rows of the feed.
@@ -263,12 +265,21 @@
         /// Why.
         kind: RefusalKind,
     },
-    /// Tell a side that its row has changed.
+    /// Tell a side that its row has changed, and where its answer is awaited.
     Poke {
         /// Where.
         endpoint: EndpointKey,
         /// The side's address.
         address: String,
+        /// This entry's address.
+        from: String,
+    },
+    /// Hand a row on to an entry that waits for it, ahead of the feed.
+    Announce {
+        /// The entry's address.
+        to: String,
+        /// The row.
+        row: Row,
     },
     /// A new text is in force.
     Configured(u64),
@@ -474,6 +485,7 @@
         match event {
             Event::Tick { minute } => self.tick(minute, out),
             Event::Rows(rows) => self.read_rows(&rows, out),
+            Event::Told(rows) => self.told(&rows, out),
             Event::Fed(id, page) => self.fed(id, page, out),
             Event::Pull { pull, since } => self.pulled(pull, since, out),
             Event::Text { version, text } => self.whole_text(version, text, out),
@@ -569,6 +581,12 @@
         self.rows(rows, out);
     }
 
+    /// Takes in rows that were committed, but may be ahead of others that are not known yet.
+    fn told(&mut self, rows: &[Row], out: &mut Vec<Effect>) {
+        self.feed.learned(rows);
+        self.rows(rows, out);
+    }
+
     /// The table counts as up while anything that it confirmed is fresh, here or up the feed.
     fn judge_store(&mut self, out: &mut Vec<Effect>) {
         let direct = self.answered_at.is_some_and(|at| self.now.since(at) < STALE_MS);
@@ -693,9 +711,11 @@
     ) {
         match outcome {
             Outcome::Committed(_) => {
-                if let Some(address) = endpoint.and_then(|key| self.view.endpoint(key)) {
-                    let address = address.address.clone();
-                    out.extend(endpoint.map(|endpoint| Effect::Poke { endpoint, address }));
+                if let Some(endpoint) = endpoint
+                    && let Some(row) = self.view.endpoint(endpoint)
+                {
+                    let (address, from) = (row.address.clone(), self.profile.address.clone());
+                    out.push(Effect::Poke { endpoint, address, from });
                 }
             }
             Outcome::Conflict | Outcome::Unknown => {
@@ -703,7 +723,7 @@
             }
         }
         if let Purpose::Load(model) = purpose {
-            self.load_settled(*model, outcome, out);
+            self.load_settled(*model, endpoint, outcome, out);
         }
     }
 
--- a/crates/decide/src/side/mod.rs
+++ b/crates/decide/src/side/mod.rs
@@ -32,6 +32,8 @@
 const LIST_MS: u64 = 1_000;
 /// How long a row of others is used after it was read, in milliseconds.
 const CACHE_MS: u64 = 1_000;
+/// How long an entry that has decided something here is told of the own row, in milliseconds.
+const POKER_MS: u64 = 120_000;
 /// How long to wait for the table before asking again.
 const TABLE_PATIENCE_MS: u64 = 3_000;
 
@@ -104,13 +106,15 @@
     Cancel {
         /// Which.
         id: CallId,
+        /// The side process that was sent the call.
+        session: u64,
         /// When it expires on this process's clock.
         expires: u64,
     },
     /// A call has ended at the engine.
     Ended(CallId),
-    /// Somebody says that the own row changed.
-    Poke,
+    /// An entry says that the own row changed, and where the side's answer is awaited.
+    Poke(String),
     /// Stop: finish what runs and take nothing new.
     Drain {
         /// Whether the endpoint goes too, so that its replicas are given back.
@@ -161,6 +165,8 @@
     Stop(CallId),
     /// Answer a cancellation.
     Cancelled(CallId, CancelAnswer),
+    /// Hand the own row on to an entry that waits for it.
+    Announce(String, Row),
     /// Write a line to the log.
     Log(LogEvent),
     /// A successor owns the endpoint: stop the process.
@@ -221,6 +227,7 @@
     failed: Vec<String>,
     caches_differ: Option<Millis>,
     since: Map<u64, Millis>,
+    pokers: Vec<(String, Millis)>,
     permits_seen: Map<u64, Millis>,
     calls: Calls,
 }
@@ -255,6 +262,7 @@
             failed: Vec::new(),
             caches_differ: None,
             since: Map::default(),
+            pokers: Vec::new(),
             permits_seen: Map::default(),
             calls: Calls::default(),
         }
@@ -273,9 +281,9 @@
             SideEvent::OrderDone { order, done } => self.order_done(order, done),
             SideEvent::OrderLost(order) => self.order_lost(order),
             SideEvent::Offer(offer) => self.offer(&offer, out),
-            SideEvent::Cancel { id, expires } => self.cancel(id, expires, out),
+            SideEvent::Cancel { id, session, expires } => self.cancel(id, session, expires, out),
             SideEvent::Ended(id) => self.calls.ended(now, id),
-            SideEvent::Poke => self.read_now = true,
+            SideEvent::Poke(from) => self.poked(from),
             SideEvent::Drain { give_back } => self.drain(give_back, out),
         }
         self.advance(out);
@@ -422,8 +430,13 @@
         row.is_some_and(|replica| replica.phase() == Phase::Ready) && self.engine_has(model, true)
     }
 
-    fn cancel(&mut self, id: CallId, expires: u64, out: &mut Vec<SideEffect>) {
-        let answer = self.calls.cancel(self.now, id, expires);
+    /// Answers a cancellation. Of a call that a predecessor was sent, this process knows nothing.
+    fn cancel(&mut self, id: CallId, session: u64, expires: u64, out: &mut Vec<SideEffect>) {
+        let answer = if session == self.profile.session {
+            self.calls.cancel(self.now, id, expires)
+        } else {
+            CancelAnswer::Unknown
+        };
         if answer == CancelAnswer::Ran {
             out.push(SideEffect::Stop(id));
         }
@@ -510,8 +523,9 @@
                     self.own(out);
                 }
                 let own = endpoint_key(&self.profile.endpoint);
-                if rows.iter().any(|row: &Row| row.key == own) {
+                if let Some(row) = rows.iter().find(|row: &&Row| row.key == own) {
                     self.in_doubt = false;
+                    self.announce(row, out);
                 }
                 self.absorb(rows, Some(pending.since), out);
             }
@@ -520,6 +534,19 @@
         }
     }
 
+    fn poked(&mut self, from: String) {
+        self.read_now = true;
+        let now = self.now;
+        self.pokers.retain(|(known, at)| *known != from && now.since(*at) < POKER_MS);
+        self.pokers.push((from, now));
+    }
+
+    /// Hands a confirmed own row to the entries that have decided something here lately.
+    fn announce(&self, row: &Row, out: &mut Vec<SideEffect>) {
+        let recent = self.pokers.iter().filter(|(_, at)| self.now.since(*at) < POKER_MS);
+        out.extend(recent.map(|(to, _)| SideEffect::Announce(to.clone(), row.clone())));
+    }
+
     /// What is known is old: reads all of it again before the next decision.
     fn distrust(&mut self) {
         self.cache.clear();
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -121,6 +121,7 @@
     life: u64,
     id: RequestId,
     call: u64,
+    session: u64,
 }
 
 /// A side of an endpoint; more than one can live at once.
@@ -194,12 +195,11 @@
     next_request: u64,
     listed: BTreeMap<String, Listed>,
     pulls: Map<u64, (usize, u64, u64)>,
+    sessions: Map<CallId, u64>,
     finished: Vec<Caller>,
     options: WorldOptions,
     idle_ms: f64,
     idle_at: u64,
-    /// Prints every effect.
-    pub loud: bool,
     /// What an oracle found wrong while something happened.
     pub violations: Vec<String>,
 }
@@ -234,10 +234,10 @@
             next_request: 0,
             listed: BTreeMap::new(),
             pulls: Map::default(),
+            sessions: Map::default(),
             finished: Vec::new(),
             idle_ms: 0.0,
             idle_at: 0,
-            loud: false,
             violations: Vec::new(),
             options,
         };
@@ -581,15 +581,15 @@
                     self.schedule(LIST_MS, Happening::List(index, life));
                 }
             }
-            Happening::ToEntry(index, life, event) => self.to_entry(index, life, event),
+            Happening::ToEntry(index, life, event) => self.deliver_entry(index, life, event),
             Happening::ToAddress(address, event) => {
                 let index = self.entries.iter().position(|it| it.alive && it.name == address);
                 if let Some(index) = index {
                     let life = self.entries[index].life;
-                    self.to_entry(index, life, event);
+                    self.deliver_entry(index, life, event);
                 }
             }
-            Happening::ToSide(index, life, event) => self.to_side(index, life, event),
+            Happening::ToSide(index, life, event) => self.deliver_side(index, life, event),
             Happening::Pull { from, life, id, to, since } => self.pull(from, life, id, &to, since),
             Happening::Changes { from, life, id, since } => self.changes(from, life, id, since),
             Happening::EntryCommit { from, life, id, txn } => {
@@ -664,7 +664,7 @@
             return;
         }
         let minute = (self.now / 60_000 % 1_440) as u16;
-        self.to_entry(index, life, Event::Tick { minute });
+        self.deliver_entry(index, life, Event::Tick { minute });
         self.schedule(self.options.ticks.0, Happening::EntryTick(index, life));
     }
 
@@ -672,11 +672,11 @@
         if !self.side_lives(index, life) {
             return;
         }
-        self.to_side(index, life, SideEvent::Tick);
+        self.deliver_side(index, life, SideEvent::Tick);
         self.schedule(self.options.ticks.1, Happening::SideTick(index, life));
     }
 
-    fn to_entry(&mut self, index: usize, life: u64, event: Event) {
+    fn deliver_entry(&mut self, index: usize, life: u64, event: Event) {
         if !self.entry_lives(index, life) {
             return;
         }
@@ -687,7 +687,7 @@
         self.step_entry(index, event);
     }
 
-    fn to_side(&mut self, index: SideIndex, life: u64, event: SideEvent) {
+    fn deliver_side(&mut self, index: SideIndex, life: u64, event: SideEvent) {
         if !self.side_lives(index, life) {
             return;
         }
@@ -711,9 +711,6 @@
         self.entries[index].version = version;
         let life = self.entries[index].life;
         for effect in effects {
-            if self.loud && !matches!(effect, Effect::Feed(_)) {
-                println!("{} entry {index}: {effect:?}", self.now);
-            }
             self.entry_effect(index, life, effect);
         }
     }
@@ -725,9 +722,6 @@
         node.core.step(Millis(self.now - node.start), event, &mut effects);
         let life = node.life;
         for effect in effects {
-            if self.loud {
-                println!("{} side {index}: {effect:?}", self.now);
-            }
             self.side_effect(index, life, effect);
         }
     }
@@ -735,7 +729,6 @@
     fn entry_effect(&mut self, index: usize, life: u64, effect: Effect) {
         match effect {
             Effect::Send { id, call, address, model, org, class, slack_ms, .. } => {
-                let sending = Sending { entry: index, life, id, call };
                 let session = self.entries[index].session;
                 let call_id = CallId { session, number: call };
                 let side = self.sides.iter().find(|it| it.profile.address == address);
@@ -743,6 +736,8 @@
                 let clock = side.map_or(0, |side| self.now - side.start);
                 let expires = clock + slack_ms;
                 let session = side.map_or(0, |side| side.profile.session);
+                let sending = Sending { entry: index, life, id, call, session };
+                self.sessions.insert(call_id, session);
                 let offer = Offer { id: call_id, model, org, class, session, expires };
                 let delay = self.hop();
                 let silence = Happening::Silence { sending, to: address.clone(), expires };
@@ -752,7 +747,9 @@
                 }
             }
             Effect::Cancel { id, call, endpoint } => {
-                let sending = Sending { entry: index, life, id, call };
+                let number = CallId { session: self.entries[index].session, number: call };
+                let session = self.sessions.get(&number).copied().unwrap_or(0);
+                let sending = Sending { entry: index, life, id, call, session };
                 let row = self.entries[index].core.view().endpoint(endpoint);
                 let to = row.map(|row| row.address.clone()).unwrap_or_default();
                 let delay = self.hop();
@@ -786,15 +783,16 @@
                     self.schedule(delay, Happening::ToEntry(index, life, event));
                 }
             }
-            Effect::Demand { to, demand } => self.to_address(to, Event::Demand(demand)),
+            Effect::Demand { to, demand } => self.post(to, Event::Demand(demand)),
             Effect::Verdict { to, model, kind } => {
-                self.to_address(to, Event::Verdict { model, kind });
+                self.post(to, Event::Verdict { model, kind });
             }
-            Effect::Poke { address, .. } => {
+            Effect::Announce { to, row } => self.post(to, Event::Told(vec![row])),
+            Effect::Poke { address, from, .. } => {
                 let side = self.sides.iter().position(|it| it.profile.address == address);
                 if let Some(side) = side {
                     let (life, delay) = (self.sides[side].life, self.hop());
-                    self.schedule(delay, Happening::ToSide(side, life, SideEvent::Poke));
+                    self.schedule(delay, Happening::ToSide(side, life, SideEvent::Poke(from)));
                 }
             }
             Effect::Drained => {
@@ -806,7 +804,7 @@
         }
     }
 
-    fn to_address(&mut self, to: String, event: Event) {
+    fn post(&mut self, to: String, event: Event) {
         if self.rng.random_bool(self.faults.drop_part) {
             return;
         }
@@ -846,7 +844,7 @@
         let pull = self.next;
         self.pulls.insert(pull, (from, life, id));
         let target_life = self.entries[target].life;
-        self.to_entry(target, target_life, Event::Pull { pull, since });
+        self.deliver_entry(target, target_life, Event::Pull { pull, since });
     }
 
     fn changes(&mut self, from: usize, life: u64, id: u64, since: u64) {
@@ -917,6 +915,7 @@
                 self.schedule(5, Happening::RunEnds { side: index, life, call });
             }
             SideEffect::Cancelled(call, answer) => self.cancel_answer(index, call, answer),
+            SideEffect::Announce(to, row) => self.post(to, Event::Told(vec![row])),
             SideEffect::Log(_) => {}
             SideEffect::Superseded | SideEffect::Drained => {
                 self.sides[index].alive = false;
@@ -996,7 +995,7 @@
             let again = SideEvent::Offer(offer.clone());
             self.schedule(7, Happening::ToSide(side, life, again));
         }
-        self.to_side(side, life, SideEvent::Offer(offer));
+        self.deliver_side(side, life, SideEvent::Offer(offer));
     }
 
     /// Tells an entry of a call, if that call is still the one that stands for its request.
@@ -1078,7 +1077,7 @@
             let delay = self.sides[side].paused - self.now;
             return self.schedule(delay, Happening::RunEnds { side, life, call });
         }
-        self.to_side(side, life, SideEvent::Ended(call));
+        self.deliver_side(side, life, SideEvent::Ended(call));
         let Some(sending) = self.sides[side].offers.remove(&call) else { return };
         let load = self.sides[side].core.running() as u32;
         let claimed = self.callers.get(&sending.id).and_then(|caller| caller.once);
@@ -1167,7 +1166,8 @@
         };
         let life = self.sides[side].life;
         self.sides[side].offers.entry(id).or_insert(sending);
-        self.to_side(side, life, SideEvent::Cancel { id, expires });
+        let session = sending.session;
+        self.deliver_side(side, life, SideEvent::Cancel { id, session, expires });
     }
 
     fn cancel_answer(&mut self, side: SideIndex, call: CallId, answer: CancelAnswer) {
@@ -1225,13 +1225,6 @@
         &self.entries[index].core
     }
 
-    /// tmp
-    pub fn side_debug(&self, endpoint: usize) -> String {
-        let all = self.sides.iter().filter(|s| s.alive && s.endpoint == endpoint);
-        all.map(|s| format!("{:?}\n", s.core)).collect::<String>()
-            + &format!("{:?}", self.engines[endpoint])
-    }
-
     /// Loads that engines have begun.
     pub fn loads(&self) -> u64 {
         self.engines.iter().map(|engine| engine.loads).sum()
--- a/crates/runtime/src/entry/control.rs
+++ b/crates/runtime/src/entry/control.rs
@@ -7,7 +7,7 @@
 };
 
 use citronrill_decide::{
-    Effect, Entry, Event, FeedEffect, Refusal, RefusalKind, Source,
+    Effect, Entry, Event, FeedEffect, Page, Refusal, RefusalKind, Source,
     rows::{FEED, HeadRow},
 };
 use citronrill_http::{Header, respond};
@@ -20,7 +20,7 @@
     dump::dump,
     exchange::{self, SendJob},
     intake::Held,
-    peers::{class_number, rows_frame, verdict_number},
+    peers::{TOLD, class_number, rows_frame, verdict_number},
 };
 use crate::{
     clock::minute_of_day,
@@ -222,7 +222,13 @@
                 let kind = verdict_number(kind);
                 self.send_frame(to, wire::Verdict { model, kind }.into());
             }
-            Effect::Poke { address, .. } => self.send_frame(address, wire::Poke {}.into()),
+            Effect::Poke { address, from, .. } => {
+                self.send_frame(address, wire::Poke { from }.into());
+            }
+            Effect::Announce { to, row } => {
+                let page = Page { rows: vec![row], ..Page::default() };
+                self.send_frame(to, rows_frame(TOLD, page).into());
+            }
             Effect::Configured(version) => {
                 self.shared.meter.add("configurations", "", 1);
                 log::debug!("event=configured version={version}");
@@ -273,7 +279,7 @@
                 let table = self.table.clone();
                 self.ask_platform(move || {
                     let changes = table.changes(FEED, since, citronrill_decide::PAGE).ok();
-                    let page = changes.map(|changes| citronrill_decide::Page {
+                    let page = changes.map(|changes| Page {
                         rows: changes.rows,
                         sequence: changes.sequence,
                         age_ms: 0,
--- a/crates/runtime/src/entry/exchange.rs
+++ b/crates/runtime/src/entry/exchange.rs
@@ -318,8 +318,9 @@
                 *self.shared_link.lock().unwrap_or_else(PoisonError::into_inner) =
                     Some(link.clone());
                 link.attach(self.job.call, self.sender.clone());
-                let (number, next, expires) = (self.job.call, self.next, self.expires);
-                if link.send(wire::Resume { number, next, expires }.into()) {
+                let (number, next) = (self.job.call, self.next);
+                let (expires, session) = (self.expires, self.session);
+                if link.send(wire::Resume { number, next, expires, session }.into()) {
                     return self.exchange();
                 }
                 link.detach(self.job.call);
--- a/crates/runtime/src/entry/mod.rs
+++ b/crates/runtime/src/entry/mod.rs
@@ -24,7 +24,7 @@
 use crossbeam::channel::{Sender, bounded};
 use tiny_http::Server;
 
-pub(crate) use self::peers::class_of;
+pub(crate) use self::peers::{TOLD, class_of, rows_frame};
 use self::{control::Control, exchange::Active, intake::Held, peers::PeerSink};
 use crate::{
     clock::Clock,
--- a/crates/runtime/src/entry/peers.rs
+++ b/crates/runtime/src/entry/peers.rs
@@ -38,6 +38,9 @@
                 Input::Event(Event::Verdict { model: verdict.model, kind })
             }
             Kind::FeedPull(pull) if entry => Input::Pull(link.clone(), pull.id, pull.since),
+            Kind::FeedRows(rows) if rows.id == TOLD && link.peer.role != PeerRole::Operator => {
+                Input::Event(Event::Told(page_of(rows).rows))
+            }
             Kind::FeedRows(rows) if entry => {
                 let id = rows.id;
                 Input::Event(Event::Fed(id, Some(page_of(rows))))
@@ -113,6 +116,9 @@
     }
 }
 
+/// The id of rows that nobody asked for: they are handed on ahead of the feed.
+pub(crate) const TOLD: u64 = 0;
+
 fn page_of(rows: wire::FeedRows) -> Page {
     let row = |row: wire::FeedRow| Row { key: row.key, version: row.version, body: row.body };
     Page {
@@ -122,7 +128,7 @@
     }
 }
 
-pub(super) fn rows_frame(id: u64, page: Page) -> wire::FeedRows {
+pub(crate) fn rows_frame(id: u64, page: Page) -> wire::FeedRows {
     let row = |row: Row| wire::FeedRow { key: row.key, version: row.version, body: row.body };
     wire::FeedRows {
         id,
--- a/crates/runtime/src/side/control.rs
+++ b/crates/runtime/src/side/control.rs
@@ -6,7 +6,7 @@
 };
 
 use citronrill_decide::{
-    CancelAnswer, EngineReport, HeldModel, Side, SideEffect, SideEvent,
+    CancelAnswer, EngineReport, HeldModel, Page, Side, SideEffect, SideEvent,
     rows::{Cached, Tier, phase_word},
 };
 use citronrill_platform::{EngineState, HttpEngine, LoadOrder, PlatformError, Table, UnloadOrder};
@@ -15,44 +15,39 @@
 use serde_json::json;
 
 use super::{Input, calls::Exchanges};
-use crate::{clock::Clock, link::Link, pool::Pool};
+use crate::{
+    clock::Clock,
+    connect::Links,
+    entry::{TOLD, rows_frame},
+    link::Link,
+    pool::Pool,
+};
 
 /// Time between two ticks of the reducer.
 const TICK: Duration = Duration::from_millis(100);
 
+/// What the control thread carries effects out with.
+pub(super) struct Outside {
+    pub(super) exchanges: Arc<Exchanges>,
+    pub(super) engine: HttpEngine,
+    pub(super) table: Arc<dyn Table>,
+    pub(super) pool: Pool,
+    pub(super) links: Arc<Links>,
+}
+
 pub(super) struct Control {
     side: Side,
     input: Sender<Input>,
-    exchanges: Arc<Exchanges>,
-    engine: HttpEngine,
-    table: Arc<dyn Table>,
-    pool: Pool,
+    outside: Outside,
     last_tick: Instant,
     busy: Duration,
     started: Instant,
 }
 
 impl Control {
-    pub(super) fn new(
-        side: Side,
-        input: Sender<Input>,
-        exchanges: Arc<Exchanges>,
-        engine: HttpEngine,
-        table: Arc<dyn Table>,
-        pool: Pool,
-    ) -> Control {
+    pub(super) fn new(side: Side, input: Sender<Input>, outside: Outside) -> Control {
         let now = Instant::now();
-        Control {
-            side,
-            input,
-            exchanges,
-            engine,
-            table,
-            pool,
-            last_tick: now,
-            busy: Duration::ZERO,
-            started: now,
-        }
+        Control { side, input, outside, last_tick: now, busy: Duration::ZERO, started: now }
     }
 
     /// Runs until the process is drained, superseded or told to stop.
@@ -71,7 +66,7 @@
             if self.last_tick.elapsed() >= TICK {
                 self.last_tick = Instant::now();
                 self.side.step(clock.now(), SideEvent::Tick, &mut effects);
-                self.exchanges.sweep();
+                self.outside.exchanges.sweep();
             }
             let over = effects
                 .iter()
@@ -84,57 +79,64 @@
                 break;
             }
         }
-        self.exchanges.close();
+        self.outside.exchanges.close();
         log::info!("event=stopped endpoint_epoch={}", self.side.epoch());
     }
 
     fn perform(&mut self, effect: SideEffect) {
         match effect {
             SideEffect::Read(id, keys) => {
-                self.exchanges.meter().add("table_reads", "", 1);
-                let table = self.table.clone();
+                self.outside.exchanges.meter().add("table_reads", "", 1);
+                let table = self.outside.table.clone();
                 self.ask(move || match table.read(&keys) {
                     Ok(rows) => SideEvent::Rows(id, rows),
                     Err(_) => SideEvent::ReadFailed(id),
                 });
             }
             SideEffect::Commit(id, txn) => {
-                self.exchanges.meter().add("table_commits", "", 1);
-                let table = self.table.clone();
+                self.outside.exchanges.meter().add("table_commits", "", 1);
+                let table = self.outside.table.clone();
                 self.ask(move || SideEvent::Committed(id, table.commit(&txn)));
             }
             SideEffect::ListEngine => {
-                let engine = self.engine.clone();
+                let engine = self.outside.engine.clone();
                 self.ask(move || SideEvent::Engine(engine.state().ok().map(report)));
             }
             SideEffect::Load { order, model, base, fence, memory_mb, peak_mb } => {
                 let order = LoadOrder { order, model, base, fence, memory_mb, peak_mb };
-                let engine = self.engine.clone();
+                let engine = self.outside.engine.clone();
                 self.order(order.order, move || engine.load(&order));
             }
             SideEffect::Unload { order, model, fence } => {
                 let order = UnloadOrder { order, model, fence };
-                let engine = self.engine.clone();
+                let engine = self.outside.engine.clone();
                 self.order(order.order, move || engine.unload(&order));
             }
             SideEffect::Run(id) => {
                 let input = self.input.clone();
                 let ended = move || drop(input.send(Input::Event(SideEvent::Ended(id))));
-                self.exchanges.run(id, self.side.running() as u32, ended);
+                self.outside.exchanges.run(id, self.side.running() as u32, ended);
             }
-            SideEffect::Attach(id) => self.exchanges.attach(id),
+            SideEffect::Attach(id) => self.outside.exchanges.attach(id),
             SideEffect::Decline(id, why) => {
-                self.exchanges.meter().add("declines", why.word(), 1);
-                self.exchanges.decline(id, why, self.side.running() as u32);
+                self.outside.exchanges.meter().add("declines", why.word(), 1);
+                self.outside.exchanges.decline(id, why, self.side.running() as u32);
             }
-            SideEffect::Stop(id) => self.exchanges.stop(id),
+            SideEffect::Stop(id) => self.outside.exchanges.stop(id),
             SideEffect::Cancelled(id, answer) => {
                 let answer = match answer {
                     CancelAnswer::NotRun => 0,
                     CancelAnswer::Ran => 1,
                     CancelAnswer::Unknown => 2,
                 };
-                self.exchanges.cancelled(id, answer);
+                self.outside.exchanges.cancelled(id, answer);
+            }
+            SideEffect::Announce(to, row) => {
+                let page = Page { rows: vec![row], ..Page::default() };
+                let links = self.outside.links.clone();
+                self.outside.pool.run(move || {
+                    let _ = links.send(&to, rows_frame(TOLD, page).into());
+                });
             }
             SideEffect::Log(event) => {
                 let fields = event.fields.iter().map(|(key, value)| format!(" {key}={value}"));
@@ -147,7 +149,7 @@
     /// Asks the platform or the engine in another thread.
     fn ask(&self, question: impl FnOnce() -> SideEvent + Send + 'static) {
         let input = self.input.clone();
-        self.pool.run(move || drop(input.send(Input::Event(question()))));
+        self.outside.pool.run(move || drop(input.send(Input::Event(question()))));
     }
 
     /// Gives an order in a thread of its own, as it may take as long as a load.
@@ -189,7 +191,7 @@
             "held_mb": row.map_or(0, |row| row.held_mb()),
             "memory_mb": row.map_or(0, |row| row.memory_mb),
             "replicas": replicas.collect::<Vec<_>>(),
-            "counters": self.exchanges.meter().snapshot(),
+            "counters": self.outside.exchanges.meter().snapshot(),
             "busy_part": self.busy.as_secs_f64() / self.started.elapsed().as_secs_f64().max(0.001),
         });
         link.send(wire::DumpReply { json: json.to_string() }.into());
--- a/crates/runtime/src/side/frames.rs
+++ b/crates/runtime/src/side/frames.rs
@@ -45,7 +45,9 @@
     fn frame(&self, link: &Arc<Link>, kind: Kind) {
         let id = |number| CallId { session: link.peer.session, number };
         match kind {
-            Kind::Poke(_) if link.peer.role == PeerRole::Entry => self.event(SideEvent::Poke),
+            Kind::Poke(poke) if link.peer.role == PeerRole::Entry => {
+                self.event(SideEvent::Poke(poke.from));
+            }
             Kind::Dump(_) => drop(self.input.send(Input::Dump(link.clone()))),
             _ if link.peer.role != PeerRole::Entry => {}
             Kind::Call(call) => self.call(link, call),
@@ -54,13 +56,15 @@
             Kind::Cancel(cancel) => {
                 let id = id(cancel.number);
                 self.exchanges.asked(id, link);
-                self.event(SideEvent::Cancel { id, expires: cancel.expires });
+                let (session, expires) = (cancel.session, cancel.expires);
+                self.event(SideEvent::Cancel { id, session, expires });
             }
             Kind::Resume(resume) => {
                 let id = id(resume.number);
                 if !self.exchanges.resume(id, link, resume.next) {
                     self.exchanges.asked(id, link);
-                    self.event(SideEvent::Cancel { id, expires: resume.expires });
+                    let (session, expires) = (resume.session, resume.expires);
+                    self.event(SideEvent::Cancel { id, session, expires });
                 }
             }
             _ => {}
--- a/crates/runtime/src/side/mod.rs
+++ b/crates/runtime/src/side/mod.rs
@@ -20,10 +20,14 @@
 use citronrill_wire::{Identity, PeerRole};
 use crossbeam::channel::{Sender, bounded};
 
-use self::{calls::Exchanges, control::Control, frames::CallSink};
+use self::{
+    calls::Exchanges,
+    control::{Control, Outside},
+    frames::CallSink,
+};
 use crate::{
     clock::Clock,
-    connect::{listen, wake},
+    connect::{Links, listen, wake},
     entry::bind,
     error::StartError,
     link::{Link, LinkContext},
@@ -97,17 +101,21 @@
         };
         let (input, inputs) = bounded(INPUT_QUEUE);
         let exchanges = Arc::new(Exchanges::new(settings.target, clock, meter.clone()));
+        let sink = Arc::new(CallSink::new(input.clone(), exchanges.clone()));
+        let links = Arc::new(Links::new(context.clone(), sink.clone()));
         let control = Control::new(
             Side::new(profile, clock.now()),
             input.clone(),
-            exchanges.clone(),
-            HttpEngine::new(settings.target),
-            options.table,
-            Pool::new("platform", PLATFORM_THREADS)?,
+            Outside {
+                exchanges,
+                engine: HttpEngine::new(settings.target),
+                table: options.table,
+                pool: Pool::new("platform", PLATFORM_THREADS)?,
+                links,
+            },
         );
         let control = spawn("control", move || control.run(&inputs, clock))?;
         let stop = Arc::new(AtomicBool::new(false));
-        let sink = Arc::new(CallSink::new(input.clone(), exchanges));
         listen(listener, context, sink, stop.clone())?;
         watch_leaving(options.instances, &common.instance, input.clone(), stop.clone())?;
         let stop_after = Duration::from_secs(common.stop_s);
--- a/crates/wire/src/frames.rs
+++ b/crates/wire/src/frames.rs
@@ -233,6 +233,9 @@
     /// When the call expires, on the side's clock.
     #[prost(uint64, tag = "3")]
     pub expires: u64,
+    /// The side process that was sent the call.
+    #[prost(uint64, tag = "4")]
+    pub session: u64,
 }
 
 /// Tells a model's home of requests.
@@ -268,7 +271,11 @@
 
 /// The side's row has changed.
 #[derive(Clone, PartialEq, Eq, Message)]
-pub struct Poke {}
+pub struct Poke {
+    /// The entry's address, to which the side's new row is handed.
+    #[prost(string, tag = "1")]
+    pub from: String,
+}
 
 /// Asks for rows of the feed.
 #[derive(Clone, PartialEq, Eq, Message)]
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod dev;
 mod dump;
 mod entry;
+mod fuzz;
 mod replay;
 mod show;
 mod side;
@@ -37,6 +38,7 @@
     Ask(ask::Ask),
     Dev(dev::Dev),
     Standin(standin::Standin),
+    Fuzz(fuzz::Fuzz),
     Replay(replay::Replay),
     Slopes(slopes::Slopes),
 }
@@ -54,6 +56,7 @@
             Command::Ask(command) => command.run(),
             Command::Dev(command) => command.run(),
             Command::Standin(command) => command.run(),
+            Command::Fuzz(command) => command.run(),
             Command::Replay(command) => command.run(),
             Command::Slopes(command) => command.run(),
         }
