Keep caches in a row of their own, weigh idle time by accelerators, and let adapters follow their base

Cause: (1) a side copied its row with some sixty cached names several times a tick, and each change of a ledger carried them to every entry. (2) adapters were unloaded by their own small price although they hold no accelerator, and loaded again for nothing.

--- a/crates/decide/src/entry/cleanup.rs
+++ b/crates/decide/src/entry/cleanup.rs
@@ -8,7 +8,7 @@
 use super::{Effect, Entry, Listed, Purpose};
 use crate::{
     log::LogEvent,
-    rows::{EndpointRow, WEIGHTS, endpoint_key, member_key, model_key, share_key},
+    rows::{EndpointRow, WEIGHTS, cache_key, endpoint_key, member_key, model_key, share_key},
 };
 
 /// An instance counts as gone when the list has been without it for this long, in milliseconds.
@@ -98,6 +98,9 @@
         let name = self.view.endpoint_name(key).to_owned();
         let mut txn = Txn::default();
         txn.put(endpoint_key(&name), self.view.endpoint_version(key), None);
+        if let Some(version) = self.view.cache_version(key) {
+            txn.put(cache_key(&name), version, None);
+        }
         let mut shares = BTreeMap::new();
         for replica in &row.replicas {
             let model = self.view.registry.models.intern(&replica.model);
--- a/crates/decide/src/entry/home.rs
+++ b/crates/decide/src/entry/home.rs
@@ -492,24 +492,23 @@
             }
             return;
         }
-        let name = self.model_name(model).to_owned();
-        let carries = |endpoint: &EndpointKey| {
-            let row = self.view.endpoint(*endpoint);
-            row.is_some_and(|row| row.replicas.iter().any(|replica| replica.base == name))
-        };
-        let free = ready.iter().copied().filter(|endpoint| !carries(endpoint)).collect::<Vec<_>>();
+        // An adapter costs no accelerator of its own: it stays as long as its base, whose use each
+        // use of the adapter is reported as, and goes with it.
+        if self.catalogue.models.get(&model).is_some_and(|spec| spec.base.is_some()) {
+            return;
+        }
         let idle = self.now.since(self.homes[&model].traffic.last);
-        if free.is_empty() || self.queues.contains_key(&Target::Model(model)) {
+        if self.queues.contains_key(&Target::Model(model)) {
             return;
         }
         let keep = self.keep_ms(model);
         if idle >= keep {
-            return self.unload_next(model, &free, keep, out);
+            return self.unload_next(model, &ready, keep, out);
         }
         let calm = self.now.since(self.homes[&model].last_crowded);
         if ready.len() > 1 && calm >= keep {
             self.home(model).last_crowded = self.now;
-            self.unload(model, free[0], "calm", out);
+            self.unload(model, ready[0], "calm", out);
         }
     }
 
@@ -520,14 +519,14 @@
     fn unload_next(
         &mut self,
         model: ModelKey,
-        free: &[EndpointKey],
+        ready: &[EndpointKey],
         keep: u64,
         out: &mut Vec<Effect>,
     ) {
         let now = self.now;
         let home = self.home(model);
         home.asked.retain(|(_, at)| now.since(*at) < keep.max(REPORT_MIN_MS));
-        let due = free.iter().find(|it| !home.asked.iter().any(|(asked, _)| asked == *it));
+        let due = ready.iter().find(|it| !home.asked.iter().any(|(asked, _)| asked == *it));
         let Some(endpoint) = due.copied() else { return };
         home.asked.push((endpoint, now));
         self.unload(model, endpoint, "idle", out);
--- a/crates/decide/src/entry/requests.rs
+++ b/crates/decide/src/entry/requests.rs
@@ -200,7 +200,7 @@
                 return total.saturating_sub(passed);
             }
         }
-        let tier = self.view.endpoints().map(|(_, row)| row.tier(&spec.name)).max();
+        let tier = self.view.endpoints().map(|(key, _)| self.view.tier(key, &spec.name)).max();
         let tier = tier.unwrap_or(Tier::Remote);
         let queue = match (tier, &self.view.weights.row) {
             (Tier::Remote, Some(row)) if row.permits.len() as u64 >= row.loads_once => {
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -209,7 +209,8 @@
     let specs = models.iter().filter_map(|key| scene.catalogue.models.get(key));
     let specs = specs.collect::<Vec<_>>();
     let need_mb = specs.iter().map(|spec| spec.peak_mb).sum::<u64>();
-    let load_ms = specs.iter().map(|spec| load_ms(spec, row.tier(&spec.name))).sum();
+    let load_ms =
+        specs.iter().map(|spec| load_ms(spec, scene.view.tier(endpoint, &spec.name))).sum();
     let promised = row.promised_mb();
     let reclaimable =
         reclaimable_mb(row, &model.base.map(|base| scene.view.registry.models.name(base)));
@@ -345,7 +346,8 @@
     let mut shares: Vec<(OrgKey, Shares, Vec<usize>)> = Vec::new();
     for (index, key) in plan.models.iter().enumerate() {
         let Some(model) = scene.catalogue.models.get(key) else { continue };
-        let mut replica = new_replica(scene, ask, model, order + index as u64, row);
+        let tier = scene.view.tier(plan.endpoint, &model.name);
+        let mut replica = new_replica(scene, ask, model, order + index as u64, tier);
         if may_start(&ledger, &weights, &replica) {
             replica.phase = Phase::Loading.into();
             if replica.remote {
@@ -384,14 +386,7 @@
     txn
 }
 
-fn new_replica(
-    scene: &Scene<'_>,
-    ask: &Ask,
-    model: &Model,
-    order: u64,
-    row: &EndpointRow,
-) -> Replica {
-    let tier = row.tier(&model.name);
+fn new_replica(scene: &Scene<'_>, ask: &Ask, model: &Model, order: u64, tier: Tier) -> Replica {
     let base = model.base.map(|base| scene.view.registry.models.name(base).to_owned());
     Replica {
         model: model.name.clone(),
--- a/crates/decide/src/rows.rs
+++ b/crates/decide/src/rows.rs
@@ -18,6 +18,7 @@
 const SHARE: &str = "s/share/";
 const MEMBER: &str = "s/member/";
 const DELTA: &str = "s/delta/";
+const CACHE: &str = "s/cache/";
 
 /// Where a replica is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration)]
@@ -134,8 +135,13 @@
     /// Decided replicas.
     #[prost(message, repeated, tag = "8")]
     pub replicas: Vec<Replica>,
+}
+
+/// What an endpoint has cached; a row of its own, as it is long and changes seldom.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct CacheRow {
     /// Cached weights.
-    #[prost(message, repeated, tag = "9")]
+    #[prost(message, repeated, tag = "1")]
     pub cached: Vec<Cached>,
 }
 
@@ -154,11 +160,6 @@
     pub fn replica(&self, model: &str) -> Option<&Replica> {
         self.replicas.iter().find(|replica| replica.model == model)
     }
-
-    /// The fastest tier that has the model.
-    pub fn tier(&self, model: &str) -> Tier {
-        self.cached.iter().find(|it| it.model == model).map_or(Tier::Remote, |it| it.tier())
-    }
 }
 
 /// A model: on which endpoints replicas were decided, and what was learned of its traffic.
@@ -334,6 +335,8 @@
     Member(&'a str),
     /// [`DeltaRow`].
     Delta,
+    /// [`CacheRow`] and the endpoint's name.
+    Cache(&'a str),
     /// A row of a later release.
     Other,
 }
@@ -355,6 +358,9 @@
     if let Some(name) = key.strip_prefix(MEMBER) {
         return RowKind::Member(name);
     }
+    if let Some(name) = key.strip_prefix(CACHE) {
+        return RowKind::Cache(name);
+    }
     if key.starts_with(DELTA) {
         return RowKind::Delta;
     }
@@ -370,6 +376,11 @@
     format!("{ENDPOINT}{name}")
 }
 
+/// Key of a [`CacheRow`].
+pub fn cache_key(endpoint: &str) -> String {
+    format!("{CACHE}{endpoint}")
+}
+
 /// Key of a [`ModelRow`].
 pub fn model_key(name: &str) -> String {
     format!("{MODEL}{name}")
--- a/crates/decide/src/side/ledger.rs
+++ b/crates/decide/src/side/ledger.rs
@@ -8,8 +8,8 @@
     log::LogEvent,
     placement::{base_ready, fits_now},
     rows::{
-        Cached, EndpointRow, ModelRow, Phase, Replica, ShareRow, decode, endpoint_key, model_key,
-        phase_word, share_key,
+        CacheRow, EndpointRow, ModelRow, Phase, Replica, ShareRow, cache_key, decode, endpoint_key,
+        model_key, phase_word, share_key,
     },
 };
 
@@ -42,7 +42,7 @@
         if !self.in_doubt || self.row.row.is_none() {
             return false;
         }
-        let row = self.ledger();
+        let row = EndpointRow::clone(&self.ledger());
         self.write_row(row, out);
         true
     }
@@ -57,7 +57,7 @@
     }
 
     fn work_draining(&mut self, give_back: bool, out: &mut Vec<SideEffect>) {
-        let mut row = self.ledger();
+        let mut row = EndpointRow::clone(&self.ledger());
         if !give_back {
             if self.calls.running() == 0 {
                 self.finish(out);
@@ -105,7 +105,7 @@
             return true;
         }
         let done = row.replicas.iter().find(|replica| self.may_remove(&row, replica)).cloned();
-        done.is_some_and(|replica| self.remove(row, &replica, out))
+        done.is_some_and(|replica| self.remove(&row, &replica, out))
     }
 
     /// Writes every phase that the engine's list has overtaken, in one transaction.
@@ -119,16 +119,16 @@
                 Phase::Ready if !self.engine_has(&replica.model, false) => {
                     replica.phase = Phase::Wanted.into();
                 }
-                Phase::Unloading if self.vetoes(replica) => {
+                Phase::Unloading if self.vetoes(row, replica) => {
                     replica.phase = Phase::Ready.into();
                 }
                 _ => {}
             }
         }
+        follow_bases(&mut next);
         if next == *row {
             return false;
         }
-        next.cached = self.caches();
         let mut txn = Txn::default();
         self.drop_permits(&next, &mut txn);
         let key = endpoint_key(&self.profile.endpoint);
@@ -154,10 +154,13 @@
     ///
     /// The decider's knowledge lags; this process knows what runs. Without the veto, a home that
     /// has not heard of a use yet would take a model away under its callers.
-    fn vetoes(&self, replica: &Replica) -> bool {
-        let used = self.calls.running_model(&replica.model) > 0 || self.used_lately(&replica.model);
+    fn vetoes(&self, row: &EndpointRow, replica: &Replica) -> bool {
+        let used = |member: &Replica| {
+            self.calls.running_model(&member.model) > 0 || self.used_lately(&member.model)
+        };
+        let kept = family_of(row, replica.order).any(used);
         let untouched = self.engine_has(&replica.model, true) && !self.in_order(&replica.model);
-        self.mode == Mode::Serving && used && untouched
+        self.mode == Mode::Serving && kept && untouched
     }
 
     /// Whether a replica's place in the ledger can be given back.
@@ -180,12 +183,13 @@
 
     fn wanted_in_vain(&self, row: &EndpointRow, replica: &Replica) -> bool {
         let since = self.since.get(&replica.order).copied().unwrap_or(self.now);
-        let no_base = !replica.base.is_empty() && row.replica(&replica.base).is_none();
+        let base = row.replica(&replica.base).map(Replica::phase);
+        let no_base = !replica.base.is_empty() && matches!(base, None | Some(Phase::Unloading));
         no_base || self.now.since(since) >= WANTED_LIMIT_MS
     }
 
     /// Takes a replica out of the ledger, its model's row and its organisation's share.
-    fn remove(&mut self, row: EndpointRow, gone: &Replica, out: &mut Vec<SideEffect>) -> bool {
+    fn remove(&mut self, row: &EndpointRow, gone: &Replica, out: &mut Vec<SideEffect>) -> bool {
         let model = model_key(&gone.model);
         let share = share_key(&gone.org, gone.bucket);
         let (Some(model_held), Some(share_held)) = (self.cached(&model), self.cached(&share))
@@ -194,7 +198,7 @@
             return true;
         };
         let failed = self.failed.contains(&gone.model);
-        let mut next = row;
+        let mut next = row.clone();
         next.replicas.retain(|replica| replica.order != gone.order);
         let mut txn = Txn::default();
         let mut model_row = decode::<ModelRow>(&model_held.body).unwrap_or_default();
@@ -229,9 +233,9 @@
             .cloned();
         let Some(replica) = next else { return false };
         if !fits_now(&row, &replica) {
-            return self.make_room(row, &replica, out);
+            return self.make_room(EndpointRow::clone(&row), &replica, out);
         }
-        self.begin_load(row, &replica, out)
+        self.begin_load(EndpointRow::clone(&row), &replica, out)
     }
 
     /// Marks the replicas that cost least to lose for unloading, if that makes enough room.
@@ -291,28 +295,44 @@
         idle.into_iter().map(|(_, order)| order).collect()
     }
 
-    pub(super) fn caches(&self) -> Vec<Cached> {
-        self.engine.iter().flat_map(|report| report.cached.clone()).collect()
-    }
-
-    /// Tells the deciders what the engine has cached, if no other write has for a while.
+    /// Tells the deciders what the engine has cached, some time after it has changed.
     fn publish_caches(&mut self, out: &mut Vec<SideEffect>) -> bool {
-        let mut row = self.ledger();
-        let cached = self.caches();
-        if row.cached == cached {
+        let Some(report) = &self.engine else { return false };
+        let known = self.published.as_ref();
+        if known == Some(&report.cached) || (known.is_none() && report.cached.is_empty()) {
             self.caches_differ = None;
             return false;
         }
         let since = *self.caches_differ.get_or_insert(self.now);
-        if self.now.since(since) < CACHES_MS {
+        if known.is_some() && self.now.since(since) < CACHES_MS {
             return false;
         }
-        row.cached = cached;
-        self.write_row(row, out);
+        let key = cache_key(&self.profile.endpoint);
+        let row = CacheRow { cached: report.cached.clone() };
+        let Some(held) = self.cached(&key) else {
+            self.read(vec![key], out);
+            return true;
+        };
+        let mut txn = Txn::default();
+        txn.put(key, held.version, Some(row.encode_to_vec()));
+        self.published = Some(row.cached);
+        self.commit(txn, out);
         true
     }
 }
 
+/// An adapter goes with its base: one that became ready meanwhile would keep it for ever.
+fn follow_bases(row: &mut EndpointRow) {
+    let leaves = |it: &&Replica| it.phase() == Phase::Unloading;
+    let leaving = row.replicas.iter().filter(leaves).map(|it| it.model.clone());
+    let leaving = leaving.collect::<Vec<_>>();
+    for replica in row.replicas.iter_mut().filter(|it| it.phase() == Phase::Ready) {
+        if leaving.contains(&replica.base) {
+            replica.phase = Phase::Unloading.into();
+        }
+    }
+}
+
 /// A replica and, if it is a base, the adapters on it.
 fn family_of(row: &EndpointRow, order: u64) -> impl Iterator<Item = &Replica> {
     let model = row.replicas.iter().find(|it| it.order == order).map(|it| it.model.as_str());
--- a/crates/decide/src/side/mod.rs
+++ b/crates/decide/src/side/mod.rs
@@ -5,13 +5,15 @@
 mod permits;
 mod reconcile;
 
+use std::sync::Arc;
+
 use citronrill_base::{Map, Millis, Outcome, Row, Txn};
 
 pub use self::calls::{Admission, Calls, RECORD_LIMIT};
 use crate::{
     call::{CallId, CancelAnswer, Decline, Offer},
     log::LogEvent,
-    rows::{EndpointRow, HEAD, HeadRow, Phase, WEIGHTS, WeightsRow, decode, endpoint_key},
+    rows::{Cached, EndpointRow, HEAD, HeadRow, Phase, WEIGHTS, WeightsRow, decode, endpoint_key},
     view::Held,
 };
 
@@ -75,7 +77,7 @@
     /// What it holds.
     pub held: Vec<HeldModel>,
     /// What it has cached.
-    pub cached: Vec<crate::rows::Cached>,
+    pub cached: Vec<Cached>,
 }
 
 /// What a side's reducer is told.
@@ -226,6 +228,8 @@
     in_doubt: bool,
     failed: Vec<String>,
     caches_differ: Option<Millis>,
+    published: Option<Vec<Cached>>,
+    current: Arc<EndpointRow>,
     since: Map<u64, Millis>,
     pokers: Vec<(String, Millis)>,
     permits_seen: Map<u64, Millis>,
@@ -261,6 +265,8 @@
             in_doubt: false,
             failed: Vec::new(),
             caches_differ: None,
+            published: None,
+            current: Arc::default(),
             since: Map::default(),
             pokers: Vec::new(),
             permits_seen: Map::default(),
@@ -336,6 +342,7 @@
         }
         self.row_known = true;
         self.row = Held { version: row.version, row: decode(&row.body) };
+        self.current = Arc::new(self.row.row.clone().unwrap_or_default());
         let row = self.ledger();
         self.failed.retain(|model| row.replica(model).is_some());
         let epoch = row.epoch;
@@ -564,9 +571,9 @@
         self.distrust();
     }
 
-    /// The endpoint's row as the side would write it, with its replicas and caches.
-    fn ledger(&self) -> EndpointRow {
-        self.row.row.clone().unwrap_or_default()
+    /// The endpoint's row as last read or written.
+    fn ledger(&self) -> Arc<EndpointRow> {
+        self.current.clone()
     }
 
     /// The session that callers must name.
--- a/crates/decide/src/side/permits.rs
+++ b/crates/decide/src/side/permits.rs
@@ -129,7 +129,7 @@
         let mine = self.ledger();
         let live = |endpoint: &str, order: u64, loading: bool| {
             let row = if endpoint == own {
-                Some(mine.clone())
+                Some(EndpointRow::clone(&mine))
             } else {
                 let held = self.cached(&endpoint_key(endpoint));
                 held.and_then(|row| decode::<EndpointRow>(&row.body))
--- a/crates/decide/src/side/reconcile.rs
+++ b/crates/decide/src/side/reconcile.rs
@@ -28,7 +28,7 @@
         if !self.row_known || self.engine.is_none() || self.txn.is_some() {
             return;
         }
-        let mut row = self.ledger();
+        let mut row = EndpointRow::clone(&self.ledger());
         row.epoch = row.epoch.max(self.row.version) + 1;
         row.address = self.profile.address.clone();
         row.zone = self.profile.zone.clone();
@@ -36,7 +36,6 @@
         row.slots = self.profile.slots;
         row.instance = self.profile.instance.clone();
         row.leaving = false;
-        row.cached = self.caches();
         let mut txn = Txn::default();
         let key = endpoint_key(&self.profile.endpoint);
         txn.put(key, self.row.version, Some(row.encode_to_vec()));
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -10,8 +10,8 @@
 use prost::Message;
 
 use crate::rows::{
-    DeltaRow, EndpointRow, HeadRow, MemberRow, ModelRow, Phase, RowKind, ShareRow, WeightsRow,
-    decode, row_kind,
+    CacheRow, DeltaRow, EndpointRow, HeadRow, MemberRow, ModelRow, Phase, RowKind, ShareRow, Tier,
+    WeightsRow, decode, row_kind,
 };
 
 /// A row and the version under which it was read.
@@ -52,6 +52,7 @@
     /// The version in force.
     pub head: Held<HeadRow>,
     endpoints: Map<EndpointKey, Held<EndpointRow>>,
+    caches: Map<EndpointKey, Held<CacheRow>>,
     models: Map<ModelKey, Held<ModelRow>>,
     shares: Map<(OrgKey, u32), Held<ShareRow>>,
     members: BTreeMap<String, Held<MemberRow>>,
@@ -81,6 +82,10 @@
                 let held = self.members.entry(name.to_owned()).or_default();
                 take(held, row).then_some(Change::Members)
             }
+            RowKind::Cache(name) => {
+                let key = self.registry.endpoints.intern(name);
+                take(self.caches.entry(key).or_default(), row).then_some(Change::Other)
+            }
             RowKind::Weights => take(&mut self.weights, row).then_some(Change::Other),
             RowKind::Head => {
                 let taken = take(&mut self.head, row);
@@ -131,6 +136,18 @@
         self.endpoints.get(&key)?.row.as_ref()
     }
 
+    /// The fastest tier from which an endpoint can load a model.
+    pub fn tier(&self, endpoint: EndpointKey, model: &str) -> Tier {
+        let row = self.caches.get(&endpoint).and_then(|held| held.row.as_ref());
+        let cached = row.and_then(|row| row.cached.iter().find(|it| it.model == model));
+        cached.map_or(Tier::Remote, |it| it.tier())
+    }
+
+    /// The version of an endpoint's cache row; `None` if there is no such row.
+    pub fn cache_version(&self, endpoint: EndpointKey) -> Option<u64> {
+        self.caches.get(&endpoint).filter(|held| held.row.is_some()).map(|held| held.version)
+    }
+
     /// The version of an endpoint's row.
     pub fn endpoint_version(&self, key: EndpointKey) -> u64 {
         self.endpoints.get(&key).map_or(0, |held| held.version)
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,8 @@
 mod faults;
 mod fuzz;
 mod oracle;
+mod replay;
+mod traces;
 mod world;
 
 use thiserror::Error;
@@ -17,6 +19,8 @@
     faults::Faults,
     fuzz::{Action, FuzzReport, fuzz, fuzz_text, fuzz_world, random_actions},
     oracle::{GRACE_MS, check},
+    replay::{FIXED_LONG, FIXED_MIDDLE, FIXED_SHORT, NAIVE, OURS, ReplayReport, Rules, replay},
+    traces::{Deployment, LITORAL, TraceRequest, VIENNA, WORKER_MB},
     world::{Caller, Ending, Operations, World, WorldOptions, world_key},
 };
 
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -196,7 +196,7 @@
     listed: BTreeMap<String, Listed>,
     pulls: Map<u64, (usize, u64, u64)>,
     sessions: Map<CallId, u64>,
-    finished: Vec<Caller>,
+    finished: Vec<(u64, Caller)>,
     options: WorldOptions,
     idle_ms: f64,
     idle_at: u64,
@@ -552,8 +552,8 @@
         self.now
     }
 
-    /// Requests that have ended since the last call.
-    pub fn take_finished(&mut self) -> Vec<Caller> {
+    /// Requests that have ended since the last call, with their numbers.
+    pub fn take_finished_numbered(&mut self) -> Vec<(u64, Caller)> {
         std::mem::take(&mut self.finished)
     }
 
@@ -1120,7 +1120,7 @@
         if !self.options.keep_calls
             && let Some(caller) = self.callers.remove(&id)
         {
-            self.finished.push(caller);
+            self.finished.push((id.0, caller));
         }
     }
 
