Back off after a conflict, tell late askers, pass the feed on twice and not four times

Cause: at 170 entries a morning burst of 100 cold models cost 4,299 transactions in 10 s, nearly all conflicts on the row of permits; late askers of a burst went to the next decider.

--- a/crates/decide/src/entry/home.rs
+++ b/crates/decide/src/entry/home.rs
@@ -6,7 +6,7 @@
 //! does.
 
 use citronrill_base::{EndpointKey, Millis, ModelKey, Outcome, Row, Set, Txn};
-use citronrill_config::Class;
+use citronrill_config::{Class, Organisation};
 use prost::Message;
 
 use super::{Effect, Entry, Purpose, Target, refusal_of};
@@ -28,6 +28,8 @@
 const REPORT_PART: u64 = 4;
 const REPORT_MIN_MS: u64 = 1_000;
 const REPORT_MAX_MS: u64 = 30_000;
+/// An idle adapter is kept for this time at most, in milliseconds.
+const ADAPTER_KEEP_MS: u64 = 1_200_000;
 /// The wait after a load that failed, doubled with each further one, in milliseconds.
 const FAILED_MS: u64 = 5_000;
 const FAILED_LIMIT_MS: u64 = 300_000;
@@ -67,6 +69,7 @@
     askers: Vec<String>,
     followers: Vec<String>,
     released: Millis,
+    conflicts: u32,
     asked: Vec<(EndpointKey, Millis)>,
 }
 
@@ -167,6 +170,7 @@
             askers: Vec::new(),
             followers: Vec::new(),
             released: Millis(0),
+            conflicts: 0,
             asked: Vec::new(),
         })
     }
@@ -191,9 +195,28 @@
         if !home.askers.contains(&demand.from) {
             home.askers.push(demand.from);
         }
+        self.answer_late_asker(model, out);
         self.decide_load(model, out);
     }
 
+    /// Tells those that ask after the decision of it, so that they do not ask the next in order.
+    fn answer_late_asker(&mut self, model: ModelKey, out: &mut Vec<Effect>) {
+        let coming = |phase| matches!(phase, Phase::Wanted | Phase::Loading);
+        let decided = self.view.replicas(model).find(|(_, phase)| coming(*phase));
+        let Some((endpoint, _)) = decided else { return };
+        let home = self.home(model);
+        let askers = std::mem::take(&mut home.askers);
+        let earlier = std::mem::replace(&mut home.followers, askers.clone());
+        self.announce(model, endpoint, out);
+        let home = self.home(model);
+        home.followers = earlier;
+        for asker in askers {
+            if !home.followers.contains(&asker) {
+                home.followers.push(asker);
+            }
+        }
+    }
+
     /// Decides a load for the demand there is, unless one is being decided.
     fn decide_load(&mut self, model: ModelKey, out: &mut Vec<Effect>) {
         let Some(demand) = self.homes.get(&model).and_then(|home| home.demand) else { return };
@@ -234,6 +257,7 @@
             busy: &busy,
             avoided: &self.avoided,
             parts: self.profile.share_parts,
+            permits: self.homes.get(&ask.model).is_none_or(|home| home.conflicts == 0),
             salt,
         };
         match plan(&scene, self.policies.placement.as_ref(), ask) {
@@ -321,13 +345,16 @@
             let home = self.home(model);
             home.demand = None;
             home.crowded = None;
+            home.conflicts = 0;
             home.followers = std::mem::take(&mut home.askers);
             if let Some(endpoint) = endpoint {
                 self.announce(model, endpoint, out);
             }
         }
         if outcome == Outcome::Conflict {
-            // The rows that are read back show whether another decider was faster.
+            // The rows that are read back show whether another decider was faster. The next try does
+            // without the permit, whose row all decisions of a burst would write.
+            self.home(model).conflicts += 1;
             out.push(Effect::Log(LogEvent::new("conflict").with("model", self.model_name(model))));
         }
     }
@@ -492,11 +519,6 @@
             }
             return;
         }
-        // An adapter costs no accelerator of its own: it stays as long as its base, whose use each
-        // use of the adapter is reported as, and goes with it.
-        if self.catalogue.models.get(&model).is_some_and(|spec| spec.base.is_some()) {
-            return;
-        }
         let idle = self.now.since(self.homes[&model].traffic.last);
         if self.queues.contains_key(&Target::Model(model)) {
             return;
@@ -550,7 +572,14 @@
             return crate::keepalive::MIN_KEEP_MS;
         }
         let learned = &self.homes[&model].traffic.learned;
-        self.policies.keep.keep_ms(learned, spec, org)
+        let Some(base) = spec.base.and_then(|base| self.catalogue.models.get(&base)) else {
+            return self.policies.keep.keep_ms(learned, spec, org);
+        };
+        // An adapter holds a small part of an accelerator, so its idle time is as much cheaper. Each
+        // loaded one lengthens its endpoint's row, though, which goes to every entry.
+        let cold_weight = org.cold_weight * base.memory_mb / spec.memory_mb;
+        let org = Organisation { cold_weight, ..org.clone() };
+        self.policies.keep.keep_ms(learned, spec, &org).min(ADAPTER_KEEP_MS)
     }
 
     fn used_mb(&self, org: citronrill_base::OrgKey) -> u64 {
--- a/crates/decide/src/feed.rs
+++ b/crates/decide/src/feed.rs
@@ -13,7 +13,9 @@
 /// Entries of a zone that poll the table.
 const READERS: usize = 2;
 /// Children of one entry.
-const FANOUT: usize = 4;
+///
+/// Each entry passes on what it takes this many times; docs/CAPACITY.md has the bytes.
+const FANOUT: usize = 2;
 /// How often a reader polls, in milliseconds.
 pub const POLL_MS: u64 = 500;
 /// How often an entry that found no peer polls, in milliseconds.
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -61,6 +61,8 @@
     pub avoided: &'a Set<EndpointKey>,
     /// Parts that an organisation's share is divided into.
     pub parts: u32,
+    /// Whether the decision may take a free permit along.
+    pub permits: bool,
     /// A random number.
     pub salt: u64,
 }
@@ -348,7 +350,7 @@
         let Some(model) = scene.catalogue.models.get(key) else { continue };
         let tier = scene.view.tier(plan.endpoint, &model.name);
         let mut replica = new_replica(scene, ask, model, order + index as u64, tier);
-        if may_start(&ledger, &weights, &replica) {
+        if (scene.permits || !replica.remote) && may_start(&ledger, &weights, &replica) {
             replica.phase = Phase::Loading.into();
             if replica.remote {
                 weights.permits.push(Permit { endpoint: endpoint.clone(), order: replica.order });
--- a/crates/decide/src/side/ledger.rs
+++ b/crates/decide/src/side/ledger.rs
@@ -25,7 +25,8 @@
     pub(super) fn work(&mut self, out: &mut Vec<SideEffect>) {
         self.order_engine(out);
         self.give_up_slow_txn();
-        if self.txn.is_some() || self.reading.is_some() {
+        let pausing = self.now < self.pause_until;
+        if self.txn.is_some() || self.reading.is_some() || pausing {
             return;
         }
         if self.settle_doubt(out) {
--- a/crates/decide/src/side/mod.rs
+++ b/crates/decide/src/side/mod.rs
@@ -7,7 +7,7 @@
 
 use std::sync::Arc;
 
-use citronrill_base::{Map, Millis, Outcome, Row, Txn};
+use citronrill_base::{Map, Millis, Outcome, Row, Txn, hash_bytes};
 
 pub use self::calls::{Admission, Calls, RECORD_LIMIT};
 use crate::{
@@ -32,6 +32,9 @@
 const READ_MS: u64 = 5_000;
 /// How often the engine is asked what it holds.
 const LIST_MS: u64 = 1_000;
+/// The pause after a first conflict at most, in milliseconds; it doubles with each further one.
+const CONFLICT_MS: u64 = 20;
+const CONFLICT_DOUBLINGS: u32 = 7;
 /// How long a row of others is used after it was read, in milliseconds.
 const CACHE_MS: u64 = 1_000;
 /// How long an entry that has decided something here is told of the own row, in milliseconds.
@@ -226,6 +229,8 @@
     orders: Map<u64, Order>,
     order_done: Millis,
     in_doubt: bool,
+    conflicts: u32,
+    pause_until: Millis,
     failed: Vec<String>,
     caches_differ: Option<Millis>,
     published: Option<Vec<Cached>>,
@@ -263,6 +268,8 @@
             orders: Map::default(),
             order_done: now,
             in_doubt: false,
+            conflicts: 0,
+            pause_until: now,
             failed: Vec::new(),
             caches_differ: None,
             published: None,
@@ -534,9 +541,10 @@
                     self.in_doubt = false;
                     self.announce(row, out);
                 }
+                self.conflicts = 0;
                 self.absorb(rows, Some(pending.since), out);
             }
-            Outcome::Conflict => self.distrust(),
+            Outcome::Conflict => self.back_off(),
             Outcome::Unknown => self.doubt(),
         }
     }
@@ -560,6 +568,18 @@
         self.read_now = true;
     }
 
+    /// Another was faster: waits a while that differs from side to side and doubles.
+    ///
+    /// After a burst, a hundred sides want the one row of permits. Without the pause all of them read
+    /// and write again at once, and all but one in vain.
+    fn back_off(&mut self) {
+        self.distrust();
+        self.conflicts = (self.conflicts + 1).min(CONFLICT_DOUBLINGS);
+        let name = format!("{}/{}", self.profile.session, self.next_id);
+        let limit = CONFLICT_MS << self.conflicts;
+        self.pause_until = self.now + hash_bytes(name.as_bytes()) % limit;
+    }
+
     /// A transaction's outcome is unknown, and it may take effect at any time from now on.
     ///
     /// It may be the one that takes a replica out of the ledger. A load ordered meanwhile would leave
--- a/crates/decide/src/side/permits.rs
+++ b/crates/decide/src/side/permits.rs
@@ -15,8 +15,10 @@
     },
 };
 
-/// How often the permits are read while a load waits for one, in milliseconds.
+/// How often the permits are read by the load that is next in line, in milliseconds; those behind it
+/// read less often.
 const POLL_MS: u64 = 300;
+const POLL_LIMIT_MS: u64 = 3_000;
 /// A free permit that the first in line has not taken for this time goes to the next.
 const FIRST_PATIENCE_MS: u64 = 1_500;
 /// Permits that have not moved for this time are checked against their holders' ledgers.
@@ -86,7 +88,9 @@
         out: &mut Vec<SideEffect>,
     ) -> bool {
         if weights.waiters.iter().any(|waiter| waiter.order == replica.order) {
-            if self.now.since(self.last_read) >= POLL_MS {
+            let earlier = weights.waiters.iter().filter(|it| it.urgency < replica.urgency);
+            let turns = 1 + earlier.count() as u64 / weights.loads_once.max(1);
+            if self.now.since(self.last_read) >= (POLL_MS * turns).min(POLL_LIMIT_MS) {
                 self.read_now = true;
             }
             return false;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 mod fuzz;
 mod oracle;
 mod replay;
+mod scale;
 mod traces;
 mod world;
 
@@ -20,8 +21,9 @@
     fuzz::{Action, FuzzReport, fuzz, fuzz_text, fuzz_world, random_actions},
     oracle::{GRACE_MS, check},
     replay::{FIXED_LONG, FIXED_MIDDLE, FIXED_SHORT, NAIVE, OURS, ReplayReport, Rules, replay},
+    scale::{PLAN, ScaleReport, Size, scale},
     traces::{Deployment, LITORAL, TraceRequest, VIENNA, WORKER_MB},
-    world::{Caller, Ending, Operations, World, WorldOptions, world_key},
+    world::{Caller, Ending, Meters, Operations, World, WorldOptions, world_key},
 };
 
 /// Why an experiment failed.
--- a/crates/lab/src/replay.rs
+++ b/crates/lab/src/replay.rs
@@ -190,14 +190,7 @@
         self.report.bound_ms = quantiles(&self.bound);
         self.report.idle_hours = world.idle_hours() - idle;
         self.report.loads = world.loads() - loads;
-        let now = world.operations;
-        self.report.operations = Operations {
-            polls: now.polls - operations.polls,
-            reads: now.reads - operations.reads,
-            entry_commits: now.entry_commits - operations.entry_commits,
-            side_commits: now.side_commits - operations.side_commits,
-            conflicts: now.conflicts - operations.conflicts,
-        };
+        self.report.operations = world.operations.since(operations);
         self.report.seconds = (world.now() - self.from) as f64 / 1000.0;
         self.report.clairvoyant_hours = self.clairvoyant(trace);
         self.report
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -6,6 +6,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
+    time::Instant,
 };
 
 use citronrill_base::{Map, Millis, Outcome, Row, Txn};
@@ -17,6 +18,7 @@
     rows::{Cached, DeltaRow, FEED, HEAD, HeadRow, Tier, decode, delta_key},
 };
 use citronrill_platform::{MemoryTable, Table};
+use citronrill_wire as wire;
 use prost::Message;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -170,6 +172,32 @@
     pub conflicts: u64,
 }
 
+impl Operations {
+    /// What was done after `before`.
+    pub fn since(self, before: Operations) -> Operations {
+        Operations {
+            polls: self.polls - before.polls,
+            reads: self.reads - before.reads,
+            entry_commits: self.entry_commits - before.entry_commits,
+            side_commits: self.side_commits - before.side_commits,
+            conflicts: self.conflicts - before.conflicts,
+        }
+    }
+}
+
+/// Control traffic and reducer time so far.
+#[derive(Debug, Clone, Default)]
+pub struct Meters {
+    /// Bytes that each entry has sent and taken.
+    pub entry_bytes: Vec<u64>,
+    /// Bytes that all sides have sent and taken.
+    pub side_bytes: u64,
+    /// Time of all entries' reducers, in nanoseconds.
+    pub entry_nanos: u64,
+    /// Time of all sides' reducers, in nanoseconds.
+    pub side_nanos: u64,
+}
+
 /// The world.
 pub struct World {
     pub(crate) now: u64,
@@ -196,6 +224,7 @@
     listed: BTreeMap<String, Listed>,
     pulls: Map<u64, (usize, u64, u64)>,
     sessions: Map<CallId, u64>,
+    meters: Meters,
     finished: Vec<(u64, Caller)>,
     options: WorldOptions,
     idle_ms: f64,
@@ -235,6 +264,7 @@
             listed: BTreeMap::new(),
             pulls: Map::default(),
             sessions: Map::default(),
+            meters: Meters::default(),
             finished: Vec::new(),
             idle_ms: 0.0,
             idle_at: 0,
@@ -702,7 +732,9 @@
         self.steps += 1;
         let mut effects = Vec::new();
         let node = &mut self.entries[index];
+        let begun = Instant::now();
         node.core.step(Millis(self.now - node.start), event, &mut effects);
+        self.meters.entry_nanos += begun.elapsed().as_nanos() as u64;
         let version = node.core.version();
         if version < node.version {
             let text = format!("{} went back from {} to {version}", node.name, node.version);
@@ -719,7 +751,9 @@
         self.steps += 1;
         let mut effects = Vec::new();
         let node = &mut self.sides[index];
+        let begun = Instant::now();
         node.core.step(Millis(self.now - node.start), event, &mut effects);
+        self.meters.side_nanos += begun.elapsed().as_nanos() as u64;
         let life = node.life;
         for effect in effects {
             self.side_effect(index, life, effect);
@@ -783,11 +817,26 @@
                     self.schedule(delay, Happening::ToEntry(index, life, event));
                 }
             }
-            Effect::Demand { to, demand } => self.post(to, Event::Demand(demand)),
+            Effect::Demand { to, demand } => {
+                let frame = wire::Demand {
+                    model: demand.model.clone(),
+                    waiting: demand.waiting,
+                    slack_ms: demand.slack_ms,
+                    class: 0,
+                    from: demand.from.clone(),
+                };
+                self.meter(index, &to, &frame.into());
+                self.post(to, Event::Demand(demand));
+            }
             Effect::Verdict { to, model, kind } => {
+                let frame = wire::Verdict { model: model.clone(), kind: 0 };
+                self.meter(index, &to, &frame.into());
                 self.post(to, Event::Verdict { model, kind });
             }
-            Effect::Announce { to, row } => self.post(to, Event::Told(vec![row])),
+            Effect::Announce { to, row } => {
+                self.meter(index, &to, &rows_frame(&[row.clone()]));
+                self.post(to, Event::Told(vec![row]));
+            }
             Effect::Poke { address, from, .. } => {
                 let side = self.sides.iter().position(|it| it.profile.address == address);
                 if let Some(side) = side {
@@ -827,6 +876,9 @@
             }
             FeedEffect::Answer { pull, page } => {
                 if let Some((to, life, id)) = self.pulls.remove(&pull) {
+                    let name = self.entries[to].name.clone();
+                    self.meter(from, &name, &rows_frame(&page.rows));
+                    self.meter(from, &name, &wire::FeedPull { id, since: page.sequence }.into());
                     let delay = self.hop();
                     let event = Event::Fed(id, Some(page));
                     self.schedule(delay, Happening::ToEntry(to, life, event));
@@ -853,6 +905,9 @@
             let changes = self.table.changes(FEED, since, PAGE).unwrap_or_default();
             Page { rows: changes.rows, sequence: changes.sequence, age_ms: 0 }
         });
+        if let Some(page) = &page {
+            self.meter(from, "", &rows_frame(&page.rows));
+        }
         let delay = self.table_hop();
         self.schedule(delay, Happening::ToEntry(from, life, Event::Fed(id, page)));
     }
@@ -915,7 +970,10 @@
                 self.schedule(5, Happening::RunEnds { side: index, life, call });
             }
             SideEffect::Cancelled(call, answer) => self.cancel_answer(index, call, answer),
-            SideEffect::Announce(to, row) => self.post(to, Event::Told(vec![row])),
+            SideEffect::Announce(to, row) => {
+                self.meters.side_bytes += frame_bytes(&rows_frame(&[row.clone()]));
+                self.post(to, Event::Told(vec![row]));
+            }
             SideEffect::Log(_) => {}
             SideEffect::Superseded | SideEffect::Drained => {
                 self.sides[index].alive = false;
@@ -1190,6 +1248,23 @@
         self.tell_call(sending, event);
     }
 
+    /// Counts a frame at the entry that sends it and at the one that takes it.
+    fn meter(&mut self, from: usize, to: &str, frame: &wire::Frame) {
+        let bytes = frame_bytes(frame);
+        self.meters.entry_bytes.resize(self.entries.len(), 0);
+        self.meters.entry_bytes[from] += bytes;
+        if let Some(index) = self.entries.iter().position(|it| it.name == to) {
+            self.meters.entry_bytes[index] += bytes;
+        }
+    }
+
+    /// Control traffic and reducer time so far.
+    pub fn meters(&self) -> Meters {
+        let mut meters = self.meters.clone();
+        meters.entry_bytes.resize(self.entries.len(), 0);
+        meters
+    }
+
     /// Rows of the table, for oracles.
     pub fn rows(&self) -> Vec<Row> {
         self.table.rows()
@@ -1236,6 +1311,22 @@
     }
 }
 
+/// Rows as they go between processes.
+fn rows_frame(rows: &[Row]) -> wire::Frame {
+    let rows = rows.iter().map(|row| wire::FeedRow {
+        key: row.key.clone(),
+        version: row.version,
+        body: row.body.clone(),
+    });
+    wire::FeedRows { id: 1, rows: rows.collect(), sequence: 1, age_ms: 0 }.into()
+}
+
+/// Bytes of a frame on a connection, with its length and the headers of TCP and IP.
+fn frame_bytes(frame: &wire::Frame) -> u64 {
+    const HEADERS: usize = 4 + 40;
+    (frame.encoded_len() + HEADERS) as u64
+}
+
 /// The API key of an organisation of a world.
 pub fn world_key(org: &str) -> String {
     format!("key-{org}")
