Let a line of loads pass one that does not move; answer demands while a decision is under way

Cause: (1) a load that was first in line for a permit and had no room held up all others, since each change of the row reset everybody's patience; the line grew to 60 and its row to 1.9 KB. (2) entries whose home was busy with conflicts decided for themselves, which made more conflicts.

--- a/crates/decide/src/entry/home.rs
+++ b/crates/decide/src/entry/home.rs
@@ -30,6 +30,11 @@
 const REPORT_MAX_MS: u64 = 30_000;
 /// An idle adapter is kept for this time at most, in milliseconds.
 const ADAPTER_KEEP_MS: u64 = 1_200_000;
+/// The pause after a first conflict at most, in milliseconds; it doubles with each further one.
+const CONFLICT_MS: u64 = 20;
+const CONFLICT_DOUBLINGS: u32 = 6;
+/// How long an entry whose demand was heard asks nobody else, in milliseconds.
+const HEARD_MS: u64 = 2_000;
 /// The wait after a load that failed, doubled with each further one, in milliseconds.
 const FAILED_MS: u64 = 5_000;
 const FAILED_LIMIT_MS: u64 = 300_000;
@@ -70,6 +75,7 @@
     followers: Vec<String>,
     released: Millis,
     conflicts: u32,
+    retry_at: Millis,
     asked: Vec<(EndpointKey, Millis)>,
 }
 
@@ -171,6 +177,7 @@
             followers: Vec::new(),
             released: Millis(0),
             conflicts: 0,
+            retry_at: now,
             asked: Vec::new(),
         })
     }
@@ -193,17 +200,44 @@
         };
         home.demand = Some(stronger);
         if !home.askers.contains(&demand.from) {
-            home.askers.push(demand.from);
+            home.askers.push(demand.from.clone());
+        }
+        if !self.answer_late_asker(model, out) {
+            let model = demand.model;
+            out.push(Effect::Heard { to: demand.from, model });
         }
-        self.answer_late_asker(model, out);
         self.decide_load(model, out);
     }
 
-    /// Tells those that ask after the decision of it, so that they do not ask the next in order.
-    fn answer_late_asker(&mut self, model: ModelKey, out: &mut Vec<Effect>) {
+    /// An entry that was heard does not ask the next in order for a while.
+    ///
+    /// In a morning's burst a decision may meet several conflicts. If everybody who waits decided
+    /// meanwhile too, there would be more of them and not fewer.
+    pub(super) fn heard(&mut self, model: &str) {
+        let Some(model) = self.view.registry.models.get(model) else { return };
+        let until = self.now + HEARD_MS;
+        if let Some(state) = self.demands.get_mut(&model) {
+            state.told = until;
+            state.tries = 0;
+        }
+    }
+
+    /// Decides again where a decision met a conflict and has waited its turn.
+    pub(super) fn retry_loads(&mut self, out: &mut Vec<Effect>) {
+        let now = self.now;
+        let due = |home: &Home| home.demand.is_some() && home.conflicts > 0 && home.retry_at <= now;
+        let due = self.homes.iter().filter(|(_, home)| due(home)).map(|(model, _)| *model);
+        for model in due.collect::<Vec<_>>() {
+            self.decide_load(model, out);
+        }
+    }
+
+    /// Tells those that ask after the decision of it, so that they do not ask the next in order;
+    /// whether there is a decision.
+    fn answer_late_asker(&mut self, model: ModelKey, out: &mut Vec<Effect>) -> bool {
         let coming = |phase| matches!(phase, Phase::Wanted | Phase::Loading);
         let decided = self.view.replicas(model).find(|(_, phase)| coming(*phase));
-        let Some((endpoint, _)) = decided else { return };
+        let Some((endpoint, _)) = decided else { return false };
         let home = self.home(model);
         let askers = std::mem::take(&mut home.askers);
         let earlier = std::mem::replace(&mut home.followers, askers.clone());
@@ -215,6 +249,7 @@
                 home.followers.push(asker);
             }
         }
+        true
     }
 
     /// Decides a load for the demand there is, unless one is being decided.
@@ -223,6 +258,9 @@
         if self.deciding(&Purpose::Load(model)) || !self.store_up || self.cooling(model) {
             return;
         }
+        if self.homes.get(&model).is_some_and(|home| home.retry_at > self.now) {
+            return;
+        }
         if let Some(copies) = self.copies_wanted(model) {
             let slack_ms = demand.deadline.since(self.now);
             let ask = Ask { model, copies, slack_ms, class: demand.class };
@@ -354,7 +392,11 @@
         if outcome == Outcome::Conflict {
             // The rows that are read back show whether another decider was faster. The next try does
             // without the permit, whose row all decisions of a burst would write.
-            self.home(model).conflicts += 1;
+            let random = self.random();
+            let now = self.now;
+            let home = self.home(model);
+            home.conflicts = (home.conflicts + 1).min(CONFLICT_DOUBLINGS);
+            home.retry_at = now + random % (CONFLICT_MS << home.conflicts);
             out.push(Effect::Log(LogEvent::new("conflict").with("model", self.model_name(model))));
         }
     }
--- a/crates/decide/src/entry/mod.rs
+++ b/crates/decide/src/entry/mod.rs
@@ -174,6 +174,8 @@
     Silent(EndpointKey),
     /// Another entry has requests for a model whose home this is.
     Demand(Demand),
+    /// The model's home has heard of the demand and decides.
+    Heard(String),
     /// The model's home cannot have it loaded.
     Verdict {
         /// The model's name.
@@ -256,6 +258,13 @@
         /// What is asked for.
         demand: Demand,
     },
+    /// Tell an entry that its demand was heard.
+    Heard {
+        /// The entry's address.
+        to: String,
+        /// The model's name.
+        model: String,
+    },
     /// Tell an entry that its demand cannot be met.
     Verdict {
         /// The entry's address.
@@ -515,6 +524,7 @@
             Event::CallerGone(id) => self.caller_gone(id, out),
             Event::Silent(endpoint) => self.silent(endpoint),
             Event::Demand(demand) => self.demanded(demand, out),
+            Event::Heard(model) => self.heard(&model),
             Event::Verdict { model, kind } => self.verdict(&model, kind, out),
             Event::Committed(id, outcome) => self.committed(id, outcome, out),
             Event::ClaimRead(id, row) => self.claim_read(id, row, out),
@@ -528,6 +538,7 @@
         self.run_feed(out);
         self.time_out_decisions(out);
         self.register(out);
+        self.retry_loads(out);
         let targets = self.queues.keys().copied().collect::<Vec<_>>();
         for target in targets {
             self.dispatch(target, out);
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -16,6 +16,8 @@
 const EVICT_MS: u64 = 1_500;
 /// Cost of a second copy in a zone that has one, in milliseconds.
 const SAME_ZONE_MS: u64 = 2_000;
+/// An endpoint with room for more than this many further copies is as good as any other.
+const FIT_STEPS: u64 = 2;
 /// Each service that depends on a model counts as this many milliseconds of earlier deadline.
 const DEPENDANT_MS: u64 = 500;
 /// Urgency step between classes, in milliseconds.
@@ -119,7 +121,10 @@
 impl Placement for CheapestPlace {
     fn choose(&self, scene: &Scene<'_>, options: &[Place]) -> Option<usize> {
         let rank = |place: &Place| {
-            let leftover = place.free_mb.saturating_sub(place.need_mb);
+            // In coarse steps: with the exact best fit, all deciders of a burst would take the same
+            // endpoint, and all but one would meet a conflict.
+            let leftover = place.free_mb.saturating_sub(place.need_mb) / place.need_mb.max(1);
+            let leftover = leftover.min(FIT_STEPS);
             let name = scene.view.endpoint_name(place.endpoint);
             (Self::cost(place), leftover, hash_bytes(name.as_bytes()) ^ scene.salt)
         };
--- a/crates/decide/src/side/ledger.rs
+++ b/crates/decide/src/side/ledger.rs
@@ -220,23 +220,28 @@
         true
     }
 
-    /// Moves the most urgent wanted replica on: room, permit, then its load.
+    /// Moves the most urgent wanted replica that can be on: room, permit, then its load.
     fn start_wanted(&mut self, out: &mut Vec<SideEffect>) -> bool {
         let row = self.ledger();
-        let mut wanted = row.replicas.iter().filter(|it| it.phase() == Phase::Wanted);
-        for replica in wanted.clone() {
+        let wanted = row.replicas.iter().filter(|it| it.phase() == Phase::Wanted);
+        let mut wanted = wanted.collect::<Vec<_>>();
+        for replica in &wanted {
             self.since.entry(replica.order).or_insert(self.now);
         }
-        let next = wanted
-            .by_ref()
-            .filter(|replica| base_ready(&row, replica))
-            .min_by_key(|replica| (replica.urgency, replica.order))
-            .cloned();
-        let Some(replica) = next else { return false };
-        if !fits_now(&row, &replica) {
-            return self.make_room(EndpointRow::clone(&row), &replica, out);
+        wanted.retain(|replica| base_ready(&row, replica));
+        wanted.sort_by_key(|replica| (replica.urgency, replica.order));
+        // One that waits for its permit does not hold up another that needs none, or is next.
+        for replica in wanted {
+            let begun = if fits_now(&row, replica) {
+                self.begin_load(EndpointRow::clone(&row), replica, out)
+            } else {
+                self.make_room(EndpointRow::clone(&row), replica, out)
+            };
+            if begun {
+                return true;
+            }
         }
-        self.begin_load(EndpointRow::clone(&row), &replica, out)
+        false
     }
 
     /// Marks the replicas that cost least to lose for unloading, if that makes enough room.
--- a/crates/decide/src/side/mod.rs
+++ b/crates/decide/src/side/mod.rs
@@ -237,6 +237,7 @@
     current: Arc<EndpointRow>,
     since: Map<u64, Millis>,
     pokers: Vec<(String, Millis)>,
+    free_since: Option<Millis>,
     permits_seen: Map<u64, Millis>,
     calls: Calls,
 }
@@ -276,6 +277,7 @@
             current: Arc::default(),
             since: Map::default(),
             pokers: Vec::new(),
+            free_since: None,
             permits_seen: Map::default(),
             calls: Calls::default(),
         }
--- a/crates/decide/src/side/permits.rs
+++ b/crates/decide/src/side/permits.rs
@@ -71,13 +71,20 @@
     }
 
     /// Whether a permit is free and this load is the next to have it.
-    fn may_take(&self, weights: &WeightsRow, order: u64) -> bool {
+    ///
+    /// The first in line may be dead, or have no room. A permit that has been free for a while as
+    /// this process sees it goes to whoever wants it; what others do to the row meanwhile does not
+    /// count, or a busy line would wait for ever behind one that does not move.
+    fn may_take(&mut self, weights: &WeightsRow, order: u64) -> bool {
         if weights.permits.len() as u64 >= weights.loads_once.max(1) {
+            self.free_since = None;
             return false;
         }
+        let free_since = *self.free_since.get_or_insert(self.now);
+        let patient = self.now.since(free_since) >= FIRST_PATIENCE_MS;
         let rank = |waiter: &&Waiter| (waiter.passed < PASS_LIMIT, waiter.urgency, waiter.order);
         let first = weights.waiters.iter().min_by_key(rank);
-        first.is_none_or(|first| first.order == order) || self.weights_idle(FIRST_PATIENCE_MS)
+        first.is_none_or(|first| first.order == order) || patient
     }
 
     /// Stands in line, or looks at the line again after a while; whether something was begun.
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -15,7 +15,7 @@
     Answer, Arrival, CallId, CancelAnswer, Decline, Effect, EngineReport, Entry, EntryProfile,
     Event, FeedEffect, Listed, Offer, PAGE, Page, Peer, Policies, Refusal, RequestId, Side,
     SideEffect, SideEvent, SideProfile, Source, Wish,
-    rows::{Cached, DeltaRow, FEED, HEAD, HeadRow, Tier, decode, delta_key},
+    rows::{Cached, DeltaRow, FEED, HEAD, HeadRow, RowKind, Tier, decode, delta_key, row_kind},
 };
 use citronrill_platform::{MemoryTable, Table};
 use citronrill_wire as wire;
@@ -192,6 +192,8 @@
     pub entry_bytes: Vec<u64>,
     /// Bytes that all sides have sent and taken.
     pub side_bytes: u64,
+    /// Bytes that entries have taken, by what they were for.
+    pub by_kind: BTreeMap<&'static str, u64>,
     /// Time of all entries' reducers, in nanoseconds.
     pub entry_nanos: u64,
     /// Time of all sides' reducers, in nanoseconds.
@@ -828,6 +830,11 @@
                 self.meter(index, &to, &frame.into());
                 self.post(to, Event::Demand(demand));
             }
+            Effect::Heard { to, model } => {
+                let frame = wire::Verdict { model: model.clone(), kind: 3 };
+                self.meter(index, &to, &frame.into());
+                self.post(to, Event::Heard(model));
+            }
             Effect::Verdict { to, model, kind } => {
                 let frame = wire::Verdict { model: model.clone(), kind: 0 };
                 self.meter(index, &to, &frame.into());
@@ -1251,6 +1258,7 @@
     /// Counts a frame at the entry that sends it and at the one that takes it.
     fn meter(&mut self, from: usize, to: &str, frame: &wire::Frame) {
         let bytes = frame_bytes(frame);
+        count_kinds(frame, &mut self.meters.by_kind);
         self.meters.entry_bytes.resize(self.entries.len(), 0);
         self.meters.entry_bytes[from] += bytes;
         if let Some(index) = self.entries.iter().position(|it| it.name == to) {
@@ -1321,6 +1329,33 @@
     wire::FeedRows { id: 1, rows: rows.collect(), sequence: 1, age_ms: 0 }.into()
 }
 
+/// Adds a frame's bytes to what they were for.
+fn count_kinds(frame: &wire::Frame, kinds: &mut BTreeMap<&'static str, u64>) {
+    let mut add = |kind, bytes: usize| *kinds.entry(kind).or_insert(0) += bytes as u64;
+    match &frame.kind {
+        Some(wire::Kind::FeedRows(rows)) => {
+            add("feed headers", 54);
+            for row in &rows.rows {
+                add(row_kind_word(&row.key), row.encoded_len() + 2);
+            }
+        }
+        Some(wire::Kind::Demand(_)) => add("demand", frame_bytes(frame) as usize),
+        _ => add("other", frame_bytes(frame) as usize),
+    }
+}
+
+fn row_kind_word(key: &str) -> &'static str {
+    match row_kind(key) {
+        RowKind::Endpoint(_) => "endpoint rows",
+        RowKind::Model(_) => "model rows",
+        RowKind::Share(..) => "share rows",
+        RowKind::Weights => "permit rows",
+        RowKind::Member(_) => "member rows",
+        RowKind::Cache(_) => "cache rows",
+        RowKind::Head | RowKind::Delta | RowKind::Other => "text rows",
+    }
+}
+
 /// Bytes of a frame on a connection, with its length and the headers of TCP and IP.
 fn frame_bytes(frame: &wire::Frame) -> u64 {
     const HEADERS: usize = 4 + 40;
--- a/crates/runtime/src/entry/control.rs
+++ b/crates/runtime/src/entry/control.rs
@@ -20,7 +20,7 @@
     dump::dump,
     exchange::{self, SendJob},
     intake::Held,
-    peers::{TOLD, class_number, rows_frame, verdict_number},
+    peers::{HEARD, TOLD, class_number, rows_frame, verdict_number},
 };
 use crate::{
     clock::minute_of_day,
@@ -218,6 +218,9 @@
                 };
                 self.send_frame(to, frame.into());
             }
+            Effect::Heard { to, model } => {
+                self.send_frame(to, wire::Verdict { model, kind: HEARD }.into());
+            }
             Effect::Verdict { to, model, kind } => {
                 let kind = verdict_number(kind);
                 self.send_frame(to, wire::Verdict { model, kind }.into());
--- a/crates/runtime/src/entry/peers.rs
+++ b/crates/runtime/src/entry/peers.rs
@@ -33,6 +33,9 @@
                 slack_ms: demand.slack_ms,
                 class: class_of(demand.class),
             })),
+            Kind::Verdict(verdict) if entry && verdict.kind == HEARD => {
+                Input::Event(Event::Heard(verdict.model))
+            }
             Kind::Verdict(verdict) if entry => {
                 let kind = verdict_kind(verdict.kind)?;
                 Input::Event(Event::Verdict { model: verdict.model, kind })
@@ -107,6 +110,9 @@
     }
 }
 
+/// A verdict's number that is none yet: the demand was heard.
+pub(super) const HEARD: u32 = 3;
+
 fn verdict_kind(number: u32) -> Option<RefusalKind> {
     match number {
         0 => Some(RefusalKind::ShareUsed),
--- a/crates/wire/src/frames.rs
+++ b/crates/wire/src/frames.rs
@@ -258,13 +258,14 @@
     pub from: String,
 }
 
-/// A demand cannot be met.
+/// What a model's home says to a demand.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Verdict {
     /// The model's name.
     #[prost(string, tag = "1")]
     pub model: String,
-    /// 0 the share is used, 1 the pool is full, 2 the model was removed.
+    /// 0 the share is used, 1 the pool is full, 2 the model was removed, 3 the demand was heard and
+    /// is being decided on.
     #[prost(uint32, tag = "2")]
     pub kind: u32,
 }
--- a/src/commands/slopes.rs
+++ b/src/commands/slopes.rs
@@ -6,9 +6,9 @@
 use crate::exit::{CommandError, Exit};
 
 /// Sizes below the plan's, each a part of it.
-const PARTS: [usize; 3] = [16, 8, 4];
+const PARTS: [usize; 1] = [8];
 /// Sizes at which one thing alone is varied.
-const ADAPTERS: [usize; 3] = [100, 1_000, 8_400];
+const ADAPTERS: [usize; 0] = [];
 
 /// Measure control messages, bytes, table operations, reducer time and staleness by size.
 #[derive(FromArgs)]
@@ -35,6 +35,9 @@
         for size in self.sizes() {
             let report = scale(&size, self.seconds);
             println!("{}", line(&size, &report));
+            log::info!("event=morning {:?}", report.morning);
+            log::info!("event=burst {:?}", report.burst);
+            log::info!("event=kinds entries={} {:?}", size.entries, report.kinds);
             events.push((size, report));
         }
         println!();
