Test configuration, a request's life and the command line over real sockets; ask any peer in an outage

Cause: an entry that started in an outage in a zone without other entries had only the table to ask, and knew no text. It now asks peers of any zone last. Also: decisions read their rows first; caches are spread every 5 minutes at most; uses are reported half as often.

--- a/crates/decide/src/entry/home.rs
+++ b/crates/decide/src/entry/home.rs
@@ -5,7 +5,7 @@
 //! processes that both believe to be it meet in the table, and if it does not act, the next in order
 //! does.
 
-use citronrill_base::{EndpointKey, Millis, ModelKey, Outcome, Row, Set, Txn};
+use citronrill_base::{EndpointKey, Millis, ModelKey, Outcome, Row, Set, Txn, hash_bytes};
 use citronrill_config::{Class, Organisation};
 use prost::Message;
 
@@ -25,7 +25,7 @@
 /// Demand beside a serving replica that lasts this long asks for another, in milliseconds.
 const SCALE_OUT_MS: u64 = 500;
 /// A use of a warm model is reported again after its keep time over this.
-const REPORT_PART: u64 = 4;
+const REPORT_PART: u64 = 2;
 const REPORT_MIN_MS: u64 = 1_000;
 const REPORT_MAX_MS: u64 = 30_000;
 /// An idle adapter is kept for this time at most, in milliseconds.
@@ -33,6 +33,10 @@
 /// The pause after a first conflict at most, in milliseconds; it doubles with each further one.
 const CONFLICT_MS: u64 = 20;
 const CONFLICT_DOUBLINGS: u32 = 6;
+/// Rows that were read for a decision serve it for this time, in milliseconds.
+const READ_FRESH_MS: u64 = 200;
+/// A read for a decision that does not answer is made again after this time, in milliseconds.
+const READ_PATIENCE_MS: u64 = 1_000;
 /// How long an entry whose demand was heard asks nobody else, in milliseconds.
 const HEARD_MS: u64 = 2_000;
 /// The wait after a load that failed, doubled with each further one, in milliseconds.
@@ -76,6 +80,8 @@
     released: Millis,
     conflicts: u32,
     retry_at: Millis,
+    awaited: Option<(Millis, Vec<String>)>,
+    read: Option<(Millis, Vec<String>)>,
     asked: Vec<(EndpointKey, Millis)>,
 }
 
@@ -178,6 +184,8 @@
             released: Millis(0),
             conflicts: 0,
             retry_at: now,
+            awaited: None,
+            read: None,
             asked: Vec::new(),
         })
     }
@@ -225,7 +233,11 @@
     /// Decides again where a decision met a conflict and has waited its turn.
     pub(super) fn retry_loads(&mut self, out: &mut Vec<Effect>) {
         let now = self.now;
-        let due = |home: &Home| home.demand.is_some() && home.conflicts > 0 && home.retry_at <= now;
+        let due = |home: &Home| {
+            let late = home.awaited.as_ref();
+            let late = late.is_some_and(|(at, _)| now.since(*at) >= READ_PATIENCE_MS);
+            home.demand.is_some() && (late || home.conflicts > 0) && home.retry_at <= now
+        };
         let due = self.homes.iter().filter(|(_, home)| due(home)).map(|(model, _)| *model);
         for model in due.collect::<Vec<_>>() {
             self.decide_load(model, out);
@@ -258,7 +270,12 @@
         if self.deciding(&Purpose::Load(model)) || !self.store_up || self.cooling(model) {
             return;
         }
-        if self.homes.get(&model).is_some_and(|home| home.retry_at > self.now) {
+        let waits = |home: &Home| {
+            let reading = home.awaited.as_ref();
+            let reading = reading.is_some_and(|(at, _)| self.now.since(*at) < READ_PATIENCE_MS);
+            reading || home.retry_at > self.now
+        };
+        if self.homes.get(&model).is_some_and(waits) {
             return;
         }
         if let Some(copies) = self.copies_wanted(model) {
@@ -287,7 +304,10 @@
 
     fn try_load(&mut self, ask: &Ask, out: &mut Vec<Effect>) {
         let busy = self.decisions.values().filter_map(|it| it.endpoint).collect();
-        let salt = self.random();
+        // The same until a conflict, so that the rows that were read are those of the plan.
+        let conflicts = self.homes.get(&ask.model).map_or(0, |home| home.conflicts);
+        let name = format!("{}/{}/{conflicts}", self.model_name(ask.model), self.profile.session);
+        let salt = hash_bytes(name.as_bytes());
         let order = self.new_order(2);
         let scene = Scene {
             view: &self.view,
@@ -301,6 +321,11 @@
         match plan(&scene, self.policies.placement.as_ref(), ask) {
             Ok(plan) => {
                 let txn = load_txn(&scene, &plan, ask, order);
+                let keys = txn.checks.iter().map(|it| it.key.clone()).collect::<Vec<_>>();
+                if !self.read_lately(ask.model, &keys) {
+                    self.home(ask.model).awaited = Some((self.now, keys.clone()));
+                    return out.push(Effect::Read(keys));
+                }
                 let event = LogEvent::new("load").with("model", self.model_name(ask.model));
                 let name = self.view.endpoint_name(plan.endpoint);
                 out.push(Effect::Log(event.with("endpoint", name)));
@@ -310,6 +335,33 @@
         }
     }
 
+    /// Whether the rows of a decision were read for it a moment ago.
+    ///
+    /// The feed is up to a poll behind. In a burst every decision made from it would meet a conflict
+    /// on a share or a ledger that another decision has just changed; a read costs the table a
+    /// quarter of a write, and makes the time in which that can happen a hundredth.
+    fn read_lately(&self, model: ModelKey, keys: &[String]) -> bool {
+        let Some(home) = self.homes.get(&model) else { return false };
+        let Some((at, read)) = &home.read else { return false };
+        self.now.since(*at) < READ_FRESH_MS && keys.iter().all(|key| read.contains(key))
+    }
+
+    /// Goes on with the decisions whose rows have been read.
+    pub(super) fn rows_read(&mut self, rows: &[Row], out: &mut Vec<Effect>) {
+        let now = self.now;
+        let has = |key: &String| rows.iter().any(|row| row.key == *key);
+        let mut due = Vec::new();
+        for (model, home) in &mut self.homes {
+            if let Some((_, keys)) = home.awaited.take_if(|(_, keys)| keys.iter().all(has)) {
+                home.read = Some((now, keys));
+                due.push(*model);
+            }
+        }
+        for model in due {
+            self.decide_load(model, out);
+        }
+    }
+
     fn model_name(&self, model: ModelKey) -> &str {
         self.view.registry.models.name(model)
     }
@@ -545,10 +597,9 @@
         }
         due.sort_unstable_by_key(|(key, adapter)| (*adapter, *key));
         for (model, _) in due {
-            let class = Class::Batch;
-            self.home(model);
-            let ask = Ask { model, copies: 1, slack_ms: crate::keepalive::SLOT_MS, class };
-            self.try_load(&ask, out);
+            let deadline = self.now + crate::keepalive::SLOT_MS;
+            self.home(model).demand = Some(Demanded { deadline, class: Class::Batch });
+            self.decide_load(model, out);
         }
     }
 
--- a/crates/decide/src/entry/mod.rs
+++ b/crates/decide/src/entry/mod.rs
@@ -590,6 +590,7 @@
         self.feed.learned(rows);
         self.judge_store(out);
         self.rows(rows, out);
+        self.rows_read(rows, out);
     }
 
     /// Takes in rows that were committed, but may be ahead of others that are not known yet.
--- a/crates/decide/src/feed.rs
+++ b/crates/decide/src/feed.rs
@@ -16,6 +16,8 @@
 ///
 /// Each entry passes on what it takes this many times; docs/CAPACITY.md has the bytes.
 const FANOUT: usize = 2;
+/// Peers that are asked when the table does not answer.
+const LAST_RESORTS: usize = 3;
 /// How often a reader polls, in milliseconds.
 pub const POLL_MS: u64 = 500;
 /// How often an entry that found no peer polls, in milliseconds.
@@ -159,7 +161,7 @@
         out.push(FeedEffect::Ask { id, source, since });
     }
 
-    /// Whom to ask, in order: parent, its parent, and so on, then the table.
+    /// Whom to ask, in order: parent, its parent, and so on, then the table, then any peer.
     fn chain(&self, peers: &[Peer]) -> Vec<Source> {
         let zone = peers.iter().filter(|peer| peer.zone == self.zone);
         let zone = zone.collect::<Vec<_>>();
@@ -175,9 +177,20 @@
             chain.extend(parent.map(|peer| Source::Peer(peer.address.clone())));
         }
         chain.push(Source::Table);
+        chain.extend(self.last_resorts(peers));
         chain
     }
 
+    /// Peers of any zone, asked when even the table does not answer: a process that has just started
+    /// in an outage knows nothing else.
+    fn last_resorts(&self, peers: &[Peer]) -> Vec<Source> {
+        let names = peers.iter().map(|peer| peer.name.as_str());
+        let names = names.filter(|name| *name != self.name);
+        let order = rendezvous_order(&self.name, names).into_iter().take(LAST_RESORTS);
+        let address = |name: &str| peers.iter().find(|peer| peer.name == name);
+        order.filter_map(address).map(|peer| Source::Peer(peer.address.clone())).collect()
+    }
+
     fn failed(&mut self, now: Millis) {
         self.asked = None;
         self.detour += 1;
--- a/crates/decide/src/side/ledger.rs
+++ b/crates/decide/src/side/ledger.rs
@@ -16,7 +16,10 @@
 /// A wanted replica that cannot be loaded is given up after this time, in milliseconds.
 const WANTED_LIMIT_MS: u64 = 60_000;
 /// A change of the caches alone is written after this time, in milliseconds.
-const CACHES_MS: u64 = 10_000;
+///
+/// The row lists every cached model and goes to all entries, and a copy that they do not know of costs
+/// no more than a longer load.
+const CACHES_MS: u64 = 300_000;
 /// A model used within this time is not unloaded to make room, in milliseconds.
 const RECENT_USE_MS: u64 = 2_000;
 
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -841,7 +841,7 @@
                 self.post(to, Event::Verdict { model, kind });
             }
             Effect::Announce { to, row } => {
-                self.meter(index, &to, &rows_frame(&[row.clone()]));
+                self.meter(index, &to, &rows_frame(std::slice::from_ref(&row)));
                 self.post(to, Event::Told(vec![row]));
             }
             Effect::Poke { address, from, .. } => {
@@ -978,7 +978,7 @@
             }
             SideEffect::Cancelled(call, answer) => self.cancel_answer(index, call, answer),
             SideEffect::Announce(to, row) => {
-                self.meters.side_bytes += frame_bytes(&rows_frame(&[row.clone()]));
+                self.meters.side_bytes += frame_bytes(&rows_frame(std::slice::from_ref(&row)));
                 self.post(to, Event::Told(vec![row]));
             }
             SideEffect::Log(_) => {}
--- a/src/commands/slopes.rs
+++ b/src/commands/slopes.rs
@@ -1,14 +1,16 @@
 //! `citronrill slopes`: what control costs, by size.
 
+use std::thread;
+
 use argh::FromArgs;
 use citronrill_lab::{Operations, PLAN, ScaleReport, Size, scale};
 
 use crate::exit::{CommandError, Exit};
 
 /// Sizes below the plan's, each a part of it.
-const PARTS: [usize; 1] = [8];
+const PARTS: [usize; 4] = [16, 8, 4, 2];
 /// Sizes at which one thing alone is varied.
-const ADAPTERS: [usize; 0] = [];
+const ADAPTERS: [usize; 2] = [100, 1_000];
 
 /// Measure control messages, bytes, table operations, reducer time and staleness by size.
 #[derive(FromArgs)]
@@ -31,21 +33,23 @@
              leaving ms | burst writes (conflicts, all) |"
         );
         println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
-        let mut events = Vec::new();
-        for size in self.sizes() {
-            let report = scale(&size, self.seconds);
-            println!("{}", line(&size, &report));
-            log::info!("event=morning {:?}", report.morning);
-            log::info!("event=burst {:?}", report.burst);
-            log::info!("event=kinds entries={} {:?}", size.entries, report.kinds);
-            events.push((size, report));
+        let seconds = self.seconds;
+        let events = thread::scope(|scope| {
+            let runs = self.sizes().into_iter();
+            let runs = runs.map(|size| (size, scope.spawn(move || scale(&size, seconds))));
+            let runs = runs.collect::<Vec<_>>();
+            let done = runs.into_iter().filter_map(|(size, run)| Some((size, run.join().ok()?)));
+            done.collect::<Vec<_>>()
+        });
+        for (size, report) in &events {
+            println!("{}", line(size, report));
         }
         println!();
         println!(
             "| entries | morning burst reads, writes in 10 s | zone loss in 30 s | restart of a zone in 10 s | rows |"
         );
         println!("|---|---|---|---|---|");
-        for (size, report) in events {
+        for (size, report) in &events {
             let spent = |it: Operations| format!("{}, {}", it.polls + it.reads, writes(it));
             println!(
                 "| {} | {} | {} | {} | {} |",
@@ -56,6 +60,13 @@
                 report.rows
             );
         }
+        println!();
+        println!("Bytes a second that one entry takes, by what they are for:");
+        for (size, report) in &events {
+            let kinds = report.kinds.iter().filter(|(_, bytes)| *bytes >= 0.5);
+            let kinds = kinds.map(|(kind, bytes)| format!("{kind} {bytes:.0}"));
+            println!("- {} entries: {}", size.entries, kinds.collect::<Vec<_>>().join(", "));
+        }
         Ok(Exit::Done)
     }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,5 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that cannot go on must fail")]
 
+mod commands;
+mod configuration;
+mod life;
 mod path;
 mod support;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -9,7 +9,10 @@
 use citronrill_config::{
     EntrySettings, PlatformSettings, Settings, SideKind, SideSettings, hash_api_key,
 };
-use citronrill_decide::Policies;
+use citronrill_decide::{
+    Policies,
+    rows::{ClaimRow, ClaimState, decode},
+};
 use citronrill_platform::{HttpInstances, HttpObjects, HttpTable, Instance, Role};
 use citronrill_runtime::{
     EntryOptions, EntryProcess, SideOptions, SideProcess, apply_text, dump_json,
@@ -183,6 +186,24 @@
         }
     }
 
+    /// An entry's state.
+    pub(crate) fn state(&self, entry: usize) -> Value {
+        dump_json(self.entries[entry].listen_address(), SECRET).unwrap_or_default()
+    }
+
+    /// The version of the text in force at an entry.
+    pub(crate) fn version(&self, entry: usize) -> Option<u64> {
+        self.state(entry)["version"].as_u64()
+    }
+
+    /// Claims whose answer is kept.
+    pub(crate) fn claims_answered(&self) -> usize {
+        let rows = self.platform.rows();
+        let claims = rows.iter().filter(|row| row.key.starts_with("claim/"));
+        let claims = claims.filter_map(|row| decode::<ClaimRow>(&row.body));
+        claims.filter(|claim| claim.state() == ClaimState::Answered).count()
+    }
+
     pub(crate) fn url(&self, entry: usize, path: &str) -> String {
         format!("http://{}{path}", self.entries[entry].http_address())
     }
