--- a/crates/decide/src/feed.rs
+++ b/crates/decide/src/feed.rs
@@ -147,7 +147,11 @@
             return;
         }
         let chain = self.chain(peers);
-        let position = self.detour.min(chain.len() - 1);
+        if self.detour >= chain.len() {
+            // Round again, from the table on: it may be back.
+            self.detour = chain.iter().position(|it| *it == Source::Table).unwrap_or(0);
+        }
+        let position = self.detour;
         let source = chain[position].clone();
         let pause = match (&source, position) {
             (Source::Table, 0) => POLL_MS,
@@ -193,8 +197,15 @@
 
     fn failed(&mut self, now: Millis) {
         self.asked = None;
+        self.go_on(now);
+    }
+
+    /// Turns to the next source; the way back to the parent begins with the first such turn.
+    fn go_on(&mut self, now: Millis) {
+        if self.detour == 0 {
+            self.detour_since = now;
+        }
         self.detour += 1;
-        self.detour_since = now;
     }
 
     /// Takes in a source's answer; gives the rows that are new. `None` means that it failed.
@@ -207,8 +218,7 @@
         let at = asked.at - page.age_ms;
         let stale = now.since(at) >= STALE_MS;
         if stale && asked.source != Source::Table {
-            self.detour += 1;
-            self.detour_since = now;
+            self.go_on(now);
         }
         self.confirmed = self.confirmed.max(Some(at));
         if page.rows.len() >= PAGE {
@@ -268,21 +278,18 @@
 
     /// Rows after `since`, up to a page.
     ///
-    /// Rows beyond the own sequence are left out: they were learned ahead of rows that are still
-    /// missing, and a child that counted them as complete would never get those.
+    /// Rows beyond the own sequence go along, and do not count as complete: they were learned ahead
+    /// of rows that are still missing. In an outage they are all that tells of the last decisions.
     fn page(&self, now: Millis, since: u64) -> Page {
         let mut page = Page { rows: Vec::new(), sequence: self.sequence, age_ms: self.age(now) };
-        if since >= self.sequence {
-            page.sequence = since;
-            return page;
-        }
-        for (version, rows) in self.log.range(since + 1..=self.sequence) {
+        for (version, rows) in self.log.range(since + 1..) {
             page.rows.extend(rows.iter().cloned());
             if page.rows.len() >= PAGE {
-                page.sequence = *version;
+                page.sequence = self.sequence.min(*version);
                 break;
             }
         }
+        page.sequence = page.sequence.max(since);
         page
     }
 
