--- a/crates/runtime/src/meter.rs
+++ b/crates/runtime/src/meter.rs
@@ -38,10 +38,8 @@
         let mut times = self.times.lock().unwrap_or_else(PoisonError::into_inner);
         let histogram = times.entry(name);
         let histogram = histogram.or_insert_with(|| {
-            Histogram::new_with_bounds(1, LONGEST_US, DIGITS).unwrap_or_else(|_| {
-                // The bounds are constants that the library takes.
-                Histogram::new(DIGITS).unwrap_or_else(|_| unreachable!("constant bounds"))
-            })
+            Histogram::new_with_bounds(1, LONGEST_US, DIGITS)
+                .unwrap_or_else(|_| unreachable!("constant bounds"))
         });
         histogram.saturating_record(micros.max(1));
     }
