--- /dev/null
+++ b/crates/decide/tests/side.rs
@@ -0,0 +1,235 @@
+//! Guards of the side's reducer, each with the failure it meets.
+
+#![allow(clippy::unwrap_used, reason = "a test that cannot go on must fail")]
+
+use citronrill_base::{Millis, Outcome, Row};
+use citronrill_config::Class;
+use citronrill_decide::{
+    Admission, CallId, Calls, CancelAnswer, Decline, EngineReport, HeldModel, Offer, Side,
+    SideEffect, SideEvent, SideProfile, VERIFY_MS,
+    rows::{EndpointRow, Phase, Replica, decode, endpoint_key},
+};
+use prost::Message;
+
+const ADDRESS: &str = "127.0.0.1:1";
+
+fn profile(fencing: bool) -> SideProfile {
+    SideProfile {
+        endpoint: "e".to_owned(),
+        instance: "i".to_owned(),
+        address: ADDRESS.to_owned(),
+        zone: "z".to_owned(),
+        memory_mb: 100,
+        slots: 4,
+        fencing,
+        session: 7,
+    }
+}
+
+fn loading(model: &str) -> Replica {
+    Replica {
+        model: model.to_owned(),
+        org: "o".to_owned(),
+        memory_mb: 40,
+        peak_mb: 50,
+        order: 9,
+        phase: Phase::Loading.into(),
+        ..Replica::default()
+    }
+}
+
+/// A side with its row in a little table of one row.
+struct Bench {
+    side: Side,
+    row: Row,
+    now: u64,
+}
+
+impl Bench {
+    fn new(fencing: bool, row: Option<EndpointRow>, version: u64) -> Bench {
+        let body = row.map(|row| row.encode_to_vec());
+        let row = Row { key: endpoint_key("e"), version, body };
+        Bench { side: Side::new(profile(fencing), Millis(1_000)), row, now: 1_000 }
+    }
+
+    fn step(&mut self, event: SideEvent) -> Vec<SideEffect> {
+        let mut out = Vec::new();
+        self.side.step(Millis(self.now), event, &mut out);
+        out
+    }
+
+    /// Carries out table and engine effects until nothing more comes of them.
+    fn settle(&mut self, engine: &EngineReport) -> Vec<SideEffect> {
+        let mut orders = Vec::new();
+        let mut effects = self.step(SideEvent::Tick);
+        while let Some(effect) = effects.pop() {
+            self.now += 1;
+            let more = match effect {
+                SideEffect::Read(id, keys) => {
+                    let row = |key: String| match key == self.row.key {
+                        true => self.row.clone(),
+                        false => Row { key, version: 0, body: None },
+                    };
+                    let rows = keys.into_iter().map(row).collect();
+                    self.step(SideEvent::Rows(id, rows))
+                }
+                SideEffect::Commit(id, txn) => {
+                    let version = self.row.version + 1;
+                    let own = txn.writes.into_iter().find(|it| it.key == self.row.key);
+                    if let Some(write) = own {
+                        self.row = Row { version, key: write.key, body: write.body };
+                    }
+                    self.step(SideEvent::Committed(id, Outcome::Committed(version)))
+                }
+                SideEffect::ListEngine => self.step(SideEvent::Engine(Some(engine.clone()))),
+                other => {
+                    orders.push(other);
+                    Vec::new()
+                }
+            };
+            effects.extend(more);
+        }
+        orders
+    }
+}
+
+fn loads(effects: &[SideEffect]) -> usize {
+    effects.iter().filter(|effect| matches!(effect, SideEffect::Load { .. })).count()
+}
+
+/// An operator sees a model loaded that nobody decided, and its accelerator overcommitted.
+///
+/// A side is paused with a load to order. Meanwhile a successor takes the endpoint over. When the
+/// old side wakes up, the answer to a read that it made before the pause is waiting for it and
+/// still carries its own epoch; ordered on that word, the load would reach an engine that ignores
+/// fencing numbers.
+#[test]
+fn a_paused_side_gives_no_order_on_an_answer_from_before_the_pause() {
+    let mut bench = Bench::new(false, None, 0);
+    bench.settle(&EngineReport::default());
+    assert_eq!(bench.side.epoch(), 1);
+    let mut row: EndpointRow = decode(&bench.row.body).unwrap();
+    row.replicas.push(loading("m"));
+    bench.row = Row { version: 50, body: Some(row.encode_to_vec()), ..bench.row.clone() };
+    bench.now += 10_000;
+    let asked = bench.step(SideEvent::Poke("home".to_owned()));
+    let read = asked.iter().find_map(|effect| match effect {
+        SideEffect::Read(id, _) => Some(*id),
+        _ => None,
+    });
+    let before_pause = bench.row.clone();
+    bench.now += VERIFY_MS + 60_000;
+    let woken = bench.step(SideEvent::Rows(read.unwrap(), vec![before_pause]));
+    let listed = bench.step(SideEvent::Engine(Some(EngineReport::default())));
+    assert_eq!(loads(&woken) + loads(&listed), 0);
+    // The read that it makes now shows the successor's epoch.
+    row.epoch = 2;
+    bench.row = Row { version: 51, body: Some(row.encode_to_vec()), ..bench.row.clone() };
+    bench.now += 4_000;
+    let after = bench.settle(&EngineReport::default());
+    assert_eq!(loads(&after), 0);
+    assert!(after.contains(&SideEffect::Superseded), "{after:?}");
+}
+
+/// After a side's death in mid-load its successor must not load beside what the engine still loads.
+///
+/// The engine does not check fencing numbers, so an order of the predecessor may still be on its way:
+/// the successor gives no load order until none can reach the engine any more.
+#[test]
+fn a_successor_waits_out_its_predecessors_orders() {
+    let mut row = EndpointRow { epoch: 1, memory_mb: 100, ..EndpointRow::default() };
+    row.replicas.push(loading("m"));
+    for (fencing, expected) in [(true, 1), (false, 0)] {
+        let mut bench = Bench::new(fencing, Some(row.clone()), 3);
+        assert_eq!(loads(&bench.settle(&EngineReport::default())), expected, "{fencing}");
+        bench.now += 4_500;
+        let later = bench.settle(&EngineReport::default());
+        assert_eq!(loads(&later), 1 - expected, "{fencing}");
+    }
+}
+
+/// A side that takes over adopts what was decided and is loaded, and unloads what was not decided.
+#[test]
+fn a_successor_adopts_what_was_decided_and_unloads_the_rest() {
+    let mut row = EndpointRow { epoch: 1, memory_mb: 100, ..EndpointRow::default() };
+    row.replicas.push(loading("m"));
+    let held = |model: &str| HeldModel { model: model.to_owned(), ready: true, memory_mb: 40 };
+    let engine = EngineReport { held: vec![held("m"), held("stray")], cached: Vec::new() };
+    let mut bench = Bench::new(true, Some(row), 3);
+    let orders = bench.settle(&engine);
+    let unloaded = orders.iter().filter_map(|effect| match effect {
+        SideEffect::Unload { model, .. } => Some(model.as_str()),
+        _ => None,
+    });
+    assert_eq!(unloaded.collect::<Vec<_>>(), ["stray"]);
+    let ledger: EndpointRow = decode(&bench.row.body).unwrap();
+    assert_eq!(ledger.replica("m").unwrap().phase(), Phase::Ready);
+}
+
+fn offer(number: u64, expires: u64) -> Offer {
+    Offer {
+        id: CallId { session: 1, number },
+        model: "m".to_owned(),
+        org: "o".to_owned(),
+        class: Class::Normal,
+        session: 7,
+        expires,
+    }
+}
+
+/// A caller is told that its booking did not run, and the crew comes all the same.
+///
+/// The call is delayed on its way. Its entry gives up and cancels it; the side has not seen it and
+/// promises that it will not run. Then the call comes.
+#[test]
+fn a_call_that_comes_after_its_cancellation_does_not_run() {
+    let mut calls = Calls::default();
+    let late = offer(1, 5_000);
+    assert_eq!(calls.cancel(Millis(100), late.id, late.expires), CancelAnswer::NotRun);
+    let admission = calls.offer(Millis(200), 4, &late);
+    assert_eq!(admission, Admission::Declined(Decline::Cancelled));
+    // When the record has gone, the call has expired.
+    calls.expire(Millis(5_001));
+    assert_eq!(calls.records(), 0);
+    assert_eq!(calls.offer(Millis(5_002), 4, &late), Admission::Declined(Decline::Expired));
+}
+
+/// A full record of cancelled calls must not make a promise that it cannot keep.
+#[test]
+fn a_full_record_promises_nothing() {
+    let mut calls = Calls::with_limit(2);
+    for number in 1..=2 {
+        let answer = calls.cancel(Millis(1), offer(number, 900).id, 900);
+        assert_eq!(answer, CancelAnswer::NotRun);
+    }
+    assert_eq!(calls.cancel(Millis(1), offer(3, 900).id, 900), CancelAnswer::Unknown);
+    assert_eq!(calls.offer(Millis(1), 4, &offer(4, 900)), Admission::Declined(Decline::Busy));
+}
+
+/// A frame that comes twice must not run its call twice, nor after it has ended.
+#[test]
+fn a_call_offered_twice_runs_once() {
+    let mut calls = Calls::default();
+    let call = offer(1, 5_000);
+    assert_eq!(calls.offer(Millis(1), 4, &call), Admission::Run);
+    assert_eq!(calls.offer(Millis(2), 4, &call), Admission::Known);
+    calls.ended(Millis(3), call.id);
+    assert_eq!(calls.offer(Millis(4), 4, &call), Admission::Known);
+    assert_eq!(calls.running(), 0);
+}
+
+/// One organisation's flood must leave slots to the others, and batch calls to urgent ones.
+#[test]
+fn the_last_slots_go_to_others_and_to_urgent_calls() {
+    let mut calls = Calls::default();
+    for number in 0..6 {
+        assert_eq!(calls.offer(Millis(1), 8, &offer(number, 900)), Admission::Run);
+    }
+    let batch = Offer { class: Class::Batch, ..offer(10, 900) };
+    assert_eq!(calls.offer(Millis(1), 8, &batch), Admission::Declined(Decline::Busy));
+    let other = Offer { org: "p".to_owned(), ..offer(11, 900) };
+    assert_eq!(calls.offer(Millis(1), 8, &other), Admission::Run);
+    let urgent = Offer { class: Class::Urgent, ..offer(12, 900) };
+    assert_eq!(calls.offer(Millis(1), 8, &urgent), Admission::Run);
+    assert_eq!(calls.offer(Millis(1), 8, &offer(13, 900)), Admission::Declined(Decline::Busy));
+}
