--- a/crates/decide/src/entry/home.rs
+++ b/crates/decide/src/entry/home.rs
@@ -5,17 +5,17 @@
 //! processes that both believe to be it meet in the table, and if it does not act, the next in order
 //! does.
 
-use citronrill_base::{EndpointKey, Millis, ModelKey, Outcome, Row, Set, Txn, hash_bytes};
-use citronrill_config::{Class, Organisation};
+use citronrill_base::{EndpointKey, Millis, ModelKey, Outcome, Row, Set, hash_bytes};
+use citronrill_config::Class;
 use prost::Message;
 
 use super::{Effect, Entry, Purpose, Target, refusal_of};
 use crate::{
-    keepalive::{Learned, Traffic, day_slot},
+    keepalive::{Learned, Traffic},
     log::LogEvent,
     placement::{Ask, NoPlace, Scene, load_txn, plan},
     refusal::RefusalKind,
-    rows::{Phase, ShareRow, WEIGHTS, endpoint_key, model_key},
+    rows::{Phase, WEIGHTS, endpoint_key},
 };
 
 /// How long the first in order has to act on a demand before the next is told, in milliseconds.
@@ -26,10 +26,8 @@
 const SCALE_OUT_MS: u64 = 500;
 /// A use of a warm model is reported again after its keep time over this.
 const REPORT_PART: u64 = 2;
-const REPORT_MIN_MS: u64 = 1_000;
+pub(super) const REPORT_MIN_MS: u64 = 1_000;
 const REPORT_MAX_MS: u64 = 30_000;
-/// An idle adapter is kept for this time at most, in milliseconds.
-const ADAPTER_KEEP_MS: u64 = 1_200_000;
 /// The pause after a first conflict at most, in milliseconds; it doubles with each further one.
 const CONFLICT_MS: u64 = 20;
 const CONFLICT_DOUBLINGS: u32 = 6;
@@ -42,8 +40,6 @@
 /// The wait after a load that failed, doubled with each further one, in milliseconds.
 const FAILED_MS: u64 = 5_000;
 const FAILED_LIMIT_MS: u64 = 300_000;
-/// An organisation's replica is released for another one of it at most this often, in milliseconds.
-const RELEASE_MS: u64 = 1_000;
 
 /// Requests for a model, as one entry tells its home.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -71,25 +67,25 @@
 /// A model whose home this process is.
 #[derive(Debug)]
 pub(super) struct Home {
-    traffic: Traffic,
-    demand: Option<Demanded>,
-    crowded: Option<Millis>,
-    last_crowded: Millis,
-    askers: Vec<String>,
-    followers: Vec<String>,
-    released: Millis,
-    conflicts: u32,
-    retry_at: Millis,
-    awaited: Option<(Millis, Vec<String>)>,
-    read: Option<(Millis, Vec<String>)>,
-    asked: Vec<(EndpointKey, Millis)>,
+    pub(super) traffic: Traffic,
+    pub(super) demand: Option<Demanded>,
+    pub(super) crowded: Option<Millis>,
+    pub(super) last_crowded: Millis,
+    pub(super) askers: Vec<String>,
+    pub(super) followers: Vec<String>,
+    pub(super) released: Millis,
+    pub(super) conflicts: u32,
+    pub(super) retry_at: Millis,
+    pub(super) awaited: Option<(Millis, Vec<String>)>,
+    pub(super) read: Option<(Millis, Vec<String>)>,
+    pub(super) asked: Vec<(EndpointKey, Millis)>,
 }
 
 /// The strongest demand since the last decision.
 #[derive(Debug, Clone, Copy)]
-struct Demanded {
-    deadline: Millis,
-    class: Class,
+pub(super) struct Demanded {
+    pub(super) deadline: Millis,
+    pub(super) class: Class,
 }
 
 impl Entry {
@@ -170,7 +166,7 @@
         }
     }
 
-    fn home(&mut self, model: ModelKey) -> &mut Home {
+    pub(super) fn home(&mut self, model: ModelKey) -> &mut Home {
         let now = self.now;
         let row = self.view.model_row(model);
         let traffic = || Traffic::adopt(row, now);
@@ -265,7 +261,7 @@
     }
 
     /// Decides a load for the demand there is, unless one is being decided.
-    fn decide_load(&mut self, model: ModelKey, out: &mut Vec<Effect>) {
+    pub(super) fn decide_load(&mut self, model: ModelKey, out: &mut Vec<Effect>) {
         let Some(demand) = self.homes.get(&model).and_then(|home| home.demand) else { return };
         if self.deciding(&Purpose::Load(model)) || !self.store_up || self.cooling(model) {
             return;
@@ -364,7 +360,7 @@
         }
     }
 
-    fn model_name(&self, model: ModelKey) -> &str {
+    pub(super) fn model_name(&self, model: ModelKey) -> &str {
         self.view.registry.models.name(model)
     }
 
@@ -394,38 +390,6 @@
         }
     }
 
-    /// Lets go of another replica of an organisation that has used up its share; whether one is
-    /// on its way out.
-    ///
-    /// The side refuses to unload what was used a moment ago, so a wrong choice costs a write.
-    fn release_one(&mut self, model: ModelKey, out: &mut Vec<Effect>) -> bool {
-        let Some(spec) = self.catalogue.models.get(&model) else { return false };
-        let (org, base) = (spec.org, spec.base);
-        let org_name = self.view.registry.organisations.name(org);
-        let (mut leaving, mut candidates) = (false, Vec::new());
-        for (key, row) in self.view.endpoints() {
-            for replica in row.replicas.iter().filter(|it| it.org == *org_name) {
-                let other = self.view.registry.models.get(&replica.model);
-                let needed = other.is_none_or(|other| other == model || Some(other) == base);
-                match replica.phase() {
-                    Phase::Unloading => leaving = true,
-                    Phase::Ready if !needed => candidates.extend(other.map(|it| (key, it))),
-                    Phase::Ready | Phase::Wanted | Phase::Loading => {}
-                }
-            }
-        }
-        let now = self.now;
-        if leaving || now.since(self.home(model).released) < RELEASE_MS {
-            return leaving || !candidates.is_empty();
-        }
-        let used = |it: &(EndpointKey, ModelKey)| self.reports.get(&it.1).copied();
-        candidates.sort_by_key(|it| (used(it), self.model_name(it.1).len()));
-        let Some((endpoint, victim)) = candidates.first().copied() else { return false };
-        self.home(model).released = now;
-        self.unload(victim, endpoint, "share", out);
-        true
-    }
-
     pub(super) fn load_settled(
         &mut self,
         model: ModelKey,
@@ -554,171 +518,4 @@
         let (_, until) = self.cooldowns.get(&model)?;
         (*until > self.now).then(|| until.since(self.now))
     }
-
-    /// Unloads what has been idle for long enough, and loads ahead of the part of the day.
-    pub(super) fn home_chores(&mut self, minute: u16, out: &mut Vec<Effect>) {
-        self.close_slot(minute, out);
-        if !self.store_up {
-            return;
-        }
-        let models = self.homes.keys().copied().collect::<Vec<_>>();
-        for model in models {
-            self.decide_load(model, out);
-            self.release_idle(model, out);
-        }
-    }
-
-    fn close_slot(&mut self, minute: u16, out: &mut Vec<Effect>) {
-        let slot = day_slot(minute);
-        let Some(last) = self.slot.replace(slot) else { return };
-        if last == slot {
-            return;
-        }
-        for home in self.homes.values_mut() {
-            let active = std::mem::take(&mut home.traffic.active);
-            home.traffic.learned.close_slot(last, active);
-        }
-        self.load_ahead(slot, out);
-    }
-
-    /// Loads models that are likely to be asked for in the part of the day that begins.
-    fn load_ahead(&mut self, slot: usize, out: &mut Vec<Effect>) {
-        if !self.store_up {
-            return;
-        }
-        let mut due = Vec::new();
-        for (key, model) in &self.catalogue.models {
-            let Some(row) = self.view.model_row(*key) else { continue };
-            let Some(org) = self.catalogue.organisations.get(&model.org) else { continue };
-            let learned = self.homes.get(key).map(|home| home.traffic.learned.clone());
-            let learned = learned.unwrap_or_else(|| Learned::from_row(row));
-            let likely = self.policies.keep.load_ahead(&learned, slot, model, org);
-            if likely && row.holders.is_empty() && self.owns(&model.name) {
-                due.push((*key, model.base.is_some()));
-            }
-        }
-        due.sort_unstable_by_key(|(key, adapter)| (*adapter, *key));
-        for (model, _) in due {
-            let deadline = self.now + crate::keepalive::SLOT_MS;
-            self.home(model).demand = Some(Demanded { deadline, class: Class::Batch });
-            self.decide_load(model, out);
-        }
-    }
-
-    fn release_idle(&mut self, model: ModelKey, out: &mut Vec<Effect>) {
-        let ready = self.view.replicas(model).filter(|(_, phase)| *phase == Phase::Ready);
-        let ready = ready.map(|(endpoint, _)| endpoint).collect::<Vec<_>>();
-        if ready.is_empty() {
-            if self.view.replicas(model).next().is_none() {
-                self.drop_cold_home(model);
-            }
-            return;
-        }
-        let idle = self.now.since(self.homes[&model].traffic.last);
-        if self.queues.contains_key(&Target::Model(model)) {
-            return;
-        }
-        let keep = self.keep_ms(model);
-        if idle >= keep {
-            return self.unload_next(model, &ready, keep, out);
-        }
-        let calm = self.now.since(self.homes[&model].last_crowded);
-        if ready.len() > 1 && calm >= keep {
-            self.home(model).last_crowded = self.now;
-            self.unload(model, ready[0], "calm", out);
-        }
-    }
-
-    /// Unloads one of an idle model's replicas.
-    ///
-    /// A side that still has calls of the model keeps it and says so by its row. It is asked again
-    /// only after another keep time: a long answer would else cost the table two writes a second.
-    fn unload_next(
-        &mut self,
-        model: ModelKey,
-        ready: &[EndpointKey],
-        keep: u64,
-        out: &mut Vec<Effect>,
-    ) {
-        let now = self.now;
-        let home = self.home(model);
-        home.asked.retain(|(_, at)| now.since(*at) < keep.max(REPORT_MIN_MS));
-        let due = ready.iter().find(|it| !home.asked.iter().any(|(asked, _)| asked == *it));
-        let Some(endpoint) = due.copied() else { return };
-        home.asked.push((endpoint, now));
-        self.unload(model, endpoint, "idle", out);
-    }
-
-    /// A model with nothing loaded needs no home until the next report.
-    fn drop_cold_home(&mut self, model: ModelKey) {
-        let Some(home) = self.homes.get(&model) else { return };
-        // What was learned of the last gap is kept as long as the gaps that are counted apart.
-        let old = self.now.since(home.traffic.last) > crate::keepalive::LEARN_MS;
-        if home.demand.is_none() && old {
-            self.homes.remove(&model);
-        }
-    }
-
-    /// Milliseconds that an idle replica of the model is kept.
-    fn keep_ms(&self, model: ModelKey) -> u64 {
-        let Some(spec) = self.catalogue.models.get(&model) else { return 0 };
-        let Some(org) = self.catalogue.organisations.get(&spec.org) else { return 0 };
-        if self.used_mb(spec.org) > org.share_mb {
-            return crate::keepalive::MIN_KEEP_MS;
-        }
-        let learned = &self.homes[&model].traffic.learned;
-        let Some(base) = spec.base.and_then(|base| self.catalogue.models.get(&base)) else {
-            return self.policies.keep.keep_ms(learned, spec, org);
-        };
-        // An adapter holds a small part of an accelerator, so its idle time is as much cheaper. Each
-        // loaded one lengthens its endpoint's row, though, which goes to every entry.
-        let cold_weight = org.cold_weight * base.memory_mb / spec.memory_mb;
-        let org = Organisation { cold_weight, ..org.clone() };
-        self.policies.keep.keep_ms(learned, spec, &org).min(ADAPTER_KEEP_MS)
-    }
-
-    fn used_mb(&self, org: citronrill_base::OrgKey) -> u64 {
-        let parts = 0..self.profile.share_parts;
-        let rows = parts.filter_map(|part| self.view.share(org, part).row);
-        rows.map(|row: ShareRow| row.used_mb).sum()
-    }
-
-    /// Marks a replica for unloading, and keeps what was learned on the model's row.
-    fn unload(
-        &mut self,
-        model: ModelKey,
-        endpoint: EndpointKey,
-        why: &'static str,
-        out: &mut Vec<Effect>,
-    ) {
-        let taken = self.decisions.values().any(|it| it.endpoint == Some(endpoint));
-        if taken || self.deciding(&Purpose::Unload(model, endpoint)) {
-            return;
-        }
-        let Some(row) = self.view.endpoint(endpoint) else { return };
-        let name = self.model_name(model).to_owned();
-        let mut next = row.clone();
-        for replica in &mut next.replicas {
-            let member = replica.model == name || replica.base == name;
-            if member && replica.phase() == Phase::Ready {
-                replica.phase = Phase::Unloading.into();
-            }
-        }
-        if next == *row {
-            return;
-        }
-        let mut txn = Txn::default();
-        let endpoint_name = self.view.endpoint_name(endpoint).to_owned();
-        let version = self.view.endpoint_version(endpoint);
-        txn.put(endpoint_key(&endpoint_name), version, Some(next.encode_to_vec()));
-        if let Some(home) = self.homes.get(&model) {
-            let held = self.view.model(model);
-            let mut row = held.row.unwrap_or_default();
-            home.traffic.learned.to_row(&mut row);
-            txn.put(model_key(&name), held.version, Some(row.encode_to_vec()));
-        }
-        let event = LogEvent::new("unload").with("model", name).with("endpoint", endpoint_name);
-        out.push(Effect::Log(event.with("why", why)));
-        self.decide(Purpose::Unload(model, endpoint), Some(endpoint), txn, out);
-    }
 }
