--- a/crates/decide/src/entry/home.rs
+++ b/crates/decide/src/entry/home.rs
@@ -24,6 +24,8 @@
 const HOME_TRIES: usize = 2;
 /// Demand beside a serving replica that lasts this long asks for another, in milliseconds.
 const SCALE_OUT_MS: u64 = 500;
+/// Another replica is asked for when as many wait as a replica's slots over this.
+const CROWD_PART: u64 = 2;
 /// A use of a warm model is reported again after its keep time over this.
 const REPORT_PART: u64 = 2;
 pub(super) const REPORT_MIN_MS: u64 = 1_000;
@@ -86,6 +88,7 @@
 pub(super) struct Demanded {
     pub(super) deadline: Millis,
     pub(super) class: Class,
+    pub(super) waiting: u64,
 }
 
 impl Entry {
@@ -199,8 +202,9 @@
             Some(known) => Demanded {
                 deadline: known.deadline.min(deadline),
                 class: known.class.min(demand.class),
+                waiting: known.waiting + demand.waiting,
             },
-            None => Demanded { deadline, class: demand.class },
+            None => Demanded { deadline, class: demand.class, waiting: demand.waiting },
         };
         home.demand = Some(stronger);
         if !home.askers.contains(&demand.from) {
@@ -292,6 +296,14 @@
         if phases.iter().any(|phase| *phase != Phase::Ready) {
             return None;
         }
+        // What little waits when a replica has just become ready is gone in a moment, and would have
+        // a second one loaded for nothing.
+        let slots = self.view.replicas(model).next().and_then(|(key, _)| self.view.endpoint(key));
+        let enough = slots.map_or(1, |row| row.slots / CROWD_PART);
+        let waiting = self.homes.get(&model).and_then(|home| home.demand);
+        if waiting.is_none_or(|demand| demand.waiting < enough) {
+            return None;
+        }
         let home = self.home(model);
         home.last_crowded = now;
         let since = *home.crowded.get_or_insert(now);
--- a/crates/decide/src/entry/release.rs
+++ b/crates/decide/src/entry/release.rs
@@ -97,7 +97,7 @@
         due.sort_unstable_by_key(|(key, adapter)| (*adapter, *key));
         for (model, _) in due {
             let deadline = self.now + SLOT_MS;
-            self.home(model).demand = Some(Demanded { deadline, class: Class::Batch });
+            self.home(model).demand = Some(Demanded { deadline, class: Class::Batch, waiting: 1 });
             self.decide_load(model, out);
         }
     }
