--- a/crates/decide/tests/side.rs
+++ b/crates/decide/tests/side.rs
@@ -233,3 +233,64 @@
     assert_eq!(calls.offer(Millis(1), 8, &urgent), Admission::Run);
     assert_eq!(calls.offer(Millis(1), 8, &offer(13, 900)), Admission::Declined(Decline::Busy));
 }
+
+/// A model that serves must not be loaded a second time because its new side has not looked yet.
+///
+/// A successor asks the engine what it holds, and waits for the table. Meanwhile its predecessor's
+/// load ends and the row says ready. Judged by the list from before, the model would be missing.
+#[test]
+fn a_successor_judges_by_a_list_from_after_its_claim() {
+    let mut row = EndpointRow { epoch: 1, memory_mb: 100, ..EndpointRow::default() };
+    row.replicas.push(Replica { phase: Phase::Ready.into(), ..loading("m") });
+    let mut bench = Bench::new(true, Some(row), 3);
+    let asked = bench.step(SideEvent::Tick);
+    let read = asked.iter().find_map(|effect| match effect {
+        SideEffect::Read(id, _) => Some(*id),
+        _ => None,
+    });
+    bench.now += 5;
+    bench.step(SideEvent::Engine(Some(EngineReport::default())));
+    bench.now += 5;
+    let claim = bench.step(SideEvent::Rows(read.unwrap(), vec![bench.row.clone()]));
+    let (id, txn) = claim
+        .iter()
+        .find_map(|effect| match effect {
+            SideEffect::Commit(id, txn) => Some((*id, txn.clone())),
+            _ => None,
+        })
+        .unwrap();
+    bench.row = Row { version: 4, body: txn.writes[0].body.clone(), ..bench.row.clone() };
+    bench.now += 5;
+    let owned = bench.step(SideEvent::Committed(id, Outcome::Committed(4)));
+    // An answer that was asked for before the claim comes only now.
+    bench.now += 5;
+    let late = bench.step(SideEvent::Engine(Some(EngineReport::default())));
+    let commits = |effects: &[SideEffect]| {
+        effects.iter().any(|effect| matches!(effect, SideEffect::Commit(..)))
+    };
+    assert!(!commits(&owned) && !commits(&late), "{owned:?} {late:?}");
+    assert!(late.contains(&SideEffect::ListEngine), "{late:?}");
+}
+
+/// An accelerator must not be overcommitted by a model that nobody decided.
+///
+/// An order of a predecessor came late, and the engine holds a model that the ledger does not have.
+/// The ledger alone has room for another load; the engine has not, until the stray model is gone.
+#[test]
+fn a_load_waits_for_memory_that_an_undecided_model_takes() {
+    let mut row = EndpointRow { epoch: 1, memory_mb: 100, ..EndpointRow::default() };
+    row.replicas.push(loading("m"));
+    let stray = HeldModel { model: "stray".to_owned(), ready: true, memory_mb: 60 };
+    let engine = EngineReport { held: vec![stray], cached: Vec::new() };
+    let mut bench = Bench::new(true, Some(row), 3);
+    let orders = bench.settle(&engine);
+    assert_eq!(loads(&orders), 0, "{orders:?}");
+    let unload = orders.iter().find_map(|effect| match effect {
+        SideEffect::Unload { order, .. } => Some(*order),
+        _ => None,
+    });
+    bench.now += 5;
+    bench.step(SideEvent::OrderDone { order: unload.unwrap(), done: true });
+    bench.now += 5_000;
+    assert_eq!(loads(&bench.settle(&EngineReport::default())), 1);
+}
