--- a/crates/decide/tests/side.rs
+++ b/crates/decide/tests/side.rs
@@ -294,3 +294,19 @@
     bench.now += 5_000;
     assert_eq!(loads(&bench.settle(&EngineReport::default())), 1);
 }
+
+/// A refusal must not say "not run" on the word of a side that cannot know.
+///
+/// The side that was sent the call is replaced. Its successor has never seen the call, which says
+/// nothing of whether the predecessor ran it.
+#[test]
+fn a_successor_knows_nothing_of_its_predecessors_calls() {
+    let mut bench = Bench::new(true, None, 0);
+    bench.settle(&EngineReport::default());
+    let id = CallId { session: 1, number: 1 };
+    let expires = bench.now + 1_000;
+    for (session, expected) in [(6, CancelAnswer::Unknown), (7, CancelAnswer::NotRun)] {
+        let effects = bench.step(SideEvent::Cancel { id, session, expires });
+        assert!(effects.contains(&SideEffect::Cancelled(id, expected)), "{effects:?}");
+    }
+}
