--- a/crates/decide/src/log.rs
+++ b/crates/decide/src/log.rs
@@ -1,5 +1,7 @@
 //! Log events as data; the runtime writes each as one line of key=value pairs.
 
+use std::fmt;
+
 /// One event worth a line in the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogEvent {
@@ -21,3 +23,10 @@
         self
     }
 }
+
+impl fmt::Display for LogEvent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "event={}", self.event)?;
+        self.fields.iter().try_for_each(|(key, value)| write!(f, " {key}={value}"))
+    }
+}
--- a/crates/runtime/src/entry/control.rs
+++ b/crates/runtime/src/entry/control.rs
@@ -236,10 +236,7 @@
                 self.shared.meter.add("configurations", "", 1);
                 log::debug!("event=configured version={version}");
             }
-            Effect::Log(event) => {
-                let fields = event.fields.iter().map(|(key, value)| format!(" {key}={value}"));
-                log::info!("event={}{}", event.event, fields.collect::<String>());
-            }
+            Effect::Log(event) => log::info!("{event}"),
             Effect::Drained => {}
         }
     }
--- a/crates/runtime/src/entry/mod.rs
+++ b/crates/runtime/src/entry/mod.rs
@@ -32,7 +32,7 @@
     error::StartError,
     link::{Link, LinkContext},
     meter::Meter,
-    pool::{Pool, spawn},
+    pool::{Pool, spawn, stop_later},
 };
 
 /// Threads that take in callers' requests.
@@ -189,11 +189,7 @@
     /// Begins a planned stop: nothing new is taken, what is there is finished or refused in time.
     pub fn drain(&self) {
         let _ = self.input.send(Input::Event(Event::Drain));
-        let (input, after) = (self.input.clone(), self.stop_after);
-        let _ = spawn("stop-limit", move || {
-            std::thread::park_timeout(after);
-            let _ = input.send(Input::Stop);
-        });
+        stop_later(&self.input, self.stop_after, Input::Stop);
     }
 
     /// Waits until the process has stopped.
--- a/crates/runtime/src/pool.rs
+++ b/crates/runtime/src/pool.rs
@@ -1,6 +1,6 @@
 //! Worker threads behind a channel; closing the channel ends them.
 
-use std::{io, thread};
+use std::{io, thread, time::Duration};
 
 use crossbeam::channel::{Receiver, Sender, bounded};
 
@@ -36,6 +36,15 @@
     }
 }
 
+/// Sends `stop` after a while: the limit of a planned stop.
+pub(crate) fn stop_later<I: Send + 'static>(input: &Sender<I>, after: Duration, stop: I) {
+    let input = input.clone();
+    let _ = spawn("stop-limit", move || {
+        thread::park_timeout(after);
+        let _ = input.send(stop);
+    });
+}
+
 /// Starts a thread with a small stack.
 pub(crate) fn spawn(
     name: &str,
--- a/crates/runtime/src/side/control.rs
+++ b/crates/runtime/src/side/control.rs
@@ -138,10 +138,7 @@
                     let _ = links.send(&to, rows_frame(TOLD, page).into());
                 });
             }
-            SideEffect::Log(event) => {
-                let fields = event.fields.iter().map(|(key, value)| format!(" {key}={value}"));
-                log::info!("event={}{}", event.event, fields.collect::<String>());
-            }
+            SideEffect::Log(event) => log::info!("{event}"),
             SideEffect::Superseded | SideEffect::Drained => {}
         }
     }
--- a/crates/runtime/src/side/mod.rs
+++ b/crates/runtime/src/side/mod.rs
@@ -32,7 +32,7 @@
     error::StartError,
     link::{Link, LinkContext},
     meter::Meter,
-    pool::{Pool, spawn},
+    pool::{Pool, spawn, stop_later},
 };
 
 /// Parts of an answer or a body that may be on their way unconfirmed.
@@ -139,11 +139,7 @@
         let (input, after) = (self.input.clone(), self.stop_after);
         move |give_back| {
             let _ = input.send(Input::Event(SideEvent::Drain { give_back }));
-            let input = input.clone();
-            let _ = spawn("stop-limit", move || {
-                std::thread::park_timeout(after);
-                let _ = input.send(Input::Stop);
-            });
+            stop_later(&input, after, Input::Stop);
         }
     }
 
