--- a/crates/decide/src/entry/mod.rs
+++ b/crates/decide/src/entry/mod.rs
@@ -345,8 +345,12 @@
             address: row.address.clone(),
             zone: row.zone.clone(),
         });
-        self.members = members.collect();
-        self.review_homes();
+        let members = members.collect::<Vec<_>>();
+        // Reviewing the homes costs a hash for each member and warm model; the list is read each 2 s.
+        if members != self.members {
+            self.members = members;
+            self.review_homes();
+        }
     }
 
     /// Writes the own member row once the table answers.
