Drop copies from the tick, one limit for kept answers, and what nothing uses

Cause, on reading the whole change: each tick of an entry copied the list of all members to hand it to the feed; each request worked out a keep time before looking whether a report is due; each tick of a side copied the row of permits. The size of a kept answer and a retry time stood twice.

--- a/crates/decide/src/entry/claims.rs
+++ b/crates/decide/src/entry/claims.rs
@@ -3,7 +3,7 @@
 use citronrill_base::{Outcome, Row, Txn};
 use prost::Message;
 
-use super::{Answer, Effect, Entry, Purpose, RequestId, State};
+use super::{Answer, Effect, Entry, Purpose, RequestId, State, requests::STORE_RETRY_MS};
 use crate::{
     refusal::{Ran, Refusal, RefusalKind},
     rows::{ClaimRow, ClaimState, claim_key, decode},
@@ -13,8 +13,6 @@
 pub const ANSWER_LIMIT: usize = 32 << 10;
 /// When to come back while another request with the key may be running, in milliseconds.
 const IN_FLIGHT_RETRY_MS: u64 = 2_000;
-/// When to come back while the table is away, in milliseconds.
-const STORE_RETRY_MS: u64 = 5_000;
 
 /// The claim of one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/decide/src/entry/home.rs
+++ b/crates/decide/src/entry/home.rs
@@ -61,7 +61,6 @@
 /// What this entry has told of a model that it waits for.
 #[derive(Debug)]
 pub(super) struct DemandState {
-    since: Millis,
     told: Millis,
     tries: usize,
 }
@@ -111,8 +110,8 @@
         if state.is_some_and(|state| now.since(state.told) < HOME_PATIENCE_MS) {
             return;
         }
-        let (since, tries) = state.map_or((now, 0), |state| (state.since, state.tries));
-        self.demands.insert(model, DemandState { since, told: now, tries: tries + 1 });
+        let tries = state.map_or(0, |state| state.tries);
+        self.demands.insert(model, DemandState { told: now, tries: tries + 1 });
         let waiting = self.queues.get(&Target::Model(model)).map_or(0, |queue| queue.len());
         let demand = Demand {
             from: self.profile.address.clone(),
@@ -142,6 +141,10 @@
 
     /// Reports the use of a model to its home, not more often than its keep time needs.
     pub(super) fn report_use(&mut self, model: ModelKey, out: &mut Vec<Effect>) {
+        let last = self.reports.get(&model).map(|last| self.now.since(*last));
+        if last.is_some_and(|passed| passed < REPORT_MIN_MS) {
+            return;
+        }
         let Some(spec) = self.catalogue.models.get(&model) else { return };
         let Some(org) = self.catalogue.organisations.get(&spec.org) else { return };
         let learned = self.view.model_row(model).map(Learned::from_row).unwrap_or_default();
@@ -149,7 +152,7 @@
         let pause = (keep / REPORT_PART).clamp(REPORT_MIN_MS, REPORT_MAX_MS);
         let name = spec.name.clone();
         let base = spec.base;
-        if self.reports.get(&model).is_some_and(|last| self.now.since(*last) < pause) {
+        if last.is_some_and(|passed| passed < pause) {
             return;
         }
         self.reports.insert(model, self.now);
--- a/crates/decide/src/entry/mod.rs
+++ b/crates/decide/src/entry/mod.rs
@@ -19,16 +19,17 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 pub(crate) use self::types::Target;
+pub use self::{
+    claims::ANSWER_LIMIT,
+    home::Demand,
+    types::{Answer, Arrival, Effect, EntryProfile, Event, Listed, Policies, RequestId, Wish},
+};
 use self::{
     claims::Claim,
     config::TextState,
     home::{DemandState, Home},
     queue::WaitQueue,
 };
-pub use self::{
-    home::Demand,
-    types::{Answer, Arrival, Effect, EntryProfile, Event, Listed, Policies, RequestId, Wish},
-};
 use crate::{
     call::CancelAnswer,
     feed::{Feed, Page, Peer, STALE_MS},
@@ -140,7 +141,6 @@
     store_up: bool,
     slot: Option<usize>,
     chores: Millis,
-    registered: bool,
     draining: bool,
     drained: bool,
 }
@@ -186,7 +186,6 @@
             store_up: false,
             slot: None,
             chores: now,
-            registered: false,
             draining: false,
             drained: false,
         }
@@ -256,19 +255,23 @@
     }
 
     fn run_feed(&mut self, out: &mut Vec<Effect>) {
-        let peers = self.feed_peers();
         let jitter = self.random();
         let mut effects = Vec::new();
-        self.feed.tick(self.now, &peers, jitter, &mut effects);
+        // By reference: a copy of all members with each tick was most of an idle entry's time.
+        let listed;
+        let peers = if self.members.is_empty() {
+            listed = self.listed_entries();
+            &listed
+        } else {
+            &self.members
+        };
+        self.feed.tick(self.now, peers, jitter, &mut effects);
         out.extend(effects.into_iter().map(Effect::Feed));
         self.judge_store(out);
     }
 
-    /// The entries that the table names; before it was read, those of the platform's list.
-    fn feed_peers(&self) -> Vec<Peer> {
-        if !self.members.is_empty() {
-            return self.members.clone();
-        }
+    /// The entries of the platform's list, for as long as the table has named none.
+    fn listed_entries(&self) -> Vec<Peer> {
         let listed = self.listed.values().filter(|it| it.entry && !it.leaving);
         listed.map(|it| it.peer.clone()).collect()
     }
@@ -284,7 +287,7 @@
         self.judge_store(out);
         self.rows(&rows, out);
         let mut effects = Vec::new();
-        self.feed.flush(self.now, &mut effects);
+        self.feed.answer_pulls(self.now, &mut effects);
         out.extend(effects.into_iter().map(Effect::Feed));
     }
 
@@ -358,7 +361,6 @@
         let own = self.view.member(&self.profile.instance);
         let current = own.row.as_ref().is_some_and(|row| row.session == self.profile.session);
         if current || self.draining || !self.store_up || self.deciding(&Purpose::Member) {
-            self.registered |= current;
             return;
         }
         let row = MemberRow {
--- a/crates/decide/src/entry/requests.rs
+++ b/crates/decide/src/entry/requests.rs
@@ -30,7 +30,7 @@
 /// When to come back after a refusal for lack of room, in milliseconds.
 const ROOM_RETRY_MS: u64 = 2_000;
 /// When to come back while the table is away, in milliseconds.
-const STORE_RETRY_MS: u64 = 5_000;
+pub(super) const STORE_RETRY_MS: u64 = 5_000;
 /// When to come back after a refusal because of load, in milliseconds.
 const LOAD_RETRY_MS: u64 = 1_000;
 /// Weight of the latest service time in the average.
--- a/crates/decide/src/feed.rs
+++ b/crates/decide/src/feed.rs
@@ -261,12 +261,8 @@
         self.answer_pulls(now, out);
     }
 
-    /// Answers the pulls that have something new.
-    pub fn flush(&mut self, now: Millis, out: &mut Vec<FeedEffect>) {
-        self.answer_pulls(now, out);
-    }
-
-    fn answer_pulls(&mut self, now: Millis, out: &mut Vec<FeedEffect>) {
+    /// Answers the pulls that have something new or were held long enough.
+    pub fn answer_pulls(&mut self, now: Millis, out: &mut Vec<FeedEffect>) {
         let sequence = self.sequence;
         let due = |pull: &Pull| pull.since < sequence || now.since(pull.at) >= HOLD_MS;
         let ids = self.pulls.iter().filter(|(_, pull)| due(pull)).map(|(id, _)| *id);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,8 +19,8 @@
 pub use crate::{
     call::{CallId, CancelAnswer, Decline, Offer},
     entry::{
-        Answer, Arrival, Demand, Effect, Entry, EntryProfile, Event, Listed, Policies, RequestId,
-        Wish,
+        ANSWER_LIMIT, Answer, Arrival, Demand, Effect, Entry, EntryProfile, Event, Listed,
+        Policies, RequestId, Wish,
     },
     feed::{Feed, FeedEffect, HOLD_MS, PAGE, POLL_MS, Page, Peer, STALE_MS, Source},
     keepalive::{
--- a/crates/decide/src/side/permits.rs
+++ b/crates/decide/src/side/permits.rs
@@ -168,9 +168,14 @@
 
     /// Gives back the permits of loads that have ended and were held long enough.
     pub(super) fn drop_permits(&self, next: &EndpointRow, txn: &mut Txn) {
-        let mut weights = self.weights.row.clone().unwrap_or_default();
-        let before = weights.permits.len() + weights.waiters.len();
         let own = &self.profile.endpoint;
+        let Some(row) = &self.weights.row else { return };
+        let permits = row.permits.iter().any(|it| it.endpoint == *own);
+        if !permits && !row.waiters.iter().any(|it| it.endpoint == *own) {
+            return;
+        }
+        let mut weights = row.clone();
+        let before = weights.permits.len() + weights.waiters.len();
         let phase = |order: u64| {
             next.replicas.iter().find(|replica| replica.order == order).map(Replica::phase)
         };
@@ -196,8 +201,8 @@
 
     /// Notes when each own permit was first seen.
     pub(super) fn note_permits(&mut self) {
-        let row = self.weights.row.clone().unwrap_or_default();
-        let own = row.permits.iter().filter(|it| it.endpoint == self.profile.endpoint);
+        let permits = self.weights.row.iter().flat_map(|row| &row.permits);
+        let own = permits.filter(|it| it.endpoint == self.profile.endpoint);
         let orders = own.map(|it| it.order).collect::<Vec<_>>();
         self.permits_seen.retain(|order, _| orders.contains(order));
         for order in orders {
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use citronrill_base::{EndpointKey, Key, Map, ModelKey, OrgKey, Row};
+use citronrill_base::{EndpointKey, Map, ModelKey, OrgKey, Row};
 use citronrill_config::Registry;
 use prost::Message;
 
@@ -212,11 +212,6 @@
     pub fn endpoint_name(&self, key: EndpointKey) -> &str {
         self.registry.endpoints.name(key)
     }
-
-    /// Every key that was interned, as an upper bound for arenas.
-    pub fn endpoint_keys(&self) -> impl Iterator<Item = EndpointKey> + use<> {
-        (0..self.registry.endpoints.len()).map(EndpointKey::from_index)
-    }
 }
 
 fn take<R: Message + Default>(held: &mut Held<R>, row: &Row) -> bool {
--- a/crates/lab/src/world/meters.rs
+++ b/crates/lab/src/world/meters.rs
@@ -69,11 +69,6 @@
         self.sides.iter().any(|side| side.alive && side.endpoint == endpoint)
     }
 
-    /// Whether the entry has finished whatever a newcomer does first.
-    pub fn entry_ready(&self, index: usize) -> bool {
-        self.entries[index].alive && self.entries[index].core.ready()
-    }
-
     /// The entry's reducer.
     pub fn entry(&self, index: usize) -> &Entry {
         &self.entries[index].core
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -382,17 +382,6 @@
         self.count_idle();
     }
 
-    /// Carries out the next thing that is due; gives its time.
-    pub fn run_one(&mut self) -> u64 {
-        if let Some(Reverse((at, id))) = self.queue.pop() {
-            self.now = self.now.max(at);
-            if let Some(happening) = self.happenings.remove(&id) {
-                self.happen(happening);
-            }
-        }
-        self.now
-    }
-
     /// Requests that have ended since the last call, with their numbers.
     pub fn take_finished_numbered(&mut self) -> Vec<(u64, Caller)> {
         std::mem::take(&mut self.finished)
--- a/crates/runtime/src/entry/exchange.rs
+++ b/crates/runtime/src/entry/exchange.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use citronrill_decide::{
-    Answer as KeptAnswer, CancelAnswer, Decline, Effect, Event, Ran, Refusal, RefusalKind,
-    RequestId,
+    ANSWER_LIMIT, Answer as KeptAnswer, CancelAnswer, Decline, Effect, Event, Ran, Refusal,
+    RefusalKind, RequestId,
 };
 use citronrill_http::{Answer, Header, respond};
 use citronrill_wire::{self as wire, Kind};
@@ -43,8 +43,6 @@
 const RESUME_PAUSE: Duration = Duration::from_millis(250);
 /// How long to wait for the peer's clock on a new connection.
 const CLOCK_PATIENCE: Duration = Duration::from_millis(500);
-/// Claimed answers are kept for repeats up to this size, in bytes.
-const KEEP_LIMIT: usize = 32 << 10;
 /// An answer's time over its deadline after which an exchange ends whatever happens.
 const OVERTIME: Duration = Duration::from_secs(5);
 
@@ -439,7 +437,7 @@
 
     /// Passes a part of the answer on to the caller, or holds it back if it is not a stream.
     fn pass_on(&mut self, data: &[u8]) -> Option<Outcome> {
-        if let Some(kept) = self.kept.as_mut().filter(|kept| kept.len() <= KEEP_LIMIT) {
+        if let Some(kept) = self.kept.as_mut().filter(|kept| kept.len() <= ANSWER_LIMIT) {
             kept.extend_from_slice(data);
         }
         if self.next - self.acked > WINDOW / 4 {
@@ -493,7 +491,7 @@
         let answer = self.kept.take().map(|body| KeptAnswer {
             status: self.status,
             content_type,
-            body: (body.len() <= KEEP_LIMIT).then_some(body),
+            body: (body.len() <= ANSWER_LIMIT).then_some(body),
         });
         self.shared.event(Event::Ended { id, call, load, answer });
     }
--- a/tests/all/life.rs
+++ b/tests/all/life.rs
@@ -1,7 +1,7 @@
 //! A request's life over real sockets, under failure.
 
 use std::{
-    io::{BufRead, BufReader},
+    io::{self, BufRead, BufReader},
     thread,
     time::Duration,
 };
@@ -10,6 +10,20 @@
 
 use crate::support::{Deployment, streamed};
 
+/// Asks model alpha for a streamed answer of so many words; gives the question and its lines.
+fn long_stream(
+    it: &Deployment,
+    count: usize,
+) -> (String, impl Iterator<Item = io::Result<String>> + use<>) {
+    let words = (0..count).map(|number| format!("w{number}")).collect::<Vec<_>>().join(" ");
+    let question = json!({ "model": "alpha", "stream": true,
+        "messages": [{ "role": "user", "content": words }] });
+    let request = attohttpc::post(it.url(0, "/v1/chat/completions")).bearer_auth("north-key");
+    let response = request.json(&question).unwrap().send().unwrap();
+    let (_, _, reader) = response.split();
+    (words, BufReader::new(reader).lines())
+}
+
 /// While the platform's table is away nobody can decide; what is warm must go on being served, and
 /// what is cold must be refused in time, truthfully and with a time to come back.
 #[test]
@@ -60,13 +74,7 @@
 fn a_planned_stop_of_a_side_finishes_its_streams() {
     let it = Deployment::start(1, 1);
     assert_eq!(it.chat(0, "north-key", "alpha", "wake up", false).0, 200);
-    let words = (0..300).map(|number| format!("w{number}")).collect::<Vec<_>>().join(" ");
-    let question = json!({ "model": "alpha", "stream": true,
-        "messages": [{ "role": "user", "content": words }] });
-    let request = attohttpc::post(it.url(0, "/v1/chat/completions")).bearer_auth("north-key");
-    let response = request.json(&question).unwrap().send().unwrap();
-    let (_, _, reader) = response.split();
-    let mut lines = BufReader::new(reader).lines();
+    let (words, mut lines) = long_stream(&it, 300);
     let first = lines.next().unwrap().unwrap();
     it.sides[0].drain(true);
     let mut body = format!("{first}\n");
@@ -83,13 +91,7 @@
 fn a_cut_answer_is_not_passed_off_as_whole() {
     let mut it = Deployment::start(1, 1);
     assert_eq!(it.chat(0, "north-key", "alpha", "wake up", false).0, 200);
-    let words = (0..2_000).map(|number| format!("w{number}")).collect::<Vec<_>>().join(" ");
-    let question = json!({ "model": "alpha", "stream": true,
-        "messages": [{ "role": "user", "content": words }] });
-    let request = attohttpc::post(it.url(0, "/v1/chat/completions")).bearer_auth("north-key");
-    let response = request.json(&question).unwrap().send().unwrap();
-    let (_, _, reader) = response.split();
-    let mut lines = BufReader::new(reader).lines();
+    let (_, mut lines) = long_stream(&it, 2_000);
     lines.next().unwrap().unwrap();
     drop(it.sides.remove(0));
     let rest = lines.map_while(Result::ok).collect::<Vec<_>>();
