--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -9,6 +9,7 @@
 mod fields;
 mod ini;
 mod keys;
+mod pool;
 mod registry;
 mod settings;
 
@@ -19,6 +20,7 @@
     delta::{Delta, DeltaError, digest},
     error::{ConfigError, ConfigErrors, Problem},
     keys::{ApiKeyHash, hash_api_key},
+    pool::PoolSettings,
     registry::Registry,
     settings::{ClientSettings, EntrySettings, PlatformSettings, Settings, SideKind, SideSettings},
 };
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -10,7 +10,8 @@
 
 /// Seconds a planned stop may take when the settings do not say.
 const DEFAULT_STOP_S: u64 = 30;
-const SETTING_KINDS: &str = "instance, platform, and entry, side or client";
+const SETTING_KINDS: &str = "instance, platform, and entry, side or client; in a pool: process, \
+                             listen, platform, endpoint and retry";
 /// Bytes of a request's body when the settings do not say.
 const DEFAULT_BODY: u64 = 8 << 20;
 /// Requests an engine runs at once when the settings do not say.
@@ -193,7 +194,7 @@
 }
 
 /// The sections of a settings file, and what is wrong with them.
-struct Reader<'a> {
+pub(crate) struct Reader<'a> {
     file: &'a str,
     sections: Vec<Section>,
     errors: Vec<ConfigError>,
@@ -201,7 +202,7 @@
 
 impl<'a> Reader<'a> {
     /// Reads a file in which each of `kinds` must stand, and nothing else.
-    fn new(file: &'a str, text: &str, kinds: &[&'static str]) -> Reader<'a> {
+    pub(crate) fn new(file: &'a str, text: &str, kinds: &[&'static str]) -> Reader<'a> {
         let mut errors = Vec::new();
         let mut sections = parse(file, text, &mut errors);
         for section in &sections {
@@ -220,12 +221,12 @@
         Reader { file, sections, errors }
     }
 
-    fn fields(&mut self, kind: &str) -> Fields<'_> {
+    pub(crate) fn fields(&mut self, kind: &str) -> Fields<'_> {
         let section = self.sections.iter().position(|section| section.kind == kind);
         Fields::new(self.file, &self.sections[section.unwrap_or(0)], &mut self.errors)
     }
 
-    fn finish<T>(self, settings: impl FnOnce() -> Option<T>) -> Result<T, ConfigErrors> {
+    pub(crate) fn finish<T>(self, settings: impl FnOnce() -> Option<T>) -> Result<T, ConfigErrors> {
         match settings() {
             Some(settings) if self.errors.is_empty() => Ok(settings),
             _ => Err(ConfigErrors(self.errors)),
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,139 @@
+//! One HTTP call on a connection of its own.
+//!
+//! Each call to an endpoint has a fresh connection. An endpoint may send bytes after a complete
+//! answer, an answer to an earlier request, or drop an idle connection without notice; on a kept
+//! connection each of these meets the next request, which may be one that must not be sent twice.
+//! On a fresh one there is no next request.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+
+use crate::error::GatewayError;
+
+/// Milliseconds for a connection: between zones a round trip takes under 5, and a lost first packet
+/// is sent again after a second, by when another endpoint is the better choice.
+const CONNECT_MS: u64 = 600;
+/// Milliseconds after which unacknowledged bytes end a connection: a peer without power or behind a
+/// cut sends no reset, and the connection would hang for minutes.
+const USER_TIMEOUT_MS: u64 = 2_500;
+/// Bytes of a control answer at most: a whole page of the store's rows is the largest.
+const CONTROL_LIMIT: usize = 4 << 20;
+
+/// Ends the connection's task when the call is dropped, so that the endpoint sees its caller leave.
+#[derive(Debug)]
+pub(crate) struct Guard(JoinHandle<()>);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Opens a connection.
+pub(crate) async fn connect(address: SocketAddr) -> Result<TcpStream, GatewayError> {
+    let stream = timeout(Duration::from_millis(CONNECT_MS), TcpStream::connect(address)).await;
+    let stream = stream.map_err(|_| GatewayError::Timeout(CONNECT_MS))?;
+    let stream = stream.map_err(|source| GatewayError::Connect { address, source })?;
+    tune(&stream);
+    Ok(stream)
+}
+
+/// Sends small writes at once, and gives up on a peer that acknowledges nothing.
+pub(crate) fn tune(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let set = socket
+        .set_tcp_nodelay(true)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(Duration::from_millis(USER_TIMEOUT_MS))));
+    if let Err(error) = set {
+        log::debug!("event=socket_option error=\"{error}\"");
+    }
+}
+
+/// A connection that takes requests.
+pub(crate) struct Channel {
+    sender: http1::SendRequest<Full<Bytes>>,
+    guard: Guard,
+}
+
+impl Channel {
+    /// Connects to `address`.
+    pub(crate) async fn open(address: SocketAddr) -> Result<Channel, GatewayError> {
+        let stream = connect(address).await?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let task = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::trace!("event=connection_ended error=\"{error}\"");
+            }
+        });
+        Ok(Channel { sender, guard: Guard(task) })
+    }
+
+    /// Sends one request and gives the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, GatewayError> {
+        self.sender.ready().await?;
+        Ok(self.sender.send_request(request).await?)
+    }
+
+    /// The guard that keeps the connection open.
+    pub(crate) fn into_guard(self) -> Guard {
+        self.guard
+    }
+}
+
+/// A connection for control calls, opened when needed and kept while it works.
+pub(crate) struct Control {
+    address: SocketAddr,
+    channel: Option<Channel>,
+}
+
+impl Control {
+    /// Calls to `address`.
+    pub(crate) fn new(address: SocketAddr) -> Control {
+        Control { address, channel: None }
+    }
+
+    /// Makes one call; gives status and body.
+    pub(crate) async fn call(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        limit_ms: u64,
+    ) -> Result<(hyper::StatusCode, Bytes), GatewayError> {
+        let whole = timeout(Duration::from_millis(limit_ms), self.exchange(request)).await;
+        let result = whole.unwrap_or(Err(GatewayError::Timeout(limit_ms)));
+        if result.is_err() {
+            // A late answer must not meet the next call.
+            self.channel = None;
+        }
+        result
+    }
+
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(hyper::StatusCode, Bytes), GatewayError> {
+        let channel = match &mut self.channel {
+            Some(channel) if !channel.sender.is_closed() => channel,
+            slot => slot.insert(Channel::open(self.address).await?),
+        };
+        let response = channel.send(request).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), CONTROL_LIMIT).collect().await;
+        let body = body.map_err(|_| GatewayError::Status(status.as_u16()))?;
+        Ok((status, body.to_bytes()))
+    }
+}
+
+/// A GET without a body.
+pub(crate) fn get(address: SocketAddr, path: &str) -> Result<Request<Full<Bytes>>, GatewayError> {
+    let request = Request::get(path).header(hyper::header::HOST, address.to_string());
+    Ok(request.body(Full::default())?)
+}
--- /dev/null
+++ b/crates/gateway/src/entry.rs
@@ -0,0 +1,277 @@
+//! An entry process: its control thread, and what it starts on the traffic runtime.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use citronrill_base::Millis;
+use citronrill_config::PoolSettings;
+use citronrill_pool::{
+    Arrival, CallerLimits, EntryEffect, EntryEvent, EntryProfile, PoolEntry, Refusal, RequestId,
+    Sending, ServingText,
+};
+use citronrill_wire::{PoolKind, TextCopy};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use tokio::sync::{mpsc, watch};
+
+use crate::{
+    dialect::{Dialect, Table},
+    error::GatewayError,
+    front::{Front, serve},
+    logs::LogStats,
+    metrics::{EntryMetrics, serve_metrics},
+    sides::{SideCommand, run_sides},
+    store::{TextBoard, watch_table},
+};
+
+/// Milliseconds between looks at the clock while requests are in hand: a request's end is met
+/// within this, far below any objective.
+const BUSY_TICK_MS: u64 = 20;
+/// Milliseconds between looks at rest.
+const IDLE_TICK_MS: u64 = 200;
+/// Milliseconds of a planned stop during which new connections are still taken: the balancer needs
+/// two missed questions, a second apart, before it sends callers elsewhere.
+const HAND_OVER_MS: u64 = 2_600;
+/// Milliseconds of a planned stop that are left for the process's own end.
+const STOP_SLACK_MS: u64 = 500;
+
+/// What the control thread tells a request's task.
+#[derive(Debug)]
+pub(crate) enum Command {
+    /// Send it there.
+    Send(Sending),
+    /// Give the endpoint's answer.
+    Pass,
+    /// Give an answer of the system's own.
+    Refuse(Refusal),
+    /// Break the answer off.
+    Cut,
+}
+
+/// What reaches the control thread.
+pub(crate) enum Input {
+    /// An event of the reducer.
+    Event(EntryEvent),
+    /// A request, and where its task listens.
+    Arrive(Arrival, mpsc::UnboundedSender<Command>),
+}
+
+/// The way to the control thread.
+#[derive(Clone)]
+pub(crate) struct Events(Sender<Input>);
+
+impl Events {
+    /// Hands over an event.
+    pub(crate) fn send(&self, event: EntryEvent) {
+        self.put(Input::Event(event));
+    }
+
+    /// Hands over a request.
+    pub(crate) fn arrive(&self, arrival: Arrival, commands: mpsc::UnboundedSender<Command>) {
+        self.put(Input::Arrive(arrival, commands));
+    }
+
+    fn put(&self, input: Input) {
+        if self.0.send(input).is_err() {
+            log::debug!("event=control_gone");
+        }
+    }
+}
+
+/// What the traffic side reads of the control state.
+#[derive(Debug, Default)]
+pub(crate) struct Shared {
+    pub(crate) ready: AtomicBool,
+    pub(crate) stopping: AtomicBool,
+    pub(crate) in_hand: AtomicU64,
+}
+
+/// Runs an entry until `stop` says so.
+///
+/// # Errors
+/// A setting is missing, or an address cannot be listened on.
+pub fn run_entry(
+    settings: &PoolSettings,
+    dialect: Arc<dyn Dialect>,
+    logs: Arc<LogStats>,
+    stop: std::sync::mpsc::Receiver<()>,
+) -> Result<(), GatewayError> {
+    let callers = settings.callers.ok_or(GatewayError::Missing("listen callers"))?;
+    let readiness = settings.readiness.ok_or(GatewayError::Missing("listen readiness"))?;
+    let (sender, inputs) = unbounded();
+    let events = Events(sender);
+    let shared = Arc::new(Shared::default());
+    let metrics = Arc::new(EntryMetrics::new(logs));
+    let (side_sender, side_commands) = mpsc::unbounded_channel();
+    let (limits_sender, limits) = watch::channel(CallerLimits::default());
+    let profile = EntryProfile {
+        zone: settings.zone.clone(),
+        side_port: settings.peers.port(),
+        retry_ratio: settings.retry_ratio,
+        retry_slack: settings.retry_slack,
+        retry_window_ms: settings.retry_window_ms,
+    };
+    let control = Control {
+        reducer: PoolEntry::new(profile),
+        start: Instant::now(),
+        inputs,
+        requests: BTreeMap::new(),
+        sides: side_sender,
+        limits: limits_sender,
+        shared: shared.clone(),
+        metrics: metrics.clone(),
+    };
+    let thread = thread::Builder::new().name("control".to_owned()).spawn(move || control.run())?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let result = runtime.block_on(async {
+        let board = TextBoard::new(dialect.clone(), events.clone());
+        let store = settings.store;
+        tokio::spawn(watch_table(store, Table::Text, dialect.clone(), board.clone()));
+        tokio::spawn(watch_table(store, Table::Members, dialect.clone(), board.clone()));
+        let port = settings.peers.port();
+        tokio::spawn(run_sides(port, side_commands, board, events.clone()));
+        tokio::spawn(serve_metrics(settings.metrics, metrics.clone()));
+        let front = Front { dialect, events, shared, metrics, limits };
+        serve(callers, readiness, front, stop_plan(stop, settings.stop_ms)).await
+    });
+    // The runtime ends every task that still holds a way to the control thread, which ends then.
+    drop(runtime);
+    if thread.join().is_err() {
+        log::error!("event=control_failed");
+    }
+    result
+}
+
+/// When the parts of a planned stop come.
+pub(crate) struct StopPlan {
+    pub(crate) asked: watch::Receiver<bool>,
+    /// How long new connections are still taken.
+    pub(crate) hand_over: Duration,
+    /// How long open requests are given after that.
+    pub(crate) finish: Duration,
+}
+
+fn stop_plan(stop: std::sync::mpsc::Receiver<()>, stop_ms: u64) -> StopPlan {
+    let (sender, asked) = watch::channel(false);
+    thread::spawn(move || {
+        if stop.recv().is_ok() {
+            sender.send_replace(true);
+        }
+        // Kept until the process ends: a closed channel would look like a stop.
+        loop {
+            thread::park();
+        }
+    });
+    let hand_over = HAND_OVER_MS.min(stop_ms / 2);
+    StopPlan {
+        asked,
+        hand_over: Duration::from_millis(hand_over),
+        finish: Duration::from_millis(stop_ms.saturating_sub(hand_over + STOP_SLACK_MS)),
+    }
+}
+
+/// The control thread's own state.
+struct Control {
+    reducer: PoolEntry,
+    start: Instant,
+    inputs: Receiver<Input>,
+    requests: BTreeMap<RequestId, mpsc::UnboundedSender<Command>>,
+    sides: mpsc::UnboundedSender<SideCommand>,
+    limits: watch::Sender<CallerLimits>,
+    shared: Arc<Shared>,
+    metrics: Arc<EntryMetrics>,
+}
+
+impl Control {
+    fn run(mut self) {
+        loop {
+            let busy = !self.requests.is_empty();
+            let wait = if busy { BUSY_TICK_MS } else { IDLE_TICK_MS };
+            match self.inputs.recv_timeout(Duration::from_millis(wait)) {
+                Ok(input) => self.take(input),
+                Err(RecvTimeoutError::Timeout) => self.step(EntryEvent::Tick),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => {
+                if let EntryEvent::Text(text) = &event {
+                    self.limits.send_replace(text.limits);
+                }
+                if let EntryEvent::Leave(id) | EntryEvent::Finish(id, _) = &event {
+                    self.requests.remove(id);
+                }
+                self.step(event);
+            }
+            Input::Arrive(arrival, commands) => {
+                self.requests.insert(arrival.id, commands);
+                self.step(EntryEvent::Arrive(arrival));
+            }
+        }
+    }
+
+    fn step(&mut self, event: EntryEvent) {
+        let now = Millis(self.start.elapsed().as_millis() as u64);
+        let effects = self.reducer.step(now, event);
+        effects.into_iter().for_each(|effect| self.carry_out(effect));
+        self.shared.ready.store(self.reducer.ready(), Ordering::Relaxed);
+        self.shared.in_hand.store(self.reducer.in_hand() as u64, Ordering::Relaxed);
+    }
+
+    fn carry_out(&mut self, effect: EntryEffect) {
+        match effect {
+            EntryEffect::Send(id, sending) => self.tell(id, Command::Send(sending), false),
+            EntryEffect::Pass(id) => self.tell(id, Command::Pass, false),
+            EntryEffect::Refuse(id, refusal) => {
+                self.metrics.refused(refusal.reason);
+                self.tell(id, Command::Refuse(refusal), true);
+            }
+            EntryEffect::Cut(id) => self.tell(id, Command::Cut, true),
+            EntryEffect::Want(address, want) => {
+                self.metrics.wants.add();
+                self.side(SideCommand::Say(address, PoolKind::Want(want)));
+            }
+            EntryEffect::Used(address, used) => {
+                self.side(SideCommand::Say(address, PoolKind::Used(used)));
+            }
+            EntryEffect::Sides(addresses) => self.side(SideCommand::Keep(addresses)),
+            EntryEffect::Log(event) => log::info!("{event}"),
+        }
+    }
+
+    fn tell(&mut self, id: RequestId, command: Command, last: bool) {
+        let known = if last { self.requests.remove(&id) } else { self.requests.get(&id).cloned() };
+        // A task that is gone has its leaving on the way.
+        if known.is_some_and(|commands| commands.send(command).is_err()) {
+            log::debug!("event=request_gone request={}", id.0);
+        }
+    }
+
+    fn side(&self, command: SideCommand) {
+        if self.sides.send(command).is_err() {
+            log::debug!("event=sides_gone");
+        }
+    }
+}
+
+/// A text with the bytes that it was read from.
+#[derive(Clone)]
+pub(crate) struct ReadText {
+    pub(crate) copy: TextCopy,
+    pub(crate) text: Arc<ServingText>,
+}
+
+/// The side beside an endpoint.
+pub(crate) fn side_address(endpoint: SocketAddr, port: u16) -> SocketAddr {
+    SocketAddr::new(endpoint.ip(), port)
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,397 @@
+//! Where callers come in.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use citronrill_pool::{
+    Arrival, CallerLimits, EntryEvent, FailureKind, Refusal, RequestId, Sending,
+};
+use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode, Version,
+    body::Incoming,
+    header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
+    http::{Method, Uri},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{
+        mpsc::{UnboundedReceiver, unbounded_channel},
+        watch,
+    },
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    call::{Channel, Guard, tune},
+    dialect::Dialect,
+    entry::{Command, Events, Shared, StopPlan},
+    error::GatewayError,
+    metrics::EntryMetrics,
+    relay::Relay,
+};
+
+/// An answer's body: an endpoint's on its way, or one of the system's own.
+type Body = Either<Relay, Full<Bytes>>;
+
+/// Bytes that the HTTP library needs for its buffer at least.
+const MIN_BUFFER: usize = 8_192;
+/// Milliseconds for a body to arrive when its caller names no deadline.
+const BODY_MS: u64 = 10_000;
+
+/// What every connection shares.
+#[derive(Clone)]
+pub(crate) struct Front {
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) events: Events,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) metrics: Arc<EntryMetrics>,
+    pub(crate) limits: watch::Receiver<CallerLimits>,
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| GatewayError::Listen { address, source })
+}
+
+/// Takes callers until the planned stop is over.
+pub(crate) async fn serve(
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    front: Front,
+    plan: StopPlan,
+) -> Result<(), GatewayError> {
+    let listener = listen(callers).await?;
+    let probes = listen(readiness).await?;
+    tokio::spawn(answer_probes(probes, front.shared.clone()));
+    log::info!("event=started role=entry callers={callers} readiness={readiness}");
+    let (closing, closed) = watch::channel(false);
+    let mut connections = JoinSet::new();
+    let mut asked = plan.asked.clone();
+    let last = async {
+        // The sender lives as long as the process.
+        drop(asked.wait_for(|asked| *asked).await);
+        front.shared.stopping.store(true, Ordering::Relaxed);
+        log::info!("event=stopping in_hand={}", front.shared.in_hand.load(Ordering::Relaxed));
+        sleep(plan.hand_over).await;
+    };
+    tokio::pin!(last);
+    loop {
+        tokio::select! {
+            () = &mut last => break,
+            Some(_) = connections.join_next(), if !connections.is_empty() => {}
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    connections.spawn(hold(stream, front.clone(), closed.clone()));
+                }
+                Err(error) => {
+                    log::warn!("event=accept_failed error=\"{error}\"");
+                    sleep(Duration::from_millis(10)).await;
+                }
+            },
+        }
+    }
+    drop(listener);
+    closing.send_replace(true);
+    let all = async { while connections.join_next().await.is_some() {} };
+    let finished = timeout(plan.finish, all).await.is_ok();
+    log::info!("event=stopped finished={finished}");
+    Ok(())
+}
+
+async fn answer_probes(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |_| {
+                let ready = shared.ready.load(Ordering::Relaxed)
+                    && !shared.stopping.load(Ordering::Relaxed);
+                let status =
+                    if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+                async move {
+                    let mut response = Response::new(Full::<Bytes>::default());
+                    *response.status_mut() = status;
+                    Ok::<_, Infallible>(response)
+                }
+            });
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = served.await {
+                log::trace!("event=probe_ended error=\"{error}\"");
+            }
+        });
+    }
+}
+
+/// Serves one caller's connection.
+async fn hold(stream: TcpStream, front: Front, mut closed: watch::Receiver<bool>) {
+    tune(&stream);
+    let limits = *front.limits.borrow();
+    let service = service_fn(|request| {
+        let front = front.clone();
+        async move { Ok::<_, Infallible>(front.handle(request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        // The library's clock for a head starts when the connection falls idle, so this bounds both.
+        .header_read_timeout(Duration::from_millis(limits.idle_ms))
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    // Nothing of the watched value may be kept over the next wait.
+    let closing = async { drop(closed.wait_for(|closed| *closed).await) };
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = closing => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("event=connection_ended error=\"{error}\"");
+    }
+}
+
+/// A request as it will be sent, once or more often.
+struct Outgoing {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    caller: String,
+}
+
+/// Tells the control thread if a request's task is dropped: its caller has left.
+struct Departure {
+    id: RequestId,
+    events: Events,
+    armed: bool,
+}
+
+impl Drop for Departure {
+    fn drop(&mut self) {
+        if self.armed {
+            self.events.send(EntryEvent::Leave(self.id));
+        }
+    }
+}
+
+impl Front {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let old = request.version() < Version::HTTP_11;
+        let mut response = self.answer(request).await;
+        if self.shared.stopping.load(Ordering::Relaxed) && !old {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        self.metrics.requests.add();
+        let (parts, body) = request.into_parts();
+        let meta = self.dialect.request(&parts.headers);
+        let limit = self.limits.borrow().body_bytes;
+        let wait = Duration::from_millis(meta.deadline_ms.unwrap_or(BODY_MS));
+        let body = match timeout(wait, Limited::new(body, limit).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                return own(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", None);
+            }
+            Ok(Err(_)) => return own(StatusCode::BAD_REQUEST, "body_unreadable", None),
+            Err(_) => return own(StatusCode::REQUEST_TIMEOUT, "body_too_slow", None),
+        };
+        let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
+        let id = RequestId(next_id());
+        let arrival = Arrival {
+            id,
+            caller: meta.caller.clone(),
+            host: host.split(':').next().unwrap_or("").to_owned(),
+            path: parts.uri.path().to_owned(),
+            deadline_ms: meta.deadline_ms,
+            model: meta.model,
+            prefix: meta.prefix,
+        };
+        let outgoing = Outgoing {
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            caller: meta.caller,
+        };
+        let (sender, commands) = unbounded_channel();
+        self.events.arrive(arrival, sender);
+        self.follow(id, outgoing, commands).await
+    }
+
+    /// Carries out what the control thread decides for one request.
+    async fn follow(
+        &self,
+        id: RequestId,
+        outgoing: Outgoing,
+        mut commands: UnboundedReceiver<Command>,
+    ) -> Response<Body> {
+        let mut departure = Departure { id, events: self.events.clone(), armed: true };
+        let mut held: Option<(Response<Incoming>, Guard)> = None;
+        let mut next = commands.recv().await;
+        loop {
+            match next {
+                Some(Command::Send(sending)) => {
+                    held = None;
+                    next = tokio::select! {
+                        biased;
+                        command = commands.recv() => command,
+                        result = self.call(&outgoing, &sending) => {
+                            held = self.report(id, &outgoing, result);
+                            commands.recv().await
+                        }
+                    };
+                }
+                Some(Command::Pass) => {
+                    departure.armed = false;
+                    let Some((response, guard)) = held.take() else {
+                        return own(StatusCode::BAD_GATEWAY, "broken", None);
+                    };
+                    return self.pass(id, response, guard, commands);
+                }
+                Some(Command::Refuse(refusal)) => {
+                    departure.armed = false;
+                    return refuse(refusal);
+                }
+                Some(Command::Cut) | None => {
+                    departure.armed = false;
+                    return own(StatusCode::BAD_GATEWAY, "broken", None);
+                }
+            }
+        }
+    }
+
+    /// Tells the control thread what came of a sending; keeps the answer for its decision.
+    fn report(
+        &self,
+        id: RequestId,
+        outgoing: &Outgoing,
+        result: Result<(Response<Incoming>, Guard), (FailureKind, GatewayError)>,
+    ) -> Option<(Response<Incoming>, Guard)> {
+        match result {
+            Ok((response, guard)) => {
+                let (status, headers) = (response.status(), response.headers());
+                let head = self.dialect.answer(status, headers, &outgoing.caller);
+                self.events.send(EntryEvent::Answer(id, head));
+                Some((response, guard))
+            }
+            Err((kind, error)) => {
+                log::info!("event=send_failed id={} error=\"{error}\"", outgoing.caller);
+                self.events.send(EntryEvent::Fail(id, kind));
+                None
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        outgoing: &Outgoing,
+        sending: &Sending,
+    ) -> Result<(Response<Incoming>, Guard), (FailureKind, GatewayError)> {
+        let opened = Channel::open(sending.address).await;
+        let mut channel = opened.map_err(|error| (FailureKind::Unreached, error))?;
+        let mut request = Request::new(Full::new(outgoing.body.clone()));
+        *request.method_mut() = outgoing.method.clone();
+        *request.uri_mut() = outgoing.uri.clone();
+        let mut headers = outgoing.headers.clone();
+        strip(&mut headers);
+        headers.remove(CONTENT_LENGTH);
+        self.dialect.forward(&mut headers, sending);
+        *request.headers_mut() = headers;
+        let response = channel.send(request).await;
+        let response = response.map_err(|error| (FailureKind::Broken, error))?;
+        Ok((response, channel.into_guard()))
+    }
+
+    fn pass(
+        &self,
+        id: RequestId,
+        response: Response<Incoming>,
+        guard: Guard,
+        commands: UnboundedReceiver<Command>,
+    ) -> Response<Body> {
+        let (mut parts, body) = response.into_parts();
+        strip(&mut parts.headers);
+        parts.version = Version::HTTP_11;
+        self.metrics.passed(parts.status);
+        let relay = Relay::new(id, body, commands, self.events.clone(), guard);
+        Response::from_parts(parts, Either::Left(relay))
+    }
+}
+
+/// Names that concern one connection only, besides those that `Connection` lists.
+const CONNECTION_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "transfer-encoding",
+    "upgrade",
+];
+
+fn strip(headers: &mut HeaderMap) {
+    let listed = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    let listed = listed.flat_map(|value| value.split(',')).map(|name| name.trim().to_lowercase());
+    for name in listed.collect::<Vec<_>>() {
+        // Names that decide whose request this is are never one connection's own.
+        if !name.starts_with("x-") && name != "host" && name != "content-length" {
+            headers.remove(name.as_str());
+        }
+    }
+    for name in CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+}
+
+/// The next request's name in this process.
+fn next_id() -> u64 {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+fn refuse(refusal: Refusal) -> Response<Body> {
+    let status = StatusCode::from_u16(refusal.reason.status());
+    own(status.unwrap_or(StatusCode::BAD_GATEWAY), refusal.reason.word(), refusal.retry_ms)
+}
+
+/// An answer of the system's own.
+fn own(status: StatusCode, word: &str, retry_ms: Option<u64>) -> Response<Body> {
+    let ran = match status {
+        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => "unknown",
+        _ => "no",
+    };
+    let body = format!("{{\"type\":\"{word}\",\"ran\":\"{ran}\"}}");
+    let mut response = Response::new(Either::Right(Full::new(Bytes::from(body))));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    let seconds = retry_ms.map(|ms| format!("{:.3}", ms as f64 / 1_000.0));
+    if let Some(value) = seconds.and_then(|seconds| HeaderValue::from_str(&seconds).ok()) {
+        headers.insert(RETRY_AFTER, value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,26 @@
+//! Sockets and threads of the pool's processes.
+//!
+//! One thread owns the reducer and decides; another drives all sockets on a single-threaded `tokio`
+//! runtime. They talk over channels, and closing a channel ends its task. How the platform spells
+//! its calls is behind [`Dialect`], so this crate knows none of its words.
+
+mod call;
+mod dialect;
+mod entry;
+mod error;
+mod front;
+mod link;
+mod logs;
+mod metrics;
+mod relay;
+mod side;
+mod sides;
+mod store;
+
+pub use crate::{
+    dialect::{Dialect, DialectError, OrderCall, RequestMeta, RowPage, StoreRow, Table},
+    entry::run_entry,
+    error::GatewayError,
+    logs::{LogPipe, LogStats},
+    side::run_side,
+};
--- /dev/null
+++ b/crates/gateway/src/side.rs
@@ -0,0 +1,355 @@
+//! A side process: its control thread, its endpoint and its entries.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use citronrill_base::Millis;
+use citronrill_config::PoolSettings;
+use citronrill_pool::{
+    EngineReport, Order, OrderOutcome, PoolSide, SideEffect, SideEvent,
+};
+use citronrill_wire::{PoolKind, SideState, TextCopy, WireError};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use http_body_util::Full;
+use hyper::{Request, StatusCode, header::CONTENT_TYPE};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, watch},
+};
+
+use crate::{
+    call::{Control, get, tune},
+    dialect::Dialect,
+    error::GatewayError,
+    link::split,
+    logs::LogStats,
+    metrics::{Counter, Show, line, log_lines, serve_metrics},
+};
+
+/// Milliseconds for the endpoint's state: it answers within a few, and an old one is of no use.
+const REPORT_MS: u64 = 400;
+/// Milliseconds for an answer to an order.
+const ORDER_MS: u64 = 400;
+
+/// What a side counts.
+struct SideMetrics {
+    orders: Counter,
+    polls: Counter,
+    wants: Counter,
+    logs: Arc<LogStats>,
+}
+
+impl Show for SideMetrics {
+    fn show(&self) -> String {
+        let mut text = String::new();
+        line(&mut text, "citronrill_orders_total", "", self.orders.value());
+        line(&mut text, "citronrill_polls_total", "", self.polls.value());
+        line(&mut text, "citronrill_wants_total", "", self.wants.value());
+        log_lines(&mut text, &self.logs);
+        text
+    }
+}
+
+/// What the control thread asks of the traffic runtime.
+enum Task {
+    Poll,
+    Order(Order),
+}
+
+/// What the connections to entries share.
+struct Shared {
+    dialect: Arc<dyn Dialect>,
+    events: Sender<SideEvent>,
+    texts: watch::Sender<Option<TextCopy>>,
+    states: watch::Receiver<Option<SideState>>,
+    entries: AtomicU32,
+}
+
+/// Runs a side until `stop` says so.
+///
+/// # Errors
+/// A setting is missing, or an address cannot be listened on.
+pub fn run_side(
+    settings: &PoolSettings,
+    dialect: Arc<dyn Dialect>,
+    logs: Arc<LogStats>,
+    stop: std::sync::mpsc::Receiver<()>,
+) -> Result<(), GatewayError> {
+    let endpoint = settings.endpoint.ok_or(GatewayError::Missing("endpoint address"))?;
+    let (events, inputs) = unbounded();
+    let (task_sender, tasks) = mpsc::unbounded_channel();
+    let (state_sender, states) = watch::channel(None);
+    let metrics = Arc::new(SideMetrics {
+        orders: Counter::default(),
+        polls: Counter::default(),
+        wants: Counter::default(),
+        logs,
+    });
+    let control = ControlThread {
+        reducer: PoolSide::new(&settings.service),
+        start: Instant::now(),
+        inputs,
+        tasks: task_sender,
+        states: state_sender,
+        metrics: metrics.clone(),
+    };
+    thread::Builder::new().name("control".to_owned()).spawn(move || control.run())?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let shared = Arc::new(Shared {
+        dialect: dialect.clone(),
+        events: events.clone(),
+        texts: watch::Sender::new(None),
+        states,
+        entries: AtomicU32::new(0),
+    });
+    let peers = settings.peers;
+    let (done_sender, done) = tokio::sync::oneshot::channel();
+    thread::spawn(move || {
+        if stop.recv().is_ok() {
+            // The receiver is gone only if the process ends anyway.
+            let _ = done_sender.send(());
+        }
+    });
+    runtime.block_on(async {
+        let listener = TcpListener::bind(peers).await;
+        let listener =
+            listener.map_err(|source| GatewayError::Listen { address: peers, source })?;
+        log::info!("event=started role=side endpoint={endpoint} peers={peers}");
+        tokio::spawn(serve_metrics(settings.metrics, metrics));
+        let engine = Engine { address: endpoint, holder: settings.name.clone(), dialect, events };
+        tokio::spawn(engine.run(tasks));
+        tokio::spawn(accept(listener, shared));
+        if done.await.is_err() {
+            std::future::pending::<()>().await;
+        }
+        log::info!("event=stopped");
+        Ok(())
+    })
+}
+
+/// The control thread's own state.
+struct ControlThread {
+    reducer: PoolSide,
+    start: Instant,
+    inputs: Receiver<SideEvent>,
+    tasks: mpsc::UnboundedSender<Task>,
+    states: watch::Sender<Option<SideState>>,
+    metrics: Arc<SideMetrics>,
+}
+
+impl ControlThread {
+    fn run(mut self) {
+        loop {
+            let wait = Duration::from_millis(self.reducer.wake_ms());
+            let event = match self.inputs.recv_timeout(wait) {
+                Ok(event) => event,
+                Err(RecvTimeoutError::Timeout) => SideEvent::Tick,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            if let SideEvent::Want(_) = event {
+                self.metrics.wants.add();
+            }
+            let now = Millis(self.start.elapsed().as_millis() as u64);
+            let effects = self.reducer.step(now, event);
+            effects.into_iter().for_each(|effect| self.carry_out(effect));
+        }
+    }
+
+    fn carry_out(&self, effect: SideEffect) {
+        let task = match effect {
+            SideEffect::Poll => {
+                self.metrics.polls.add();
+                Task::Poll
+            }
+            SideEffect::Order(order) => {
+                self.metrics.orders.add();
+                Task::Order(order)
+            }
+            SideEffect::Publish(state) => {
+                self.states.send_replace(Some(state));
+                return;
+            }
+            SideEffect::Log(event) => {
+                log::info!("{event}");
+                return;
+            }
+        };
+        if self.tasks.send(task).is_err() {
+            log::debug!("event=traffic_gone");
+        }
+    }
+}
+
+/// The calls to the endpoint.
+struct Engine {
+    address: SocketAddr,
+    holder: String,
+    dialect: Arc<dyn Dialect>,
+    events: Sender<SideEvent>,
+}
+
+impl Engine {
+    async fn run(self, mut tasks: mpsc::UnboundedReceiver<Task>) {
+        let this = Arc::new(self);
+        let mut reports = Control::new(this.address);
+        while let Some(task) = tasks.recv().await {
+            match task {
+                Task::Poll => {
+                    let report = this.report(&mut reports).await;
+                    this.tell(SideEvent::Report(report));
+                }
+                Task::Order(order) => {
+                    let this = this.clone();
+                    // A silent order must not hold up the looks that show what became of it.
+                    tokio::spawn(async move {
+                        let outcome = this.order(&order).await;
+                        this.tell(SideEvent::Ordered(order.number, outcome));
+                    });
+                }
+            }
+        }
+    }
+
+    fn tell(&self, event: SideEvent) {
+        if self.events.send(event).is_err() {
+            log::debug!("event=control_gone");
+        }
+    }
+
+    async fn report(&self, control: &mut Control) -> Option<EngineReport> {
+        let read = async {
+            let request = get(self.address, self.dialect.report_path())?;
+            let (status, body) = control.call(request, REPORT_MS).await?;
+            if status != StatusCode::OK {
+                return Err(GatewayError::Status(status.as_u16()));
+            }
+            Ok(self.dialect.report(&body)?)
+        };
+        match read.await {
+            Ok(report) => Some(report),
+            Err(error) => {
+                log::info!("event=report_failed error=\"{error}\"");
+                None
+            }
+        }
+    }
+
+    async fn order(&self, order: &Order) -> OrderOutcome {
+        let call = self.dialect.order(order, &self.holder);
+        let mut request = Request::new(Full::new(Bytes::from(call.body)));
+        *request.method_mut() = hyper::Method::POST;
+        *request.uri_mut() = hyper::Uri::from_static(call.path);
+        *request.headers_mut() = call.headers;
+        let json = hyper::header::HeaderValue::from_static("application/json");
+        request.headers_mut().insert(CONTENT_TYPE, json);
+        if let Ok(host) = hyper::header::HeaderValue::from_str(&self.address.to_string()) {
+            request.headers_mut().insert(hyper::header::HOST, host);
+        }
+        match Control::new(self.address).call(request, ORDER_MS).await {
+            Ok((status, _)) => {
+                log::debug!("event=order_status order={} status={status}", order.number);
+                self.dialect.ordered(status)
+            }
+            Err(error) => {
+                log::info!("event=order_unanswered order={} error=\"{error}\"", order.number);
+                OrderOutcome::Unknown
+            }
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                tokio::spawn(attend(stream, from, shared.clone()));
+            }
+            Err(error) => log::warn!("event=accept_failed error=\"{error}\""),
+        }
+    }
+}
+
+/// Serves one entry's connection.
+async fn attend(stream: TcpStream, from: SocketAddr, shared: Arc<Shared>) {
+    tune(&stream);
+    let count = |by: i32| {
+        let before = shared.entries.fetch_add(by as u32, Ordering::Relaxed);
+        let entries = before.wrapping_add(by as u32);
+        if shared.events.send(SideEvent::Entries(entries)).is_err() {
+            log::debug!("event=control_gone");
+        }
+    };
+    count(1);
+    log::info!("event=entry_connected from={from}");
+    if let Err(error) = converse(stream, &shared).await {
+        log::info!("event=entry_lost from={from} error=\"{error}\"");
+    }
+    count(-1);
+}
+
+async fn converse(stream: TcpStream, shared: &Shared) -> Result<(), WireError> {
+    let (mut receiver, mut sender) = split(stream);
+    let mut states = shared.states.clone();
+    states.mark_changed();
+    let mut texts = shared.texts.subscribe();
+    texts.mark_changed();
+    loop {
+        tokio::select! {
+            changed = states.changed() => {
+                changed.map_err(|_| WireError::Closed)?;
+                let state = states.borrow_and_update().clone();
+                if let Some(state) = state {
+                    sender.send(PoolKind::State(state)).await?;
+                }
+            }
+            changed = texts.changed() => {
+                changed.map_err(|_| WireError::Closed)?;
+                let copy = texts.borrow_and_update().clone();
+                if let Some(copy) = copy {
+                    sender.send(PoolKind::Text(copy)).await?;
+                }
+            }
+            heard = receiver.next() => take(heard?, shared)?,
+        }
+    }
+}
+
+fn take(kind: PoolKind, shared: &Shared) -> Result<(), WireError> {
+    let event = match kind {
+        PoolKind::Want(want) => SideEvent::Want(want),
+        PoolKind::Used(used) => SideEvent::Used(used),
+        PoolKind::Text(copy) => {
+            take_text(copy, shared);
+            return Ok(());
+        }
+        PoolKind::State(_) => return Err(WireError::OutOfTurn),
+    };
+    shared.events.send(event).map_err(|_| WireError::Closed)
+}
+
+/// Keeps the newest text, and passes it on to the entries that do not have it.
+fn take_text(copy: TextCopy, shared: &Shared) {
+    let newer = |held: &Option<TextCopy>| {
+        held.as_ref().is_none_or(|held| held.version < copy.version)
+    };
+    if !newer(&shared.texts.borrow()) {
+        return;
+    }
+    match shared.dialect.text(&copy.bytes) {
+        Ok(text) => {
+            shared.texts.send_replace(Some(copy));
+            if shared.events.send(SideEvent::Text(Arc::new(text))).is_err() {
+                log::debug!("event=control_gone");
+            }
+        }
+        Err(error) => log::warn!("event=text_unreadable source=entry error=\"{error}\""),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,194 @@
+//! Reading the platform's store: a whole table first, its changes after.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use citronrill_pool::{EntryEvent, MemberChange};
+use citronrill_wire::TextCopy;
+use hyper::StatusCode;
+use tokio::{sync::watch, time::sleep};
+
+use crate::{
+    call::{Control, get},
+    dialect::{Dialect, RowPage, StoreRow, Table},
+    entry::{Events, ReadText},
+    error::GatewayError,
+};
+
+/// Milliseconds that the store holds a call for changes: a connection that has gone silent without
+/// a reset is noticed after this and a little more, before anything read on it is two seconds old.
+const WATCH_MS: u64 = 1_200;
+/// Milliseconds for an answer beyond that, with a store 50 times slower than usual (4 ms).
+const ANSWER_MS: u64 = 600;
+/// Milliseconds between two calls for the list: endpoints write often, and each call has its price;
+/// a leaving endpoint is to be left alone within two seconds.
+const LIST_PAUSE_MS: u64 = 500;
+/// Milliseconds before another try when the store does not answer.
+const FAILED_PAUSE_MS: u64 = 250;
+
+/// The text as last read, for all who pass it on.
+#[derive(Clone)]
+pub(crate) struct TextBoard {
+    dialect: Arc<dyn Dialect>,
+    events: Events,
+    sender: Arc<watch::Sender<Option<ReadText>>>,
+}
+
+impl TextBoard {
+    pub(crate) fn new(dialect: Arc<dyn Dialect>, events: Events) -> TextBoard {
+        TextBoard { dialect, events, sender: Arc::new(watch::Sender::new(None)) }
+    }
+
+    /// Takes the bytes of a text, from the store or a peer; an older one changes nothing.
+    pub(crate) fn offer(&self, bytes: &[u8], source: &str) {
+        let text = match self.dialect.text(bytes) {
+            Ok(text) => text,
+            Err(error) => {
+                log::warn!("event=text_unreadable source={source} error=\"{error}\"");
+                return;
+            }
+        };
+        let copy = TextCopy { version: text.version, bytes: bytes.to_vec() };
+        let read = ReadText { copy, text: Arc::new(text) };
+        let newer = self.sender.send_if_modified(|held| {
+            let newer = held.as_ref().is_none_or(|held| held.copy.version < read.copy.version);
+            if newer {
+                *held = Some(read.clone());
+            }
+            newer
+        });
+        if newer {
+            log::info!("event=text_read source={source} version={}", read.copy.version);
+            self.events.send(EntryEvent::Text(read.text));
+        }
+    }
+
+    /// Follows the text.
+    pub(crate) fn follow(&self) -> watch::Receiver<Option<ReadText>> {
+        self.sender.subscribe()
+    }
+}
+
+/// Follows one table for good.
+pub(crate) async fn watch_table(
+    store: SocketAddr,
+    table: Table,
+    dialect: Arc<dyn Dialect>,
+    board: TextBoard,
+) {
+    let mut watch = Watch { store, table, dialect, board, control: Control::new(store), at: None };
+    let mut lost = false;
+    loop {
+        match watch.turn().await {
+            Ok(()) => {
+                if lost {
+                    log::info!("event=store_regained table={table:?}");
+                }
+                lost = false;
+                if table == Table::Members {
+                    sleep(Duration::from_millis(LIST_PAUSE_MS)).await;
+                }
+            }
+            Err(error) => {
+                if !lost {
+                    log::warn!("event=store_lost table={table:?} error=\"{error}\"");
+                }
+                lost = true;
+                sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+struct Watch {
+    store: SocketAddr,
+    table: Table,
+    dialect: Arc<dyn Dialect>,
+    board: TextBoard,
+    control: Control,
+    /// The version up to which everything is known.
+    at: Option<u64>,
+}
+
+impl Watch {
+    async fn turn(&mut self) -> Result<(), GatewayError> {
+        match self.at {
+            None => self.read().await,
+            Some(at) => self.changes(at).await,
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), GatewayError> {
+        let mut from = None;
+        let mut all = RowPage::default();
+        loop {
+            let path = self.dialect.read_path(self.table, from.as_deref());
+            let (status, body) = self.call(&path, 2 * ANSWER_MS).await?;
+            if status != StatusCode::OK {
+                return Err(GatewayError::Status(status.as_u16()));
+            }
+            let page = self.dialect.rows(&body)?;
+            // The oldest page decides: what changed after it comes with the changes.
+            let first = all.version == 0;
+            all.version = if first { page.version } else { all.version.min(page.version) };
+            from = page.rows.last().map(|row| format!("{}\0", row.key));
+            all.rows.extend(page.rows);
+            if !page.truncated {
+                break;
+            }
+        }
+        self.at = Some(all.version);
+        self.take(all, true);
+        Ok(())
+    }
+
+    async fn changes(&mut self, at: u64) -> Result<(), GatewayError> {
+        let path = self.dialect.watch_path(self.table, at, WATCH_MS);
+        let (status, body) = self.call(&path, WATCH_MS + ANSWER_MS).await?;
+        if status == StatusCode::GONE {
+            // The history is gone: what changed meanwhile can only be seen in the whole.
+            log::info!("event=history_gone table={:?} version={at}", self.table);
+            self.at = None;
+            return Ok(());
+        }
+        if status != StatusCode::OK {
+            return Err(GatewayError::Status(status.as_u16()));
+        }
+        let page = self.dialect.rows(&body)?;
+        self.at = Some(at.max(page.version));
+        if !page.rows.is_empty() {
+            self.take(page, false);
+        }
+        Ok(())
+    }
+
+    async fn call(&mut self, path: &str, ms: u64) -> Result<(StatusCode, Bytes), GatewayError> {
+        self.control.call(get(self.store, path)?, ms).await
+    }
+
+    fn take(&self, page: RowPage, whole: bool) {
+        match self.table {
+            Table::Text => {
+                let texts = page.rows.iter().filter(|row| self.dialect.is_text(&row.key));
+                let texts = texts.filter_map(|row| row.value.as_ref());
+                texts.for_each(|bytes| self.board.offer(bytes, "store"));
+            }
+            Table::Members => {
+                let rows = page.rows.iter().filter_map(|row| self.member(row));
+                let change = MemberChange { whole, version: page.version, rows: rows.collect() };
+                self.board.events.send(EntryEvent::Members(change));
+            }
+        }
+    }
+
+    fn member(&self, row: &StoreRow) -> Option<(String, Option<citronrill_pool::Member>)> {
+        let Some(bytes) = &row.value else { return Some((row.key.clone(), None)) };
+        match self.dialect.member(&row.key, bytes) {
+            Ok(member) => Some((row.key.clone(), Some(member))),
+            Err(error) => {
+                log::warn!("event=member_unreadable instance={} error=\"{error}\"", row.key);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/src/entry/choose.rs
@@ -0,0 +1,79 @@
+//! Which endpoint a request goes to.
+
+use citronrill_base::hash_bytes;
+
+use super::{PoolEntry, Reason, Request};
+use crate::pool::Endpoint;
+
+/// What is to be done with a waiting request.
+pub(super) enum Choice {
+    /// Send it to this instance.
+    Send(String),
+    /// Its model must be fetched first.
+    Wait,
+    /// Nothing can run it in time.
+    Refuse(Reason),
+}
+
+/// What another zone costs, as a share of the slots: among endpoints about as busy, the one in the
+/// same zone saves bytes between zones and half a millisecond each way.
+const ZONE_COST: f64 = 0.15;
+/// Weight of an endpoint's share of failures: one that fails half of its requests looks as if it
+/// ran two batches more.
+const FAIL_COST: f64 = 4.0;
+/// Share of failures below which an endpoint is not held to be ill: single failures happen.
+const FAIL_FREE: f64 = 0.2;
+/// What an endpoint that could not be reached costs: it comes after all others.
+const AVOID_COST: f64 = 100.0;
+/// What is gained where the beginning of the prompt is likely kept, as a share of the slots.
+const PREFIX_GAIN: f64 = 0.2;
+/// Fill at which a plain endpoint is full: its slots and a queue that is worked off within the
+/// usual objective.
+const PLAIN_FULL: f64 = 4.0;
+/// Fill at which an engine takes no more: its batch, and as many again that wait for a slot.
+const ENGINE_FULL: f64 = 2.5;
+
+impl PoolEntry {
+    /// The best endpoint that can run `request` now, or what else is to be done.
+    pub(super) fn choose(&self, request: &Request) -> Choice {
+        let able = self.pool.endpoints.values().filter(|endpoint| self.able(endpoint, request));
+        let costs = able.map(|endpoint| (self.cost(endpoint, request), endpoint));
+        let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        let full = if request.target.is_some() { ENGINE_FULL } else { PLAIN_FULL };
+        match best {
+            Some((_, endpoint)) if endpoint.fill() < full => {
+                Choice::Send(endpoint.member.instance.clone())
+            }
+            Some(_) => Choice::Refuse(Reason::Full),
+            None if request.target.is_some() => Choice::Wait,
+            None => Choice::Refuse(Reason::NoEndpoint),
+        }
+    }
+
+    fn able(&self, endpoint: &Endpoint, request: &Request) -> bool {
+        let instance = &endpoint.member.instance;
+        endpoint.open()
+            && endpoint.member.service == request.service
+            && request.target.is_none_or(|target| endpoint.holding.keys.contains(&target))
+            && !request.tried.contains(instance)
+    }
+
+    fn cost(&self, endpoint: &Endpoint, request: &Request) -> f64 {
+        let mut cost = endpoint.fill();
+        cost += FAIL_COST * (endpoint.failing - FAIL_FREE).max(0.0);
+        if endpoint.member.zone != self.profile.zone {
+            cost += ZONE_COST;
+        }
+        if endpoint.avoided(self.now) {
+            cost += AVOID_COST;
+        }
+        if request.prefix != 0 {
+            // Requests with the same prompt prefix lean to the same endpoints, without a message:
+            // each entry works out the same order from the names.
+            let mixed = hash_bytes(endpoint.member.instance.as_bytes()) ^ request.prefix;
+            let lean = hash_bytes(&mixed.to_le_bytes()) as f64 / u64::MAX as f64;
+            cost -= PREFIX_GAIN * lean;
+        }
+        cost
+    }
+}
--- /dev/null
+++ b/crates/pool/src/entry/mod.rs
@@ -0,0 +1,504 @@
+//! The entry's reducer: one request from its arrival to its end.
+
+mod choose;
+mod placement;
+mod types;
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use citronrill_base::{Map, Millis, ModelKey, Names, hash_bytes};
+use citronrill_decide::LogEvent;
+use citronrill_wire::{SideState, Used};
+
+pub use self::types::{
+    AnswerHead, Arrival, EntryEffect, EntryEvent, EntryProfile, FailureKind, Reason, Refusal,
+    RequestId, Sending, Verdict,
+};
+use self::{choose::Choice, placement::OpenWant};
+use crate::{
+    budget::RetryBudget,
+    member::MemberChange,
+    pool::Pool,
+    text::{Repeat, Route, ServingText},
+};
+
+/// Entries assumed while no side has said how many there are: small shares of a common budget are
+/// safe, large ones are not.
+const ASSUMED_ENTRIES: u32 = 8;
+/// Milliseconds before a request's end at which nothing new is begun for it.
+const LAST_CALL_MS: u64 = 20;
+/// Sendings of one request at most, refusals included: a backstop beside the budget.
+const SEND_LIMIT: u32 = 4;
+
+/// Where a request stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// It waits for a model or a free endpoint.
+    Waiting,
+    /// It was sent and no answer has begun.
+    Sent,
+    /// Its answer is being given.
+    Passing,
+}
+
+/// One request in the entry's hands.
+#[derive(Debug, Clone)]
+struct Request {
+    caller: String,
+    service: String,
+    repeat: Repeat,
+    rank: u8,
+    attempts: u32,
+    target_ms: u64,
+    /// The model's name and an adapter's, or empty.
+    model: String,
+    adapter: String,
+    /// What must be held by an endpoint for it to run; `None` for a plain service.
+    target: Option<ModelKey>,
+    base: Option<ModelKey>,
+    prefix: u64,
+    arrived: Millis,
+    ends: Millis,
+    stage: Stage,
+    /// The instance that has it.
+    at: Option<String>,
+    /// Instances that had it and failed or refused it.
+    tried: Vec<String>,
+    /// Sendings after which it may have run.
+    runs: u32,
+    sends: u32,
+}
+
+/// Decides for callers' requests at one entry.
+#[derive(Debug)]
+pub struct PoolEntry {
+    profile: EntryProfile,
+    now: Millis,
+    text: Option<Arc<ServingText>>,
+    pool: Pool,
+    names: Names<ModelKey>,
+    requests: BTreeMap<RequestId, Request>,
+    budgets: Map<String, RetryBudget>,
+    wants: Map<ModelKey, OpenWant>,
+    effects: Vec<EntryEffect>,
+}
+
+impl PoolEntry {
+    /// An entry that knows nothing yet.
+    pub fn new(profile: EntryProfile) -> PoolEntry {
+        PoolEntry {
+            profile,
+            now: Millis(0),
+            text: None,
+            pool: Pool::default(),
+            names: Names::default(),
+            requests: BTreeMap::new(),
+            budgets: Map::default(),
+            wants: Map::default(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Whether requests can be served: a text is known.
+    pub fn ready(&self) -> bool {
+        self.text.is_some()
+    }
+
+    /// The version of the text in force; 0 if none is known.
+    pub fn text_version(&self) -> u64 {
+        self.text.as_ref().map_or(0, |text| text.version)
+    }
+
+    /// The version of the list of instances.
+    pub fn list_version(&self) -> u64 {
+        self.pool.version
+    }
+
+    /// Requests in hand.
+    pub fn in_hand(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Takes one event and gives what is to be done.
+    pub fn step(&mut self, now: Millis, event: EntryEvent) -> Vec<EntryEffect> {
+        self.now = now;
+        match event {
+            EntryEvent::Text(text) => self.take_text(text),
+            EntryEvent::Members(change) => self.take_members(change),
+            EntryEvent::Side(address, state) => self.take_side(address, &state),
+            EntryEvent::Arrive(arrival) => self.arrive(arrival),
+            EntryEvent::Answer(id, head) => self.answer(id, head),
+            EntryEvent::Fail(id, kind) => self.fail(id, kind),
+            EntryEvent::Finish(id, complete) => self.finish(id, complete),
+            EntryEvent::Leave(id) => self.leave(id),
+            EntryEvent::Tick => self.tick(),
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Takes a text; one that is no newer changes nothing, so that an entry never goes back.
+    fn take_text(&mut self, text: Arc<ServingText>) {
+        if text.version <= self.text_version() {
+            return;
+        }
+        let old = self.text_version();
+        self.log(LogEvent::new("text").with("version", text.version).with("old", old));
+        self.text = Some(text);
+        self.tell_sides();
+        self.retry_waiting();
+    }
+
+    fn take_members(&mut self, change: MemberChange) {
+        let version = change.version;
+        if self.pool.apply(change, &mut self.names) {
+            let open = self.pool.endpoints.values().filter(|endpoint| endpoint.open()).count();
+            let event = LogEvent::new("members").with("version", version);
+            self.log(event.with("known", self.pool.endpoints.len()).with("open", open));
+            self.tell_sides();
+        }
+        self.retry_waiting();
+    }
+
+    /// Names the endpoints whose sides are to be connected: those of services with models.
+    fn tell_sides(&mut self) {
+        let Some(text) = &self.text else { return };
+        let engine = |name: &str| text.service(name).is_some_and(|one| one.engine.is_some());
+        let members = self.pool.endpoints.values().map(|endpoint| &endpoint.member);
+        let sides = members.filter(|member| engine(&member.service)).map(|member| member.address);
+        let mut sides = sides.collect::<Vec<_>>();
+        sides.sort_unstable();
+        self.effects.push(EntryEffect::Sides(sides));
+    }
+
+    fn take_side(&mut self, address: SocketAddr, state: &SideState) {
+        if self.pool.hear(address, state, &mut self.names, self.now) {
+            self.close_wants(address);
+            self.retry_waiting();
+        }
+    }
+
+    fn arrive(&mut self, arrival: Arrival) {
+        let id = arrival.id;
+        match self.admit(&arrival) {
+            Ok(request) => {
+                let (now, service) = (self.now, request.service.clone());
+                self.budget(&service).first(now);
+                self.requests.insert(id, request);
+                self.dispatch(id);
+            }
+            Err(reason) => {
+                self.log(
+                    LogEvent::new("refused")
+                        .with("id", arrival.caller)
+                        .with("reason", reason.word())
+                        .with("text", self.text_version()),
+                );
+                let retry_ms = (reason == Reason::NoText).then_some(NO_TEXT_RETRY_MS);
+                self.effects.push(EntryEffect::Refuse(id, Refusal { reason, retry_ms }));
+            }
+        }
+    }
+
+    fn admit(&mut self, arrival: &Arrival) -> Result<Request, Reason> {
+        let text = self.text.clone().ok_or(Reason::NoText)?;
+        let route = text.route(&arrival.host, &arrival.path).ok_or(Reason::NoRoute)?;
+        let service = share(route, &arrival.caller).ok_or(Reason::NoRoute)?;
+        let (model, adapter) = arrival.model.split_once('/').unwrap_or((&arrival.model, ""));
+        let engine = text.service(service).and_then(|service| service.engine.as_ref());
+        let (mut target, mut base) = (None, None);
+        if let Some(engine) = engine {
+            engine.model(model).ok_or(Reason::NoModel)?;
+            target = Some(self.names.intern(&arrival.model));
+            base = Some(self.names.intern(model));
+        }
+        let allowed = arrival.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+        Ok(Request {
+            caller: arrival.caller.clone(),
+            service: service.to_owned(),
+            repeat: route.repeat,
+            rank: route.rank,
+            attempts: route.attempts.max(1),
+            target_ms: route.target_ms,
+            model: model.to_owned(),
+            adapter: adapter.to_owned(),
+            target,
+            base,
+            prefix: arrival.prefix,
+            arrived: self.now,
+            ends: self.now + allowed,
+            stage: Stage::Waiting,
+            at: None,
+            tried: Vec::new(),
+            runs: 0,
+            sends: 0,
+        })
+    }
+
+    /// Sends a waiting request, lets it wait, or refuses it.
+    fn dispatch(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if request.stage != Stage::Waiting {
+            return;
+        }
+        if request.ends.since(self.now) < LAST_CALL_MS {
+            self.refuse(id, Reason::Expired);
+            return;
+        }
+        match self.choose(request) {
+            Choice::Send(instance) => self.send(id, &instance),
+            Choice::Wait => self.want(id),
+            Choice::Refuse(reason) => self.refuse(id, reason),
+        }
+    }
+
+    fn send(&mut self, id: RequestId, instance: &str) {
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(endpoint) = self.pool.endpoints.get_mut(instance) else { return };
+        endpoint.own += 1;
+        endpoint.load += 1;
+        request.stage = Stage::Sent;
+        request.at = Some(instance.to_owned());
+        request.sends += 1;
+        let sending = Sending {
+            address: endpoint.member.address,
+            instance: instance.to_owned(),
+            remaining_ms: request.ends.since(now),
+            rank: request.rank,
+        };
+        let event = LogEvent::new("sent")
+            .with("id", &request.caller)
+            .with("to", instance)
+            .with("model", &request.model)
+            .with("waited_ms", now.since(request.arrived))
+            .with("load", endpoint.load)
+            .with("list", self.pool.version)
+            .with("sequence", endpoint.holding.sequence);
+        if request.target.is_some() {
+            let used = Used { model: request.model.clone(), adapter: request.adapter.clone() };
+            self.effects.push(EntryEffect::Used(sending.address, used));
+        }
+        self.effects.push(EntryEffect::Send(id, sending));
+        self.log(event);
+    }
+
+    fn answer(&mut self, id: RequestId, head: AnswerHead) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let verdict = judge(head, request.repeat);
+        let endpoint = request.at.as_ref().and_then(|at| self.pool.endpoints.get_mut(at));
+        if let Some(endpoint) = endpoint {
+            endpoint.load = head.load.unwrap_or(endpoint.load);
+            if verdict != Verdict::NotRun {
+                endpoint.note(verdict == Verdict::Failed || head.status >= 500);
+            } else if head.status == 421 {
+                // The endpoint does not hold what was believed: the belief is dropped until the
+                // list or the side says something newer, or requests would go there in a loop.
+                let target = request.target;
+                endpoint.holding.keys.retain(|key| Some(*key) != target);
+            }
+        }
+        match verdict {
+            Verdict::Pass => {
+                request.stage = Stage::Passing;
+                self.effects.push(EntryEffect::Pass(id));
+            }
+            Verdict::NotRun => self.again(id, false, head.status),
+            Verdict::Failed => self.again(id, true, head.status),
+        }
+    }
+
+    fn fail(&mut self, id: RequestId, kind: FailureKind) {
+        let now = self.now;
+        let Some(request) = self.requests.get(&id) else { return };
+        let at = request.at.clone();
+        if let Some(endpoint) = at.and_then(|at| self.pool.endpoints.get_mut(&at)) {
+            endpoint.note(true);
+            if kind == FailureKind::Unreached {
+                endpoint.avoid(now);
+            }
+        }
+        self.again(id, kind == FailureKind::Broken, 0);
+    }
+
+    /// Tries a request again, or ends it.
+    fn again(&mut self, id: RequestId, ran: bool, status: u16) {
+        let now = self.now;
+        self.release(id);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.runs += u32::from(ran);
+        request.tried.extend(request.at.take());
+        request.stage = Stage::Waiting;
+        let exhausted = request.sends >= SEND_LIMIT || request.runs >= request.attempts;
+        let barred = request.runs > 0 && !request.repeat.may_rerun();
+        let (runs, service) = (request.runs, request.service.clone());
+        let event = LogEvent::new("failed")
+            .with("id", &request.caller)
+            .with("from", request.tried.last().map_or("", String::as_str))
+            .with("status", status)
+            .with("ran", ran)
+            .with("sends", request.sends);
+        self.log(event);
+        if barred || exhausted && runs > 0 {
+            self.refuse(id, Reason::Broken);
+        } else if exhausted || !self.budget(&service).take(now) {
+            self.refuse(id, if runs > 0 { Reason::Broken } else { Reason::Full });
+        } else {
+            self.dispatch(id);
+        }
+    }
+
+    fn finish(&mut self, id: RequestId, complete: bool) {
+        let at = self.requests.get(&id).and_then(|request| request.at.clone());
+        if let Some(endpoint) = at.and_then(|at| self.pool.endpoints.get_mut(&at)) {
+            endpoint.note(!complete);
+        }
+        self.release(id);
+        if let Some(request) = self.requests.remove(&id) {
+            self.log(
+                LogEvent::new("finished")
+                    .with("id", &request.caller)
+                    .with("from", request.at.as_deref().unwrap_or(""))
+                    .with("complete", complete)
+                    .with("took_ms", self.now.since(request.arrived)),
+            );
+        }
+    }
+
+    fn leave(&mut self, id: RequestId) {
+        self.release(id);
+        if let Some(request) = self.requests.remove(&id) {
+            let age = self.now.since(request.arrived);
+            self.log(LogEvent::new("left").with("id", &request.caller).with("after_ms", age));
+        }
+    }
+
+    /// Takes a request off its endpoint's count.
+    fn release(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if request.stage == Stage::Waiting {
+            return;
+        }
+        let endpoint = request.at.as_ref().and_then(|at| self.pool.endpoints.get_mut(at));
+        if let Some(endpoint) = endpoint {
+            endpoint.own = endpoint.own.saturating_sub(1);
+            endpoint.load = endpoint.load.saturating_sub(1);
+        }
+    }
+
+    /// Ends what has run out of time, and looks again at what waits.
+    fn tick(&mut self) {
+        let over = self.requests.iter().filter(|(_, request)| self.now >= request.ends);
+        let over = over.map(|(id, request)| (*id, request.stage, request.runs));
+        for (id, stage, runs) in over.collect::<Vec<_>>() {
+            match stage {
+                Stage::Waiting if runs == 0 => self.refuse(id, Reason::Expired),
+                Stage::Waiting | Stage::Sent => self.refuse(id, Reason::TimedOut),
+                Stage::Passing => {
+                    self.effects.push(EntryEffect::Cut(id));
+                    self.finish(id, false);
+                }
+            }
+        }
+        self.expire_wants();
+        self.retry_waiting();
+        self.spread();
+    }
+
+    fn retry_waiting(&mut self) {
+        let waiting = self.requests.iter().filter(|(_, one)| one.stage == Stage::Waiting);
+        for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.dispatch(id);
+        }
+    }
+
+    fn refuse(&mut self, id: RequestId, reason: Reason) {
+        self.release(id);
+        let Some(request) = self.requests.remove(&id) else { return };
+        let retry_ms = self.retry_after(reason, &request);
+        self.log(
+            LogEvent::new("refused")
+                .with("id", &request.caller)
+                .with("reason", reason.word())
+                .with("status", reason.status())
+                .with("model", &request.model)
+                .with("after_ms", self.now.since(request.arrived))
+                .with("sends", request.sends)
+                .with("runs", request.runs)
+                .with("text", self.text_version())
+                .with("list", self.pool.version),
+        );
+        self.effects.push(EntryEffect::Refuse(id, Refusal { reason, retry_ms }));
+    }
+
+    /// When a refused caller may come back.
+    ///
+    /// The endpoints work off a full queue within about the latency objective, so half of that
+    /// finds room again without a wave of callers at one moment; the caller's number spreads it.
+    fn retry_after(&self, reason: Reason, request: &Request) -> Option<u64> {
+        let spread = hash_bytes(request.caller.as_bytes()) % (request.target_ms / 4 + 1);
+        match reason {
+            Reason::Full | Reason::NoEndpoint | Reason::TooFar => {
+                Some(request.target_ms / 2 + spread)
+            }
+            Reason::NoText => Some(NO_TEXT_RETRY_MS),
+            Reason::Expired
+            | Reason::NoRoute
+            | Reason::NoModel
+            | Reason::TimedOut
+            | Reason::Broken => None,
+        }
+    }
+
+    fn budget(&mut self, service: &str) -> &mut RetryBudget {
+        let sides = self.pool.endpoints.values().filter_map(|endpoint| endpoint.side.as_ref());
+        let entries = sides.map(|side| side.entries).max().filter(|entries| *entries > 0);
+        let entries = f64::from(entries.unwrap_or(ASSUMED_ENTRIES));
+        let profile = &self.profile;
+        self.budgets.entry(service.to_owned()).or_insert_with(|| {
+            let slack = profile.retry_slack / (entries + 1.0);
+            RetryBudget::new(profile.retry_ratio, slack, profile.retry_window_ms)
+        })
+    }
+
+    fn log(&mut self, event: LogEvent) {
+        self.effects.push(EntryEffect::Log(event));
+    }
+}
+
+/// Milliseconds after which a caller may come back to an entry that knows no text yet: one second
+/// is what a process takes from its start to its first text.
+const NO_TEXT_RETRY_MS: u64 = 1_000;
+
+/// The service that a request goes to: callers are spread over the shares by their number.
+fn share<'a>(route: &'a Route, caller: &str) -> Option<&'a str> {
+    let total = route.shares.iter().map(|(_, weight)| u64::from(*weight)).sum::<u64>();
+    let mut left = hash_bytes(caller.as_bytes()) % total.max(1);
+    let pick = route.shares.iter().find(|(_, weight)| {
+        let weight = u64::from(*weight);
+        let here = left < weight;
+        left = left.saturating_sub(weight);
+        here
+    });
+    pick.or(route.shares.first()).map(|(service, _)| service.as_str())
+}
+
+/// What becomes of an endpoint's answer.
+///
+/// The failures it guards against: a success without the endpoint's signature, or one that names
+/// another request, is somebody else's or spoilt and must not reach the caller; a failure of a
+/// request that may run again is worth another endpoint; a refusal that says "not run" is one for
+/// any kind of request.
+pub fn judge(head: AnswerHead, repeat: Repeat) -> Verdict {
+    let success = (200..300).contains(&head.status);
+    if head.foreign {
+        Verdict::Failed
+    } else if head.not_run || head.status == 421 {
+        Verdict::NotRun
+    } else if success && !head.signed {
+        Verdict::Failed
+    } else if head.status >= 500 && repeat.may_rerun() {
+        Verdict::Failed
+    } else {
+        Verdict::Pass
+    }
+}
--- /dev/null
+++ b/crates/pool/src/entry/placement.rs
@@ -0,0 +1,300 @@
+//! Where a model is fetched to, and what makes way for it.
+
+use std::net::SocketAddr;
+
+use citronrill_base::{Millis, ModelKey, rendezvous_score};
+use citronrill_decide::LogEvent;
+use citronrill_wire::Want;
+
+use super::{EntryEffect, PoolEntry, Reason, Request, RequestId, Stage};
+use crate::{
+    pool::{Endpoint, full_name},
+    text::{EngineSpec, ModelSpec},
+};
+
+/// Milliseconds that an order waits behind another at the same endpoint, on average: a load from
+/// disk takes 570 to 1,200.
+const QUEUED_MS: f64 = 800.0;
+/// Milliseconds that a model in use holds up its own unloading: a stream runs about half a second.
+const BUSY_VICTIM_MS: f64 = 400.0;
+/// Seconds ahead for which a model's next use is weighed.
+const HORIZON_S: f64 = 10.0;
+/// Milliseconds that a request loses when its model has to be fetched first.
+const MISS_MS: f64 = 900.0;
+/// Seconds that one request takes a slot, about.
+const RUN_S: f64 = 0.5;
+/// Share of the slots in use above which a replica is not given up.
+const BUSY_SHARE: f64 = 0.4;
+/// Milliseconds after which a side that was asked and shows nothing is given up for another.
+const UNHEARD_MS: u64 = 400;
+/// Fill of the least busy replica above which another one is asked for.
+const CROWDED: f64 = 0.6;
+
+/// A model or adapter that this entry has asked for.
+#[derive(Debug, Clone)]
+pub(super) struct OpenWant {
+    instance: String,
+    address: SocketAddr,
+    asked: Millis,
+    until: Millis,
+    seen: bool,
+}
+
+/// A place for a model, with what it costs in milliseconds.
+struct Place {
+    instance: String,
+    cost: f64,
+    ready_ms: f64,
+    victims: Vec<ModelKey>,
+}
+
+impl PoolEntry {
+    /// Asks for what a waiting request needs, unless that is under way.
+    pub(super) fn want(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let (Some(target), Some(base)) = (request.target, request.base) else { return };
+        if self.wants.contains_key(&target) {
+            return;
+        }
+        let (model, adapter) = (request.model.clone(), request.adapter.clone());
+        let left = request.ends.since(self.now);
+        let held = |endpoint: &&Endpoint| {
+            endpoint.open()
+                && endpoint.holding.keys.contains(&base)
+                && endpoint.member.service == request.service
+                && endpoint.fresh_side(self.now).is_some_and(|side| side.leaving != Some(base))
+        };
+        if !adapter.is_empty() {
+            let holders = self.pool.endpoints.values().filter(held);
+            let best = holders.min_by(|a, b| a.fill().total_cmp(&b.fill()));
+            if let Some(best) = best {
+                let instance = best.member.instance.clone();
+                self.ask(target, &instance, &model, &adapter, Vec::new(), left);
+                return;
+            }
+            if self.wants.contains_key(&base) {
+                return;
+            }
+        }
+        let Some(place) = self.place(request, base) else {
+            let reason = Reason::NoEndpoint;
+            self.refuse(id, reason);
+            return;
+        };
+        if place.ready_ms > left as f64 {
+            self.refuse(id, Reason::TooFar);
+            return;
+        }
+        self.ask(base, &place.instance, &model, "", place.victims, left);
+    }
+
+    fn ask(
+        &mut self,
+        key: ModelKey,
+        instance: &str,
+        model: &str,
+        adapter: &str,
+        victims: Vec<ModelKey>,
+        ttl_ms: u64,
+    ) {
+        let Some(endpoint) = self.pool.endpoints.get(instance) else { return };
+        let address = endpoint.member.address;
+        let service = &endpoint.member.service;
+        let fleet = self.pool.endpoints.values().filter(|one| one.member.service == *service);
+        let waiting = self.requests.values().filter(|one| {
+            one.stage == Stage::Waiting && (one.target == Some(key) || one.base == Some(key))
+        });
+        let want = Want {
+            instance: instance.to_owned(),
+            model: model.to_owned(),
+            adapter: adapter.to_owned(),
+            victims: victims.iter().map(|key| self.names.name(*key).to_owned()).collect(),
+            fleet: fleet.count() as u32,
+            ttl_ms,
+            waiting: waiting.count() as u32,
+        };
+        let event = LogEvent::new("want")
+            .with("model", model)
+            .with("adapter", adapter)
+            .with("at", instance)
+            .with("victims", want.victims.join(","))
+            .with("waiting", want.waiting)
+            .with("sequence", endpoint.holding.sequence);
+        let open = OpenWant {
+            instance: instance.to_owned(),
+            address,
+            asked: self.now,
+            until: self.now + ttl_ms,
+            seen: false,
+        };
+        self.wants.insert(key, open);
+        self.effects.push(EntryEffect::Want(address, want));
+        self.log(event);
+    }
+
+    /// The cheapest endpoint to fetch `model` to.
+    fn place(&self, request: &Request, model: ModelKey) -> Option<Place> {
+        let engine = self.text.as_ref()?.service(&request.service)?.engine.as_ref()?;
+        let spec = engine.model(&request.model)?;
+        let members = self.pool.endpoints.values();
+        let fit = members.filter(|one| one.open() && one.member.service == request.service);
+        let places = fit.filter_map(|one| self.place_at(one, engine, spec, model));
+        places.min_by(|a, b| a.cost.total_cmp(&b.cost))
+    }
+
+    fn place_at(
+        &self,
+        endpoint: &Endpoint,
+        engine: &EngineSpec,
+        spec: &ModelSpec,
+        model: ModelKey,
+    ) -> Option<Place> {
+        let side = endpoint.fresh_side(self.now).filter(|side| side.sound)?;
+        if endpoint.avoided(self.now) || endpoint.holding.models.contains(&model) {
+            return None;
+        }
+        let load_ms = if endpoint.holding.in_memory.contains(&model) {
+            spec.memory_ms
+        } else if endpoint.holding.on_disk.contains(&model) {
+            spec.disk_ms
+        } else {
+            spec.store_ms
+        };
+        let pending = side.loading.len() + usize::from(side.leaving.is_some());
+        let mut ready_ms = load_ms as f64 + pending as f64 * QUEUED_MS;
+        let (victims, price) = self.victims(endpoint, engine, spec)?;
+        let busy = victims.iter().any(|victim| rate_of(endpoint, *victim) * RUN_S > 0.5);
+        if busy {
+            ready_ms += BUSY_VICTIM_MS;
+        }
+        let tie = rendezvous_score(&spec.name, &endpoint.member.instance) as f64 / u64::MAX as f64;
+        let instance = endpoint.member.instance.clone();
+        Some(Place { instance, cost: ready_ms + price + tie, ready_ms, victims })
+    }
+
+    /// What has to make way at `endpoint` for a model, cheapest first, and what that costs.
+    fn victims(
+        &self,
+        endpoint: &Endpoint,
+        engine: &EngineSpec,
+        spec: &ModelSpec,
+    ) -> Option<(Vec<ModelKey>, f64)> {
+        let side = endpoint.fresh_side(self.now)?;
+        let size = |key: &ModelKey| {
+            engine.model(self.names.name(*key)).map_or(0.0, |model| model.weights_mb)
+        };
+        // What is on its way there takes room like what is there; room for as many adapters as may
+        // be held is kept free, so that an adapter never has to push a model out.
+        let coming = side.loading.iter().filter(|key| !endpoint.holding.models.contains(key));
+        let used = endpoint.holding.models.iter().chain(coming).map(size).sum::<f64>();
+        let adapters = f64::from(engine.adapter_limit) * spec.adapter_mb;
+        let mut free = engine.weights_mb - used - adapters;
+        let mut held = endpoint.holding.models.iter().map(|key| (self.value(*key, endpoint), *key));
+        let mut order = held.by_ref().collect::<Vec<_>>();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (mut victims, mut price) = (Vec::new(), 0.0);
+        let mut order = order.into_iter();
+        while free < spec.weights_mb {
+            let (value, key) = order.next()?;
+            free += size(&key);
+            price += value;
+            victims.push(key);
+        }
+        Some((victims, price))
+    }
+
+    /// What is lost when `key` leaves `endpoint`, in milliseconds of callers' waiting.
+    ///
+    /// The last replica of a model costs one miss if it is asked for within the horizon, and one
+    /// for each request that comes while it is fetched back. A replica among several costs little
+    /// while the others can carry the load.
+    fn value(&self, key: ModelKey, endpoint: &Endpoint) -> f64 {
+        let holders = self.pool.endpoints.values().filter(|one| {
+            one.open() && one.holding.models.contains(&key)
+        });
+        let others = holders.filter(|one| one.member.instance != endpoint.member.instance);
+        let slots = others.map(|one| f64::from(one.member.slots)).sum::<f64>();
+        let rate = self.rate(key);
+        let waiting = self.requests.values().filter(|one| {
+            one.stage == Stage::Waiting && one.base == Some(key)
+        });
+        let urgent = waiting.count() as f64 * MISS_MS;
+        let share = rate * RUN_S / slots.max(1.0);
+        if slots > 0.0 && share < BUSY_SHARE {
+            return rate_of(endpoint, key) * RUN_S * 10.0;
+        }
+        let next = 1.0 - (-rate * HORIZON_S).exp();
+        urgent + MISS_MS * (next + rate * MISS_MS / 1_000.0)
+    }
+
+    /// Requests a second for a model, over all endpoints.
+    fn rate(&self, key: ModelKey) -> f64 {
+        self.pool.endpoints.values().map(|endpoint| rate_of(endpoint, key)).sum()
+    }
+
+    /// Closes wants that an endpoint's side has answered by its state.
+    pub(super) fn close_wants(&mut self, address: SocketAddr) {
+        let Some(endpoint) = self.pool.at(address) else { return };
+        let held = endpoint.holding.keys.clone();
+        let coming = endpoint.side.as_ref().map(|side| side.loading.clone()).unwrap_or_default();
+        let now = self.now;
+        self.wants.retain(|key, want| {
+            if want.address != address {
+                return true;
+            }
+            want.seen |= coming.contains(key);
+            let declined = want.seen && !coming.contains(key);
+            let unheard = !want.seen && now.since(want.asked) > UNHEARD_MS;
+            !held.contains(key) && !declined && !unheard
+        });
+    }
+
+    /// Forgets wants that nobody waits for, or that a lost side will never answer.
+    pub(super) fn expire_wants(&mut self) {
+        let now = self.now;
+        let pool = &self.pool;
+        self.wants.retain(|_, want| {
+            let side = pool.endpoints.get(&want.instance).and_then(|one| one.fresh_side(now));
+            let unheard = !want.seen && now.since(want.asked) > UNHEARD_MS;
+            side.is_some() && !unheard && now < want.until
+        });
+    }
+
+    /// Asks for one more replica of a model whose replicas are all crowded.
+    pub(super) fn spread(&mut self) {
+        let running = self.requests.values().filter(|one| one.stage != Stage::Waiting);
+        let bases = running.filter_map(|one| Some((one.base?, one)));
+        let mut crowded = Vec::<(ModelKey, String, Option<Place>)>::new();
+        for (base, request) in bases {
+            if crowded.iter().any(|(key, ..)| *key == base) || self.wants.contains_key(&base) {
+                continue;
+            }
+            let holders = self.pool.endpoints.values().filter(|one| {
+                one.open() && one.holding.models.contains(&base)
+            });
+            let fill = holders.map(Endpoint::fill).fold(f64::INFINITY, f64::min);
+            if fill.is_finite() && fill > CROWDED {
+                crowded.push((base, request.model.clone(), self.place(request, base)));
+            }
+        }
+        for (base, model, place) in crowded {
+            // A replica is worth less than the only copy of another model that is in use.
+            if let Some(place) = place.filter(|place| place.cost < 2.0 * MISS_MS) {
+                self.ask(base, &place.instance, &model, "", place.victims, SPREAD_TTL_MS);
+            }
+        }
+    }
+
+    /// The full name of a model or adapter, for tests and dumps.
+    pub fn full_name(model: &str, adapter: &str) -> String {
+        if adapter.is_empty() { model.to_owned() } else { full_name(model, adapter) }
+    }
+}
+
+/// Milliseconds for which another replica is still of use: a burst lasts a few seconds.
+const SPREAD_TTL_MS: u64 = 3_000;
+
+fn rate_of(endpoint: &Endpoint, key: ModelKey) -> f64 {
+    let rates = endpoint.side.iter().flat_map(|side| side.rates.iter());
+    rates.filter(|(model, _)| *model == key).map(|(_, rate)| *rate).sum()
+}
--- /dev/null
+++ b/crates/pool/src/entry/types.rs
@@ -0,0 +1,203 @@
+//! Events, effects and small types of the entry's reducer.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use citronrill_decide::LogEvent;
+use citronrill_wire::{SideState, Used, Want};
+
+use crate::{member::MemberChange, text::ServingText};
+
+/// Names one request of one process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestId(pub u64);
+
+/// What does not change while an entry runs.
+#[derive(Debug, Clone)]
+pub struct EntryProfile {
+    /// The entry's availability zone.
+    pub zone: String,
+    /// The port on which every side takes connections from entries.
+    pub side_port: u16,
+    /// Second sends allowed, as a share of requests.
+    pub retry_ratio: f64,
+    /// Second sends allowed besides, over all entries.
+    pub retry_slack: f64,
+    /// The window of both, in milliseconds.
+    pub retry_window_ms: u64,
+}
+
+/// A request that was read whole.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrival {
+    /// The name that this process gave it.
+    pub id: RequestId,
+    /// The name that its caller gave it, for logs.
+    pub caller: String,
+    /// The host that the caller named.
+    pub host: String,
+    /// The path, without the query.
+    pub path: String,
+    /// Milliseconds that the caller will wait.
+    pub deadline_ms: Option<u64>,
+    /// The model, and an adapter after a slash; empty for a plain service.
+    pub model: String,
+    /// A hash of the part of the prompt that is shared most widely; 0 if there is none.
+    pub prefix: u64,
+}
+
+/// The head of an endpoint's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct AnswerHead {
+    /// The status.
+    pub status: u16,
+    /// Whether the endpoint says that the request has not run.
+    pub not_run: bool,
+    /// Whether the answer bears the endpoint's signature.
+    pub signed: bool,
+    /// Whether the answer names another request, or none though one was due.
+    pub foreign: bool,
+    /// Requests that run and wait there, if told.
+    pub load: Option<u32>,
+}
+
+/// How a sending failed without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailureKind {
+    /// No connection was made: the request has not run.
+    Unreached,
+    /// The connection broke after bytes may have been sent: the request may run.
+    Broken,
+}
+
+/// What happens at an entry.
+#[derive(Debug, Clone)]
+pub enum EntryEvent {
+    /// A text was read, from the platform or a peer.
+    Text(Arc<ServingText>),
+    /// The list of instances has changed.
+    Members(MemberChange),
+    /// A side spoke; the address is its endpoint's.
+    Side(SocketAddr, SideState),
+    /// A request was read.
+    Arrive(Arrival),
+    /// An endpoint began to answer.
+    Answer(RequestId, AnswerHead),
+    /// A sending failed before an answer.
+    Fail(RequestId, FailureKind),
+    /// The answer has ended; whether it was complete.
+    Finish(RequestId, bool),
+    /// The caller has left.
+    Leave(RequestId),
+    /// Time has passed.
+    Tick,
+}
+
+/// One sending of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sending {
+    /// Where to.
+    pub address: SocketAddr,
+    /// The instance that is meant.
+    pub instance: String,
+    /// Milliseconds that are left to it.
+    pub remaining_ms: u64,
+    /// The urgency, 0 first.
+    pub rank: u8,
+}
+
+/// Why a request was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// No text is known yet.
+    NoText,
+    /// No route leads there.
+    NoRoute,
+    /// The model is not one of the service's.
+    NoModel,
+    /// No endpoint can run it.
+    NoEndpoint,
+    /// Every endpoint that could run it is full.
+    Full,
+    /// The model cannot be there in time.
+    TooFar,
+    /// Its time is up and it has not run.
+    Expired,
+    /// Its time is up and it may have run.
+    TimedOut,
+    /// The endpoint failed it, and it may have run.
+    Broken,
+}
+
+impl Reason {
+    /// A fixed word for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Reason::NoText => "no_text",
+            Reason::NoRoute => "no_route",
+            Reason::NoModel => "no_model",
+            Reason::NoEndpoint => "no_endpoint",
+            Reason::Full => "full",
+            Reason::TooFar => "too_far",
+            Reason::Expired => "expired",
+            Reason::TimedOut => "timed_out",
+            Reason::Broken => "broken",
+        }
+    }
+
+    /// The status that says so.
+    ///
+    /// 503 promises that the request has not run and never will; 502 and 504 promise nothing.
+    pub fn status(self) -> u16 {
+        match self {
+            Reason::NoRoute | Reason::NoModel => 404,
+            Reason::NoText
+            | Reason::NoEndpoint
+            | Reason::Full
+            | Reason::TooFar
+            | Reason::Expired => 503,
+            Reason::TimedOut => 504,
+            Reason::Broken => 502,
+        }
+    }
+}
+
+/// A final answer of the system's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// Milliseconds after which the caller may come back.
+    pub retry_ms: Option<u64>,
+}
+
+/// What an entry does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum EntryEffect {
+    /// Send the request.
+    Send(RequestId, Sending),
+    /// Give the endpoint's answer to the caller.
+    Pass(RequestId),
+    /// Give an answer of the system's own.
+    Refuse(RequestId, Refusal),
+    /// Break off an answer that is being given: its time is up.
+    Cut(RequestId),
+    /// Ask the side beside the endpoint at this address for a model.
+    Want(SocketAddr, Want),
+    /// Tell the side beside the endpoint at this address of a request.
+    Used(SocketAddr, Used),
+    /// Keep connections to the sides beside these endpoints, and to no others.
+    Sides(Vec<SocketAddr>),
+    /// Write a log line.
+    Log(LogEvent),
+}
+
+/// What becomes of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It goes to the caller.
+    Pass,
+    /// The request has not run: it may go elsewhere whatever its kind.
+    NotRun,
+    /// The request has run and failed, or may have.
+    Failed,
+}
--- /dev/null
+++ b/crates/pool/src/lib.rs
@@ -0,0 +1,28 @@
+//! Routing, waiting and placement over a pool of endpoints, as pure reducers.
+//!
+//! [`PoolEntry`] decides for callers' requests: route, endpoint, wait, refuse, try again, ask for a
+//! model. [`PoolSide`] decides for one endpoint: which order to give next. Both take events and give
+//! effects; they read no clock and draw no random number. The crate stands apart from `decide` as
+//! nothing here is agreed through the platform's table: a side is the only holder of orders for its
+//! endpoint, and entries act on beliefs that each carry a sequence.
+
+mod budget;
+mod entry;
+mod member;
+mod pool;
+mod rate;
+mod side;
+mod text;
+
+pub use crate::{
+    budget::RetryBudget,
+    entry::{
+        AnswerHead, Arrival, EntryEffect, EntryEvent, EntryProfile, FailureKind, PoolEntry, Reason,
+        Refusal, RequestId, Sending, Verdict, judge,
+    },
+    member::{HeldModel, Member, MemberChange},
+    side::{
+        EngineReport, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
+    },
+    text::{CallerLimits, EngineSpec, ModelSpec, Repeat, Route, Service, ServingText},
+};
--- /dev/null
+++ b/crates/pool/src/member.rs
@@ -0,0 +1,48 @@
+//! What is known of the endpoints: the platform's list of instances.
+
+use std::net::SocketAddr;
+
+/// One endpoint as the platform's list describes it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member {
+    /// The name of this start of the endpoint.
+    pub instance: String,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+    /// Requests run at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Orders accepted when this was written; tells which of two beliefs is newer.
+    pub sequence: u64,
+    /// The models that it holds.
+    pub models: Vec<HeldModel>,
+    /// Models with a copy in the instance's memory.
+    pub in_memory: Vec<String>,
+    /// Models with a copy on the instance's disk.
+    pub on_disk: Vec<String>,
+}
+
+/// One model that an endpoint holds.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct HeldModel {
+    /// The model's name.
+    pub name: String,
+    /// Its adapters, by their own names.
+    pub adapters: Vec<String>,
+}
+
+/// Changes of the list.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct MemberChange {
+    /// Whether `rows` is the whole list, so that whoever is missing is gone.
+    pub whole: bool,
+    /// The list's version after the change.
+    pub version: u64,
+    /// Instances by name; `None` where one is gone.
+    pub rows: Vec<(String, Option<Member>)>,
+}
--- /dev/null
+++ b/crates/pool/src/pool.rs
@@ -0,0 +1,231 @@
+//! What an entry believes of the endpoints.
+
+use std::net::SocketAddr;
+
+use citronrill_base::{Map, Millis, ModelKey, Names};
+use citronrill_wire::SideState;
+
+use crate::member::{Member, MemberChange};
+
+/// Milliseconds after which a side's last word no longer counts as fresh: four of its periods of
+/// 500 ms, so that one lost message does not turn a worker dark.
+pub(crate) const FRESH_MS: u64 = 2_000;
+/// Milliseconds for which an endpoint that could not be reached is passed over while others serve.
+const AVOID_MS: u64 = 1_000;
+/// Share of the last failure in the failure average: six failures in a row bring it over one half.
+const FAIL_STEP: f64 = 0.12;
+
+/// What is held by an endpoint, with the version of the belief.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Holding {
+    /// Models and adapters held, by interned full name.
+    pub(crate) keys: Vec<ModelKey>,
+    /// Models only.
+    pub(crate) models: Vec<ModelKey>,
+    /// Models with a copy in memory.
+    pub(crate) in_memory: Vec<ModelKey>,
+    /// Models with a copy on disk.
+    pub(crate) on_disk: Vec<ModelKey>,
+    /// Orders accepted when this was seen.
+    pub(crate) sequence: u64,
+}
+
+/// What the side beside an endpoint said last.
+#[derive(Debug, Clone)]
+pub(crate) struct SideBelief {
+    pub(crate) at: Millis,
+    pub(crate) loading: Vec<ModelKey>,
+    pub(crate) leaving: Option<ModelKey>,
+    pub(crate) entries: u32,
+    pub(crate) sound: bool,
+    /// Requests a second by model.
+    pub(crate) rates: Vec<(ModelKey, f64)>,
+}
+
+/// One endpoint.
+#[derive(Debug, Clone)]
+pub(crate) struct Endpoint {
+    pub(crate) member: Member,
+    pub(crate) holding: Holding,
+    pub(crate) side: Option<SideBelief>,
+    /// Own requests that run there.
+    pub(crate) own: u32,
+    /// Requests that run there by all accounts, with own sends since.
+    pub(crate) load: u32,
+    pub(crate) avoid_until: Millis,
+    pub(crate) failing: f64,
+}
+
+impl Endpoint {
+    fn new(member: Member) -> Endpoint {
+        Endpoint {
+            member,
+            holding: Holding::default(),
+            side: None,
+            own: 0,
+            load: 0,
+            avoid_until: Millis(0),
+            failing: 0.0,
+        }
+    }
+
+    /// Whether new requests may go there.
+    pub(crate) fn open(&self) -> bool {
+        !self.member.leaving
+    }
+
+    /// Requests that run or wait there, as far as known.
+    pub(crate) fn load(&self) -> u32 {
+        self.load.max(self.own)
+    }
+
+    /// The load as a share of the slots.
+    pub(crate) fn fill(&self) -> f64 {
+        f64::from(self.load()) / f64::from(self.member.slots.max(1))
+    }
+
+    /// The side's word, while it is fresh.
+    pub(crate) fn fresh_side(&self, now: Millis) -> Option<&SideBelief> {
+        self.side.as_ref().filter(|side| now.since(side.at) < FRESH_MS)
+    }
+
+    /// Notes a failure or a success of a request.
+    pub(crate) fn note(&mut self, failed: bool) {
+        self.failing += FAIL_STEP * (f64::from(u8::from(failed)) - self.failing);
+    }
+
+    /// Passes the endpoint over for a while: it could not be reached.
+    pub(crate) fn avoid(&mut self, now: Millis) {
+        self.avoid_until = now + AVOID_MS;
+    }
+
+    /// Whether it is passed over while others serve.
+    pub(crate) fn avoided(&self, now: Millis) -> bool {
+        now < self.avoid_until
+    }
+}
+
+/// The endpoints by instance name.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Pool {
+    pub(crate) endpoints: Map<String, Endpoint>,
+    by_address: Map<SocketAddr, String>,
+    pub(crate) version: u64,
+}
+
+impl Pool {
+    /// Takes a change of the list; true if who is listed has changed.
+    pub(crate) fn apply(&mut self, change: MemberChange, names: &mut Names<ModelKey>) -> bool {
+        // A list read earlier can arrive later; an older one must not bring back who has left.
+        if change.version < self.version {
+            return false;
+        }
+        self.version = change.version;
+        let mut moved = false;
+        if change.whole {
+            let listed = |id: &String| change.rows.iter().any(|(row, _)| row == id);
+            let gone = self.endpoints.keys().filter(|id| !listed(id)).cloned().collect::<Vec<_>>();
+            moved |= !gone.is_empty();
+            gone.iter().for_each(|id| self.remove(id));
+        }
+        for (id, member) in change.rows {
+            match member {
+                Some(member) => moved |= self.put(member, names),
+                None => {
+                    moved |= self.endpoints.contains_key(&id);
+                    self.remove(&id);
+                }
+            }
+        }
+        moved
+    }
+
+    fn remove(&mut self, id: &str) {
+        if let Some(endpoint) = self.endpoints.remove(id)
+            && self.by_address.get(&endpoint.member.address).is_some_and(|held| held == id)
+        {
+            self.by_address.remove(&endpoint.member.address);
+        }
+    }
+
+    fn put(&mut self, member: Member, names: &mut Names<ModelKey>) -> bool {
+        let id = member.instance.clone();
+        let known = self.endpoints.contains_key(&id);
+        self.by_address.insert(member.address, id.clone());
+        let endpoint = self.endpoints.entry(id).or_insert_with(|| Endpoint::new(member.clone()));
+        if !known || member.sequence > endpoint.holding.sequence {
+            endpoint.holding = listed_holding(&member, names);
+        }
+        let moved = !known || endpoint.member.leaving != member.leaving;
+        endpoint.member = member;
+        moved
+    }
+
+    /// The endpoint that was last listed at `address`.
+    pub(crate) fn at(&mut self, address: SocketAddr) -> Option<&mut Endpoint> {
+        let id = self.by_address.get(&address)?;
+        self.endpoints.get_mut(id)
+    }
+
+    /// Takes a side's word for the endpoint at `address`.
+    pub(crate) fn hear(
+        &mut self,
+        address: SocketAddr,
+        state: &SideState,
+        names: &mut Names<ModelKey>,
+        now: Millis,
+    ) -> bool {
+        let Some(endpoint) = self.at(address) else { return false };
+        if state.sound && state.sequence >= endpoint.holding.sequence {
+            endpoint.holding = told_holding(state, names);
+        }
+        endpoint.load = state.active + state.queued;
+        let rates = state.models.iter().map(|model| {
+            (names.intern(&model.name), f64::from(model.rate_milli) / 1_000.0)
+        });
+        let rates = rates.collect();
+        let leaving = (!state.leaving.is_empty()).then(|| names.intern(&state.leaving));
+        endpoint.side = Some(SideBelief {
+            at: now,
+            loading: state.loading.iter().map(|name| names.intern(name)).collect(),
+            leaving,
+            entries: state.entries,
+            sound: state.sound,
+            rates,
+        });
+        true
+    }
+}
+
+/// The full name of an adapter.
+pub(crate) fn full_name(model: &str, adapter: &str) -> String {
+    format!("{model}/{adapter}")
+}
+
+fn listed_holding(member: &Member, names: &mut Names<ModelKey>) -> Holding {
+    let mut holding = Holding { sequence: member.sequence, ..Holding::default() };
+    for model in &member.models {
+        hold(&mut holding, &model.name, &model.adapters, names);
+    }
+    holding.in_memory = member.in_memory.iter().map(|name| names.intern(name)).collect();
+    holding.on_disk = member.on_disk.iter().map(|name| names.intern(name)).collect();
+    holding
+}
+
+fn told_holding(state: &SideState, names: &mut Names<ModelKey>) -> Holding {
+    let mut holding = Holding { sequence: state.sequence, ..Holding::default() };
+    for model in state.models.iter().filter(|model| model.name != state.leaving) {
+        hold(&mut holding, &model.name, &model.adapters, names);
+    }
+    holding.in_memory = state.in_memory.iter().map(|name| names.intern(name)).collect();
+    holding.on_disk = state.on_disk.iter().map(|name| names.intern(name)).collect();
+    holding
+}
+
+fn hold(holding: &mut Holding, model: &str, adapters: &[String], names: &mut Names<ModelKey>) {
+    let key = names.intern(model);
+    holding.models.push(key);
+    holding.keys.push(key);
+    let adapters = adapters.iter().map(|adapter| names.intern(&full_name(model, adapter)));
+    holding.keys.extend(adapters);
+}
--- /dev/null
+++ b/crates/pool/src/side.rs
@@ -0,0 +1,567 @@
+//! The side's reducer: which order its endpoint gets next.
+//!
+//! The side is the only process that gives orders to its endpoint, so nothing has to be agreed with
+//! others. Each order names the instance and the number of orders that the endpoint has accepted:
+//! one that is delayed and arrives after another was accepted, or after a restart, does nothing.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use citronrill_base::{Map, Millis};
+use citronrill_decide::LogEvent;
+use citronrill_wire::{ModelState, SideState, Used, Want};
+
+use crate::{
+    member::HeldModel,
+    rate::Rate,
+    text::{EngineSpec, ServingText},
+};
+
+/// Milliseconds between looks at the endpoint while an order is under way: a load takes 440 or
+/// more, and each look is free from the same instance.
+const BUSY_POLL_MS: u64 = 20;
+/// Milliseconds between looks at rest.
+const IDLE_POLL_MS: u64 = 200;
+/// Milliseconds between states that say nothing new.
+const PUBLISH_MS: u64 = 500;
+/// Milliseconds for which a model stays once it was loaded for somebody: requests that wait for it
+/// elsewhere are on their way.
+const MIN_STAY_MS: u64 = 300;
+/// Milliseconds for which an adapter stays once used: its request must have begun.
+const ADAPTER_STAY_MS: u64 = 150;
+/// Wants that wait at most; more cannot be met in time (a load takes over 400 ms).
+const WANT_LIMIT: usize = 16;
+/// Milliseconds without a look that succeeded after which the endpoint counts as unsound.
+const UNSOUND_MS: u64 = 1_000;
+/// Milliseconds after which an order that got no answer is given again. It cannot take effect
+/// twice: both carry the same expected sequence.
+const REPEAT_MS: u64 = 400;
+
+/// What the endpoint says of itself.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct EngineReport {
+    /// The models that it holds.
+    pub models: Vec<HeldModel>,
+    /// Adapters on their way, as `model/adapter`.
+    pub pending: Vec<String>,
+    /// Whether an order is under way.
+    pub busy: bool,
+    /// Orders accepted since its start.
+    pub sequence: u64,
+    /// Requests that run.
+    pub active: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Memory for prompts in use, in thousandths.
+    pub kv_share: u32,
+    /// Models with a copy in the instance's memory.
+    pub in_memory: Vec<String>,
+    /// Models with a copy on the instance's disk.
+    pub on_disk: Vec<String>,
+}
+
+/// What an order does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderKind {
+    /// Fetch.
+    Load,
+    /// Make way.
+    Unload,
+}
+
+/// One order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// Names the order at this side.
+    pub number: u64,
+    /// What it does.
+    pub kind: OrderKind,
+    /// The model's name.
+    pub model: String,
+    /// The adapter's own name, or empty.
+    pub adapter: String,
+    /// Orders that the endpoint must have accepted before it.
+    pub sequence: u64,
+    /// The fencing token.
+    pub token: u64,
+    /// The instance that is meant.
+    pub instance: String,
+}
+
+/// What the endpoint said to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It is under way, or holds already.
+    Accepted,
+    /// Another is under way, or the sequence differs.
+    Conflict,
+    /// It will not be carried out.
+    Rejected,
+    /// No answer came.
+    Unknown,
+}
+
+/// What happens at a side.
+#[derive(Debug, Clone)]
+pub enum SideEvent {
+    /// A text was read from an entry.
+    Text(Arc<ServingText>),
+    /// The endpoint told its state; `None` if it did not answer.
+    Report(Option<EngineReport>),
+    /// An entry asks for a model.
+    Want(Want),
+    /// An entry has sent a request to the endpoint.
+    Used(Used),
+    /// The endpoint answered an order.
+    Ordered(u64, OrderOutcome),
+    /// So many entries are connected.
+    Entries(u32),
+    /// Time has passed.
+    Tick,
+}
+
+/// What a side does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum SideEffect {
+    /// Ask the endpoint for its state.
+    Poll,
+    /// Give an order.
+    Order(Order),
+    /// Tell all entries.
+    Publish(SideState),
+    /// Write a log line.
+    Log(LogEvent),
+}
+
+/// An order that was given.
+#[derive(Debug, Clone)]
+struct Given {
+    order: Order,
+    at: Millis,
+    outcome: Option<OrderOutcome>,
+}
+
+/// A want that waits.
+#[derive(Debug, Clone)]
+struct Waiting {
+    want: Want,
+    until: Millis,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Usage {
+    rate: Rate,
+    last: Millis,
+}
+
+/// Decides for one endpoint.
+#[derive(Debug)]
+pub struct PoolSide {
+    service: String,
+    now: Millis,
+    text: Option<Arc<ServingText>>,
+    report: Option<EngineReport>,
+    seen: Millis,
+    polled: Option<Millis>,
+    token: Option<u64>,
+    wants: VecDeque<Waiting>,
+    given: Option<Given>,
+    numbers: u64,
+    usage: Map<String, Usage>,
+    arrived: Map<String, Millis>,
+    store_load: Option<Millis>,
+    entries: u32,
+    told: Option<(Millis, SideState)>,
+    effects: Vec<SideEffect>,
+}
+
+impl PoolSide {
+    /// A side beside an endpoint of `service`.
+    pub fn new(service: &str) -> PoolSide {
+        PoolSide {
+            service: service.to_owned(),
+            now: Millis(0),
+            text: None,
+            report: None,
+            seen: Millis(0),
+            polled: None,
+            token: None,
+            wants: VecDeque::new(),
+            given: None,
+            numbers: 0,
+            usage: Map::default(),
+            arrived: Map::default(),
+            store_load: None,
+            entries: 0,
+            told: None,
+            effects: Vec::new(),
+        }
+    }
+
+    /// The version of the text that is known; 0 if none is.
+    pub fn text_version(&self) -> u64 {
+        self.text.as_ref().map_or(0, |text| text.version)
+    }
+
+    /// Takes one event and gives what is to be done.
+    pub fn step(&mut self, now: Millis, event: SideEvent) -> Vec<SideEffect> {
+        self.now = now;
+        match event {
+            SideEvent::Text(text) => self.take_text(text),
+            SideEvent::Report(report) => self.take_report(report),
+            SideEvent::Want(want) => self.take_want(want),
+            SideEvent::Used(used) => self.take_used(&used),
+            SideEvent::Ordered(number, outcome) => self.take_outcome(number, outcome),
+            SideEvent::Entries(count) => self.entries = count,
+            SideEvent::Tick => {}
+        }
+        self.advance();
+        self.poll();
+        self.publish();
+        std::mem::take(&mut self.effects)
+    }
+
+    fn take_text(&mut self, text: Arc<ServingText>) {
+        if text.version > self.text_version() {
+            self.log(LogEvent::new("text").with("version", text.version));
+            self.text = Some(text);
+        }
+    }
+
+    fn take_report(&mut self, report: Option<EngineReport>) {
+        self.polled = None;
+        let Some(report) = report else { return };
+        self.seen = self.now;
+        let old = self.report.as_ref().map(|old| old.sequence);
+        if old.is_some_and(|old| report.sequence < old) {
+            // The endpoint has started again: nothing that was asked of its last start holds, and
+            // it has forgotten every token.
+            self.log(LogEvent::new("endpoint_restarted").with("sequence", report.sequence));
+            self.given = None;
+            self.token = None;
+        }
+        let held = |name: &str| self.report.as_ref().is_some_and(|old| holds(old, name, ""));
+        let fresh = report.models.iter().filter(|model| !held(&model.name));
+        let fresh = fresh.map(|model| model.name.clone()).collect::<Vec<_>>();
+        for name in fresh {
+            self.arrived.insert(name, self.now);
+        }
+        // Only this side orders its endpoint. Its tokens count on from the orders that the endpoint
+        // has accepted, so that a side that starts again never falls below its last token, without
+        // keeping anything and without the platform's store.
+        self.token.get_or_insert(report.sequence + 1);
+        self.report = Some(report);
+        self.settle();
+    }
+
+    /// Closes the order under way once the endpoint shows its end.
+    fn settle(&mut self) {
+        let (Some(given), Some(report)) = (&self.given, &self.report) else { return };
+        let order = &given.order;
+        let name = &order.model;
+        let moved = report.sequence > order.sequence;
+        let there = holds(report, name, &order.adapter);
+        let done = match order.kind {
+            OrderKind::Load => there,
+            OrderKind::Unload => !holds(report, name, "") || !order.adapter.is_empty() && !there,
+        };
+        let coming = report.pending.contains(&target_name(name, &order.adapter));
+        let idle = !report.busy && !coming;
+        // Accepted, and no longer under way: it has ended, one way or another.
+        if done || moved && idle && self.now.since(given.at) > BUSY_POLL_MS {
+            let took = self.now.since(given.at);
+            let event = LogEvent::new("order_ended")
+                .with("order", order.number)
+                .with("model", name)
+                .with("adapter", &order.adapter)
+                .with("done", done)
+                .with("sequence", report.sequence)
+                .with("took_ms", took);
+            self.given = None;
+            self.log(event);
+        }
+    }
+
+    fn take_want(&mut self, want: Want) {
+        let same = |one: &&mut Waiting| {
+            one.want.model == want.model && one.want.adapter == want.adapter
+        };
+        let until = self.now + want.ttl_ms;
+        if let Some(known) = self.wants.iter_mut().find(same) {
+            known.until = known.until.max(until);
+            known.want = want;
+        } else if self.wants.len() < WANT_LIMIT {
+            self.wants.push_back(Waiting { want, until });
+        }
+    }
+
+    fn take_used(&mut self, used: &Used) {
+        for name in [used.model.clone(), target_name(&used.model, &used.adapter)] {
+            let usage = self.usage.entry(name).or_default();
+            usage.rate.add(self.now);
+            usage.last = self.now;
+            if used.adapter.is_empty() {
+                break;
+            }
+        }
+    }
+
+    fn take_outcome(&mut self, number: u64, outcome: OrderOutcome) {
+        let Some(given) = self.given.as_mut().filter(|given| given.order.number == number) else {
+            return;
+        };
+        given.outcome = Some(outcome);
+        let event = LogEvent::new("order_answered")
+            .with("order", number)
+            .with("outcome", format!("{outcome:?}").to_lowercase());
+        if matches!(outcome, OrderOutcome::Conflict | OrderOutcome::Rejected) {
+            self.given = None;
+        }
+        self.log(event);
+    }
+
+    /// Gives the next order, if one is due.
+    fn advance(&mut self) {
+        let now = self.now;
+        self.wants.retain(|waiting| now < waiting.until);
+        let Some(report) = self.report.clone() else { return };
+        self.wants.retain(|one| !holds(&report, &one.want.model, &one.want.adapter));
+        if now.since(self.seen) > UNSOUND_MS {
+            return;
+        }
+        if let Some(given) = &self.given {
+            let silent = given.outcome.is_none_or(|outcome| outcome == OrderOutcome::Unknown);
+            if silent && now.since(given.at) > REPEAT_MS && report.sequence == given.order.sequence
+            {
+                self.give_again();
+            }
+            return;
+        }
+        let text = self.text.clone();
+        let engine = text.as_ref().and_then(|text| text.service(&self.service)?.engine.as_ref());
+        let Some(engine) = engine else { return };
+        let wants = self.wants.iter().map(|waiting| waiting.want.clone()).collect::<Vec<_>>();
+        for want in wants {
+            if self.pursue(&want, &report, engine) {
+                return;
+            }
+        }
+    }
+
+    /// Gives the order that brings a want closer; true if one was given.
+    fn pursue(&mut self, want: &Want, report: &EngineReport, engine: &EngineSpec) -> bool {
+        if want.adapter.is_empty() {
+            !report.busy && self.pursue_model(want, report, engine)
+        } else {
+            self.pursue_adapter(want, report, engine)
+        }
+    }
+
+    fn pursue_model(&mut self, want: &Want, report: &EngineReport, engine: &EngineSpec) -> bool {
+        let Some(spec) = engine.model(&want.model) else { return false };
+        // Memory is never overcommitted: what is held and on its way counts in full.
+        if used_mb(report, engine) + spec.weights_mb <= engine.weights_mb {
+            let near = report.in_memory.contains(&want.model)
+                || report.on_disk.contains(&want.model);
+            if !near && !self.take_store_load(want.fleet, engine) {
+                return false;
+            }
+            self.give(OrderKind::Load, &want.model, "", want, report);
+            return true;
+        }
+        let stays = |name: &String| {
+            let since = |at: Option<&Millis>| at.map_or(u64::MAX, |at| self.now.since(*at));
+            since(self.arrived.get(name)) < MIN_STAY_MS
+        };
+        let victims = want.victims.iter().filter(|name| holds(report, name, ""));
+        let Some(victim) = victims.into_iter().find(|name| !stays(name)) else { return false };
+        let victim = victim.clone();
+        self.give(OrderKind::Unload, &victim, "", want, report);
+        true
+    }
+
+    fn pursue_adapter(&mut self, want: &Want, report: &EngineReport, engine: &EngineSpec) -> bool {
+        let Some(spec) = engine.model(&want.model) else { return false };
+        if !holds(report, &want.model, "")
+            || report.pending.contains(&target_name(&want.model, &want.adapter))
+        {
+            return false;
+        }
+        let held = report.models.iter().map(|model| model.adapters.len()).sum::<usize>();
+        let room = held + report.pending.len() < engine.adapter_limit as usize;
+        if room && used_mb(report, engine) + spec.adapter_mb <= engine.weights_mb {
+            self.give(OrderKind::Load, &want.model, &want.adapter, want, report);
+            return true;
+        }
+        let adapters = report.models.iter().flat_map(|model| {
+            model.adapters.iter().map(|adapter| (model.name.clone(), adapter.clone()))
+        });
+        let last = |model: &str, adapter: &str| {
+            self.usage.get(&target_name(model, adapter)).map_or(Millis(0), |usage| usage.last)
+        };
+        let oldest = adapters.min_by_key(|(model, adapter)| last(model, adapter));
+        let Some((model, adapter)) = oldest else { return false };
+        if self.now.since(last(&model, &adapter)) < ADAPTER_STAY_MS {
+            return false;
+        }
+        self.give(OrderKind::Unload, &model, &adapter, want, report);
+        true
+    }
+
+    /// Takes the right to one load from the weight store.
+    ///
+    /// Each engine takes its even part of the store's rate, so that all together stay within it
+    /// without a message or a call.
+    fn take_store_load(&mut self, fleet: u32, engine: &EngineSpec) -> bool {
+        let pause_ms = f64::from(fleet.max(1)) * 1_000.0 / engine.loads_per_s.max(0.001);
+        let early = |at: Millis| (self.now.since(at) as f64) < pause_ms;
+        if self.store_load.is_some_and(early) {
+            return false;
+        }
+        self.store_load = Some(self.now);
+        true
+    }
+
+    fn give(
+        &mut self,
+        kind: OrderKind,
+        model: &str,
+        adapter: &str,
+        want: &Want,
+        report: &EngineReport,
+    ) {
+        let Some(token) = self.token else { return };
+        self.numbers += 1;
+        let order = Order {
+            number: self.numbers,
+            kind,
+            model: model.to_owned(),
+            adapter: adapter.to_owned(),
+            sequence: report.sequence,
+            token,
+            instance: want.instance.clone(),
+        };
+        self.log(
+            LogEvent::new("order")
+                .with("order", order.number)
+                .with("kind", if kind == OrderKind::Load { "load" } else { "unload" })
+                .with("model", model)
+                .with("adapter", adapter)
+                .with("wanted", &want.model)
+                .with("waiting", want.waiting)
+                .with("sequence", report.sequence)
+                .with("age_ms", self.now.since(self.seen)),
+        );
+        self.given = Some(Given { order: order.clone(), at: self.now, outcome: None });
+        self.effects.push(SideEffect::Order(order));
+    }
+
+    fn give_again(&mut self) {
+        let Some(given) = &mut self.given else { return };
+        given.at = self.now;
+        given.outcome = None;
+        let order = given.order.clone();
+        self.log(LogEvent::new("order_repeated").with("order", order.number));
+        self.effects.push(SideEffect::Order(order));
+    }
+
+    fn poll(&mut self) {
+        let wait = if self.given.is_some() { BUSY_POLL_MS } else { IDLE_POLL_MS };
+        let due = self.now.since(self.seen) >= wait || self.report.is_none();
+        let lost = self.polled.is_some_and(|at| self.now.since(at) > UNSOUND_MS);
+        if due && (self.polled.is_none() || lost) {
+            self.polled = Some(self.now);
+            self.effects.push(SideEffect::Poll);
+        }
+    }
+
+    /// Milliseconds until the reducer wants to be called again.
+    pub fn wake_ms(&self) -> u64 {
+        if self.given.is_some() || !self.wants.is_empty() { BUSY_POLL_MS } else { IDLE_POLL_MS }
+    }
+
+    fn publish(&mut self) {
+        let Some(state) = self.state() else { return };
+        let news = match &self.told {
+            None => true,
+            Some((at, told)) => {
+                self.now.since(*at) >= PUBLISH_MS || !same_news(told, &state)
+            }
+        };
+        if news {
+            self.told = Some((self.now, state.clone()));
+            self.effects.push(SideEffect::Publish(state));
+        }
+    }
+
+    /// The state as entries are told it.
+    pub fn state(&self) -> Option<SideState> {
+        let report = self.report.as_ref()?;
+        let usage = |name: &str| self.usage.get(name).copied().unwrap_or_default();
+        let models = report.models.iter().map(|model| ModelState {
+            name: model.name.clone(),
+            adapters: model.adapters.clone(),
+            rate_milli: (usage(&model.name).rate.per_s(self.now) * 1_000.0) as u32,
+            idle_ms: self.now.since(usage(&model.name).last),
+        });
+        let wants = self.wants.iter().map(|one| target_name(&one.want.model, &one.want.adapter));
+        let leaving = self.given.iter().map(|given| &given.order).find(|order| {
+            order.kind == OrderKind::Unload && order.adapter.is_empty()
+        });
+        Some(SideState {
+            sequence: report.sequence,
+            models: models.collect(),
+            in_memory: report.in_memory.clone(),
+            on_disk: report.on_disk.clone(),
+            loading: wants.collect(),
+            leaving: leaving.map(|order| order.model.clone()).unwrap_or_default(),
+            active: report.active,
+            queued: report.queued,
+            kv_share: report.kv_share,
+            entries: self.entries,
+            sound: self.now.since(self.seen) <= UNSOUND_MS,
+        })
+    }
+
+    fn log(&mut self, event: LogEvent) {
+        self.effects.push(SideEffect::Log(event));
+    }
+}
+
+/// Whether two states differ only in what changes all the time.
+fn same_news(a: &SideState, b: &SideState) -> bool {
+    let names = |state: &SideState| {
+        let models = state.models.iter().map(|one| (one.name.clone(), one.adapters.clone()));
+        models.collect::<Vec<_>>()
+    };
+    a.sequence == b.sequence
+        && a.loading == b.loading
+        && a.leaving == b.leaving
+        && a.sound == b.sound
+        && names(a) == names(b)
+}
+
+fn target_name(model: &str, adapter: &str) -> String {
+    if adapter.is_empty() { model.to_owned() } else { format!("{model}/{adapter}") }
+}
+
+fn holds(report: &EngineReport, model: &str, adapter: &str) -> bool {
+    let held = report.models.iter().find(|held| held.name == model);
+    held.is_some_and(|held| {
+        adapter.is_empty() || held.adapters.iter().any(|one| one == adapter)
+    })
+}
+
+/// Memory taken by what is held or on its way, in MB.
+fn used_mb(report: &EngineReport, engine: &EngineSpec) -> f64 {
+    let spec = |name: &str| engine.model(name);
+    let held = report.models.iter().map(|model| {
+        spec(&model.name).map_or(0.0, |spec| {
+            spec.weights_mb + spec.adapter_mb * model.adapters.len() as f64
+        })
+    });
+    let coming = report.pending.iter().filter_map(|name| {
+        let (model, _) = name.split_once('/')?;
+        spec(model).map(|spec| spec.adapter_mb)
+    });
+    held.sum::<f64>() + coming.sum::<f64>()
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod codec;
 mod frames;
 mod handshake;
+mod pool;
 
 pub use crate::{
     codec::{FRAME_LIMIT, FrameReader, WireError, encode},
@@ -16,4 +17,5 @@
         Proof, Resume, TextPull, TextReply, Verdict, frame::Kind,
     },
     handshake::{Handshake, Identity, Peer, PeerRole},
+    pool::{ModelState, PoolFrame, PoolKind, SideState, TextCopy, Used, Want},
 };
--- /dev/null
+++ b/crates/wire/src/pool.rs
@@ -0,0 +1,131 @@
+//! Messages between the pool's entries and sides.
+
+use prost::{Message, Oneof};
+
+/// One message on a connection from an entry to a side.
+#[derive(Clone, PartialEq, Message)]
+pub struct PoolFrame {
+    /// What it says.
+    #[prost(oneof = "PoolKind", tags = "1, 2, 3, 4")]
+    pub kind: Option<PoolKind>,
+}
+
+/// What a [`PoolFrame`] says.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum PoolKind {
+    /// A copy of the operators' text, in either direction.
+    #[prost(message, tag = "1")]
+    Text(TextCopy),
+    /// An entry asks for a model or adapter.
+    #[prost(message, tag = "2")]
+    Want(Want),
+    /// An entry has sent a request to the endpoint.
+    #[prost(message, tag = "3")]
+    Used(Used),
+    /// A side tells what its endpoint holds and does.
+    #[prost(message, tag = "4")]
+    State(SideState),
+}
+
+/// The operators' text as the platform keeps it.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct TextCopy {
+    /// The text's version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The text, encoded as the platform keeps it.
+    #[prost(bytes = "vec", tag = "2")]
+    pub bytes: Vec<u8>,
+}
+
+/// Asks for a model, or for an adapter of one.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Want {
+    /// The instance that is meant; another start of the endpoint takes no order for it.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// The model's name.
+    #[prost(string, tag = "2")]
+    pub model: String,
+    /// The adapter's own name; empty where the model itself is wanted.
+    #[prost(string, tag = "3")]
+    pub adapter: String,
+    /// Models that may make way, the least needed first.
+    #[prost(string, repeated, tag = "4")]
+    pub victims: Vec<String>,
+    /// Engines that share the weight store.
+    #[prost(uint32, tag = "5")]
+    pub fleet: u32,
+    /// Milliseconds for which the sender has use for it.
+    #[prost(uint64, tag = "6")]
+    pub ttl_ms: u64,
+    /// Requests that wait for it; 0 for a load ahead of demand.
+    #[prost(uint32, tag = "7")]
+    pub waiting: u32,
+}
+
+/// A request was sent to the endpoint.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Used {
+    /// The model's name.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The adapter's own name, or empty.
+    #[prost(string, tag = "2")]
+    pub adapter: String,
+}
+
+/// What an endpoint holds and does, as its side knows it.
+#[derive(Clone, PartialEq, Message)]
+pub struct SideState {
+    /// Orders that the endpoint has accepted; tells which of two beliefs is newer.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// The models that it holds.
+    #[prost(message, repeated, tag = "2")]
+    pub models: Vec<ModelState>,
+    /// Models with a copy in the instance's memory.
+    #[prost(string, repeated, tag = "3")]
+    pub in_memory: Vec<String>,
+    /// Models with a copy on the instance's disk.
+    #[prost(string, repeated, tag = "4")]
+    pub on_disk: Vec<String>,
+    /// What is being loaded, or waits for it: `model` or `model/adapter`.
+    #[prost(string, repeated, tag = "5")]
+    pub loading: Vec<String>,
+    /// The model that is making way, or empty.
+    #[prost(string, tag = "6")]
+    pub leaving: String,
+    /// Requests that run.
+    #[prost(uint32, tag = "7")]
+    pub active: u32,
+    /// Requests that wait at the endpoint.
+    #[prost(uint32, tag = "8")]
+    pub queued: u32,
+    /// Memory for prompts in use, in thousandths.
+    #[prost(uint32, tag = "9")]
+    pub kv_share: u32,
+    /// Entries that are connected to this side.
+    #[prost(uint32, tag = "10")]
+    pub entries: u32,
+    /// Whether the endpoint answered when last asked.
+    #[prost(bool, tag = "11")]
+    pub sound: bool,
+}
+
+/// One model that an endpoint holds.
+#[derive(Clone, PartialEq, Message)]
+pub struct ModelState {
+    /// The model's name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its adapters, by their own names.
+    #[prost(string, repeated, tag = "2")]
+    pub adapters: Vec<String>,
+    /// Requests a second lately, in thousandths.
+    #[prost(uint32, tag = "3")]
+    pub rate_milli: u32,
+    /// Milliseconds since it was last used.
+    #[prost(uint64, tag = "4")]
+    pub idle_ms: u64,
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod dump;
 mod entry;
 mod fuzz;
+mod pool;
 mod replay;
 mod show;
 mod side;
@@ -14,9 +15,13 @@
 mod standin;
 mod status;
 
-use std::sync::mpsc::{Receiver, channel};
+use std::sync::{
+    Arc,
+    mpsc::{Receiver, channel},
+};
 
 use argh::FromArgs;
+use citronrill_gateway::LogStats;
 use signal_hook::{
     consts::{SIGINT, SIGTERM, SIGUSR1},
     iterator::Signals,
@@ -29,6 +34,8 @@
 #[argh(subcommand)]
 pub(crate) enum Command {
     Entry(entry::Entry),
+    PoolEntry(pool::PoolEntry),
+    PoolSide(pool::PoolSide),
     Side(side::Side),
     Check(check::Check),
     Apply(apply::Apply),
@@ -44,8 +51,10 @@
 }
 
 impl Command {
-    pub(crate) fn run(self) -> Result<Exit, CommandError> {
+    pub(crate) fn run(self, logs: Arc<LogStats>) -> Result<Exit, CommandError> {
         match self {
+            Command::PoolEntry(command) => command.run(logs),
+            Command::PoolSide(command) => command.run(logs),
             Command::Entry(command) => command.run(),
             Command::Side(command) => command.run(),
             Command::Check(command) => command.run(),
@@ -62,10 +71,18 @@
         }
     }
 
+    /// Whether log lines go to standard output: where the platform collects them.
+    pub(crate) fn logs_out(&self) -> bool {
+        matches!(self, Command::PoolEntry(_) | Command::PoolSide(_))
+    }
+
     /// Processes log what happens; commands print their result and log only warnings.
     pub(crate) fn default_log(&self) -> &'static str {
         match self {
-            Command::Entry(_) | Command::Side(_) => "info",
+            Command::Entry(_)
+            | Command::Side(_)
+            | Command::PoolEntry(_)
+            | Command::PoolSide(_) => "info",
             _ => "warn",
         }
     }
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -3,6 +3,7 @@
 use std::{io, process::ExitCode};
 
 use citronrill_config::ConfigErrors;
+use citronrill_gateway::GatewayError;
 use citronrill_platform::PlatformError;
 use citronrill_runtime::{ApplyError, StartError};
 use citronrill_standin::StandinError;
@@ -62,6 +63,9 @@
     /// A process could not be started.
     #[error("{0}")]
     Start(#[from] StartError),
+    /// A process of the pool could not run.
+    #[error("{0}")]
+    Gateway(#[from] GatewayError),
     /// A stand-in could not be started.
     #[error("stand-in: {0}")]
     Standin(#[from] StandinError),
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,9 +4,14 @@
 mod exit;
 mod files;
 
-use std::process::ExitCode;
+use std::{
+    io::{self, Write},
+    process::ExitCode,
+    sync::Arc,
+};
 
 use argh::FromArgs;
+use citronrill_gateway::{LogPipe, LogStats};
 
 use crate::{commands::Command, exit::Exit};
 
@@ -36,8 +41,13 @@
             return Exit::Usage.into();
         }
     };
-    start_log(arguments.log.as_deref(), arguments.command.default_log());
-    match arguments.command.run() {
+    let out: Box<dyn Write + Send> = if arguments.command.logs_out() {
+        Box::new(io::stdout())
+    } else {
+        Box::new(io::stderr())
+    };
+    let logs = start_log(arguments.log.as_deref(), arguments.command.default_log(), out);
+    match arguments.command.run(logs) {
         Ok(exit) => exit.into(),
         Err(error) => {
             eprintln!("citronrill: {error}");
@@ -47,15 +57,22 @@
 }
 
 /// One line of key=value pairs an event; `--log` goes before the environment's `RUST_LOG`.
-fn start_log(level: Option<&str>, default: &str) {
+fn start_log(
+    level: Option<&str>,
+    default: &str,
+    out: Box<dyn Write + Send>,
+) -> Arc<LogStats> {
     let environment = env_logger::Env::default().default_filter_or(default);
     let mut builder = env_logger::Builder::from_env(environment);
     if let Some(level) = level {
         builder.parse_filters(level);
     }
     builder.format(|out, record| {
-        use std::io::Write;
         writeln!(out, "level={} {}", record.level().as_str().to_lowercase(), record.args())
     });
+    let pipe = LogPipe::new(out);
+    let stats = pipe.stats();
+    builder.target(env_logger::Target::Pipe(Box::new(pipe)));
     builder.init();
+    stats
 }
