Plan victims at the side, follow bursts with a fast rate, queue at the entry

Cause: four entries unloaded all replicas of a busy model in the same moment, each counting on the others; the rate of a model that turned up lagged ten seconds; full engines refused what waited there.

--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -1,10 +1,11 @@
 //! A side process: its control thread, its endpoint and its entries.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -14,7 +15,7 @@
 use citronrill_base::Millis;
 use citronrill_config::PoolSettings;
 use citronrill_pool::{
-    EngineReport, Order, OrderOutcome, PoolSide, SideEffect, SideEvent,
+    EngineReport, EntryLink, Order, OrderOutcome, PoolSide, SideEffect, SideEvent,
 };
 use citronrill_wire::{PoolKind, SideState, TextCopy, WireError};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
@@ -70,7 +71,31 @@
     events: Sender<SideEvent>,
     texts: watch::Sender<Option<TextCopy>>,
     states: watch::Receiver<Option<SideState>>,
-    entries: AtomicU32,
+    links: Arc<Links>,
+}
+
+/// The connections to entries.
+#[derive(Default)]
+struct Links {
+    next: AtomicU64,
+    open: Mutex<BTreeMap<EntryLink, mpsc::UnboundedSender<PoolKind>>>,
+}
+
+impl Links {
+    fn change<T>(
+        &self,
+        change: impl FnOnce(&mut BTreeMap<EntryLink, mpsc::UnboundedSender<PoolKind>>) -> T,
+    ) -> T {
+        change(&mut self.open.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Says something to one entry, if it is still there.
+    fn say(&self, link: EntryLink, kind: PoolKind) {
+        let sent = self.change(|open| open.get(&link).map(|sender| sender.send(kind)));
+        if !matches!(sent, Some(Ok(()))) {
+            log::debug!("event=entry_gone link={}", link.0);
+        }
+    }
 }
 
 /// Runs a side until `stop` says so.
@@ -93,12 +118,14 @@
         wants: Counter::default(),
         logs,
     });
+    let links = Arc::new(Links::default());
     let control = ControlThread {
         reducer: PoolSide::new(&settings.service),
         start: Instant::now(),
         inputs,
         tasks: task_sender,
         states: state_sender,
+        links: links.clone(),
         metrics: metrics.clone(),
     };
     thread::Builder::new().name("control".to_owned()).spawn(move || control.run())?;
@@ -108,7 +135,7 @@
         events: events.clone(),
         texts: watch::Sender::new(None),
         states,
-        entries: AtomicU32::new(0),
+        links,
     });
     let peers = settings.peers;
     let (done_sender, done) = tokio::sync::oneshot::channel();
@@ -142,6 +169,7 @@
     inputs: Receiver<SideEvent>,
     tasks: mpsc::UnboundedSender<Task>,
     states: watch::Sender<Option<SideState>>,
+    links: Arc<Links>,
     metrics: Arc<SideMetrics>,
 }
 
@@ -154,7 +182,7 @@
                 Err(RecvTimeoutError::Timeout) => SideEvent::Tick,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
-            if let SideEvent::Want(_) = event {
+            if let SideEvent::Want(..) = event {
                 self.metrics.wants.add();
             }
             let now = Millis(self.start.elapsed().as_millis() as u64);
@@ -177,6 +205,10 @@
                 self.states.send_replace(Some(state));
                 return;
             }
+            SideEffect::Decline(link, name) => {
+                self.links.say(link, PoolKind::Declined(name));
+                return;
+            }
             SideEffect::Log(event) => {
                 log::info!("{event}");
                 return;
@@ -280,22 +312,36 @@
 /// Serves one entry's connection.
 async fn attend(stream: TcpStream, from: SocketAddr, shared: Arc<Shared>) {
     tune(&stream);
-    let count = |by: i32| {
-        let before = shared.entries.fetch_add(by as u32, Ordering::Relaxed);
-        let entries = before.wrapping_add(by as u32);
-        if shared.events.send(SideEvent::Entries(entries)).is_err() {
-            log::debug!("event=control_gone");
-        }
-    };
-    count(1);
-    log::info!("event=entry_connected from={from}");
-    if let Err(error) = converse(stream, &shared).await {
+    let link = EntryLink(shared.links.next.fetch_add(1, Ordering::Relaxed));
+    let (sender, replies) = mpsc::unbounded_channel();
+    let entries = shared.links.change(|open| {
+        open.insert(link, sender);
+        open.len()
+    });
+    log::info!("event=entry_connected from={from} entries={entries}");
+    tell_count(&shared, entries);
+    if let Err(error) = converse(stream, link, replies, &shared).await {
         log::info!("event=entry_lost from={from} error=\"{error}\"");
     }
-    count(-1);
+    let entries = shared.links.change(|open| {
+        open.remove(&link);
+        open.len()
+    });
+    tell_count(&shared, entries);
+}
+
+fn tell_count(shared: &Shared, entries: usize) {
+    if shared.events.send(SideEvent::Entries(entries as u32)).is_err() {
+        log::debug!("event=control_gone");
+    }
 }
 
-async fn converse(stream: TcpStream, shared: &Shared) -> Result<(), WireError> {
+async fn converse(
+    stream: TcpStream,
+    link: EntryLink,
+    mut replies: mpsc::UnboundedReceiver<PoolKind>,
+    shared: &Shared,
+) -> Result<(), WireError> {
     let (mut receiver, mut sender) = split(stream);
     let mut states = shared.states.clone();
     states.mark_changed();
@@ -317,20 +363,21 @@
                     sender.send(PoolKind::Text(copy)).await?;
                 }
             }
-            heard = receiver.next() => take(heard?, shared)?,
+            Some(reply) = replies.recv() => sender.send(reply).await?,
+            heard = receiver.next() => take(heard?, link, shared)?,
         }
     }
 }
 
-fn take(kind: PoolKind, shared: &Shared) -> Result<(), WireError> {
+fn take(kind: PoolKind, link: EntryLink, shared: &Shared) -> Result<(), WireError> {
     let event = match kind {
-        PoolKind::Want(want) => SideEvent::Want(want),
+        PoolKind::Want(want) => SideEvent::Want(link, want),
         PoolKind::Used(used) => SideEvent::Used(used),
         PoolKind::Text(copy) => {
             take_text(copy, shared);
             return Ok(());
         }
-        PoolKind::State(_) => return Err(WireError::OutOfTurn),
+        PoolKind::State(_) | PoolKind::Declined(_) => return Err(WireError::OutOfTurn),
     };
     shared.events.send(event).map_err(|_| WireError::Closed)
 }
--- a/crates/gateway/src/sides.rs
+++ b/crates/gateway/src/sides.rs
@@ -134,6 +134,9 @@
                 match kind {
                     PoolKind::State(state) => events.send(EntryEvent::Side(endpoint, state)),
                     PoolKind::Text(copy) => board.offer(&copy.bytes, "side"),
+                    PoolKind::Declined(name) => {
+                        events.send(EntryEvent::Declined(endpoint, name));
+                    }
                     PoolKind::Want(_) | PoolKind::Used(_) => return Err(WireError::OutOfTurn),
                 }
             }
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -9,8 +9,10 @@
 pub(super) enum Choice {
     /// Send it to this instance.
     Send(String),
-    /// Its model must be fetched first.
-    Wait,
+    /// What it needs must be fetched first.
+    Fetch,
+    /// What can run it is full.
+    Crowded,
     /// Nothing can run it in time.
     Refuse(Reason),
 }
@@ -27,11 +29,13 @@
 const AVOID_COST: f64 = 100.0;
 /// What is gained where the beginning of the prompt is likely kept, as a share of the slots.
 const PREFIX_GAIN: f64 = 0.2;
-/// Fill at which a plain endpoint is full: its slots and a queue that is worked off within the
-/// usual objective.
-const PLAIN_FULL: f64 = 4.0;
-/// Fill at which an engine takes no more: its batch, and as many again that wait for a slot.
-const ENGINE_FULL: f64 = 2.5;
+/// Fill at which a plain endpoint takes no more: its slots, and two waves that wait there, which
+/// keeps the slots busy and its own queue (four waves) from refusing what several entries send at
+/// the same moment.
+const PLAIN_FULL: f64 = 3.0;
+/// Fill at which an engine takes no more: its batch and a few that wait. What waits at the entry
+/// can still go to a replica that is being fetched; what waits at the engine cannot.
+const ENGINE_FULL: f64 = 1.25;
 
 impl PoolEntry {
     /// The best endpoint that can run `request` now, or what else is to be done.
@@ -44,8 +48,8 @@
             Some((_, endpoint)) if endpoint.fill() < full => {
                 Choice::Send(endpoint.member.instance.clone())
             }
-            Some(_) => Choice::Refuse(Reason::Full),
-            None if request.target.is_some() => Choice::Wait,
+            Some(_) => Choice::Crowded,
+            None if request.target.is_some() => Choice::Fetch,
             None => Choice::Refuse(Reason::NoEndpoint),
         }
     }
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -6,9 +6,9 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use citronrill_base::{Map, Millis, ModelKey, Names, hash_bytes};
+use citronrill_base::{Map, Millis, ModelKey, Names, Set, hash_bytes};
 use citronrill_decide::LogEvent;
-use citronrill_wire::{SideState, Used};
+use citronrill_wire::{ModelName, SideState};
 
 pub use self::types::{
     AnswerHead, Arrival, EntryEffect, EntryEvent, EntryProfile, FailureKind, Reason, Refusal,
@@ -27,6 +27,9 @@
 const ASSUMED_ENTRIES: u32 = 8;
 /// Milliseconds before a request's end at which nothing new is begun for it.
 const LAST_CALL_MS: u64 = 20;
+/// Milliseconds in which the slots of an endpoint turn over once: a stream runs about that long, a
+/// plain call less.
+const WAVE_MS: f64 = 500.0;
 /// Sendings of one request at most, refusals included: a backstop beside the budget.
 const SEND_LIMIT: u32 = 4;
 
@@ -126,6 +129,7 @@
             EntryEvent::Text(text) => self.take_text(text),
             EntryEvent::Members(change) => self.take_members(change),
             EntryEvent::Side(address, state) => self.take_side(address, &state),
+            EntryEvent::Declined(address, name) => self.declined(address, &name),
             EntryEvent::Arrive(arrival) => self.arrive(arrival),
             EntryEvent::Answer(id, head) => self.answer(id, head),
             EntryEvent::Fail(id, kind) => self.fail(id, kind),
@@ -177,6 +181,20 @@
         }
     }
 
+    fn declined(&mut self, address: SocketAddr, name: &ModelName) {
+        let now = self.now;
+        let Some(endpoint) = self.pool.at(address) else { return };
+        endpoint.decline(now);
+        let event = LogEvent::new("want_declined").with("at", &endpoint.member.instance);
+        let full = PoolEntry::full_name(&name.model, &name.adapter);
+        let key = self.names.intern(&full);
+        if self.wants.get(&key).is_some_and(|want| want.is_at(address)) {
+            self.wants.remove(&key);
+        }
+        self.log(event.with("model", full));
+        self.retry_waiting();
+    }
+
     fn arrive(&mut self, arrival: Arrival) {
         let id = arrival.id;
         match self.admit(&arrival) {
@@ -246,11 +264,39 @@
         }
         match self.choose(request) {
             Choice::Send(instance) => self.send(id, &instance),
-            Choice::Wait => self.want(id),
+            Choice::Fetch => self.want(id),
+            Choice::Crowded => self.crowd(id),
             Choice::Refuse(reason) => self.refuse(id, reason),
         }
     }
 
+    /// Lets a request wait for a slot, unless it cannot get one in time.
+    ///
+    /// Answers a burst beyond what the endpoints carry: the queue is as long as can be worked off
+    /// before its last request's end, and whoever comes after is told so at once.
+    fn crowd(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let same = |one: &&Request| {
+            one.stage == Stage::Waiting
+                && one.service == request.service
+                && one.base == request.base
+                && one.rank <= request.rank
+        };
+        let ahead = self.requests.range(..id).map(|(_, one)| one).filter(same).count();
+        let holders = self.pool.endpoints.values().filter(|one| {
+            one.open()
+                && one.member.service == request.service
+                && request.base.is_none_or(|base| one.holding.models.contains(&base))
+        });
+        let slots = holders.map(|one| one.member.slots).sum::<u32>();
+        let entries = self.entries();
+        let rounds = (ahead + 1) as f64 * f64::from(entries) / f64::from(slots.max(1));
+        let left = request.ends.since(self.now) as f64;
+        if rounds * WAVE_MS > left - WAVE_MS {
+            self.refuse(id, Reason::Full);
+        }
+    }
+
     fn send(&mut self, id: RequestId, instance: &str) {
         let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -275,7 +321,7 @@
             .with("list", self.pool.version)
             .with("sequence", endpoint.holding.sequence);
         if request.target.is_some() {
-            let used = Used { model: request.model.clone(), adapter: request.adapter.clone() };
+            let used = ModelName { model: request.model.clone(), adapter: request.adapter.clone() };
             self.effects.push(EntryEffect::Used(sending.address, used));
         }
         self.effects.push(EntryEffect::Send(id, sending));
@@ -298,12 +344,12 @@
             }
         }
         match verdict {
-            Verdict::Pass => {
-                request.stage = Stage::Passing;
-                self.effects.push(EntryEffect::Pass(id));
+            Verdict::Pass => self.pass(id),
+            Verdict::NotRun => self.again(id, false, head.status, false),
+            Verdict::Failed => {
+                let own_failure = head.signed && !head.foreign && head.status >= 500;
+                self.again(id, true, head.status, own_failure);
             }
-            Verdict::NotRun => self.again(id, false, head.status),
-            Verdict::Failed => self.again(id, true, head.status),
         }
     }
 
@@ -317,33 +363,46 @@
                 endpoint.avoid(now);
             }
         }
-        self.again(id, kind == FailureKind::Broken, 0);
+        self.again(id, kind == FailureKind::Broken, 0, false);
     }
 
-    /// Tries a request again, or ends it.
-    fn again(&mut self, id: RequestId, ran: bool, status: u16) {
+    /// Tries a request again, or ends it; `passable` says that the endpoint's own failure is held
+    /// and can be given to the caller.
+    fn again(&mut self, id: RequestId, ran: bool, status: u16, passable: bool) {
         let now = self.now;
-        self.release(id);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.runs += u32::from(ran);
-        request.tried.extend(request.at.take());
-        request.stage = Stage::Waiting;
-        let exhausted = request.sends >= SEND_LIMIT || request.runs >= request.attempts;
-        let barred = request.runs > 0 && !request.repeat.may_rerun();
         let (runs, service) = (request.runs, request.service.clone());
+        let exhausted = request.sends >= SEND_LIMIT || runs >= request.attempts;
+        let barred = exhausted || runs > 0 && !request.repeat.may_rerun();
         let event = LogEvent::new("failed")
             .with("id", &request.caller)
-            .with("from", request.tried.last().map_or("", String::as_str))
+            .with("from", request.at.as_deref().unwrap_or(""))
             .with("status", status)
             .with("ran", ran)
-            .with("sends", request.sends);
+            .with("sends", request.sends)
+            .with("barred", barred);
         self.log(event);
-        if barred || exhausted && runs > 0 {
-            self.refuse(id, Reason::Broken);
-        } else if exhausted || !self.budget(&service).take(now) {
-            self.refuse(id, if runs > 0 { Reason::Broken } else { Reason::Full });
-        } else {
+        let retry = !barred && self.budget(&service).take(now);
+        if !retry && passable {
+            self.pass(id);
+            return;
+        }
+        self.release(id);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.tried.extend(request.at.take());
+        request.stage = Stage::Waiting;
+        if retry {
             self.dispatch(id);
+        } else {
+            self.refuse(id, if runs > 0 { Reason::Broken } else { Reason::Full });
+        }
+    }
+
+    fn pass(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.stage = Stage::Passing;
+            self.effects.push(EntryEffect::Pass(id));
         }
     }
 
@@ -404,10 +463,26 @@
         self.spread();
     }
 
+    /// Looks again at what waits, the most urgent first.
+    ///
+    /// Of those that need the same, the rest is passed over once one found no place: the queue may
+    /// hold hundreds, and an entry has a fifth of a core.
     fn retry_waiting(&mut self) {
         let waiting = self.requests.iter().filter(|(_, one)| one.stage == Stage::Waiting);
-        for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
+        let mut order = waiting.map(|(id, one)| (one.rank, *id)).collect::<Vec<_>>();
+        order.sort_unstable();
+        let mut blocked = Set::default();
+        for (_, id) in order {
+            let Some(request) = self.requests.get(&id) else { continue };
+            let need = (request.service.clone(), request.target);
+            if blocked.contains(&need) {
+                continue;
+            }
             self.dispatch(id);
+            let waits = self.requests.get(&id).is_some_and(|one| one.stage == Stage::Waiting);
+            if waits {
+                blocked.insert(need);
+            }
         }
     }
 
@@ -449,10 +524,15 @@
         }
     }
 
-    fn budget(&mut self, service: &str) -> &mut RetryBudget {
+    /// How many entries there are, by what the sides see.
+    fn entries(&self) -> u32 {
         let sides = self.pool.endpoints.values().filter_map(|endpoint| endpoint.side.as_ref());
         let entries = sides.map(|side| side.entries).max().filter(|entries| *entries > 0);
-        let entries = f64::from(entries.unwrap_or(ASSUMED_ENTRIES));
+        entries.unwrap_or(ASSUMED_ENTRIES)
+    }
+
+    fn budget(&mut self, service: &str) -> &mut RetryBudget {
+        let entries = f64::from(self.entries());
         let profile = &self.profile;
         self.budgets.entry(service.to_owned()).or_insert_with(|| {
             let slack = profile.retry_slack / (entries + 1.0);
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -24,7 +24,7 @@
 /// Seconds that one request takes a slot, about.
 const RUN_S: f64 = 0.5;
 /// Share of the slots in use above which a replica is not given up.
-const BUSY_SHARE: f64 = 0.4;
+const BUSY_SHARE: f64 = 0.3;
 /// Milliseconds after which a side that was asked and shows nothing is given up for another.
 const UNHEARD_MS: u64 = 400;
 /// Fill of the least busy replica above which another one is asked for.
@@ -40,6 +40,13 @@
     seen: bool,
 }
 
+impl OpenWant {
+    /// Whether the side beside the endpoint at `address` was asked.
+    pub(super) fn is_at(&self, address: SocketAddr) -> bool {
+        self.address == address
+    }
+}
+
 /// A place for a model, with what it costs in milliseconds.
 struct Place {
     instance: String,
@@ -62,7 +69,7 @@
             endpoint.open()
                 && endpoint.holding.keys.contains(&base)
                 && endpoint.member.service == request.service
-                && endpoint.fresh_side(self.now).is_some_and(|side| side.leaving != Some(base))
+                && endpoint.fresh_side(self.now).is_some_and(|side| !side.leaving.contains(&base))
         };
         if !adapter.is_empty() {
             let holders = self.pool.endpoints.values().filter(held);
@@ -150,7 +157,8 @@
         model: ModelKey,
     ) -> Option<Place> {
         let side = endpoint.fresh_side(self.now).filter(|side| side.sound)?;
-        if endpoint.avoided(self.now) || endpoint.holding.models.contains(&model) {
+        let shut = endpoint.avoided(self.now) || self.now < endpoint.declined_until;
+        if shut || endpoint.holding.models.contains(&model) {
             return None;
         }
         let load_ms = if endpoint.holding.in_memory.contains(&model) {
@@ -160,7 +168,7 @@
         } else {
             spec.store_ms
         };
-        let pending = side.loading.len() + usize::from(side.leaving.is_some());
+        let pending = side.loading.len();
         let mut ready_ms = load_ms as f64 + pending as f64 * QUEUED_MS;
         let (victims, price) = self.victims(endpoint, engine, spec)?;
         let busy = victims.iter().any(|victim| rate_of(endpoint, *victim) * RUN_S > 0.5);
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use citronrill_decide::LogEvent;
-use citronrill_wire::{SideState, Used, Want};
+use citronrill_wire::{ModelName, SideState, Want};
 
 use crate::{member::MemberChange, text::ServingText};
 
@@ -78,6 +78,8 @@
     Members(MemberChange),
     /// A side spoke; the address is its endpoint's.
     Side(SocketAddr, SideState),
+    /// The side beside the endpoint at this address will not fetch what was asked for.
+    Declined(SocketAddr, ModelName),
     /// A request was read.
     Arrive(Arrival),
     /// An endpoint began to answer.
@@ -184,7 +186,7 @@
     /// Ask the side beside the endpoint at this address for a model.
     Want(SocketAddr, Want),
     /// Tell the side beside the endpoint at this address of a request.
-    Used(SocketAddr, Used),
+    Used(SocketAddr, ModelName),
     /// Keep connections to the sides beside these endpoints, and to no others.
     Sides(Vec<SocketAddr>),
     /// Write a log line.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -22,7 +22,7 @@
     },
     member::{HeldModel, Member, MemberChange},
     side::{
-        EngineReport, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
+        EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
     },
     text::{CallerLimits, EngineSpec, ModelSpec, Repeat, Route, Service, ServingText},
 };
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -12,6 +12,8 @@
 pub(crate) const FRESH_MS: u64 = 2_000;
 /// Milliseconds for which an endpoint that could not be reached is passed over while others serve.
 const AVOID_MS: u64 = 1_000;
+/// Milliseconds for which a side that declined is not asked again: until its next word.
+const DECLINED_MS: u64 = 150;
 /// Share of the last failure in the failure average: six failures in a row bring it over one half.
 const FAIL_STEP: f64 = 0.12;
 
@@ -35,7 +37,7 @@
 pub(crate) struct SideBelief {
     pub(crate) at: Millis,
     pub(crate) loading: Vec<ModelKey>,
-    pub(crate) leaving: Option<ModelKey>,
+    pub(crate) leaving: Vec<ModelKey>,
     pub(crate) entries: u32,
     pub(crate) sound: bool,
     /// Requests a second by model.
@@ -53,6 +55,8 @@
     /// Requests that run there by all accounts, with own sends since.
     pub(crate) load: u32,
     pub(crate) avoid_until: Millis,
+    /// Until when its side is not asked for models again: it has just declined.
+    pub(crate) declined_until: Millis,
     pub(crate) failing: f64,
 }
 
@@ -65,6 +69,7 @@
             own: 0,
             load: 0,
             avoid_until: Millis(0),
+            declined_until: Millis(0),
             failing: 0.0,
         }
     }
@@ -99,6 +104,11 @@
         self.avoid_until = now + AVOID_MS;
     }
 
+    /// Leaves its side alone for a while: it has no room.
+    pub(crate) fn decline(&mut self, now: Millis) {
+        self.declined_until = now + DECLINED_MS;
+    }
+
     /// Whether it is passed over while others serve.
     pub(crate) fn avoided(&self, now: Millis) -> bool {
         now < self.avoid_until
@@ -184,11 +194,10 @@
             (names.intern(&model.name), f64::from(model.rate_milli) / 1_000.0)
         });
         let rates = rates.collect();
-        let leaving = (!state.leaving.is_empty()).then(|| names.intern(&state.leaving));
         endpoint.side = Some(SideBelief {
             at: now,
             loading: state.loading.iter().map(|name| names.intern(name)).collect(),
-            leaving,
+            leaving: state.leaving.iter().map(|name| names.intern(name)).collect(),
             entries: state.entries,
             sound: state.sound,
             rates,
@@ -214,7 +223,7 @@
 
 fn told_holding(state: &SideState, names: &mut Names<ModelKey>) -> Holding {
     let mut holding = Holding { sequence: state.sequence, ..Holding::default() };
-    for model in state.models.iter().filter(|model| model.name != state.leaving) {
+    for model in state.models.iter().filter(|one| !state.leaving.contains(&one.name)) {
         hold(&mut holding, &model.name, &model.adapters, names);
     }
     holding.in_memory = state.in_memory.iter().map(|name| names.intern(name)).collect();
--- a/crates/pool/src/rate.rs
+++ b/crates/pool/src/rate.rs
@@ -2,30 +2,40 @@
 
 use citronrill_base::Millis;
 
-/// Milliseconds after which an event counts 1/e: long enough to tell a model asked for every few
-/// seconds from one that is not asked for, short enough to follow demand that moves.
-const DECAY_MS: f64 = 10_000.0;
+/// Milliseconds after which an event counts 1/e in the slow average: long enough to tell a model
+/// asked for every few seconds from one that is not asked for.
+const SLOW_MS: f64 = 10_000.0;
+/// The same for the fast average, which follows a burst or demand that moves within a second.
+const FAST_MS: f64 = 1_500.0;
 
-/// Events a second, exponentially weighted.
+/// Events a second: the larger of a slow and a fast average.
+///
+/// A busy model that turns up must count as busy before its only replica is unloaded for another,
+/// and one that goes quiet for a second must not count as idle.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Rate {
-    weight: f64,
+    slow: f64,
+    fast: f64,
     at: Millis,
 }
 
 impl Rate {
     /// Counts one event.
     pub(crate) fn add(&mut self, now: Millis) {
-        self.weight = self.decayed(now) + 1.0;
+        self.slow = self.decayed(self.slow, SLOW_MS, now) + 1.0;
+        self.fast = self.decayed(self.fast, FAST_MS, now) + 1.0;
         self.at = now;
     }
 
     /// Events a second at `now`.
     pub(crate) fn per_s(&self, now: Millis) -> f64 {
-        self.decayed(now) * 1_000.0 / DECAY_MS
+        let slow = self.decayed(self.slow, SLOW_MS, now) * 1_000.0 / SLOW_MS;
+        // One event alone says nothing of a second.
+        let fast = (self.decayed(self.fast, FAST_MS, now) - 1.0) * 1_000.0 / FAST_MS;
+        slow.max(fast)
     }
 
-    fn decayed(&self, now: Millis) -> f64 {
-        self.weight * (-(now.since(self.at) as f64) / DECAY_MS).exp()
+    fn decayed(&self, weight: f64, decay_ms: f64, now: Millis) -> f64 {
+        weight * (-(now.since(self.at) as f64) / decay_ms).exp()
     }
 }
--- a/crates/pool/src/side.rs
+++ b/crates/pool/src/side.rs
@@ -8,7 +8,7 @@
 
 use citronrill_base::{Map, Millis};
 use citronrill_decide::LogEvent;
-use citronrill_wire::{ModelState, SideState, Used, Want};
+use citronrill_wire::{ModelName, ModelState, SideState, Want};
 
 use crate::{
     member::HeldModel,
@@ -28,6 +28,8 @@
 const MIN_STAY_MS: u64 = 300;
 /// Milliseconds for which an adapter stays once used: its request must have begun.
 const ADAPTER_STAY_MS: u64 = 150;
+/// Milliseconds that an unload may wait for its runs: longer than any route lets a request last.
+const UNLOAD_MS: u64 = 16_000;
 /// Wants that wait at most; more cannot be met in time (a load takes over 400 ms).
 const WANT_LIMIT: usize = 16;
 /// Milliseconds without a look that succeeded after which the endpoint counts as unsound.
@@ -100,6 +102,10 @@
     Unknown,
 }
 
+/// Names one entry's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct EntryLink(pub u64);
+
 /// What happens at a side.
 #[derive(Debug, Clone)]
 pub enum SideEvent {
@@ -108,9 +114,9 @@
     /// The endpoint told its state; `None` if it did not answer.
     Report(Option<EngineReport>),
     /// An entry asks for a model.
-    Want(Want),
+    Want(EntryLink, Want),
     /// An entry has sent a request to the endpoint.
-    Used(Used),
+    Used(ModelName),
     /// The endpoint answered an order.
     Ordered(u64, OrderOutcome),
     /// So many entries are connected.
@@ -128,6 +134,8 @@
     Order(Order),
     /// Tell all entries.
     Publish(SideState),
+    /// Tell one entry that its want will not be met here.
+    Decline(EntryLink, ModelName),
     /// Write a log line.
     Log(LogEvent),
 }
@@ -140,11 +148,13 @@
     outcome: Option<OrderOutcome>,
 }
 
-/// A want that waits.
+/// A want that will be met, with what makes way for it.
 #[derive(Debug, Clone)]
-struct Waiting {
+struct Planned {
     want: Want,
     until: Millis,
+    /// Models still to be unloaded for it.
+    victims: Vec<String>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -163,8 +173,9 @@
     seen: Millis,
     polled: Option<Millis>,
     token: Option<u64>,
-    wants: VecDeque<Waiting>,
-    given: Option<Given>,
+    plan: VecDeque<Planned>,
+    model_order: Option<Given>,
+    adapter_order: Option<Given>,
     numbers: u64,
     usage: Map<String, Usage>,
     arrived: Map<String, Millis>,
@@ -185,8 +196,9 @@
             seen: Millis(0),
             polled: None,
             token: None,
-            wants: VecDeque::new(),
-            given: None,
+            plan: VecDeque::new(),
+            model_order: None,
+            adapter_order: None,
             numbers: 0,
             usage: Map::default(),
             arrived: Map::default(),
@@ -208,7 +220,7 @@
         match event {
             SideEvent::Text(text) => self.take_text(text),
             SideEvent::Report(report) => self.take_report(report),
-            SideEvent::Want(want) => self.take_want(want),
+            SideEvent::Want(link, want) => self.take_want(link, want),
             SideEvent::Used(used) => self.take_used(&used),
             SideEvent::Ordered(number, outcome) => self.take_outcome(number, outcome),
             SideEvent::Entries(count) => self.entries = count,
@@ -236,7 +248,9 @@
             // The endpoint has started again: nothing that was asked of its last start holds, and
             // it has forgotten every token.
             self.log(LogEvent::new("endpoint_restarted").with("sequence", report.sequence));
-            self.given = None;
+            self.model_order = None;
+            self.adapter_order = None;
+            self.plan.clear();
             self.token = None;
         }
         let held = |name: &str| self.report.as_ref().is_some_and(|old| holds(old, name, ""));
@@ -253,48 +267,119 @@
         self.settle();
     }
 
-    /// Closes the order under way once the endpoint shows its end.
+    /// Closes orders once the endpoint shows their end.
     fn settle(&mut self) {
-        let (Some(given), Some(report)) = (&self.given, &self.report) else { return };
-        let order = &given.order;
-        let name = &order.model;
-        let moved = report.sequence > order.sequence;
-        let there = holds(report, name, &order.adapter);
-        let done = match order.kind {
-            OrderKind::Load => there,
-            OrderKind::Unload => !holds(report, name, "") || !order.adapter.is_empty() && !there,
-        };
-        let coming = report.pending.contains(&target_name(name, &order.adapter));
-        let idle = !report.busy && !coming;
-        // Accepted, and no longer under way: it has ended, one way or another.
-        if done || moved && idle && self.now.since(given.at) > BUSY_POLL_MS {
-            let took = self.now.since(given.at);
-            let event = LogEvent::new("order_ended")
-                .with("order", order.number)
-                .with("model", name)
-                .with("adapter", &order.adapter)
-                .with("done", done)
-                .with("sequence", report.sequence)
-                .with("took_ms", took);
-            self.given = None;
-            self.log(event);
+        let Some(report) = &self.report else { return };
+        let mut ended = Vec::new();
+        for slot in [&mut self.model_order, &mut self.adapter_order] {
+            let Some(given) = slot else { continue };
+            if let Some(done) = outcome_of(given, report, self.now) {
+                let order = &given.order;
+                let event = LogEvent::new("order_ended")
+                    .with("order", order.number)
+                    .with("model", &order.model)
+                    .with("adapter", &order.adapter)
+                    .with("done", done)
+                    .with("sequence", report.sequence)
+                    .with("took_ms", self.now.since(given.at));
+                ended.push(event);
+                *slot = None;
+            }
+        }
+        ended.into_iter().for_each(|event| self.log(event));
+        let Some(report) = &self.report else { return };
+        for planned in &mut self.plan {
+            planned.victims.retain(|victim| holds(report, victim, ""));
         }
     }
 
-    fn take_want(&mut self, want: Want) {
-        let same = |one: &&mut Waiting| {
+    /// Plans what an entry asks for, or says at once that it will not be met here.
+    ///
+    /// Room is set aside and victims are named when the want is taken, and told to all entries
+    /// with the next state. Otherwise several entries that act at the same moment each count on
+    /// the other replicas of a busy model, and all of them are unloaded.
+    fn take_want(&mut self, link: EntryLink, want: Want) {
+        let until = self.now + want.ttl_ms;
+        let same = |one: &&mut Planned| {
             one.want.model == want.model && one.want.adapter == want.adapter
         };
-        let until = self.now + want.ttl_ms;
-        if let Some(known) = self.wants.iter_mut().find(same) {
+        if let Some(known) = self.plan.iter_mut().find(same) {
             known.until = known.until.max(until);
-            known.want = want;
-        } else if self.wants.len() < WANT_LIMIT {
-            self.wants.push_back(Waiting { want, until });
+            return;
+        }
+        let victims = if want.adapter.is_empty() { self.make_room(&want) } else { Some(vec![]) };
+        match victims {
+            Some(victims) if self.plan.len() < WANT_LIMIT => {
+                self.log(
+                    LogEvent::new("planned")
+                        .with("model", &want.model)
+                        .with("adapter", &want.adapter)
+                        .with("victims", victims.join(","))
+                        .with("before", self.plan.len())
+                        .with("waiting", want.waiting),
+                );
+                self.plan.push_back(Planned { want, until, victims });
+            }
+            _ => {
+                let name = ModelName { model: want.model, adapter: want.adapter };
+                self.log(LogEvent::new("declined").with("model", &name.model));
+                self.effects.push(SideEffect::Decline(link, name));
+            }
+        }
+    }
+
+    /// What has to make way for a model; `None` if it cannot be brought in.
+    fn make_room(&self, want: &Want) -> Option<Vec<String>> {
+        let report = self.report.as_ref()?;
+        let engine = self.engine()?;
+        let size = |name: &str| engine.model(name).map_or(0.0, |spec| spec.weights_mb);
+        let spec = engine.model(&want.model)?;
+        if holds(report, &want.model, "") && !self.is_leaving(&want.model) {
+            return Some(Vec::new());
+        }
+        let coming = self.plan.iter().filter(|one| one.want.adapter.is_empty());
+        let coming = coming.filter(|one| !holds(report, &one.want.model, ""));
+        let coming = coming.map(|one| size(&one.want.model)).sum::<f64>();
+        let going = self.plan.iter().flat_map(|one| &one.victims).map(|name| size(name));
+        let adapters = f64::from(engine.adapter_limit) * spec.adapter_mb;
+        let held = report.models.iter().map(|model| size(&model.name)).sum::<f64>();
+        let mut free = engine.weights_mb - adapters - held - coming + going.sum::<f64>();
+        let mut victims = Vec::new();
+        let mut candidates = want.victims.iter().filter(|name| {
+            holds(report, name, "") && !self.is_leaving(name) && !self.stays(name)
+        });
+        while free < spec.weights_mb {
+            let victim = candidates.next()?;
+            free += size(victim);
+            victims.push(victim.clone());
         }
+        Some(victims)
+    }
+
+    fn is_leaving(&self, model: &str) -> bool {
+        self.leaving().any(|name| name == model)
+    }
+
+    /// Models that are being unloaded, or will be.
+    fn leaving(&self) -> impl Iterator<Item = &String> {
+        let ordered = self.model_order.iter().map(|given| &given.order);
+        let ordered = ordered.filter(|order| order.kind == OrderKind::Unload);
+        let planned = self.plan.iter().flat_map(|one| &one.victims);
+        ordered.map(|order| &order.model).chain(planned)
+    }
+
+    /// Whether a model was brought in just now, or is planned.
+    fn stays(&self, model: &str) -> bool {
+        let arrived = self.arrived.get(model);
+        arrived.is_some_and(|at| self.now.since(*at) < MIN_STAY_MS)
+            || self.plan.iter().any(|one| one.want.model == model)
+    }
+
+    fn engine(&self) -> Option<&EngineSpec> {
+        self.text.as_ref()?.service(&self.service)?.engine.as_ref()
     }
 
-    fn take_used(&mut self, used: &Used) {
+    fn take_used(&mut self, used: &ModelName) {
         for name in [used.model.clone(), target_name(&used.model, &used.adapter)] {
             let usage = self.usage.entry(name).or_default();
             usage.rate.add(self.now);
@@ -306,91 +391,116 @@
     }
 
     fn take_outcome(&mut self, number: u64, outcome: OrderOutcome) {
-        let Some(given) = self.given.as_mut().filter(|given| given.order.number == number) else {
+        let ours = |slot: &Option<Given>| {
+            slot.as_ref().is_some_and(|given| given.order.number == number)
+        };
+        let slot = if ours(&self.model_order) {
+            &mut self.model_order
+        } else if ours(&self.adapter_order) {
+            &mut self.adapter_order
+        } else {
             return;
         };
-        given.outcome = Some(outcome);
-        let event = LogEvent::new("order_answered")
-            .with("order", number)
-            .with("outcome", format!("{outcome:?}").to_lowercase());
         if matches!(outcome, OrderOutcome::Conflict | OrderOutcome::Rejected) {
-            self.given = None;
+            *slot = None;
+        } else if let Some(given) = slot {
+            given.outcome = Some(outcome);
         }
-        self.log(event);
+        let word = format!("{outcome:?}").to_lowercase();
+        self.log(LogEvent::new("order_answered").with("order", number).with("outcome", word));
     }
 
-    /// Gives the next order, if one is due.
+    /// Gives the next orders that are due.
     fn advance(&mut self) {
         let now = self.now;
-        self.wants.retain(|waiting| now < waiting.until);
         let Some(report) = self.report.clone() else { return };
-        self.wants.retain(|one| !holds(&report, &one.want.model, &one.want.adapter));
+        // What an order is under way for stays planned: entries must see it coming.
+        let ordered = self.model_order.as_ref().map(|given| given.order.model.clone());
+        self.plan.retain(|one| {
+            let met = holds(&report, &one.want.model, &one.want.adapter) && one.victims.is_empty();
+            let current = ordered.as_ref() == Some(&one.want.model);
+            !met && (now < one.until || current)
+        });
         if now.since(self.seen) > UNSOUND_MS {
             return;
         }
-        if let Some(given) = &self.given {
-            let silent = given.outcome.is_none_or(|outcome| outcome == OrderOutcome::Unknown);
-            if silent && now.since(given.at) > REPEAT_MS && report.sequence == given.order.sequence
-            {
-                self.give_again();
-            }
-            return;
-        }
-        let text = self.text.clone();
-        let engine = text.as_ref().and_then(|text| text.service(&self.service)?.engine.as_ref());
-        let Some(engine) = engine else { return };
-        let wants = self.wants.iter().map(|waiting| waiting.want.clone()).collect::<Vec<_>>();
-        for want in wants {
-            if self.pursue(&want, &report, engine) {
+        self.repeat_silent(&report);
+        let Some(text) = self.text.clone() else { return };
+        let service = text.service(&self.service);
+        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else { return };
+        let plan = self.plan.iter().cloned().collect::<Vec<_>>();
+        for planned in &plan {
+            if !self.can_order(&report) {
                 return;
             }
+            if planned.want.adapter.is_empty() {
+                if self.model_order.is_none() && !report.busy {
+                    self.pursue_model(planned, &report, engine);
+                }
+            } else if self.adapter_order.is_none() {
+                self.pursue_adapter(&planned.want, &report, engine);
+            }
         }
     }
 
-    /// Gives the order that brings a want closer; true if one was given.
-    fn pursue(&mut self, want: &Want, report: &EngineReport, engine: &EngineSpec) -> bool {
-        if want.adapter.is_empty() {
-            !report.busy && self.pursue_model(want, report, engine)
-        } else {
-            self.pursue_adapter(want, report, engine)
+    /// Whether the last report shows all that was ordered, so that its sequence can be relied on.
+    fn can_order(&self, report: &EngineReport) -> bool {
+        let orders = self.model_order.iter().chain(&self.adapter_order);
+        orders.into_iter().all(|given| report.sequence > given.order.sequence)
+    }
+
+    /// Gives an order again that got no answer and has had no effect.
+    fn repeat_silent(&mut self, report: &EngineReport) {
+        let now = self.now;
+        let mut again = Vec::new();
+        for given in [&mut self.model_order, &mut self.adapter_order].into_iter().flatten() {
+            let silent = given.outcome.is_none_or(|outcome| outcome == OrderOutcome::Unknown);
+            let due = silent && now.since(given.at) > REPEAT_MS;
+            if due && report.sequence == given.order.sequence {
+                given.at = now;
+                given.outcome = None;
+                again.push(given.order.clone());
+            }
+        }
+        for order in again {
+            self.log(LogEvent::new("order_repeated").with("order", order.number));
+            self.effects.push(SideEffect::Order(order));
         }
     }
 
-    fn pursue_model(&mut self, want: &Want, report: &EngineReport, engine: &EngineSpec) -> bool {
-        let Some(spec) = engine.model(&want.model) else { return false };
+    fn pursue_model(&mut self, planned: &Planned, report: &EngineReport, engine: &EngineSpec) {
+        let want = &planned.want;
+        let Some(spec) = engine.model(&want.model) else { return };
+        if let Some(victim) = planned.victims.first() {
+            self.give(OrderKind::Unload, victim, "", want, report);
+            return;
+        }
         // Memory is never overcommitted: what is held and on its way counts in full.
-        if used_mb(report, engine) + spec.weights_mb <= engine.weights_mb {
-            let near = report.in_memory.contains(&want.model)
-                || report.on_disk.contains(&want.model);
-            if !near && !self.take_store_load(want.fleet, engine) {
-                return false;
-            }
+        if used_mb(report, engine) + spec.weights_mb > engine.weights_mb {
+            self.log(LogEvent::new("no_room").with("model", &want.model));
+            self.plan.retain(|one| one.want != *want);
+            return;
+        }
+        let near =
+            report.in_memory.contains(&want.model) || report.on_disk.contains(&want.model);
+        if near || self.take_store_load(want.fleet, engine) {
             self.give(OrderKind::Load, &want.model, "", want, report);
-            return true;
         }
-        let stays = |name: &String| {
-            let since = |at: Option<&Millis>| at.map_or(u64::MAX, |at| self.now.since(*at));
-            since(self.arrived.get(name)) < MIN_STAY_MS
-        };
-        let victims = want.victims.iter().filter(|name| holds(report, name, ""));
-        let Some(victim) = victims.into_iter().find(|name| !stays(name)) else { return false };
-        let victim = victim.clone();
-        self.give(OrderKind::Unload, &victim, "", want, report);
-        true
     }
 
-    fn pursue_adapter(&mut self, want: &Want, report: &EngineReport, engine: &EngineSpec) -> bool {
-        let Some(spec) = engine.model(&want.model) else { return false };
+    fn pursue_adapter(&mut self, want: &Want, report: &EngineReport, engine: &EngineSpec) {
+        let Some(spec) = engine.model(&want.model) else { return };
         if !holds(report, &want.model, "")
+            || self.is_leaving(&want.model)
             || report.pending.contains(&target_name(&want.model, &want.adapter))
         {
-            return false;
+            return;
         }
         let held = report.models.iter().map(|model| model.adapters.len()).sum::<usize>();
         let room = held + report.pending.len() < engine.adapter_limit as usize;
         if room && used_mb(report, engine) + spec.adapter_mb <= engine.weights_mb {
             self.give(OrderKind::Load, &want.model, &want.adapter, want, report);
-            return true;
+            return;
         }
         let adapters = report.models.iter().flat_map(|model| {
             model.adapters.iter().map(|adapter| (model.name.clone(), adapter.clone()))
@@ -399,12 +509,10 @@
             self.usage.get(&target_name(model, adapter)).map_or(Millis(0), |usage| usage.last)
         };
         let oldest = adapters.min_by_key(|(model, adapter)| last(model, adapter));
-        let Some((model, adapter)) = oldest else { return false };
-        if self.now.since(last(&model, &adapter)) < ADAPTER_STAY_MS {
-            return false;
+        let Some((model, adapter)) = oldest else { return };
+        if self.now.since(last(&model, &adapter)) >= ADAPTER_STAY_MS {
+            self.give(OrderKind::Unload, &model, &adapter, want, report);
         }
-        self.give(OrderKind::Unload, &model, &adapter, want, report);
-        true
     }
 
     /// Takes the right to one load from the weight store.
@@ -451,21 +559,17 @@
                 .with("sequence", report.sequence)
                 .with("age_ms", self.now.since(self.seen)),
         );
-        self.given = Some(Given { order: order.clone(), at: self.now, outcome: None });
-        self.effects.push(SideEffect::Order(order));
-    }
-
-    fn give_again(&mut self) {
-        let Some(given) = &mut self.given else { return };
-        given.at = self.now;
-        given.outcome = None;
-        let order = given.order.clone();
-        self.log(LogEvent::new("order_repeated").with("order", order.number));
+        let given = Some(Given { order: order.clone(), at: self.now, outcome: None });
+        if adapter.is_empty() {
+            self.model_order = given;
+        } else {
+            self.adapter_order = given;
+        }
         self.effects.push(SideEffect::Order(order));
     }
 
     fn poll(&mut self) {
-        let wait = if self.given.is_some() { BUSY_POLL_MS } else { IDLE_POLL_MS };
+        let wait = self.wake_ms();
         let due = self.now.since(self.seen) >= wait || self.report.is_none();
         let lost = self.polled.is_some_and(|at| self.now.since(at) > UNSOUND_MS);
         if due && (self.polled.is_none() || lost) {
@@ -476,7 +580,8 @@
 
     /// Milliseconds until the reducer wants to be called again.
     pub fn wake_ms(&self) -> u64 {
-        if self.given.is_some() || !self.wants.is_empty() { BUSY_POLL_MS } else { IDLE_POLL_MS }
+        let busy = self.model_order.is_some() || !self.plan.is_empty();
+        if busy || self.adapter_order.is_some() { BUSY_POLL_MS } else { IDLE_POLL_MS }
     }
 
     fn publish(&mut self) {
@@ -503,17 +608,14 @@
             rate_milli: (usage(&model.name).rate.per_s(self.now) * 1_000.0) as u32,
             idle_ms: self.now.since(usage(&model.name).last),
         });
-        let wants = self.wants.iter().map(|one| target_name(&one.want.model, &one.want.adapter));
-        let leaving = self.given.iter().map(|given| &given.order).find(|order| {
-            order.kind == OrderKind::Unload && order.adapter.is_empty()
-        });
+        let wants = self.plan.iter().map(|one| target_name(&one.want.model, &one.want.adapter));
         Some(SideState {
             sequence: report.sequence,
             models: models.collect(),
             in_memory: report.in_memory.clone(),
             on_disk: report.on_disk.clone(),
             loading: wants.collect(),
-            leaving: leaving.map(|order| order.model.clone()).unwrap_or_default(),
+            leaving: self.leaving().cloned().collect(),
             active: report.active,
             queued: report.queued,
             kv_share: report.kv_share,
@@ -540,6 +642,25 @@
         && names(a) == names(b)
 }
 
+/// How an order has ended, if it has.
+fn outcome_of(given: &Given, report: &EngineReport, now: Millis) -> Option<bool> {
+    let order = &given.order;
+    let there = holds(report, &order.model, &order.adapter);
+    let done = match order.kind {
+        OrderKind::Load => there,
+        OrderKind::Unload => !there,
+    };
+    if done {
+        return Some(true);
+    }
+    // An unload waits for its runs, and meanwhile the model is still told as held.
+    let unloading = order.kind == OrderKind::Unload && now.since(given.at) < UNLOAD_MS;
+    let coming = report.pending.contains(&target_name(&order.model, &order.adapter));
+    let accepted = report.sequence > order.sequence;
+    let over = accepted && !report.busy && !coming && now.since(given.at) > BUSY_POLL_MS;
+    (over && !unloading).then_some(false)
+}
+
 fn target_name(model: &str, adapter: &str) -> String {
     if adapter.is_empty() { model.to_owned() } else { format!("{model}/{adapter}") }
 }
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PoolFrame {
     /// What it says.
-    #[prost(oneof = "PoolKind", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "PoolKind", tags = "1, 2, 3, 4, 5")]
     pub kind: Option<PoolKind>,
 }
 
@@ -21,10 +21,13 @@
     Want(Want),
     /// An entry has sent a request to the endpoint.
     #[prost(message, tag = "3")]
-    Used(Used),
+    Used(ModelName),
     /// A side tells what its endpoint holds and does.
     #[prost(message, tag = "4")]
     State(SideState),
+    /// A side will not fetch what the entry asked for.
+    #[prost(message, tag = "5")]
+    Declined(ModelName),
 }
 
 /// The operators' text as the platform keeps it.
@@ -64,9 +67,9 @@
     pub waiting: u32,
 }
 
-/// A request was sent to the endpoint.
+/// Names a model, or an adapter of one.
 #[derive(Clone, PartialEq, Eq, Message)]
-pub struct Used {
+pub struct ModelName {
     /// The model's name.
     #[prost(string, tag = "1")]
     pub model: String,
@@ -93,9 +96,9 @@
     /// What is being loaded, or waits for it: `model` or `model/adapter`.
     #[prost(string, repeated, tag = "5")]
     pub loading: Vec<String>,
-    /// The model that is making way, or empty.
-    #[prost(string, tag = "6")]
-    pub leaving: String,
+    /// Models that make way, or will for something under `loading`.
+    #[prost(string, repeated, tag = "6")]
+    pub leaving: Vec<String>,
     /// Requests that run.
     #[prost(uint32, tag = "7")]
     pub active: u32,
--- a/src/commands/pool.rs
+++ b/src/commands/pool.rs
@@ -6,6 +6,7 @@
 use citronrill_adapter::{SETTINGS_VARIABLE, UsersPlatform};
 use citronrill_config::PoolSettings;
 use citronrill_gateway::{LogStats, run_entry, run_side};
+use signal_hook::{consts::SIGHUP, iterator::Signals};
 
 use super::stop_signals;
 use crate::{
@@ -47,10 +48,28 @@
     }
 }
 
+/// Reads the settings again whenever SIGHUP says that they have changed, and says what was found.
+/// What a process does with its settings is fixed at its start: addresses, names and bounds.
+fn watch_settings(file: String) -> Result<(), CommandError> {
+    let mut signals = Signals::new([SIGHUP]).map_err(CommandError::Signals)?;
+    std::thread::spawn(move || {
+        for _ in signals.forever() {
+            match read(&file).map(|text| PoolSettings::parse(&file, &text)) {
+                Ok(Ok(settings)) => log::info!("event=reload name={} valid=true", settings.name),
+                Ok(Err(error)) => log::warn!("event=reload valid=false error=\"{error}\""),
+                Err(error) => log::warn!("event=reload valid=false error=\"{error}\""),
+            }
+        }
+    });
+    Ok(())
+}
+
 fn settings(file: Option<String>) -> Result<PoolSettings, CommandError> {
     let named = file.or_else(|| std::env::var(SETTINGS_VARIABLE).ok());
     let file = named.ok_or(CommandError::Nothing("no settings file is named"))?;
-    Ok(PoolSettings::parse(&file, &read(&file)?)?)
+    let settings = PoolSettings::parse(&file, &read(&file)?)?;
+    watch_settings(file)?;
+    Ok(settings)
 }
 
 /// The signals that ask for a planned stop, without their kinds: nothing is kept by the pool's
