--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -287,7 +287,7 @@
         }
         match Control::new(self.address).call(request, ORDER_MS).await {
             Ok((status, _)) => {
-                log::debug!("event=order_status order={} status={status}", order.number);
+                log::info!("event=order_status order={} status={status}", order.number);
                 self.dialect.ordered(status)
             }
             Err(error) => {
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod placement;
+mod store_limit;
 mod types;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
@@ -14,11 +15,12 @@
     AnswerHead, Arrival, EntryEffect, EntryEvent, EntryProfile, FailureKind, Reason, Refusal,
     RequestId, Sending, Verdict,
 };
-use self::{choose::Choice, placement::OpenWant};
+use self::{choose::Choice, placement::OpenWant, store_limit::StoreLimit};
 use crate::{
     budget::RetryBudget,
     member::MemberChange,
     pool::Pool,
+    rate::Rate,
     text::{Repeat, Route, ServingText},
 };
 
@@ -83,6 +85,9 @@
     requests: BTreeMap<RequestId, Request>,
     budgets: Map<String, RetryBudget>,
     wants: Map<ModelKey, OpenWant>,
+    /// Requests whose model found no place.
+    misses: Map<ModelKey, Rate>,
+    store: StoreLimit,
     effects: Vec<EntryEffect>,
 }
 
@@ -98,6 +103,8 @@
             requests: BTreeMap::new(),
             budgets: Map::default(),
             wants: Map::default(),
+            misses: Map::default(),
+            store: StoreLimit::default(),
             effects: Vec::new(),
         }
     }
@@ -176,6 +183,7 @@
 
     fn take_side(&mut self, address: SocketAddr, state: &SideState) {
         if self.pool.hear(address, state, &mut self.names, self.now) {
+            self.learn_store();
             self.close_wants(address);
             self.retry_waiting();
         }
@@ -461,6 +469,7 @@
         self.expire_wants();
         self.retry_waiting();
         self.spread();
+        self.fetch_missed();
     }
 
     /// Looks again at what waits, the most urgent first.
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -6,15 +6,12 @@
 use citronrill_decide::LogEvent;
 use citronrill_wire::Want;
 
-use super::{EntryEffect, PoolEntry, Reason, Request, RequestId, Stage};
+use super::{EntryEffect, PoolEntry, Reason, RequestId, Stage};
 use crate::{
     pool::{Endpoint, full_name},
     text::{EngineSpec, ModelSpec},
 };
 
-/// Milliseconds that an order waits behind another at the same endpoint, on average: a load from
-/// disk takes 570 to 1,200.
-const QUEUED_MS: f64 = 800.0;
 /// Milliseconds that a model in use holds up its own unloading: a stream runs about half a second.
 const BUSY_VICTIM_MS: f64 = 400.0;
 /// Seconds ahead for which a model's next use is weighed.
@@ -27,6 +24,13 @@
 const BUSY_SHARE: f64 = 0.3;
 /// Milliseconds after which a side that was asked and shows nothing is given up for another.
 const UNHEARD_MS: u64 = 400;
+/// What one load under way costs a holder when an adapter is to be fetched, in shares of the slots.
+const LOADING_COST: f64 = 2.0;
+/// Milliseconds added to a load from the weight store: for its whole time the endpoint takes no
+/// other order, and the store is shared by all.
+const STORE_COST_MS: f64 = 3_000.0;
+/// Misses a second below which a model is no longer fetched for them: less than one in ten seconds.
+const MISS_FLOOR: f64 = 0.05;
 /// Fill of the least busy replica above which another one is asked for.
 const CROWDED: f64 = 0.6;
 
@@ -73,7 +77,8 @@
         };
         if !adapter.is_empty() {
             let holders = self.pool.endpoints.values().filter(held);
-            let best = holders.min_by(|a, b| a.fill().total_cmp(&b.fill()));
+            let cost = |one: &&Endpoint| self.adapter_cost(one, &request.model, &adapter);
+            let best = holders.min_by(|a, b| cost(a).total_cmp(&cost(b)));
             if let Some(best) = best {
                 let instance = best.member.instance.clone();
                 self.ask(target, &instance, &model, &adapter, Vec::new(), left);
@@ -83,18 +88,71 @@
                 return;
             }
         }
-        let Some(place) = self.place(request, base) else {
-            let reason = Reason::NoEndpoint;
-            self.refuse(id, reason);
+        let Some(place) = self.place(&request.service, &request.model, base) else {
+            self.await_place(id, base);
             return;
         };
         if place.ready_ms > left as f64 {
+            // Too late for this one; but others will ask, and without a load it stays too late.
+            let now = self.now;
+            self.misses.entry(base).or_default().add(now);
+            let ttl_ms = (2.0 * place.ready_ms) as u64;
+            self.ask(base, &place.instance, &model, "", place.victims, ttl_ms);
             self.refuse(id, Reason::TooFar);
             return;
         }
         self.ask(base, &place.instance, &model, "", place.victims, left);
     }
 
+    /// Lets a request wait for a place for its model while its time may still be enough.
+    fn await_place(&mut self, id: RequestId, base: ModelKey) {
+        let now = self.now;
+        self.misses.entry(base).or_default().add(now);
+        let Some(request) = self.requests.get(&id) else { return };
+        let engine = self.text.as_ref().and_then(|text| text.service(&request.service));
+        let engine = engine.and_then(|service| service.engine.as_ref());
+        let spec = engine.and_then(|engine| engine.model(&request.model));
+        let copied = |one: &Endpoint| {
+            one.open()
+                && (one.holding.on_disk.contains(&base) || one.holding.in_memory.contains(&base))
+        };
+        let near = self.pool.endpoints.values().any(copied);
+        let needs = spec.map_or(0, |spec| if near { spec.disk_ms } else { spec.store_ms });
+        if request.ends.since(now) < needs {
+            self.refuse(id, Reason::TooFar);
+        }
+    }
+
+    /// Loads from the weight store that are planned or under way.
+    fn store_loads(&self) -> u32 {
+        let sides = self.pool.endpoints.values().filter_map(|one| one.fresh_side(self.now));
+        sides.map(|side| side.store_loads).sum()
+    }
+
+    /// Takes what a finished load from the weight store says of how many the store bears.
+    pub(super) fn learn_store(&mut self) {
+        let loads = self.store_loads();
+        let sides = self.pool.endpoints.iter().filter_map(|(id, one)| Some((id, one.side.as_ref()?)));
+        let sides = sides.map(|(id, side)| (id.clone(), side.store_slow)).collect::<Vec<_>>();
+        for (id, slow) in sides {
+            self.store.hear(&id, slow, loads);
+        }
+    }
+
+    /// What an adapter costs at a holder of its model, in shares of the slots.
+    ///
+    /// Each adapter leans to the same holder from every entry, so that the holders' few places are
+    /// not all taken by the same ones; a holder that waits for a load takes no adapter meanwhile.
+    fn adapter_cost(&self, endpoint: &Endpoint, model: &str, adapter: &str) -> f64 {
+        let side = endpoint.fresh_side(self.now);
+        let loads = side.map_or(0, |side| {
+            side.loading.iter().filter(|key| !self.names.name(**key).contains('/')).count()
+        });
+        let name = full_name(model, adapter);
+        let order = rendezvous_score(&name, &endpoint.member.instance) as f64 / u64::MAX as f64;
+        endpoint.fill() + LOADING_COST * loads as f64 - order
+    }
+
     fn ask(
         &mut self,
         key: ModelKey,
@@ -140,11 +198,11 @@
     }
 
     /// The cheapest endpoint to fetch `model` to.
-    fn place(&self, request: &Request, model: ModelKey) -> Option<Place> {
-        let engine = self.text.as_ref()?.service(&request.service)?.engine.as_ref()?;
-        let spec = engine.model(&request.model)?;
+    fn place(&self, service: &str, name: &str, model: ModelKey) -> Option<Place> {
+        let engine = self.text.as_ref()?.service(service)?.engine.as_ref()?;
+        let spec = engine.model(name)?;
         let members = self.pool.endpoints.values();
-        let fit = members.filter(|one| one.open() && one.member.service == request.service);
+        let fit = members.filter(|one| one.open() && one.member.service == service);
         let places = fit.filter_map(|one| self.place_at(one, engine, spec, model));
         places.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
@@ -161,15 +219,19 @@
         if shut || endpoint.holding.models.contains(&model) {
             return None;
         }
+        let mut cost = 0.0;
         let load_ms = if endpoint.holding.in_memory.contains(&model) {
             spec.memory_ms
         } else if endpoint.holding.on_disk.contains(&model) {
             spec.disk_ms
         } else {
+            if self.store_loads() >= self.store.limit() {
+                return None;
+            }
+            cost += STORE_COST_MS;
             spec.store_ms
         };
-        let pending = side.loading.len();
-        let mut ready_ms = load_ms as f64 + pending as f64 * QUEUED_MS;
+        let mut ready_ms = (load_ms + side.busy_ms) as f64;
         let (victims, price) = self.victims(endpoint, engine, spec)?;
         let busy = victims.iter().any(|victim| rate_of(endpoint, *victim) * RUN_S > 0.5);
         if busy {
@@ -177,7 +239,7 @@
         }
         let tie = rendezvous_score(&spec.name, &endpoint.member.instance) as f64 / u64::MAX as f64;
         let instance = endpoint.member.instance.clone();
-        Some(Place { instance, cost: ready_ms + price + tie, ready_ms, victims })
+        Some(Place { instance, cost: cost + ready_ms + price + tie, ready_ms, victims })
     }
 
     /// What has to make way at `endpoint` for a model, cheapest first, and what that costs.
@@ -282,7 +344,7 @@
             });
             let fill = holders.map(Endpoint::fill).fold(f64::INFINITY, f64::min);
             if fill.is_finite() && fill > CROWDED {
-                crowded.push((base, request.model.clone(), self.place(request, base)));
+                crowded.push((base, request.model.clone(), self.place(&request.service, &request.model, base)));
             }
         }
         for (base, model, place) in crowded {
@@ -293,6 +355,34 @@
         }
     }
 
+    /// Asks for the model that was missed most, when the weight store has room.
+    ///
+    /// Requests whose time is shorter than such a load are refused at once and wait nowhere; without
+    /// this their model would never come.
+    pub(super) fn fetch_missed(&mut self) {
+        let now = self.now;
+        self.misses.retain(|_, rate| rate.per_s(now) > MISS_FLOOR);
+        let held = |key: &ModelKey| {
+            self.wants.contains_key(key)
+                || self.pool.endpoints.values().any(|one| one.holding.models.contains(key))
+        };
+        let missed = self.misses.iter().filter(|(key, _)| !held(key));
+        let most = missed.max_by(|a, b| a.1.per_s(now).total_cmp(&b.1.per_s(now)));
+        let Some((key, _)) = most else { return };
+        let key = *key;
+        let name = self.names.name(key).to_owned();
+        let Some(text) = self.text.clone() else { return };
+        let mut services = text.services.iter();
+        let service = services.find(|one| {
+            one.engine.as_ref().is_some_and(|engine| engine.model(&name).is_some())
+        });
+        let Some(service) = service else { return };
+        if let Some(place) = self.place(&service.name, &name, key) {
+            let ttl_ms = (2.0 * place.ready_ms) as u64;
+            self.ask(key, &place.instance, &name, "", place.victims, ttl_ms);
+        }
+    }
+
     /// The full name of a model or adapter, for tests and dumps.
     pub fn full_name(model: &str, adapter: &str) -> String {
         if adapter.is_empty() { model.to_owned() } else { full_name(model, adapter) }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -40,6 +40,9 @@
     pub(crate) leaving: Vec<ModelKey>,
     pub(crate) entries: u32,
     pub(crate) sound: bool,
+    pub(crate) busy_ms: u64,
+    pub(crate) store_loads: u32,
+    pub(crate) store_slow: u32,
     /// Requests a second by model.
     pub(crate) rates: Vec<(ModelKey, f64)>,
 }
@@ -132,7 +135,8 @@
         }
         self.version = change.version;
         let mut moved = false;
-        if change.whole {
+        let whole = change.whole;
+        if whole {
             let listed = |id: &String| change.rows.iter().any(|(row, _)| row == id);
             let gone = self.endpoints.keys().filter(|id| !listed(id)).cloned().collect::<Vec<_>>();
             moved |= !gone.is_empty();
@@ -140,7 +144,7 @@
         }
         for (id, member) in change.rows {
             match member {
-                Some(member) => moved |= self.put(member, names),
+                Some(member) => moved |= self.put(member, whole, names),
                 None => {
                     moved |= self.endpoints.contains_key(&id);
                     self.remove(&id);
@@ -158,9 +162,15 @@
         }
     }
 
-    fn put(&mut self, member: Member, names: &mut Names<ModelKey>) -> bool {
+    fn put(&mut self, member: Member, whole: bool, names: &mut Names<ModelKey>) -> bool {
         let id = member.instance.clone();
         let known = self.endpoints.contains_key(&id);
+        // An endpoint that crashed is listed for some heartbeats beside its next start. Only one can
+        // be there, and it is the one that turned up last.
+        let before = self.by_address.get(&member.address).filter(|held| **held != id).cloned();
+        if let Some(before) = before.filter(|_| !known && !whole) {
+            self.endpoints.remove(&before);
+        }
         self.by_address.insert(member.address, id.clone());
         let endpoint = self.endpoints.entry(id).or_insert_with(|| Endpoint::new(member.clone()));
         if !known || member.sequence > endpoint.holding.sequence {
@@ -200,6 +210,9 @@
             leaving: state.leaving.iter().map(|name| names.intern(name)).collect(),
             entries: state.entries,
             sound: state.sound,
+            busy_ms: state.busy_ms,
+            store_loads: state.store_loads,
+            store_slow: state.store_slow,
             rates,
         });
         true
--- a/crates/pool/src/side.rs
+++ b/crates/pool/src/side.rs
@@ -30,6 +30,10 @@
 const ADAPTER_STAY_MS: u64 = 150;
 /// Milliseconds that an unload may wait for its runs: longer than any route lets a request last.
 const UNLOAD_MS: u64 = 16_000;
+/// Milliseconds that an unload takes, measured: 20 to 70 without runs, 400 with.
+const UNLOAD_USUAL_MS: u64 = 150;
+/// Milliseconds that an adapter takes, measured with the look that shows it.
+const ADAPTER_USUAL_MS: u64 = 25;
 /// Wants that wait at most; more cannot be met in time (a load takes over 400 ms).
 const WANT_LIMIT: usize = 16;
 /// Milliseconds without a look that succeeded after which the endpoint counts as unsound.
@@ -146,6 +150,8 @@
     order: Order,
     at: Millis,
     outcome: Option<OrderOutcome>,
+    /// Whether it is a load from the weight store.
+    far: bool,
 }
 
 /// A want that will be met, with what makes way for it.
@@ -171,7 +177,11 @@
     text: Option<Arc<ServingText>>,
     report: Option<EngineReport>,
     seen: Millis,
+    /// When the last look began, and whether its answer is awaited.
     polled: Option<Millis>,
+    asking: bool,
+    /// No order is given on a report older than this: the last one was refused.
+    stale_until: Millis,
     token: Option<u64>,
     plan: VecDeque<Planned>,
     model_order: Option<Given>,
@@ -180,6 +190,8 @@
     usage: Map<String, Usage>,
     arrived: Map<String, Millis>,
     store_load: Option<Millis>,
+    /// The last store load's time against its usual one, in thousandths.
+    store_slow: u32,
     entries: u32,
     told: Option<(Millis, SideState)>,
     effects: Vec<SideEffect>,
@@ -195,6 +207,8 @@
             report: None,
             seen: Millis(0),
             polled: None,
+            asking: false,
+            stale_until: Millis(0),
             token: None,
             plan: VecDeque::new(),
             model_order: None,
@@ -203,6 +217,7 @@
             usage: Map::default(),
             arrived: Map::default(),
             store_load: None,
+            store_slow: 0,
             entries: 0,
             told: None,
             effects: Vec::new(),
@@ -240,7 +255,7 @@
     }
 
     fn take_report(&mut self, report: Option<EngineReport>) {
-        self.polled = None;
+        self.asking = false;
         let Some(report) = report else { return };
         self.seen = self.now;
         let old = self.report.as_ref().map(|old| old.sequence);
@@ -270,6 +285,7 @@
     /// Closes orders once the endpoint shows their end.
     fn settle(&mut self) {
         let Some(report) = &self.report else { return };
+        let far = self.model_order.as_ref().filter(|given| given.far).cloned();
         let mut ended = Vec::new();
         for slot in [&mut self.model_order, &mut self.adapter_order] {
             let Some(given) = slot else { continue };
@@ -287,6 +303,11 @@
             }
         }
         ended.into_iter().for_each(|event| self.log(event));
+        if let (Some(given), None) = (far, &self.model_order) {
+            let usual = self.engine().and_then(|engine| engine.model(&given.order.model));
+            let usual = usual.map_or(1, |spec| spec.store_ms.max(1));
+            self.store_slow = (self.now.since(given.at) * 1_000 / usual) as u32;
+        }
         let Some(report) = &self.report else { return };
         for planned in &mut self.plan {
             planned.victims.retain(|victim| holds(report, victim, ""));
@@ -401,11 +422,18 @@
         } else {
             return;
         };
+        let mut refused = None;
         if matches!(outcome, OrderOutcome::Conflict | OrderOutcome::Rejected) {
-            *slot = None;
+            refused = slot.take();
+            // The endpoint is not as the last report told: the next order waits for a newer one.
+            self.stale_until = self.now;
         } else if let Some(given) = slot {
             given.outcome = Some(outcome);
         }
+        if let (Some(given), OrderOutcome::Rejected) = (refused, outcome) {
+            // It names an instance that is gone: whoever asked knows a newer one soon.
+            self.plan.retain(|one| one.want.instance != given.order.instance);
+        }
         let word = format!("{outcome:?}").to_lowercase();
         self.log(LogEvent::new("order_answered").with("order", number).with("outcome", word));
     }
@@ -428,16 +456,20 @@
         let Some(text) = self.text.clone() else { return };
         let service = text.service(&self.service);
         let Some(engine) = service.and_then(|service| service.engine.as_ref()) else { return };
-        let plan = self.plan.iter().cloned().collect::<Vec<_>>();
-        for planned in &plan {
+        // While a model comes or goes, the endpoint refuses every other order. Adapters take some
+        // ten milliseconds and models hundreds at least, so adapters go first.
+        if report.busy || self.model_order.is_some() || self.adapter_order.is_some() {
+            return;
+        }
+        let (models, adapters): (Vec<_>, Vec<_>) =
+            self.plan.iter().cloned().partition(|one| one.want.adapter.is_empty());
+        for planned in adapters.iter().chain(&models) {
             if !self.can_order(&report) {
                 return;
             }
             if planned.want.adapter.is_empty() {
-                if self.model_order.is_none() && !report.busy {
-                    self.pursue_model(planned, &report, engine);
-                }
-            } else if self.adapter_order.is_none() {
+                self.pursue_model(planned, &report, engine);
+            } else {
                 self.pursue_adapter(&planned.want, &report, engine);
             }
         }
@@ -446,7 +478,8 @@
     /// Whether the last report shows all that was ordered, so that its sequence can be relied on.
     fn can_order(&self, report: &EngineReport) -> bool {
         let orders = self.model_order.iter().chain(&self.adapter_order);
-        orders.into_iter().all(|given| report.sequence > given.order.sequence)
+        self.seen > self.stale_until
+            && orders.into_iter().all(|given| report.sequence > given.order.sequence)
     }
 
     /// Gives an order again that got no answer and has had no effect.
@@ -559,7 +592,9 @@
                 .with("sequence", report.sequence)
                 .with("age_ms", self.now.since(self.seen)),
         );
-        let given = Some(Given { order: order.clone(), at: self.now, outcome: None });
+        let near = report.in_memory.contains(&order.model) || report.on_disk.contains(&order.model);
+        let far = kind == OrderKind::Load && adapter.is_empty() && !near;
+        let given = Some(Given { order: order.clone(), at: self.now, outcome: None, far });
         if adapter.is_empty() {
             self.model_order = given;
         } else {
@@ -570,10 +605,13 @@
 
     fn poll(&mut self) {
         let wait = self.wake_ms();
-        let due = self.now.since(self.seen) >= wait || self.report.is_none();
+        // Counted from the last look, not from the last answer: an endpoint that is down refuses
+        // at once, and would be asked thousands of times a second.
+        let due = self.polled.is_none_or(|at| self.now.since(at) >= wait);
         let lost = self.polled.is_some_and(|at| self.now.since(at) > UNSOUND_MS);
-        if due && (self.polled.is_none() || lost) {
+        if due && !self.asking || lost {
             self.polled = Some(self.now);
+            self.asking = true;
             self.effects.push(SideEffect::Poll);
         }
     }
@@ -621,9 +659,44 @@
             kv_share: report.kv_share,
             entries: self.entries,
             sound: self.now.since(self.seen) <= UNSOUND_MS,
+            busy_ms: self.busy_ms(report),
+            store_loads: self.store_loads(report),
+            store_slow: self.store_slow,
         })
     }
 
+    /// Milliseconds until all that is planned is there.
+    fn busy_ms(&self, report: &EngineReport) -> u64 {
+        let plan = self.plan.iter().map(|one| {
+            one.victims.len() as u64 * UNLOAD_USUAL_MS + self.load_ms(report, &one.want)
+        });
+        let spent = self.model_order.as_ref().map_or(0, |given| self.now.since(given.at));
+        plan.sum::<u64>().saturating_sub(spent)
+    }
+
+    /// Milliseconds that a load takes here, by where the nearest copy is.
+    fn load_ms(&self, report: &EngineReport, want: &Want) -> u64 {
+        let spec = self.engine().and_then(|engine| engine.model(&want.model));
+        let Some(spec) = spec.filter(|_| want.adapter.is_empty()) else { return ADAPTER_USUAL_MS };
+        if report.in_memory.contains(&want.model) {
+            spec.memory_ms
+        } else if report.on_disk.contains(&want.model) {
+            spec.disk_ms
+        } else {
+            spec.store_ms * u64::from(self.store_slow.max(1_000)) / 1_000
+        }
+    }
+
+    fn store_loads(&self, report: &EngineReport) -> u32 {
+        let far = self.plan.iter().map(|one| &one.want).filter(|want| {
+            want.adapter.is_empty()
+                && !holds(report, &want.model, "")
+                && !report.in_memory.contains(&want.model)
+                && !report.on_disk.contains(&want.model)
+        });
+        far.count() as u32
+    }
+
     fn log(&mut self, event: LogEvent) {
         self.effects.push(SideEffect::Log(event));
     }
@@ -639,6 +712,8 @@
         && a.loading == b.loading
         && a.leaving == b.leaving
         && a.sound == b.sound
+        && a.store_loads == b.store_loads
+        && a.store_slow == b.store_slow
         && names(a) == names(b)
 }
 
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -114,6 +114,16 @@
     /// Whether the endpoint answered when last asked.
     #[prost(bool, tag = "11")]
     pub sound: bool,
+    /// Milliseconds until all under `loading` is there, as far as can be told.
+    #[prost(uint64, tag = "12")]
+    pub busy_ms: u64,
+    /// Loads from the weight store under `loading`.
+    #[prost(uint32, tag = "13")]
+    pub store_loads: u32,
+    /// How long the last load from the weight store took, in thousandths of its usual time; 0 if
+    /// there was none.
+    #[prost(uint32, tag = "14")]
+    pub store_slow: u32,
 }
 
 /// One model that an endpoint holds.
