--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -51,6 +51,9 @@
 /// Milliseconds for a body to arrive when its caller names no deadline.
 const BODY_MS: u64 = 10_000;
 
+/// Milliseconds before the end of a planned stop at which the last answers are given.
+const LAST_ANSWERS_MS: u64 = 300;
+
 /// What every connection shares.
 #[derive(Clone)]
 pub(crate) struct Front {
@@ -86,6 +89,10 @@
         drop(asked.wait_for(|asked| *asked).await);
         front.shared.stopping.store(true, Ordering::Relaxed);
         log::info!("event=stopping in_hand={}", front.shared.in_hand.load(Ordering::Relaxed));
+        let last_ms = (plan.hand_over + plan.finish).as_millis() as u64;
+        let wait_ms = plan.hand_over.as_millis() as u64;
+        let end_ms = last_ms.saturating_sub(LAST_ANSWERS_MS);
+        front.events.send(EntryEvent::Stop(wait_ms, end_ms));
         sleep(plan.hand_over).await;
     };
     tokio::pin!(last);
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -74,6 +74,15 @@
     sends: u32,
 }
 
+/// When a planned stop ends what is in hand.
+#[derive(Debug, Clone, Copy)]
+struct Stop {
+    /// Nothing waits after this: another entry serves it sooner than this one could.
+    wait: Millis,
+    /// Nothing is without an answer after this: the process ends.
+    end: Millis,
+}
+
 /// Decides for callers' requests at one entry.
 #[derive(Debug)]
 pub struct PoolEntry {
@@ -88,6 +97,7 @@
     /// Requests whose model found no place.
     misses: Map<ModelKey, Rate>,
     store: StoreLimit,
+    stop: Option<Stop>,
     effects: Vec<EntryEffect>,
 }
 
@@ -105,6 +115,7 @@
             wants: Map::default(),
             misses: Map::default(),
             store: StoreLimit::default(),
+            stop: None,
             effects: Vec::new(),
         }
     }
@@ -142,6 +153,9 @@
             EntryEvent::Fail(id, kind) => self.fail(id, kind),
             EntryEvent::Finish(id, complete) => self.finish(id, complete),
             EntryEvent::Leave(id) => self.leave(id),
+            EntryEvent::Stop(wait_ms, end_ms) => {
+                self.stop = Some(Stop { wait: now + wait_ms, end: now + end_ms });
+            }
             EntryEvent::Tick => self.tick(),
         }
         std::mem::take(&mut self.effects)
@@ -454,6 +468,15 @@
 
     /// Ends what has run out of time, and looks again at what waits.
     fn tick(&mut self) {
+        self.end_overdue();
+        self.end_stopped();
+        self.expire_wants();
+        self.retry_waiting();
+        self.spread();
+        self.fetch_missed();
+    }
+
+    fn end_overdue(&mut self) {
         let over = self.requests.iter().filter(|(_, request)| self.now >= request.ends);
         let over = over.map(|(id, request)| (*id, request.stage, request.runs));
         for (id, stage, runs) in over.collect::<Vec<_>>() {
@@ -466,10 +489,26 @@
                 }
             }
         }
-        self.expire_wants();
-        self.retry_waiting();
-        self.spread();
-        self.fetch_missed();
+    }
+
+    /// In a planned stop, answers what would otherwise be cut off when the process ends.
+    ///
+    /// The failure it prevents: a request waits for its model at an entry that is being stopped, the
+    /// process ends first, and the caller sees a closed connection without knowing whether it ran.
+    fn end_stopped(&mut self) {
+        let Some(stop) = self.stop else { return };
+        let open = self.requests.iter().map(|(id, one)| (*id, one.stage, one.runs));
+        for (id, stage, runs) in open.collect::<Vec<_>>() {
+            match stage {
+                Stage::Waiting if runs == 0 && self.now >= stop.wait => {
+                    self.refuse(id, Reason::Stopping);
+                }
+                Stage::Waiting | Stage::Sent if self.now >= stop.end => {
+                    self.refuse(id, Reason::TimedOut);
+                }
+                Stage::Waiting | Stage::Sent | Stage::Passing => {}
+            }
+        }
     }
 
     /// Looks again at what waits, the most urgent first.
@@ -525,6 +564,8 @@
                 Some(request.target_ms / 2 + spread)
             }
             Reason::NoText => Some(NO_TEXT_RETRY_MS),
+            // Any other entry takes it at once.
+            Reason::Stopping => Some(STOPPING_RETRY_MS),
             Reason::Expired
             | Reason::NoRoute
             | Reason::NoModel
@@ -558,6 +599,10 @@
 /// is what a process takes from its start to its first text.
 const NO_TEXT_RETRY_MS: u64 = 1_000;
 
+/// Milliseconds after which a caller may come back when its entry is stopping: just enough not to
+/// come in one wave.
+const STOPPING_RETRY_MS: u64 = 50;
+
 /// The service that a request goes to: callers are spread over the shares by their number.
 fn share<'a>(route: &'a Route, caller: &str) -> Option<&'a str> {
     let total = route.shares.iter().map(|(_, weight)| u64::from(*weight)).sum::<u64>();
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -90,6 +90,9 @@
     Finish(RequestId, bool),
     /// The caller has left.
     Leave(RequestId),
+    /// A planned stop has begun: nothing waits longer than the first number of milliseconds from
+    /// now, and nothing is unanswered after the second.
+    Stop(u64, u64),
     /// Time has passed.
     Tick,
 }
@@ -124,6 +127,8 @@
     TooFar,
     /// Its time is up and it has not run.
     Expired,
+    /// The entry is stopping, and it has not run.
+    Stopping,
     /// Its time is up and it may have run.
     TimedOut,
     /// The endpoint failed it, and it may have run.
@@ -141,6 +146,7 @@
             Reason::Full => "full",
             Reason::TooFar => "too_far",
             Reason::Expired => "expired",
+            Reason::Stopping => "stopping",
             Reason::TimedOut => "timed_out",
             Reason::Broken => "broken",
         }
@@ -156,6 +162,7 @@
             | Reason::NoEndpoint
             | Reason::Full
             | Reason::TooFar
+            | Reason::Stopping
             | Reason::Expired => 503,
             Reason::TimedOut => 504,
             Reason::Broken => 502,
