--- a/crates/pool/src/budget.rs
+++ b/crates/pool/src/budget.rs
@@ -19,17 +19,22 @@
 }
 
 impl RetryBudget {
-    /// A budget of `ratio` x first sends + `slack` within `window_ms`.
-    pub fn new(ratio: f64, slack: f64, window_ms: u64) -> RetryBudget {
+    /// A budget of `ratio` x first sends within `window_ms`.
+    pub fn new(ratio: f64, window_ms: u64) -> RetryBudget {
         RetryBudget {
             ratio,
-            slack,
+            slack: 0.0,
             window_ms,
             firsts: VecDeque::new(),
             repeats: VecDeque::new(),
         }
     }
 
+    /// Allows `slack` second sends besides.
+    pub fn set_slack(&mut self, slack: f64) {
+        self.slack = slack;
+    }
+
     /// Counts a request.
     pub fn first(&mut self, now: Millis) {
         self.expire(now);
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -27,6 +27,11 @@
 /// Entries assumed while no side has said how many there are: small shares of a common budget are
 /// safe, large ones are not.
 const ASSUMED_ENTRIES: u32 = 8;
+/// Entries counted at least: right after a start the others have not yet connected.
+const MIN_ENTRIES: u32 = 3;
+/// Part of the allowed ratio that is used: the window that is judged slides over arrivals at the
+/// endpoints, some of which were sent before it began.
+const RATIO_PART: f64 = 0.85;
 /// Milliseconds before a request's end at which nothing new is begun for it.
 const LAST_CALL_MS: u64 = 20;
 /// Milliseconds in which the slots of an endpoint turn over once: a stream runs about that long, a
@@ -72,6 +77,8 @@
     /// Sendings after which it may have run.
     runs: u32,
     sends: u32,
+    /// Whether it was counted as having found no replica with room.
+    missed: bool,
 }
 
 /// When a planned stop ends what is in hand.
@@ -98,6 +105,8 @@
     misses: Map<ModelKey, Rate>,
     store: StoreLimit,
     stop: Option<Stop>,
+    /// When a model was last fetched ahead of demand.
+    filled: Millis,
     effects: Vec<EntryEffect>,
 }
 
@@ -116,6 +125,7 @@
             misses: Map::default(),
             store: StoreLimit::default(),
             stop: None,
+            filled: Millis(0),
             effects: Vec::new(),
         }
     }
@@ -175,7 +185,7 @@
 
     fn take_members(&mut self, change: MemberChange) {
         let version = change.version;
-        if self.pool.apply(change, &mut self.names) {
+        if self.pool.apply(change, &mut self.names, self.now) {
             let open = self.pool.endpoints.values().filter(|endpoint| endpoint.open()).count();
             let event = LogEvent::new("members").with("version", version);
             self.log(event.with("known", self.pool.endpoints.len()).with("open", open));
@@ -271,6 +281,7 @@
             tried: Vec::new(),
             runs: 0,
             sends: 0,
+            missed: false,
         })
     }
 
@@ -297,6 +308,9 @@
     /// Answers a burst beyond what the endpoints carry: the queue is as long as can be worked off
     /// before its last request's end, and whoever comes after is told so at once.
     fn crowd(&mut self, id: RequestId) {
+        if let Some(base) = self.requests.get(&id).and_then(|request| request.base) {
+            self.miss(id, base);
+        }
         let Some(request) = self.requests.get(&id) else { return };
         let same = |one: &&Request| {
             one.stage == Stage::Waiting
@@ -474,6 +488,7 @@
         self.retry_waiting();
         self.spread();
         self.fetch_missed();
+        self.fill();
     }
 
     fn end_overdue(&mut self) {
@@ -578,16 +593,17 @@
     fn entries(&self) -> u32 {
         let sides = self.pool.endpoints.values().filter_map(|endpoint| endpoint.side.as_ref());
         let entries = sides.map(|side| side.entries).max().filter(|entries| *entries > 0);
-        entries.unwrap_or(ASSUMED_ENTRIES)
+        entries.map_or(ASSUMED_ENTRIES, |entries| entries.max(MIN_ENTRIES))
     }
 
     fn budget(&mut self, service: &str) -> &mut RetryBudget {
         let entries = f64::from(self.entries());
         let profile = &self.profile;
-        self.budgets.entry(service.to_owned()).or_insert_with(|| {
-            let slack = profile.retry_slack / (entries + 1.0);
-            RetryBudget::new(profile.retry_ratio, slack, profile.retry_window_ms)
-        })
+        let budget = self.budgets.entry(service.to_owned()).or_insert_with(|| {
+            RetryBudget::new(profile.retry_ratio * RATIO_PART, profile.retry_window_ms)
+        });
+        budget.set_slack(profile.retry_slack / (entries + 1.0));
+        budget
     }
 
     fn log(&mut self, event: LogEvent) {
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -29,6 +29,12 @@
 /// Milliseconds added to a load from the weight store: for its whole time the endpoint takes no
 /// other order, and the store is shared by all.
 const STORE_COST_MS: f64 = 3_000.0;
+/// Milliseconds between two loads ahead of demand by one entry: a load from disk takes longer.
+const FILL_PAUSE_MS: u64 = 100;
+/// Milliseconds for which a load ahead of demand is of use.
+const FILL_TTL_MS: u64 = 8_000;
+/// Models tried for one load ahead of demand: the search looks at every endpoint.
+const FILL_TRIES: usize = 4;
 /// Misses a second below which a model is no longer fetched for them: less than one in ten seconds.
 const MISS_FLOOR: f64 = 0.05;
 /// Fill of the least busy replica above which another one is asked for.
@@ -57,6 +63,8 @@
     cost: f64,
     ready_ms: f64,
     victims: Vec<ModelKey>,
+    /// Whether nothing else is under way there.
+    idle: bool,
 }
 
 impl PoolEntry {
@@ -94,8 +102,7 @@
         };
         if place.ready_ms > left as f64 {
             // Too late for this one; but others will ask, and without a load it stays too late.
-            let now = self.now;
-            self.misses.entry(base).or_default().add(now);
+            self.miss(id, base);
             let ttl_ms = (2.0 * place.ready_ms) as u64;
             self.ask(base, &place.instance, &model, "", place.victims, ttl_ms);
             self.refuse(id, Reason::TooFar);
@@ -104,10 +111,44 @@
         self.ask(base, &place.instance, &model, "", place.victims, left);
     }
 
+    /// Counts a request, once, that found no replica of its model with room.
+    pub(super) fn miss(&mut self, id: RequestId, base: ModelKey) {
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if !std::mem::replace(&mut request.missed, true) {
+            self.misses.entry(base).or_default().add(now);
+        }
+    }
+
+    /// Whether the weight store may be asked for `model` now.
+    ///
+    /// When the endpoints have lost their copies, the store is what binds, and it must bring first
+    /// what most requests miss: one more replica of a busy model serves more callers than any rare
+    /// one.
+    fn store_open(&self, model: ModelKey) -> bool {
+        let missed = |key: &ModelKey| self.misses.get(key).map_or(0.0, |rate| rate.per_s(self.now));
+        let own = missed(&model);
+        let before = self.misses.keys().filter(|key| {
+            **key != model && !self.wants.contains_key(key) && missed(key) > own && self.far(**key)
+        });
+        self.store_loads() + (before.count() as u32) < self.store.limit()
+    }
+
+    /// Whether no endpoint has a copy of a model or holds it with room.
+    fn far(&self, model: ModelKey) -> bool {
+        let near = |one: &Endpoint| {
+            one.open()
+                && (one.holding.on_disk.contains(&model)
+                    || one.holding.in_memory.contains(&model)
+                    || one.holding.models.contains(&model) && one.fill() < CROWDED)
+        };
+        !self.pool.endpoints.values().any(near)
+    }
+
     /// Lets a request wait for a place for its model while its time may still be enough.
     fn await_place(&mut self, id: RequestId, base: ModelKey) {
         let now = self.now;
-        self.misses.entry(base).or_default().add(now);
+        self.miss(id, base);
         let Some(request) = self.requests.get(&id) else { return };
         let engine = self.text.as_ref().and_then(|text| text.service(&request.service));
         let engine = engine.and_then(|service| service.engine.as_ref());
@@ -225,7 +266,7 @@
         } else if endpoint.holding.on_disk.contains(&model) {
             spec.disk_ms
         } else {
-            if self.store_loads() >= self.store.limit() {
+            if !self.store_open(model) {
                 return None;
             }
             cost += STORE_COST_MS;
@@ -239,7 +280,8 @@
         }
         let tie = rendezvous_score(&spec.name, &endpoint.member.instance) as f64 / u64::MAX as f64;
         let instance = endpoint.member.instance.clone();
-        Some(Place { instance, cost: cost + ready_ms + price + tie, ready_ms, victims })
+        let idle = side.loading.is_empty();
+        Some(Place { instance, cost: cost + ready_ms + price + tie, ready_ms, victims, idle })
     }
 
     /// What has to make way at `endpoint` for a model, cheapest first, and what that costs.
@@ -355,6 +397,55 @@
         }
     }
 
+    /// Fetches models ahead of demand where memory is free, while nothing waits.
+    ///
+    /// An endpoint that joins empty, or has started again, is of no use to callers until somebody
+    /// has waited for a load there. Models without a replica come first from the nearest copy; with
+    /// the weight store's spare room, the ones with the fewest copies.
+    pub(super) fn fill(&mut self) {
+        if self.now.since(self.filled) < FILL_PAUSE_MS || self.waits() || !self.wants.is_empty() {
+            return;
+        }
+        self.filled = self.now;
+        let Some(text) = self.text.clone() else { return };
+        for service in &text.services {
+            let Some(engine) = &service.engine else { continue };
+            let away = engine.models.iter().filter_map(|spec| {
+                let key = self.names.get(&spec.name);
+                let copies = key.map_or(0, |key| self.copies(key));
+                let held = key.is_some_and(|key| self.replicas(key) > 0);
+                (!held).then_some((copies == 0, copies, spec.name.clone()))
+            });
+            let mut away = away.collect::<Vec<_>>();
+            away.sort();
+            for (_, _, name) in away.into_iter().take(FILL_TRIES) {
+                let key = self.names.intern(&name);
+                let place = self.place(&service.name, &name, key);
+                if let Some(place) = place.filter(|place| place.victims.is_empty() && place.idle) {
+                    self.ask(key, &place.instance, &name, "", Vec::new(), FILL_TTL_MS);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn waits(&self) -> bool {
+        self.requests.values().any(|one| one.stage == Stage::Waiting)
+    }
+
+    fn replicas(&self, key: ModelKey) -> usize {
+        let open = self.pool.endpoints.values().filter(|one| one.open());
+        open.filter(|one| one.holding.models.contains(&key)).count()
+    }
+
+    fn copies(&self, key: ModelKey) -> usize {
+        let open = self.pool.endpoints.values().filter(|one| one.open());
+        let copied = |one: &&Endpoint| {
+            one.holding.on_disk.contains(&key) || one.holding.in_memory.contains(&key)
+        };
+        open.filter(copied).count()
+    }
+
     /// Asks for the model that was missed most, when the weight store has room.
     ///
     /// Requests whose time is shorter than such a load are refused at once and wait nowhere; without
--- a/crates/pool/src/member.rs
+++ b/crates/pool/src/member.rs
@@ -17,8 +17,6 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub leaving: bool,
-    /// Orders accepted when this was written; tells which of two beliefs is newer.
-    pub sequence: u64,
     /// The models that it holds.
     pub models: Vec<HeldModel>,
     /// Models with a copy in the instance's memory.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -28,7 +28,7 @@
     pub(crate) in_memory: Vec<ModelKey>,
     /// Models with a copy on disk.
     pub(crate) on_disk: Vec<ModelKey>,
-    /// Orders accepted when this was seen.
+    /// Orders accepted when the side saw this; 0 if the list told it.
     pub(crate) sequence: u64,
 }
 
@@ -128,7 +128,12 @@
 
 impl Pool {
     /// Takes a change of the list; true if who is listed has changed.
-    pub(crate) fn apply(&mut self, change: MemberChange, names: &mut Names<ModelKey>) -> bool {
+    pub(crate) fn apply(
+        &mut self,
+        change: MemberChange,
+        names: &mut Names<ModelKey>,
+        now: Millis,
+    ) -> bool {
         // A list read earlier can arrive later; an older one must not bring back who has left.
         if change.version < self.version {
             return false;
@@ -144,7 +149,7 @@
         }
         for (id, member) in change.rows {
             match member {
-                Some(member) => moved |= self.put(member, whole, names),
+                Some(member) => moved |= self.put(member, whole, names, now),
                 None => {
                     moved |= self.endpoints.contains_key(&id);
                     self.remove(&id);
@@ -162,7 +167,13 @@
         }
     }
 
-    fn put(&mut self, member: Member, whole: bool, names: &mut Names<ModelKey>) -> bool {
+    fn put(
+        &mut self,
+        member: Member,
+        whole: bool,
+        names: &mut Names<ModelKey>,
+        now: Millis,
+    ) -> bool {
         let id = member.instance.clone();
         let known = self.endpoints.contains_key(&id);
         // An endpoint that crashed is listed for some heartbeats beside its next start. Only one can
@@ -173,7 +184,9 @@
         }
         self.by_address.insert(member.address, id.clone());
         let endpoint = self.endpoints.entry(id).or_insert_with(|| Endpoint::new(member.clone()));
-        if !known || member.sequence > endpoint.holding.sequence {
+        // The list is seconds behind. While the side speaks, its word stands: a list that still
+        // names a model that is making way would bring its requests back to be refused.
+        if endpoint.fresh_side(now).is_none() {
             endpoint.holding = listed_holding(&member, names);
         }
         let moved = !known || endpoint.member.leaving != member.leaving;
@@ -196,7 +209,7 @@
         now: Millis,
     ) -> bool {
         let Some(endpoint) = self.at(address) else { return false };
-        if state.sound && state.sequence >= endpoint.holding.sequence {
+        if state.sound {
             endpoint.holding = told_holding(state, names);
         }
         endpoint.load = state.active + state.queued;
@@ -225,7 +238,7 @@
 }
 
 fn listed_holding(member: &Member, names: &mut Names<ModelKey>) -> Holding {
-    let mut holding = Holding { sequence: member.sequence, ..Holding::default() };
+    let mut holding = Holding::default();
     for model in &member.models {
         hold(&mut holding, &model.name, &model.adapters, names);
     }
--- a/crates/pool/src/side.rs
+++ b/crates/pool/src/side.rs
@@ -28,6 +28,9 @@
 const MIN_STAY_MS: u64 = 300;
 /// Milliseconds for which an adapter stays once used: its request must have begun.
 const ADAPTER_STAY_MS: u64 = 150;
+/// Milliseconds between the word that a model makes way and its unloading: entries hear it and
+/// stop sending, or what is under way to the endpoint would be refused there.
+const NOTICE_MS: u64 = 12;
 /// Milliseconds that an unload may wait for its runs: longer than any route lets a request last.
 const UNLOAD_MS: u64 = 16_000;
 /// Milliseconds that an unload takes, measured: 20 to 70 without runs, 400 with.
@@ -159,6 +162,8 @@
 struct Planned {
     want: Want,
     until: Millis,
+    /// When it was planned, and told to all entries.
+    at: Millis,
     /// Models still to be unloaded for it.
     victims: Vec<String>,
 }
@@ -339,7 +344,7 @@
                         .with("before", self.plan.len())
                         .with("waiting", want.waiting),
                 );
-                self.plan.push_back(Planned { want, until, victims });
+                self.plan.push_back(Planned { want, until, at: self.now, victims });
             }
             _ => {
                 let name = ModelName { model: want.model, adapter: want.adapter };
@@ -505,6 +510,9 @@
         let want = &planned.want;
         let Some(spec) = engine.model(&want.model) else { return };
         if let Some(victim) = planned.victims.first() {
+            if self.now.since(planned.at) < NOTICE_MS {
+                return;
+            }
             self.give(OrderKind::Unload, victim, "", want, report);
             return;
         }
