Weigh a further replica by what callers lose; learn an endpoint's present start

Cause: a model that moved into demand had one replica and no other copy, 29.6 of 24 slots in use and 35 requests a second, and its second replica was held too dear; a full plan was asked 8,266 times in 3 s; after a loss of power two starts of an endpoint stood in the list and orders went to the one that is gone (345 refused in 3 s).

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -101,12 +101,12 @@
         Control { address, channel: None }
     }
 
-    /// Makes one call; gives status and body.
+    /// Makes one call; gives the whole answer.
     pub(crate) async fn call(
         &mut self,
         request: Request<Full<Bytes>>,
         limit_ms: u64,
-    ) -> Result<(hyper::StatusCode, Bytes), GatewayError> {
+    ) -> Result<Response<Bytes>, GatewayError> {
         let whole = timeout(Duration::from_millis(limit_ms), self.exchange(request)).await;
         let result = whole.unwrap_or(Err(GatewayError::Timeout(limit_ms)));
         if result.is_err() {
@@ -119,16 +119,16 @@
     async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<(hyper::StatusCode, Bytes), GatewayError> {
+    ) -> Result<Response<Bytes>, GatewayError> {
         let channel = match &mut self.channel {
             Some(channel) if !channel.sender.is_closed() => channel,
             slot => slot.insert(Channel::open(self.address).await?),
         };
         let response = channel.send(request).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), CONTROL_LIMIT).collect().await;
-        let body = body.map_err(|_| GatewayError::Status(status.as_u16()))?;
-        Ok((status, body.to_bytes()))
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, CONTROL_LIMIT).collect().await;
+        let body = body.map_err(|_| GatewayError::Status(parts.status.as_u16()))?;
+        Ok(Response::from_parts(parts, body.to_bytes()))
     }
 }
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -107,14 +107,21 @@
     /// Turns a caller's headers into those that go to an endpoint.
     fn forward(&self, headers: &mut HeaderMap, sending: &Sending);
 
-    /// Reads the head of an endpoint's answer to the request that its caller names `caller`.
-    fn answer(&self, status: StatusCode, headers: &HeaderMap, caller: &str) -> AnswerHead;
+    /// Reads the head of an endpoint's answer to the request that its caller names `caller`, which
+    /// was sent to `instance`.
+    fn answer(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        caller: &str,
+        instance: &str,
+    ) -> AnswerHead;
 
     /// Spells an order of `holder`.
     fn order(&self, order: &Order, holder: &str) -> OrderCall;
 
-    /// Reads what the endpoint said to an order.
-    fn ordered(&self, status: StatusCode) -> OrderOutcome;
+    /// Reads what the endpoint said to an order; with its name if the order meant another start.
+    fn ordered(&self, status: StatusCode, headers: &HeaderMap) -> (OrderOutcome, Option<String>);
 
     /// The path of an endpoint's state.
     fn report_path(&self) -> &'static str;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -266,7 +266,7 @@
                         biased;
                         command = commands.recv() => command,
                         result = self.call(&outgoing, &sending) => {
-                            held = self.report(id, &outgoing, result);
+                            held = self.report(id, &outgoing, &sending, result);
                             commands.recv().await
                         }
                     };
@@ -295,12 +295,14 @@
         &self,
         id: RequestId,
         outgoing: &Outgoing,
+        sending: &Sending,
         result: Result<(Response<Incoming>, Guard), (FailureKind, GatewayError)>,
     ) -> Option<(Response<Incoming>, Guard)> {
         match result {
             Ok((response, guard)) => {
                 let (status, headers) = (response.status(), response.headers());
-                let head = self.dialect.answer(status, headers, &outgoing.caller);
+                let caller = &outgoing.caller;
+                let head = self.dialect.answer(status, headers, caller, &sending.instance);
                 self.events.send(EntryEvent::Answer(id, head));
                 Some((response, guard))
             }
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -242,8 +242,8 @@
                     let this = this.clone();
                     // A silent order must not hold up the looks that show what became of it.
                     tokio::spawn(async move {
-                        let outcome = this.order(&order).await;
-                        this.tell(SideEvent::Ordered(order.number, outcome));
+                        let (outcome, instance) = this.order(&order).await;
+                        this.tell(SideEvent::Ordered(order.number, outcome, instance));
                     });
                 }
             }
@@ -259,11 +259,11 @@
     async fn report(&self, control: &mut Control) -> Option<EngineReport> {
         let read = async {
             let request = get(self.address, self.dialect.report_path())?;
-            let (status, body) = control.call(request, REPORT_MS).await?;
-            if status != StatusCode::OK {
-                return Err(GatewayError::Status(status.as_u16()));
+            let response = control.call(request, REPORT_MS).await?;
+            if response.status() != StatusCode::OK {
+                return Err(GatewayError::Status(response.status().as_u16()));
             }
-            Ok(self.dialect.report(&body)?)
+            Ok(self.dialect.report(response.body())?)
         };
         match read.await {
             Ok(report) => Some(report),
@@ -274,7 +274,7 @@
         }
     }
 
-    async fn order(&self, order: &Order) -> OrderOutcome {
+    async fn order(&self, order: &Order) -> (OrderOutcome, Option<String>) {
         let call = self.dialect.order(order, &self.holder);
         let mut request = Request::new(Full::new(Bytes::from(call.body)));
         *request.method_mut() = hyper::Method::POST;
@@ -286,13 +286,14 @@
             request.headers_mut().insert(hyper::header::HOST, host);
         }
         match Control::new(self.address).call(request, ORDER_MS).await {
-            Ok((status, _)) => {
-                log::info!("event=order_status order={} status={status}", order.number);
-                self.dialect.ordered(status)
+            Ok(response) => {
+                let status = response.status();
+                log::debug!("event=order_status order={} status={status}", order.number);
+                self.dialect.ordered(status, response.headers())
             }
             Err(error) => {
                 log::info!("event=order_unanswered order={} error=\"{error}\"", order.number);
-                OrderOutcome::Unknown
+                (OrderOutcome::Unknown, None)
             }
         }
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -163,7 +163,8 @@
     }
 
     async fn call(&mut self, path: &str, ms: u64) -> Result<(StatusCode, Bytes), GatewayError> {
-        self.control.call(get(self.store, path)?, ms).await
+        let response = self.control.call(get(self.store, path)?, ms).await?;
+        Ok((response.status(), response.into_body()))
     }
 
     fn take(&self, page: RowPage, whole: bool) {
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -220,11 +220,13 @@
         let event = LogEvent::new("want_declined").with("at", &endpoint.member.instance);
         let full = PoolEntry::full_name(&name.model, &name.adapter);
         let key = self.names.intern(&full);
-        if self.wants.get(&key).is_some_and(|want| want.is_at(address)) {
-            self.wants.remove(&key);
+        if name.adapter.is_empty() {
+            // Another side may have room at once.
+            self.wants.retain(|held, want| *held != key || !want.is_at(address));
+        } else if let Some(want) = self.wants.get_mut(&key) {
+            want.decline(address, now);
         }
         self.log(event.with("model", full));
-        self.retry_waiting();
     }
 
     fn arrive(&mut self, arrival: Arrival) {
@@ -381,7 +383,15 @@
         }
         match verdict {
             Verdict::Pass => self.pass(id),
-            Verdict::NotRun => self.again(id, false, head.status, false),
+            Verdict::NotRun => {
+                let gone = request.at.clone().filter(|_| head.elsewhere);
+                self.again(id, false, head.status, false);
+                if let Some(instance) = gone {
+                    self.log(LogEvent::new("superseded").with("instance", &instance));
+                    self.pool.remove(&instance);
+                    self.tell_sides();
+                }
+            }
             Verdict::Failed => {
                 let own_failure = head.signed && !head.foreign && head.status >= 500;
                 self.again(id, true, head.status, own_failure);
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -8,7 +8,7 @@
 
 use super::{EntryEffect, PoolEntry, Reason, RequestId, Stage};
 use crate::{
-    pool::{Endpoint, full_name},
+    pool::{DECLINED_MS, Endpoint, full_name},
     text::{EngineSpec, ModelSpec},
 };
 
@@ -48,6 +48,8 @@
     asked: Millis,
     until: Millis,
     seen: bool,
+    /// The side has declined; nothing is asked for again before `until`.
+    declined: bool,
 }
 
 impl OpenWant {
@@ -55,6 +57,17 @@
     pub(super) fn is_at(&self, address: SocketAddr) -> bool {
         self.address == address
     }
+
+    /// Takes the word of the side beside the endpoint at `address` that it declines.
+    ///
+    /// The want stays for a while as a pause: asking again at once, with every event, was measured
+    /// to make thousands of messages a second while a side's plan was full.
+    pub(super) fn decline(&mut self, address: SocketAddr, now: Millis) {
+        if self.is_at(address) {
+            self.declined = true;
+            self.until = now + DECLINED_MS;
+        }
+    }
 }
 
 /// A place for a model, with what it costs in milliseconds.
@@ -232,6 +245,7 @@
             asked: self.now,
             until: self.now + ttl_ms,
             seen: false,
+            declined: false,
         };
         self.wants.insert(key, open);
         self.effects.push(EntryEffect::Want(address, want));
@@ -351,8 +365,8 @@
         let coming = endpoint.side.as_ref().map(|side| side.loading.clone()).unwrap_or_default();
         let now = self.now;
         self.wants.retain(|key, want| {
-            if want.address != address {
-                return true;
+            if want.address != address || want.declined {
+                return !held.contains(key);
             }
             want.seen |= coming.contains(key);
             let declined = want.seen && !coming.contains(key);
@@ -368,7 +382,8 @@
         self.wants.retain(|_, want| {
             let side = pool.endpoints.get(&want.instance).and_then(|one| one.fresh_side(now));
             let unheard = !want.seen && now.since(want.asked) > UNHEARD_MS;
-            side.is_some() && !unheard && now < want.until
+            let open = side.is_some() && !unheard || want.declined;
+            open && now < want.until
         });
     }
 
@@ -390,8 +405,11 @@
             }
         }
         for (base, model, place) in crowded {
-            // A replica is worth less than the only copy of another model that is in use.
-            if let Some(place) = place.filter(|place| place.cost < 2.0 * MISS_MS) {
+            // What it costs must be less than what callers lose without it: a model that moves into
+            // demand may have one replica and no other copy, and 35 requests a second wait for it.
+            let missed = self.misses.get(&base).map_or(0.0, |rate| rate.per_s(self.now));
+            let gain = MISS_MS * (2.0 + missed * HORIZON_S);
+            if let Some(place) = place.filter(|place| place.cost < gain) {
                 self.ask(base, &place.instance, &model, "", place.victims, SPREAD_TTL_MS);
             }
         }
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -56,6 +56,8 @@
     pub signed: bool,
     /// Whether the answer names another request, or none though one was due.
     pub foreign: bool,
+    /// Whether another start of an endpoint answered than the one that was meant.
+    pub elsewhere: bool,
     /// Requests that run and wait there, if told.
     pub load: Option<u32>,
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -13,7 +13,7 @@
 /// Milliseconds for which an endpoint that could not be reached is passed over while others serve.
 const AVOID_MS: u64 = 1_000;
 /// Milliseconds for which a side that declined is not asked again: until its next word.
-const DECLINED_MS: u64 = 150;
+pub(crate) const DECLINED_MS: u64 = 150;
 /// Share of the last failure in the failure average: six failures in a row bring it over one half.
 const FAIL_STEP: f64 = 0.12;
 
@@ -159,11 +159,16 @@
         moved
     }
 
-    fn remove(&mut self, id: &str) {
-        if let Some(endpoint) = self.endpoints.remove(id)
-            && self.by_address.get(&endpoint.member.address).is_some_and(|held| held == id)
-        {
-            self.by_address.remove(&endpoint.member.address);
+    /// Forgets an endpoint; another that is listed at its address takes the address over.
+    pub(crate) fn remove(&mut self, id: &str) {
+        let Some(endpoint) = self.endpoints.remove(id) else { return };
+        let address = endpoint.member.address;
+        if self.by_address.get(&address).is_some_and(|held| held == id) {
+            let next = self.endpoints.values().find(|one| one.member.address == address);
+            match next.map(|one| one.member.instance.clone()) {
+                Some(next) => self.by_address.insert(address, next),
+                None => self.by_address.remove(&address),
+            };
         }
     }
 
@@ -208,6 +213,14 @@
         names: &mut Names<ModelKey>,
         now: Millis,
     ) -> bool {
+        let named = self.endpoints.get(&state.instance);
+        if named.is_some_and(|endpoint| endpoint.member.address == address) {
+            // Two starts of the endpoint are listed; the side knows which of them is there.
+            let held = self.by_address.insert(address, state.instance.clone());
+            if let Some(held) = held.filter(|held| *held != state.instance) {
+                self.endpoints.remove(&held);
+            }
+        }
         let Some(endpoint) = self.at(address) else { return false };
         if state.sound {
             endpoint.holding = told_holding(state, names);
--- a/crates/pool/src/side.rs
+++ b/crates/pool/src/side.rs
@@ -124,8 +124,8 @@
     Want(EntryLink, Want),
     /// An entry has sent a request to the endpoint.
     Used(ModelName),
-    /// The endpoint answered an order.
-    Ordered(u64, OrderOutcome),
+    /// The endpoint answered an order; with its name if the order meant another start of it.
+    Ordered(u64, OrderOutcome, Option<String>),
     /// So many entries are connected.
     Entries(u32),
     /// Time has passed.
@@ -188,6 +188,8 @@
     /// No order is given on a report older than this: the last one was refused.
     stale_until: Millis,
     token: Option<u64>,
+    /// The name of the endpoint's present start, once an order that meant another told it.
+    instance: Option<String>,
     plan: VecDeque<Planned>,
     model_order: Option<Given>,
     adapter_order: Option<Given>,
@@ -215,6 +217,7 @@
             asking: false,
             stale_until: Millis(0),
             token: None,
+            instance: None,
             plan: VecDeque::new(),
             model_order: None,
             adapter_order: None,
@@ -242,7 +245,14 @@
             SideEvent::Report(report) => self.take_report(report),
             SideEvent::Want(link, want) => self.take_want(link, want),
             SideEvent::Used(used) => self.take_used(&used),
-            SideEvent::Ordered(number, outcome) => self.take_outcome(number, outcome),
+            SideEvent::Ordered(number, outcome, instance) => {
+                if let Some(instance) = instance {
+                    self.log(LogEvent::new("endpoint_named").with("instance", &instance));
+                    self.plan.retain(|one| one.want.instance == instance);
+                    self.instance = Some(instance);
+                }
+                self.take_outcome(number, outcome);
+            }
             SideEvent::Entries(count) => self.entries = count,
             SideEvent::Tick => {}
         }
@@ -272,6 +282,7 @@
             self.adapter_order = None;
             self.plan.clear();
             self.token = None;
+            self.instance = None;
         }
         let held = |name: &str| self.report.as_ref().is_some_and(|old| holds(old, name, ""));
         let fresh = report.models.iter().filter(|model| !held(&model.name));
@@ -333,7 +344,15 @@
             known.until = known.until.max(until);
             return;
         }
-        let victims = if want.adapter.is_empty() { self.make_room(&want) } else { Some(vec![]) };
+        let known = self.instance.as_ref();
+        let gone = known.is_some_and(|instance| *instance != want.instance);
+        let victims = if gone {
+            None
+        } else if want.adapter.is_empty() {
+            self.make_room(&want)
+        } else {
+            Some(Vec::new())
+        };
         match victims {
             Some(victims) if self.plan.len() < WANT_LIMIT => {
                 self.log(
@@ -436,8 +455,9 @@
             given.outcome = Some(outcome);
         }
         if let (Some(given), OrderOutcome::Rejected) = (refused, outcome) {
-            // It names an instance that is gone: whoever asked knows a newer one soon.
-            self.plan.retain(|one| one.want.instance != given.order.instance);
+            self.plan.retain(|one| {
+                one.want.model != given.order.model || one.want.instance != given.order.instance
+            });
         }
         let word = format!("{outcome:?}").to_lowercase();
         self.log(LogEvent::new("order_answered").with("order", number).with("outcome", word));
@@ -670,6 +690,7 @@
             busy_ms: self.busy_ms(report),
             store_loads: self.store_loads(report),
             store_slow: self.store_slow,
+            instance: self.instance.clone().unwrap_or_default(),
         })
     }
 
@@ -722,6 +743,7 @@
         && a.sound == b.sound
         && a.store_loads == b.store_loads
         && a.store_slow == b.store_slow
+        && a.instance == b.instance
         && names(a) == names(b)
 }
 
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -124,6 +124,9 @@
     /// there was none.
     #[prost(uint32, tag = "14")]
     pub store_slow: u32,
+    /// The name of the endpoint's present start, or empty if the side has not learned it.
+    #[prost(string, tag = "15")]
+    pub instance: String,
 }
 
 /// One model that an endpoint holds.
