Count the time to the first byte as load; move silent sends; end hopeless waits

Cause: engines of 64 slots wait a second for first tokens with a third of the slots in use; a hung or dark endpoint kept resumable requests until their end; requests waited for models that nobody was fetching.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -303,12 +303,12 @@
                 let (status, headers) = (response.status(), response.headers());
                 let caller = &outgoing.caller;
                 let head = self.dialect.answer(status, headers, caller, &sending.instance);
-                self.events.send(EntryEvent::Answer(id, head));
+                self.events.send(EntryEvent::Answer(id, sending.number, head));
                 Some((response, guard))
             }
             Err((kind, error)) => {
                 log::info!("event=send_failed id={} error=\"{error}\"", outgoing.caller);
-                self.events.send(EntryEvent::Fail(id, kind));
+                self.events.send(EntryEvent::Fail(id, sending.number, kind));
                 None
             }
         }
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -27,6 +27,9 @@
 const FAIL_FREE: f64 = 0.2;
 /// What an endpoint that could not be reached costs: it comes after all others.
 const AVOID_COST: f64 = 100.0;
+/// What an engine costs whose side is silent or cannot reach it: the instance may be gone, which the
+/// list tells seconds later.
+const DARK_COST: f64 = 3.0;
 /// What is gained where the beginning of the prompt is likely kept, as a share of the slots.
 const PREFIX_GAIN: f64 = 0.2;
 /// Fill at which a plain endpoint takes no more: its slots, and two waves that wait there, which
@@ -54,7 +57,7 @@
         }
     }
 
-    fn able(&self, endpoint: &Endpoint, request: &Request) -> bool {
+    pub(super) fn able(&self, endpoint: &Endpoint, request: &Request) -> bool {
         let instance = &endpoint.member.instance;
         endpoint.open()
             && endpoint.member.service == request.service
@@ -68,6 +71,10 @@
         if endpoint.member.zone != self.profile.zone {
             cost += ZONE_COST;
         }
+        cost += endpoint.lag(self.now) / request.target_ms.max(1) as f64;
+        if request.target.is_some() && endpoint.fresh_side(self.now).is_none_or(|one| !one.sound) {
+            cost += DARK_COST;
+        }
         if endpoint.avoided(self.now) {
             cost += AVOID_COST;
         }
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -37,6 +37,16 @@
 /// Milliseconds in which the slots of an endpoint turn over once: a stream runs about that long, a
 /// plain call less.
 const WAVE_MS: f64 = 500.0;
+/// Latency objectives without a first byte after which a request is moved: at two, what another
+/// endpoint answers in its usual time still comes within three.
+const SILENT_TARGETS: u64 = 2;
+/// Milliseconds below which a silence is no sign of anything.
+const SILENT_MIN_MS: u64 = 400;
+/// Latency objectives for which a request waits for a slot at most: who has waited that long in a
+/// queue that was worked out to be shorter is better told to come back.
+const CROWD_TARGETS: u64 = 4;
+/// Milliseconds that a request may wait for a slot whatever its objective.
+const CROWD_MIN_MS: u64 = 500;
 /// Sendings of one request at most, refusals included: a backstop beside the budget.
 const SEND_LIMIT: u32 = 4;
 
@@ -70,6 +80,8 @@
     arrived: Millis,
     ends: Millis,
     stage: Stage,
+    /// When it was last sent.
+    sent: Millis,
     /// The instance that has it.
     at: Option<String>,
     /// Instances that had it and failed or refused it.
@@ -159,8 +171,16 @@
             EntryEvent::Side(address, state) => self.take_side(address, &state),
             EntryEvent::Declined(address, name) => self.declined(address, &name),
             EntryEvent::Arrive(arrival) => self.arrive(arrival),
-            EntryEvent::Answer(id, head) => self.answer(id, head),
-            EntryEvent::Fail(id, kind) => self.fail(id, kind),
+            EntryEvent::Answer(id, sending, head) => {
+                if self.is_current(id, sending) {
+                    self.answer(id, head);
+                }
+            }
+            EntryEvent::Fail(id, sending, kind) => {
+                if self.is_current(id, sending) {
+                    self.fail(id, kind);
+                }
+            }
             EntryEvent::Finish(id, complete) => self.finish(id, complete),
             EntryEvent::Leave(id) => self.leave(id),
             EntryEvent::Stop(wait_ms, end_ms) => {
@@ -279,6 +299,7 @@
             arrived: self.now,
             ends: self.now + allowed,
             stage: Stage::Waiting,
+            sent: self.now,
             at: None,
             tried: Vec::new(),
             runs: 0,
@@ -330,7 +351,9 @@
         let entries = self.entries();
         let rounds = (ahead + 1) as f64 * f64::from(entries) / f64::from(slots.max(1));
         let left = request.ends.since(self.now) as f64;
-        if rounds * WAVE_MS > left - WAVE_MS {
+        let waited = self.now.since(request.arrived);
+        let tired = waited > (CROWD_TARGETS * request.target_ms).max(CROWD_MIN_MS);
+        if rounds * WAVE_MS > left - WAVE_MS || tired {
             self.refuse(id, Reason::Full);
         }
     }
@@ -342,9 +365,11 @@
         endpoint.own += 1;
         endpoint.load += 1;
         request.stage = Stage::Sent;
+        request.sent = now;
         request.at = Some(instance.to_owned());
         request.sends += 1;
         let sending = Sending {
+            number: request.sends,
             address: endpoint.member.address,
             instance: instance.to_owned(),
             remaining_ms: request.ends.since(now),
@@ -366,12 +391,24 @@
         self.log(event);
     }
 
+    /// Whether an event belongs to the last sending of a request.
+    ///
+    /// A request that is moved may have an answer of its first endpoint on the way; taken for the
+    /// second one's, it would be given as an answer that is no longer held.
+    fn is_current(&self, id: RequestId, sending: u32) -> bool {
+        self.requests.get(&id).is_some_and(|one| one.stage == Stage::Sent && one.sends == sending)
+    }
+
     fn answer(&mut self, id: RequestId, head: AnswerHead) {
+        let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
         let verdict = judge(head, request.repeat);
         let endpoint = request.at.as_ref().and_then(|at| self.pool.endpoints.get_mut(at));
         if let Some(endpoint) = endpoint {
             endpoint.load = head.load.unwrap_or(endpoint.load);
+            if verdict == Verdict::Pass {
+                endpoint.note_lag(now.since(request.sent), now);
+            }
             if verdict != Verdict::NotRun {
                 endpoint.note(verdict == Verdict::Failed || head.status >= 500);
             } else if head.status == 421 {
@@ -494,6 +531,7 @@
     fn tick(&mut self) {
         self.end_overdue();
         self.end_stopped();
+        self.move_silent();
         self.expire_wants();
         self.retry_waiting();
         self.spread();
@@ -516,6 +554,53 @@
         }
     }
 
+    /// Sends elsewhere what an endpoint has not begun to answer for long.
+    ///
+    /// The failure it answers: an endpoint hangs, or its instance has lost power, and nothing closes
+    /// the connection for seconds. Only what may run again is moved, within the retry budget, and
+    /// the first sending is cancelled.
+    fn move_silent(&mut self) {
+        let silent = self.requests.iter().filter(|(_, one)| {
+            let patience = (SILENT_TARGETS * one.target_ms).max(SILENT_MIN_MS);
+            one.stage == Stage::Sent
+                && one.repeat.may_rerun()
+                && one.runs + 1 < one.attempts
+                && self.now.since(one.sent) > patience
+        });
+        for id in silent.map(|(id, _)| *id).collect::<Vec<_>>() {
+            let Some(request) = self.requests.get(&id) else { continue };
+            let elsewhere = self.pool.endpoints.values().any(|endpoint| {
+                Some(&endpoint.member.instance) != request.at.as_ref()
+                    && self.able(endpoint, request)
+                    && endpoint.fill() < 1.0
+            });
+            let service = request.service.clone();
+            let now = self.now;
+            if elsewhere && self.budget(&service).take(now) {
+                let event = LogEvent::new("moved");
+                self.log(event.with("id", self.requests[&id].caller.clone()));
+                self.give_up_on(id);
+                self.dispatch(id);
+            }
+        }
+    }
+
+    /// Takes a request back from an endpoint that does not answer it.
+    fn give_up_on(&mut self, id: RequestId) {
+        let now = self.now;
+        self.release(id);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.runs += 1;
+        request.stage = Stage::Waiting;
+        if let Some(at) = request.at.take() {
+            if let Some(endpoint) = self.pool.endpoints.get_mut(&at) {
+                endpoint.note(true);
+                endpoint.note_lag(now.since(request.sent), now);
+            }
+            request.tried.push(at);
+        }
+    }
+
     /// In a planned stop, answers what would otherwise be cut off when the process ends.
     ///
     /// The failure it prevents: a request waits for its model at an entry that is being stopped, the
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -37,6 +37,12 @@
 const FILL_TRIES: usize = 4;
 /// Misses a second below which a model is no longer fetched for them: less than one in ten seconds.
 const MISS_FLOOR: f64 = 0.05;
+/// Latency objectives for which a request waits while no endpoint has a place for its model: nothing
+/// says then that it will come, and half of the objective is left for another entry.
+const PLACE_TARGETS: f64 = 0.5;
+/// Time to the first byte of the quickest replica, as a share of the objective, above which another
+/// one is asked for.
+const LAGGING: f64 = 0.6;
 /// Fill of the least busy replica above which another one is asked for.
 const CROWDED: f64 = 0.6;
 
@@ -85,7 +91,8 @@
     pub(super) fn want(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
         let (Some(target), Some(base)) = (request.target, request.base) else { return };
-        if self.wants.contains_key(&target) {
+        if self.wants.contains_key(&target) || self.wants.contains_key(&base) {
+            self.check_arrival(id, target, base);
             return;
         }
         let (model, adapter) = (request.model.clone(), request.adapter.clone());
@@ -105,9 +112,6 @@
                 self.ask(target, &instance, &model, &adapter, Vec::new(), left);
                 return;
             }
-            if self.wants.contains_key(&base) {
-                return;
-            }
         }
         let Some(place) = self.place(&request.service, &request.model, base) else {
             self.await_place(id, base);
@@ -124,6 +128,19 @@
         self.ask(base, &place.instance, &model, "", place.victims, left);
     }
 
+    /// Refuses a request whose model is on its way but will not be there in time.
+    fn check_arrival(&mut self, id: RequestId, target: ModelKey, base: ModelKey) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let want = self.wants.get(&target).or(self.wants.get(&base));
+        let Some(want) = want.filter(|want| !want.declined) else { return };
+        let side = self.pool.endpoints.get(&want.instance).and_then(|one| one.side.as_ref());
+        let Some(side) = side else { return };
+        let known_ms = side.busy_ms.saturating_sub(self.now.since(side.at));
+        if want.seen && known_ms > request.ends.since(self.now) {
+            self.refuse(id, Reason::TooFar);
+        }
+    }
+
     /// Counts a request, once, that found no replica of its model with room.
     pub(super) fn miss(&mut self, id: RequestId, base: ModelKey) {
         let now = self.now;
@@ -172,8 +189,11 @@
         };
         let near = self.pool.endpoints.values().any(copied);
         let needs = spec.map_or(0, |spec| if near { spec.disk_ms } else { spec.store_ms });
+        let waited = now.since(request.arrived);
         if request.ends.since(now) < needs {
             self.refuse(id, Reason::TooFar);
+        } else if waited > (PLACE_TARGETS * request.target_ms as f64) as u64 {
+            self.refuse(id, Reason::NoEndpoint);
         }
     }
 
@@ -315,8 +335,9 @@
         let used = endpoint.holding.models.iter().chain(coming).map(size).sum::<f64>();
         let adapters = f64::from(engine.adapter_limit) * spec.adapter_mb;
         let mut free = engine.weights_mb - used - adapters;
-        let mut held = endpoint.holding.models.iter().map(|key| (self.value(*key, endpoint), *key));
-        let mut order = held.by_ref().collect::<Vec<_>>();
+        let movable = endpoint.holding.models.iter().filter(|key| !side.fixed.contains(key));
+        let mut order =
+            movable.map(|key| (self.value(*key, endpoint), *key)).collect::<Vec<_>>();
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
         let (mut victims, mut price) = (Vec::new(), 0.0);
         let mut order = order.into_iter();
@@ -399,8 +420,12 @@
             let holders = self.pool.endpoints.values().filter(|one| {
                 one.open() && one.holding.models.contains(&base)
             });
-            let fill = holders.map(Endpoint::fill).fold(f64::INFINITY, f64::min);
-            if fill.is_finite() && fill > CROWDED {
+            let target = request.target_ms.max(1) as f64;
+            let strain = |one: &Endpoint| {
+                (one.fill() / CROWDED).max(one.lag(self.now) / target / LAGGING)
+            };
+            let least = holders.map(strain).fold(f64::INFINITY, f64::min);
+            if least.is_finite() && least > 1.0 {
                 crowded.push((base, request.model.clone(), self.place(&request.service, &request.model, base)));
             }
         }
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -84,10 +84,10 @@
     Declined(SocketAddr, ModelName),
     /// A request was read.
     Arrive(Arrival),
-    /// An endpoint began to answer.
-    Answer(RequestId, AnswerHead),
-    /// A sending failed before an answer.
-    Fail(RequestId, FailureKind),
+    /// An endpoint began to answer the sending of this number.
+    Answer(RequestId, u32, AnswerHead),
+    /// The sending of this number failed before an answer.
+    Fail(RequestId, u32, FailureKind),
     /// The answer has ended; whether it was complete.
     Finish(RequestId, bool),
     /// The caller has left.
@@ -102,6 +102,8 @@
 /// One sending of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sending {
+    /// Counts the sendings of the request from 1.
+    pub number: u32,
     /// Where to.
     pub address: SocketAddr,
     /// The instance that is meant.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -12,6 +12,11 @@
 pub(crate) const FRESH_MS: u64 = 2_000;
 /// Milliseconds for which an endpoint that could not be reached is passed over while others serve.
 const AVOID_MS: u64 = 1_000;
+/// Share of the newest answer in the average time to the first byte.
+const LAG_STEP: f64 = 0.25;
+/// Milliseconds in which what was seen of that time loses its weight: a backlog of prompts is read
+/// within about a second.
+const LAG_DECAY_MS: f64 = 1_500.0;
 /// Milliseconds for which a side that declined is not asked again: until its next word.
 pub(crate) const DECLINED_MS: u64 = 150;
 /// Share of the last failure in the failure average: six failures in a row bring it over one half.
@@ -43,6 +48,8 @@
     pub(crate) busy_ms: u64,
     pub(crate) store_loads: u32,
     pub(crate) store_slow: u32,
+    /// Models that cannot make way now.
+    pub(crate) fixed: Vec<ModelKey>,
     /// Requests a second by model.
     pub(crate) rates: Vec<(ModelKey, f64)>,
 }
@@ -61,6 +68,9 @@
     /// Until when its side is not asked for models again: it has just declined.
     pub(crate) declined_until: Millis,
     pub(crate) failing: f64,
+    /// Milliseconds to the first byte of late, and when that was last heard.
+    lag: f64,
+    lagged: Millis,
 }
 
 impl Endpoint {
@@ -74,6 +84,8 @@
             avoid_until: Millis(0),
             declined_until: Millis(0),
             failing: 0.0,
+            lag: 0.0,
+            lagged: Millis(0),
         }
     }
 
@@ -97,6 +109,20 @@
         self.side.as_ref().filter(|side| now.since(side.at) < FRESH_MS)
     }
 
+    /// Notes how long an answer's first byte took.
+    pub(crate) fn note_lag(&mut self, ms: u64, now: Millis) {
+        self.lag = self.lag(now) + LAG_STEP * (ms as f64 - self.lag(now));
+        self.lagged = now;
+    }
+
+    /// Milliseconds to the first byte, by what was seen of late.
+    ///
+    /// Slots in use tell little of an engine that takes 64 requests and reads prompts for a third
+    /// of them: its batch is far from full while first tokens already wait for a second.
+    pub(crate) fn lag(&self, now: Millis) -> f64 {
+        self.lag * (-(now.since(self.lagged) as f64) / LAG_DECAY_MS).exp()
+    }
+
     /// Notes a failure or a success of a request.
     pub(crate) fn note(&mut self, failed: bool) {
         self.failing += FAIL_STEP * (f64::from(u8::from(failed)) - self.failing);
@@ -230,6 +256,8 @@
             (names.intern(&model.name), f64::from(model.rate_milli) / 1_000.0)
         });
         let rates = rates.collect();
+        let fixed = state.models.iter().filter(|model| model.fixed);
+        let fixed = fixed.map(|model| names.intern(&model.name)).collect();
         endpoint.side = Some(SideBelief {
             at: now,
             loading: state.loading.iter().map(|name| names.intern(name)).collect(),
@@ -239,6 +267,7 @@
             busy_ms: state.busy_ms,
             store_loads: state.store_loads,
             store_slow: state.store_slow,
+            fixed,
             rates,
         });
         true
--- a/crates/pool/src/side.rs
+++ b/crates/pool/src/side.rs
@@ -344,6 +344,7 @@
             known.until = known.until.max(until);
             return;
         }
+        let victims_named = want.victims.clone();
         let known = self.instance.as_ref();
         let gone = known.is_some_and(|instance| *instance != want.instance);
         let victims = if gone {
@@ -367,12 +368,36 @@
             }
             _ => {
                 let name = ModelName { model: want.model, adapter: want.adapter };
-                self.log(LogEvent::new("declined").with("model", &name.model));
+                let free = self.free_mb();
+                let stays = victims_named.iter().filter(|name| self.stays(name)).count();
+                let leaving = victims_named.iter().filter(|name| self.is_leaving(name)).count();
+                self.log(
+                    LogEvent::new("declined")
+                        .with("model", &name.model)
+                        .with("gone", gone)
+                        .with("free_mb", free as i64)
+                        .with("victims", victims_named.join(","))
+                        .with("stays", stays)
+                        .with("leaving", leaving)
+                        .with("planned", self.plan.len()),
+                );
                 self.effects.push(SideEffect::Decline(link, name));
             }
         }
     }
 
+    /// Memory that is free once all that is planned is done, in MB.
+    fn free_mb(&self) -> f64 {
+        let (Some(report), Some(engine)) = (&self.report, self.engine()) else { return 0.0 };
+        let size = |name: &str| engine.model(name).map_or(0.0, |spec| spec.weights_mb);
+        let coming = self.plan.iter().filter(|one| one.want.adapter.is_empty());
+        let coming = coming.filter(|one| !holds(report, &one.want.model, ""));
+        let coming = coming.map(|one| size(&one.want.model)).sum::<f64>();
+        let going = self.plan.iter().flat_map(|one| &one.victims).map(|name| size(name));
+        let held = report.models.iter().map(|model| size(&model.name)).sum::<f64>();
+        engine.weights_mb - held - coming + going.sum::<f64>()
+    }
+
     /// What has to make way for a model; `None` if it cannot be brought in.
     fn make_room(&self, want: &Want) -> Option<Vec<String>> {
         let report = self.report.as_ref()?;
@@ -382,13 +407,8 @@
         if holds(report, &want.model, "") && !self.is_leaving(&want.model) {
             return Some(Vec::new());
         }
-        let coming = self.plan.iter().filter(|one| one.want.adapter.is_empty());
-        let coming = coming.filter(|one| !holds(report, &one.want.model, ""));
-        let coming = coming.map(|one| size(&one.want.model)).sum::<f64>();
-        let going = self.plan.iter().flat_map(|one| &one.victims).map(|name| size(name));
         let adapters = f64::from(engine.adapter_limit) * spec.adapter_mb;
-        let held = report.models.iter().map(|model| size(&model.name)).sum::<f64>();
-        let mut free = engine.weights_mb - adapters - held - coming + going.sum::<f64>();
+        let mut free = self.free_mb() - adapters;
         let mut victims = Vec::new();
         let mut candidates = want.victims.iter().filter(|name| {
             holds(report, name, "") && !self.is_leaving(name) && !self.stays(name)
@@ -672,7 +692,7 @@
             name: model.name.clone(),
             adapters: model.adapters.clone(),
             rate_milli: (usage(&model.name).rate.per_s(self.now) * 1_000.0) as u32,
-            idle_ms: self.now.since(usage(&model.name).last),
+            fixed: self.stays(&model.name),
         });
         let wants = self.plan.iter().map(|one| target_name(&one.want.model, &one.want.adapter));
         Some(SideState {
@@ -734,7 +754,8 @@
 /// Whether two states differ only in what changes all the time.
 fn same_news(a: &SideState, b: &SideState) -> bool {
     let names = |state: &SideState| {
-        let models = state.models.iter().map(|one| (one.name.clone(), one.adapters.clone()));
+        let models =
+            state.models.iter().map(|one| (one.name.clone(), one.adapters.clone(), one.fixed));
         models.collect::<Vec<_>>()
     };
     a.sequence == b.sequence
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -141,7 +141,7 @@
     /// Requests a second lately, in thousandths.
     #[prost(uint32, tag = "3")]
     pub rate_milli: u32,
-    /// Milliseconds since it was last used.
-    #[prost(uint64, tag = "4")]
-    pub idle_ms: u64,
+    /// Whether it cannot make way now: it has just come for somebody, or is about to be used.
+    #[prost(bool, tag = "4")]
+    pub fixed: bool,
 }
