Judge replicas by rate and strain; take the loads ahead of demand out again

Cause: replicas beyond the need keep engines busy with orders, each of which holds up the swaps of rare models; a spare replica of a busy model was unloaded too cheaply and fetched back. Loads ahead of demand filled memory that the next swap had to free.

--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -72,7 +72,7 @@
             cost += ZONE_COST;
         }
         cost += endpoint.lag(self.now) / request.target_ms.max(1) as f64;
-        if request.target.is_some() && endpoint.fresh_side(self.now).is_none_or(|one| !one.sound) {
+        if request.target.is_some() && endpoint.dark(self.now) {
             cost += DARK_COST;
         }
         if endpoint.avoided(self.now) {
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -117,8 +117,6 @@
     misses: Map<ModelKey, Rate>,
     store: StoreLimit,
     stop: Option<Stop>,
-    /// When a model was last fetched ahead of demand.
-    filled: Millis,
     effects: Vec<EntryEffect>,
 }
 
@@ -137,7 +135,6 @@
             misses: Map::default(),
             store: StoreLimit::default(),
             stop: None,
-            filled: Millis(0),
             effects: Vec::new(),
         }
     }
@@ -531,12 +528,12 @@
     fn tick(&mut self) {
         self.end_overdue();
         self.end_stopped();
+        self.note_stalls();
         self.move_silent();
         self.expire_wants();
         self.retry_waiting();
         self.spread();
         self.fetch_missed();
-        self.fill();
     }
 
     fn end_overdue(&mut self) {
@@ -554,6 +551,19 @@
         }
     }
 
+    /// Notes for each endpoint how long its oldest sending has had no answer.
+    ///
+    /// An endpoint that hangs answers nothing, so no answer tells of it; what waits there does.
+    fn note_stalls(&mut self) {
+        self.pool.endpoints.values_mut().for_each(|endpoint| endpoint.stall = 0);
+        for request in self.requests.values().filter(|one| one.stage == Stage::Sent) {
+            let endpoint = request.at.as_ref().and_then(|at| self.pool.endpoints.get_mut(at));
+            if let Some(endpoint) = endpoint {
+                endpoint.stall = endpoint.stall.max(self.now.since(request.sent));
+            }
+        }
+    }
+
     /// Sends elsewhere what an endpoint has not begun to answer for long.
     ///
     /// The failure it answers: an endpoint hangs, or its instance has lost power, and nothing closes
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use citronrill_base::{Millis, ModelKey, rendezvous_score};
+use citronrill_base::{Map, Millis, ModelKey, rendezvous_score};
 use citronrill_decide::LogEvent;
 use citronrill_wire::Want;
 
@@ -22,9 +22,17 @@
 const RUN_S: f64 = 0.5;
 /// Requests a second that one replica answers well within its objective: at 20 first tokens were
 /// measured to come within 300 ms, whatever the number of slots, as prompts are read one by one.
-const REPLICA_RATE: f64 = 15.0;
+const REPLICA_RATE: f64 = 40.0;
+/// Requests a second from which a model counts as busy: its loss is felt within half a second.
+const BUSY_RATE: f64 = 2.0;
+/// Share of a second's requests that a spare replica is worth: an endpoint in twenty crashes within
+/// the horizon, and its model is away for about as long.
+const CRASH_SHARE: f64 = 0.5;
 /// Milliseconds of waiting that a replica among several saves for each request a second it serves.
-const SPARE_MS: f64 = 5.0;
+const SPARE_MS: f64 = 40.0;
+/// Milliseconds for which an endpoint takes no order while a model in use drains there: 400 to 3,400
+/// were measured.
+const DRAIN_MS: f64 = 700.0;
 /// Milliseconds after which a side that was asked and shows nothing is given up for another.
 const UNHEARD_MS: u64 = 400;
 /// What one load under way costs a holder when an adapter is to be fetched, in shares of the slots.
@@ -32,12 +40,6 @@
 /// Milliseconds added to a load from the weight store: for its whole time the endpoint takes no
 /// other order, and the store is shared by all.
 const STORE_COST_MS: f64 = 3_000.0;
-/// Milliseconds between two loads ahead of demand by one entry: a load from disk takes longer.
-const FILL_PAUSE_MS: u64 = 100;
-/// Milliseconds for which a load ahead of demand is of use.
-const FILL_TTL_MS: u64 = 8_000;
-/// Models tried for one load ahead of demand: the search looks at every endpoint.
-const FILL_TRIES: usize = 4;
 /// Misses a second below which a model is no longer fetched for them: less than one in ten seconds.
 const MISS_FLOOR: f64 = 0.05;
 /// Milliseconds for which a request waits at least while no endpoint has a place for its model: the
@@ -45,9 +47,9 @@
 const PLACE_MS: u64 = 2_500;
 /// Time to the first byte of the quickest replica, as a share of the objective, above which another
 /// one is asked for.
-const LAGGING: f64 = 0.6;
+const LAGGING: f64 = 1.2;
 /// Fill of the least busy replica above which another one is asked for.
-const CROWDED: f64 = 0.6;
+const CROWDED: f64 = 0.9;
 
 /// A model or adapter that this entry has asked for.
 #[derive(Debug, Clone)]
@@ -85,8 +87,6 @@
     cost: f64,
     ready_ms: f64,
     victims: Vec<ModelKey>,
-    /// Whether nothing else is under way there.
-    idle: bool,
 }
 
 impl PoolEntry {
@@ -317,8 +317,7 @@
         }
         let tie = rendezvous_score(&spec.name, &endpoint.member.instance) as f64 / u64::MAX as f64;
         let instance = endpoint.member.instance.clone();
-        let idle = side.loading.is_empty();
-        Some(Place { instance, cost: cost + ready_ms + price + tie, ready_ms, victims, idle })
+        Some(Place { instance, cost: cost + ready_ms + price + tie, ready_ms, victims })
     }
 
     /// What has to make way at `endpoint` for a model, cheapest first, and what that costs.
@@ -370,8 +369,12 @@
             one.stage == Stage::Waiting && one.base == Some(key)
         });
         let urgent = waiting.count() as f64 * MISS_MS;
-        if others > 0.0 && rate < others * REPLICA_RATE {
-            return rate_of(endpoint, key) * SPARE_MS;
+        if rate < BUSY_RATE && others > 0.0 || others >= desired(rate) {
+            let in_use = rate_of(endpoint, key) * RUN_S > 0.5;
+            return rate_of(endpoint, key) * SPARE_MS + if in_use { DRAIN_MS } else { 0.0 };
+        }
+        if rate < others * REPLICA_RATE {
+            return MISS_MS * (1.0 + rate * CRASH_SHARE);
         }
         let next = 1.0 - (-rate * HORIZON_S).exp();
         urgent + MISS_MS * (next + rate * MISS_MS / 1_000.0)
@@ -421,82 +424,68 @@
         });
     }
 
-    /// Asks for one more replica of a model whose replicas are all crowded.
-    pub(super) fn spread(&mut self) {
-        let running = self.requests.values().filter(|one| one.stage != Stage::Waiting);
-        let bases = running.filter_map(|one| Some((one.base?, one)));
-        let mut crowded = Vec::<(ModelKey, String, Option<Place>)>::new();
-        for (base, request) in bases {
-            if crowded.iter().any(|(key, ..)| *key == base) || self.wants.contains_key(&base) {
-                continue;
-            }
-            let holders = self.live_holders(base);
-            let target = request.target_ms.max(1) as f64;
-            let strain = |one: &Endpoint| {
-                (one.fill() / CROWDED).max(one.lag(self.now) / target / LAGGING)
-            };
-            let least = holders.map(strain).fold(f64::INFINITY, f64::min);
-            if least.is_finite() && least > 1.0 {
-                crowded.push((base, request.model.clone(), self.place(&request.service, &request.model, base)));
-            }
-        }
-        for (base, model, place) in crowded {
-            // What it costs must be less than what callers lose without it: a model that moves into
-            // demand may have one replica and no other copy, and 35 requests a second wait for it.
-            let missed = self.misses.get(&base).map_or(0.0, |rate| rate.per_s(self.now));
-            let gain = MISS_MS * (2.0 + missed * HORIZON_S);
-            if let Some(place) = place.filter(|place| place.cost < gain) {
-                self.ask(base, &place.instance, &model, "", place.victims, SPREAD_TTL_MS);
-            }
-        }
-    }
-
-    /// Fetches models ahead of demand where memory is free, while nothing waits.
+    /// Asks for one more replica of each model that has too few for its demand.
     ///
-    /// An endpoint that joins empty, or has started again, is of no use to callers until somebody
-    /// has waited for a load there. Models without a replica come first from the nearest copy; with
-    /// the weight store's spare room, the ones with the fewest copies.
-    pub(super) fn fill(&mut self) {
-        if self.now.since(self.filled) < FILL_PAUSE_MS || self.waits() || !self.wants.is_empty() {
-            return;
-        }
-        self.filled = self.now;
+    /// One more than the demand needs: when an endpoint crashes, the rest carries on while the next
+    /// replica comes. A busy model with one replica and no other copy was measured to be away for
+    /// six seconds after a crash, with every request for it lost or late.
+    pub(super) fn spread(&mut self) {
         let Some(text) = self.text.clone() else { return };
         for service in &text.services {
             let Some(engine) = &service.engine else { continue };
-            let away = engine.models.iter().filter_map(|spec| {
-                let key = self.names.get(&spec.name);
-                let copies = key.map_or(0, |key| self.copies(key));
-                let held = key.is_some_and(|key| self.replicas(key) > 0);
-                (!held).then_some((copies == 0, copies, spec.name.clone()))
-            });
-            let mut away = away.collect::<Vec<_>>();
-            away.sort();
-            for (_, _, name) in away.into_iter().take(FILL_TRIES) {
-                let key = self.names.intern(&name);
+            for (key, rate) in self.busy_models() {
+                let name = self.names.name(key).to_owned();
+                if engine.model(&name).is_none() || self.wants.contains_key(&key) {
+                    continue;
+                }
+                let coming = self.coming(key);
+                let live = (self.live_holders(key).count() + coming) as f64;
+                let strained = coming == 0 && self.strained(key);
+                if live >= desired(rate) && !strained {
+                    continue;
+                }
+                // What it costs must be less than what callers lose without it.
+                let missed = self.misses.get(&key).map_or(0.0, |rate| rate.per_s(self.now));
+                let gain = MISS_MS * (2.0 + missed * HORIZON_S + rate * CRASH_SHARE);
                 let place = self.place(&service.name, &name, key);
-                if let Some(place) = place.filter(|place| place.victims.is_empty() && place.idle) {
-                    self.ask(key, &place.instance, &name, "", Vec::new(), FILL_TTL_MS);
-                    return;
+                if let Some(place) = place.filter(|place| place.cost < gain) {
+                    self.ask(key, &place.instance, &name, "", place.victims, SPREAD_TTL_MS);
                 }
             }
         }
     }
 
-    fn waits(&self) -> bool {
-        self.requests.values().any(|one| one.stage == Stage::Waiting)
+    /// Endpoints to which a model is on its way, whoever asked for it.
+    fn coming(&self, key: ModelKey) -> usize {
+        let sides = self.pool.endpoints.values().filter_map(|one| {
+            let held = one.holding.models.contains(&key);
+            one.fresh_side(self.now).filter(|_| !held)
+        });
+        sides.filter(|side| side.loading.contains(&key)).count()
     }
 
-    fn replicas(&self, key: ModelKey) -> usize {
-        self.live_holders(key).count()
+    /// Models that are asked for often, with their requests a second.
+    fn busy_models(&self) -> Vec<(ModelKey, f64)> {
+        let mut rates = Map::<ModelKey, f64>::default();
+        let live = self.pool.endpoints.values().filter(|one| one.fresh_side(self.now).is_some());
+        for (key, rate) in live.flat_map(|one| one.side.iter().flat_map(|side| &side.rates)) {
+            *rates.entry(*key).or_default() += rate;
+        }
+        let mut busy = rates.into_iter().filter(|(_, rate)| *rate >= BUSY_RATE).collect::<Vec<_>>();
+        busy.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        busy
     }
 
-    fn copies(&self, key: ModelKey) -> usize {
-        let open = self.pool.endpoints.values().filter(|one| one.open());
-        let copied = |one: &&Endpoint| {
-            one.holding.on_disk.contains(&key) || one.holding.in_memory.contains(&key)
+    /// Whether even the least loaded replica of a model is crowded or slow.
+    fn strained(&self, key: ModelKey) -> bool {
+        let running = self.requests.values().filter(|one| one.base == Some(key));
+        let target = running.map(|one| one.target_ms).min();
+        let Some(target) = target else { return false };
+        let strain = |one: &Endpoint| {
+            (one.fill() / CROWDED).max(one.lag(self.now) / target.max(1) as f64 / LAGGING)
         };
-        open.filter(copied).count()
+        let least = self.live_holders(key).map(strain).fold(f64::INFINITY, f64::min);
+        least.is_finite() && least > 1.0
     }
 
     /// Asks for the model that was missed most, when the weight store has room.
@@ -533,8 +522,14 @@
     }
 }
 
-/// Milliseconds for which another replica is still of use: a burst lasts a few seconds.
-const SPREAD_TTL_MS: u64 = 3_000;
+/// Milliseconds for which another replica is still of use: a load from the weight store takes six
+/// seconds at least.
+const SPREAD_TTL_MS: u64 = 8_000;
+
+/// Replicas that a busy model should have: what its demand needs, and one that may crash.
+fn desired(rate: f64) -> f64 {
+    (rate / REPLICA_RATE).ceil()
+}
 
 fn rate_of(endpoint: &Endpoint, key: ModelKey) -> f64 {
     let rates = endpoint.side.iter().flat_map(|side| side.rates.iter());
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -12,6 +12,9 @@
 pub(crate) const FRESH_MS: u64 = 2_000;
 /// Milliseconds for which an endpoint that could not be reached is passed over while others serve.
 const AVOID_MS: u64 = 1_000;
+/// Milliseconds of a side's silence after which its endpoint comes after all that are heard: two
+/// periods of 500 ms and a little.
+const DARK_MS: u64 = 1_100;
 /// Share of the newest answer in the average time to the first byte.
 const LAG_STEP: f64 = 0.25;
 /// Milliseconds in which what was seen of that time loses its weight: a backlog of prompts is read
@@ -68,6 +71,8 @@
     /// Until when its side is not asked for models again: it has just declined.
     pub(crate) declined_until: Millis,
     pub(crate) failing: f64,
+    /// Milliseconds for which the oldest sending there has had no answer.
+    pub(crate) stall: u64,
     /// Milliseconds to the first byte of late, and when that was last heard.
     lag: f64,
     lagged: Millis,
@@ -84,6 +89,7 @@
             avoid_until: Millis(0),
             declined_until: Millis(0),
             failing: 0.0,
+            stall: 0,
             lag: 0.0,
             lagged: Millis(0),
         }
@@ -104,6 +110,12 @@
         f64::from(self.load()) / f64::from(self.member.slots.max(1))
     }
 
+    /// Whether nothing was heard of its side for longer than two of its periods, or it cannot reach
+    /// the endpoint: the instance may be frozen or gone.
+    pub(crate) fn dark(&self, now: Millis) -> bool {
+        self.side.as_ref().is_none_or(|side| !side.sound || now.since(side.at) > DARK_MS)
+    }
+
     /// The side's word, while it is fresh.
     pub(crate) fn fresh_side(&self, now: Millis) -> Option<&SideBelief> {
         self.side.as_ref().filter(|side| now.since(side.at) < FRESH_MS)
@@ -120,7 +132,8 @@
     /// Slots in use tell little of an engine that takes 64 requests and reads prompts for a third
     /// of them: its batch is far from full while first tokens already wait for a second.
     pub(crate) fn lag(&self, now: Millis) -> f64 {
-        self.lag * (-(now.since(self.lagged) as f64) / LAG_DECAY_MS).exp()
+        let seen = self.lag * (-(now.since(self.lagged) as f64) / LAG_DECAY_MS).exp();
+        seen.max(self.stall as f64)
     }
 
     /// Notes a failure or a success of a request.
