--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -23,6 +23,10 @@
 /// Requests a second that one replica answers well within its objective: at 20 first tokens were
 /// measured to come within 300 ms, whatever the number of slots, as prompts are read one by one.
 const REPLICA_RATE: f64 = 40.0;
+/// Requests a second that each remaining replica would have to carry above which a replica is not
+/// given up for a rare model. It is far below [`REPLICA_RATE`], or replicas would be unloaded and
+/// fetched back by turns: 12 orders in 5 s for one model were seen in a burst of rare ones.
+const KEEP_RATE: f64 = 12.0;
 /// Requests a second from which a model counts as busy: its loss is felt within half a second.
 const BUSY_RATE: f64 = 2.0;
 /// Share of a second's requests that a spare replica is worth: an endpoint in twenty crashes within
@@ -369,15 +373,12 @@
             one.stage == Stage::Waiting && one.base == Some(key)
         });
         let urgent = waiting.count() as f64 * MISS_MS;
-        if rate < BUSY_RATE && others > 0.0 || others >= desired(rate) {
+        if others > 0.0 && rate <= others * KEEP_RATE {
             let in_use = rate_of(endpoint, key) * RUN_S > 0.5;
             return rate_of(endpoint, key) * SPARE_MS + if in_use { DRAIN_MS } else { 0.0 };
         }
-        if rate < others * REPLICA_RATE {
-            return MISS_MS * (1.0 + rate * CRASH_SHARE);
-        }
         let next = 1.0 - (-rate * HORIZON_S).exp();
-        urgent + MISS_MS * (next + rate * MISS_MS / 1_000.0)
+        urgent + MISS_MS * (next + rate)
     }
 
     /// Endpoints that hold a model and whose side says that they live.
