--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -7,7 +7,7 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -254,11 +254,15 @@
     ) -> Response<Body> {
         let mut departure = Departure { id, events: self.events.clone(), armed: true };
         let mut held: Option<(Response<Incoming>, Guard)> = None;
+        let read = Instant::now();
         let mut next = commands.recv().await;
         loop {
             match next {
                 Some(Command::Send(sending)) => {
                     held = None;
+                    if sending.number == 1 {
+                        self.metrics.waits.record(read.elapsed());
+                    }
                     next = tokio::select! {
                         biased;
                         command = commands.recv() => command,
@@ -316,6 +320,7 @@
         outgoing: &Outgoing,
         sending: &Sending,
     ) -> Result<(Response<Incoming>, Guard), (FailureKind, GatewayError)> {
+        let begun = Instant::now();
         let opened = Channel::open(sending.address).await;
         let mut channel = opened.map_err(|error| (FailureKind::Unreached, error))?;
         let mut request = Request::new(Full::new(outgoing.body.clone()));
@@ -328,6 +333,7 @@
         *request.headers_mut() = headers;
         let response = channel.send(request).await;
         let response = response.map_err(|error| (FailureKind::Broken, error))?;
+        self.metrics.heads.record(begun.elapsed());
         Ok((response, channel.into_guard()))
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use citronrill_pool::Reason;
+use hdrhistogram::Histogram;
 use http_body_util::Full;
 use hyper::{Response, StatusCode, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -21,6 +22,9 @@
 
 use crate::logs::LogStats;
 
+/// The longest time that is told apart, in milliseconds: no route lets a request last longer.
+const LONGEST_MS: u64 = 60_000;
+
 /// A count that only rises.
 #[derive(Debug, Default)]
 pub(crate) struct Counter(AtomicU64);
@@ -37,6 +41,37 @@
     }
 }
 
+/// A distribution of times in milliseconds.
+#[derive(Debug)]
+pub(crate) struct Times(Mutex<Histogram<u64>>);
+
+impl Default for Times {
+    fn default() -> Times {
+        // The bounds are constants that the library accepts: 1 ms to [`LONGEST_MS`], two digits.
+        let histogram = Histogram::new_with_bounds(1, LONGEST_MS, 2);
+        let histogram = histogram.or_else(|_| Histogram::new(2));
+        Times(Mutex::new(histogram.expect("two digits are a valid precision")))
+    }
+}
+
+impl Times {
+    /// Counts one time.
+    pub(crate) fn record(&self, time: Duration) {
+        let ms = (time.as_millis() as u64).clamp(1, LONGEST_MS);
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).saturating_record(ms);
+    }
+
+    /// Writes the distribution as a summary.
+    fn show(&self, text: &mut String, name: &str) {
+        let times = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        for quantile in [0.5, 0.9, 0.99] {
+            let label = format!("{{quantile=\"{quantile}\"}}");
+            line(text, name, &label, times.value_at_quantile(quantile));
+        }
+        line(text, &format!("{name}_count"), "", times.len());
+    }
+}
+
 /// Something that shows itself as Prometheus text.
 pub(crate) trait Show: Send + Sync {
     /// The text.
@@ -48,6 +83,10 @@
 pub(crate) struct EntryMetrics {
     pub(crate) requests: Counter,
     pub(crate) wants: Counter,
+    /// From a request read whole to its first sending.
+    pub(crate) waits: Times,
+    /// From a sending to the head of its answer.
+    pub(crate) heads: Times,
     statuses: Mutex<BTreeMap<u16, u64>>,
     refusals: Mutex<BTreeMap<&'static str, u64>>,
     logs: Arc<LogStats>,
@@ -58,6 +97,8 @@
         EntryMetrics {
             requests: Counter::default(),
             wants: Counter::default(),
+            waits: Times::default(),
+            heads: Times::default(),
             statuses: Mutex::default(),
             refusals: Mutex::default(),
             logs,
@@ -82,6 +123,8 @@
         let mut text = String::new();
         line(&mut text, "citronrill_requests_total", "", self.requests.value());
         line(&mut text, "citronrill_wants_total", "", self.wants.value());
+        self.waits.show(&mut text, "citronrill_wait_ms");
+        self.heads.show(&mut text, "citronrill_head_ms");
         let statuses = self.statuses.lock().unwrap_or_else(PoisonError::into_inner);
         for (status, count) in statuses.iter() {
             let label = format!("{{status=\"{status}\"}}");
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -15,14 +15,16 @@
     error::GatewayError,
 };
 
-/// Milliseconds that the store holds a call for changes: a connection that has gone silent without
-/// a reset is noticed after this and a little more, before anything read on it is two seconds old.
-const WATCH_MS: u64 = 1_200;
+/// Milliseconds that the store holds a call for changes. Each call has its price, so it is held long;
+/// a connection that has gone silent without a reset is noticed after this and [`ANSWER_MS`], which
+/// leaves two seconds of the five within which a new text is to be in force after such a cut.
+const WATCH_MS: u64 = 2_400;
 /// Milliseconds for an answer beyond that, with a store 50 times slower than usual (4 ms).
 const ANSWER_MS: u64 = 600;
-/// Milliseconds between two calls for the list: endpoints write often, and each call has its price;
-/// a leaving endpoint is to be left alone within two seconds.
-const LIST_PAUSE_MS: u64 = 500;
+/// Milliseconds between two calls for the list: some endpoint writes several times a second, and a
+/// call that waits would return at once each time. A leaving endpoint is to be left alone within two
+/// seconds; this and the store's answer are half of that.
+const LIST_PAUSE_MS: u64 = 900;
 /// Milliseconds before another try when the store does not answer.
 const FAILED_PAUSE_MS: u64 = 250;
 
