Run the pool's processes in tests against stand-ins of the platform

Stand-ins of the store (tables, feed, outage, lost history) and of workers (orders, streams, six ways to treat a request) speak the platform's protocol over sockets; the tests start the real programs: a cold request, unchanged requests, own headers, bad input, broken, unsigned and foreign answers, callers that leave, hung workers, texts, outages, restarts, planned stops, settings.

--- /dev/null
+++ b/tests/pool/life.rs
@@ -0,0 +1,124 @@
+//! Texts, lists, outages, stops and settings.
+
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+};
+
+use crate::support::{Answer, Ask, Deployment, PATIENCE, Process, text, until};
+
+const SIGHUP: i32 = 1;
+const SIGTERM: i32 = 15;
+
+/// An operator adds a route. It is served as soon as the entry has read it.
+#[test]
+fn a_new_text_is_in_force() {
+    let pool = Deployment::start(&[("e1", &["m0"])]);
+    assert_eq!(pool.ask(&Ask::call("/added/x", "id-1")).status, 404);
+    pool.store.put("op", "config", Some(text(4, &["/added/"])));
+    pool.until("the text is known", || pool.entry.logged(&["event=text ", "version=4"]));
+    assert_eq!(pool.ask(&Ask::call("/added/x", "id-2")).status, 200);
+}
+
+/// The store goes away. What is known goes on being served, also a model that has to be fetched;
+/// what was written meanwhile is in force soon after its return.
+#[test]
+fn an_outage_of_the_store_stops_nothing() {
+    let pool = Deployment::start(&[("e1", &["m0"])]);
+    pool.store.set_down(true);
+    pool.until("the loss is in the log", || pool.entry.logged(&["event=store_lost"]));
+    assert_eq!(pool.ask(&Ask::call("/book/x", "id-1")).status, 200);
+    assert_eq!(pool.ask(&Ask::stream("/draft/x", "id-2", "m3")).status, 200);
+    pool.store.put("op", "config", Some(text(5, &["/added/"])));
+    pool.store.set_down(false);
+    pool.until("the text is known", || pool.entry.logged(&["event=text ", "version=5"]));
+    pool.until("its return is in the log", || pool.entry.logged(&["event=store_regained"]));
+}
+
+/// The store forgets its history while a text is written. The entry reads the whole again and misses
+/// nothing.
+#[test]
+fn a_lost_history_hides_no_text() {
+    let pool = Deployment::start(&[("e1", &["m0"])]);
+    pool.store.put("op", "config", Some(text(6, &["/added/"])));
+    pool.store.forget();
+    pool.until("the text is known", || pool.entry.logged(&["event=text ", "version=6"]));
+}
+
+/// An entry is killed and starts again while the store is away. It knows no text: it is not ready
+/// and says so, instead of denying routes that exist.
+#[test]
+fn an_entry_without_a_text_is_not_ready() {
+    let mut pool = Deployment::start(&[("e1", &["m0"])]);
+    assert!(pool.ready());
+    pool.store.set_down(true);
+    pool.restart_entry();
+    assert!(!pool.ready());
+    let answer = pool.ask(&Ask::call("/book/x", "id-1"));
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    pool.store.set_down(false);
+    until("the entry is ready", || pool.ready());
+    assert_eq!(pool.ask(&Ask::call("/book/x", "id-2")).status, 200);
+}
+
+/// A worker says that it leaves, another is taken out of the list without a word. Neither gets
+/// anything new.
+#[test]
+fn leaving_workers_are_left_alone() {
+    let pool = Deployment::start(&[("e1", &["m0"]), ("e2", &["m0"]), ("e3", &["m0"])]);
+    pool.engines[0].list("draining");
+    pool.engines[1].unlist();
+    pool.until("the list is known", || pool.entry.logged(&["event=members", "known=3 open=2"]));
+    for index in 0..4 {
+        let id = format!("id-{index}");
+        assert_eq!(pool.ask(&Ask::stream("/draft/x", &id, "m0")).status, 200);
+    }
+    assert!(pool.engines[0].ran().is_empty() && pool.engines[1].ran().is_empty());
+}
+
+/// SIGTERM comes in the middle of a stream. The stream ends whole, the entry is not ready any more,
+/// tells kept connections to close, and ends by itself with code 0.
+#[test]
+fn a_planned_stop_cuts_nothing() {
+    let mut pool = Deployment::start(&[("e1", &["m0"])]);
+    let mut stream = pool.open(&Ask::stream("/draft/x", "id-1", "m0"));
+    let mut first = [0; 1];
+    assert_eq!(stream.read(&mut first).unwrap(), 1);
+    pool.entry.signal(SIGTERM);
+    until("the stop is in the log", || pool.entry.logged(&["event=stopping"]));
+    assert!(!pool.ready());
+    let mut kept = TcpStream::connect(pool.callers).unwrap();
+    kept.set_read_timeout(Some(PATIENCE)).unwrap();
+    kept.write_all(
+        b"GET /status/x HTTP/1.1\r\nHost: pool.example\r\nX-Citronrill-Attempt-Id: id-2\r\n\r\n",
+    )
+    .unwrap();
+    let answer = Answer::read(&mut kept);
+    assert_eq!((answer.status, answer.header("connection")), (200, Some("close")));
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).unwrap();
+    assert!(rest.ends_with(b"0\r\n\r\n"), "the stream ends whole");
+    assert_eq!(pool.entry.wait(), Some(0));
+    assert!(pool.entry.logged(&["event=stopped", "finished=true"]));
+}
+
+/// SIGHUP says that the settings have changed. The process goes on and says that it has read them.
+#[test]
+fn a_hangup_ends_nothing() {
+    let pool = Deployment::start(&[("e1", &["m0"])]);
+    pool.entry.signal(SIGHUP);
+    pool.sides[0].signal(SIGHUP);
+    pool.until("both have read them", || {
+        let reload = ["event=reload", "valid=true"];
+        pool.entry.logged(&reload) && pool.sides[0].logged(&reload)
+    });
+    assert_eq!(pool.ask(&Ask::stream("/draft/x", "id-1", "m0")).status, 200);
+}
+
+/// Settings with a wrong value end the process at once with code 2.
+#[test]
+fn wrong_settings_are_refused() {
+    let mut process = Process::start("pool-entry", "[process]\nname = e\nzone =\n");
+    assert_eq!(process.wait(), Some(2));
+}
--- /dev/null
+++ b/tests/pool/main.rs
@@ -0,0 +1,10 @@
+//! The pool's processes, run for real over sockets against stand-ins of the users' platform.
+
+#![allow(clippy::unwrap_used, reason = "a test that cannot go on must fail")]
+
+mod answers;
+mod life;
+mod requests;
+#[path = "../../platform/tests/standin/mod.rs"]
+mod standin;
+mod support;
--- /dev/null
+++ b/tests/pool/support.rs
@@ -0,0 +1,362 @@
+//! Real processes on loopback, and a caller.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader, Read, Write},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU8, AtomicU16, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+
+use crate::standin::{Platform, Store, Worker, WorkerSpec};
+
+pub(crate) const HOST: &str = "pool.example";
+/// How long a test waits for something that must come.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A port that is free on all loopback addresses that tests use.
+pub(crate) fn free_port() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let offset = (std::process::id() % 40) as u16 * 500;
+    loop {
+        let port = 20_000 + offset + NEXT.fetch_add(1, Ordering::Relaxed);
+        if TcpListener::bind((Ipv4Addr::UNSPECIFIED, port)).is_ok() {
+            return port;
+        }
+    }
+}
+
+/// A loopback address of its own, as each instance has.
+fn next_ip() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(2);
+    Ipv4Addr::new(127, 0, 1, NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Version `version` of a text with an engine service, a plain service and their routes.
+pub(crate) fn text(version: u64, extra: &[&str]) -> Vec<u8> {
+    let route = |prefix: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
+        json!({"name": prefix, "host": HOST, "path_prefix": prefix, "type": kind,
+            "timeout_ms": 5000, "target_latency_ms": 500, "priority": 0, "service": service,
+            "max_attempts": attempts, "sticky": true, "resumable": resumable,
+            "target_gap_ms": 600})
+    };
+    let model = |name: &str| {
+        json!({"name": name, "weights_mb": 60000.0, "load_time_s": 6.0, "adapters": 0,
+            "adapter_size_mb": 10.0, "warmup_s": 0.2, "disk_load_s": 0.3})
+    };
+    let mut routes = vec![
+        route("/chat/", "streaming", "engines", 2, true),
+        route("/draft/", "streaming", "engines", 1, false),
+        route("/status/", "idempotent", "ledger", 2, false),
+        route("/book/", "non_idempotent", "ledger", 1, false),
+    ];
+    routes.extend(extra.iter().map(|prefix| route(prefix, "idempotent", "ledger", 2, false)));
+    json!({"version": version, "routes": routes, "services": [
+        {"name": "engines", "health_path": "/healthz", "max_connections": 200, "protocol": "h1",
+         "tls": false, "engine": {"slots": 24, "kv_capacity": 1000, "kv_token_bytes": 1,
+         "models": [model("m0"), model("m1"), model("m2"), model("m3"), model("m4")],
+         "weights_mb": 200000.0, "max_adapters": 2, "loads_per_s": 7.0}},
+        {"name": "ledger", "health_path": "/healthz", "max_connections": 100, "protocol": "h1",
+         "tls": false}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 100_000,
+         "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+    .to_string()
+    .into_bytes()
+}
+
+/// A process of citronrill; it is killed when this is dropped.
+pub(crate) struct Process {
+    pub(crate) child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+    settings: PathBuf,
+}
+
+impl Process {
+    /// Starts `role` with these settings.
+    pub(crate) fn start(role: &str, settings: &str) -> Process {
+        let file = std::env::temp_dir().join(format!(
+            "citronrill-pool-{}-{}.ini",
+            std::process::id(),
+            free_port()
+        ));
+        fs::write(&file, settings).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_citronrill"))
+            .args([role, "--settings", file.to_str().unwrap()])
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let out = BufReader::new(child.stdout.take().unwrap());
+        let kept = lines.clone();
+        thread::spawn(move || {
+            for line in out.lines().map_while(Result::ok) {
+                kept.lock().unwrap().push(line);
+            }
+        });
+        Process { child, lines, settings: file }
+    }
+
+    /// Whether a line of its log has all of these parts.
+    pub(crate) fn logged(&self, parts: &[&str]) -> bool {
+        let lines = self.lines.lock().unwrap();
+        lines.iter().any(|line| parts.iter().all(|part| line.contains(part)))
+    }
+
+    /// Sends a signal by its number.
+    pub(crate) fn signal(&self, signal: i32) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args([format!("-{signal}"), id]).status().unwrap();
+        assert!(status.success());
+    }
+
+    /// Waits for its end; gives the exit code.
+    pub(crate) fn wait(&mut self) -> Option<i32> {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            thread::yield_now();
+        }
+        panic!("the process does not end");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // An error means that it has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+/// A pool: store, workers, sides and one entry.
+pub(crate) struct Deployment {
+    pub(crate) entry: Process,
+    pub(crate) sides: Vec<Process>,
+    pub(crate) callers: SocketAddr,
+    pub(crate) readiness: SocketAddr,
+    pub(crate) engines: Vec<Worker>,
+    pub(crate) ledger: Worker,
+    pub(crate) store: Store,
+    pub(crate) peer_port: u16,
+    _platform: Platform,
+}
+
+impl Deployment {
+    /// Starts a pool whose engines hold these models.
+    pub(crate) fn start(engines: &[(&'static str, &[&'static str])]) -> Deployment {
+        let platform = Platform::start();
+        let store = platform.store();
+        store.put("op", "config", Some(text(1, &[])));
+        let peer_port = free_port();
+        let (mut workers, mut sides) = (Vec::new(), Vec::new());
+        for (instance, models) in engines {
+            let ip = next_ip();
+            let spec = WorkerSpec {
+                service: "engines",
+                instance,
+                models: models.to_vec(),
+                on_disk: vec!["m0", "m1", "m2", "m3"],
+                load_ms: 200,
+            };
+            let worker = platform.worker(&store, SocketAddr::from((ip, 0)), spec);
+            let settings =
+                side_settings(instance, SocketAddr::from((ip, peer_port)), &store, &worker);
+            sides.push(Process::start("pool-side", &settings));
+            workers.push(worker);
+        }
+        let spec = WorkerSpec {
+            service: "ledger",
+            instance: "ledger-1",
+            models: Vec::new(),
+            on_disk: Vec::new(),
+            load_ms: 0,
+        };
+        let ledger = platform.worker(&store, SocketAddr::from((next_ip(), 0)), spec);
+        let callers = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
+        let readiness = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
+        let settings = entry_settings(callers, readiness, peer_port, &store);
+        let entry = Process::start("pool-entry", &settings);
+        let deployment = Deployment {
+            entry,
+            sides,
+            callers,
+            readiness,
+            engines: workers,
+            ledger,
+            store,
+            peer_port,
+            _platform: platform,
+        };
+        deployment.until("the sides are connected", || {
+            let connected = deployment.sides.iter().all(|side| side.logged(&["entry_connected"]));
+            connected && deployment.entry.logged(&["event=text "])
+        });
+        deployment
+    }
+
+    /// Starts the entry again, as the platform does after a kill.
+    pub(crate) fn restart_entry(&mut self) {
+        let settings = entry_settings(self.callers, self.readiness, self.peer_port, &self.store);
+        // The old process must be gone before the new one listens on its addresses.
+        let _ = self.entry.child.kill();
+        let _ = self.entry.child.wait();
+        self.entry = Process::start("pool-entry", &settings);
+        self.until("the entry is started", || self.entry.logged(&["event=started"]));
+    }
+
+    /// Waits until `done`.
+    pub(crate) fn until(&self, what: &str, done: impl Fn() -> bool) {
+        until(what, done);
+    }
+
+    /// Sends one request and reads its whole answer.
+    pub(crate) fn ask(&self, request: &Ask<'_>) -> Answer {
+        let mut stream = self.open(request);
+        Answer::read(&mut stream)
+    }
+
+    /// Sends one request; its answer is still to be read.
+    pub(crate) fn open(&self, request: &Ask<'_>) -> TcpStream {
+        let mut stream = TcpStream::connect(self.callers).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(&request.bytes()).unwrap();
+        stream
+    }
+
+    /// Whether the entry says that it is ready.
+    pub(crate) fn ready(&self) -> bool {
+        let Ok(mut stream) = TcpStream::connect(self.readiness) else { return false };
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream
+            .write_all(b"GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            .unwrap();
+        Answer::read(&mut stream).status == 200
+    }
+}
+
+/// Waits until `done`; panics after [`PATIENCE`].
+pub(crate) fn until(what: &str, done: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < end, "waited in vain: {what}");
+        thread::yield_now();
+    }
+}
+
+/// The sections that both roles share.
+fn common(name: &str, peers: SocketAddr, store: &Store) -> String {
+    let metrics = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
+    format!(
+        "[process]\nname = {name}\nzone = a\nstop_s = 4\n[platform]\nstore = {}\n\
+         [retry]\nratio = 0.2\nslack = 50\nwindow_s = 10\n\
+         [listen]\npeers = {peers}\nmetrics = {metrics}\n",
+        store.address()
+    )
+}
+
+fn side_settings(name: &str, peers: SocketAddr, store: &Store, worker: &Worker) -> String {
+    format!(
+        "{}callers =\nreadiness =\n[endpoint]\naddress = {}\nservice = engines\n",
+        common(name, peers, store),
+        worker.address()
+    )
+}
+
+fn entry_settings(
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    peer_port: u16,
+    store: &Store,
+) -> String {
+    let peers = SocketAddr::from((Ipv4Addr::LOCALHOST, peer_port));
+    format!(
+        "{}callers = {callers}\nreadiness = {readiness}\n[endpoint]\naddress =\nservice =\n",
+        common("entry-1", peers, store)
+    )
+}
+
+/// One request.
+pub(crate) struct Ask<'a> {
+    pub(crate) method: &'a str,
+    pub(crate) path: &'a str,
+    pub(crate) id: &'a str,
+    pub(crate) model: &'a str,
+    pub(crate) headers: &'a str,
+    pub(crate) body: &'a [u8],
+}
+
+impl<'a> Ask<'a> {
+    /// A stream under `/chat/` or `/draft/`.
+    pub(crate) fn stream(path: &'a str, id: &'a str, model: &'a str) -> Ask<'a> {
+        Ask { method: "POST", path, id, model, headers: "", body: b"{}" }
+    }
+
+    /// A call of the ledger.
+    pub(crate) fn call(path: &'a str, id: &'a str) -> Ask<'a> {
+        Ask { method: "POST", path, id, model: "", headers: "", body: b"booking" }
+    }
+
+    fn bytes(&self) -> Vec<u8> {
+        let model = match self.model {
+            "" => String::new(),
+            model => format!("X-Citronrill-Model: {model}\r\n"),
+        };
+        let head = format!(
+            "{} {} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n\
+             X-Citronrill-Attempt-Id: {}\r\nX-Citronrill-Deadline-Ms: 5000\r\n{model}{}\
+             Content-Length: {}\r\n\r\n",
+            self.method,
+            self.path,
+            self.id,
+            self.headers,
+            self.body.len()
+        );
+        [head.as_bytes(), self.body].concat()
+    }
+}
+
+/// An answer as it came over the connection.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+    /// Whether the body has its end.
+    pub(crate) whole: bool,
+}
+
+impl Answer {
+    /// Reads until the connection closes.
+    pub(crate) fn read(stream: &mut TcpStream) -> Answer {
+        let mut bytes = Vec::new();
+        // A reset after the last byte changes nothing about what was read.
+        let _ = stream.read_to_end(&mut bytes);
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        let head = head.to_lowercase();
+        let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        let length = length.and_then(|length| length.trim().parse::<usize>().ok());
+        let whole = match length {
+            Some(length) => body.len() == length,
+            None => body.ends_with("0\r\n\r\n"),
+        };
+        Answer { status, body: body.to_owned(), whole, head }
+    }
+
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let prefix = format!("{name}: ");
+        self.head.lines().find_map(|line| line.strip_prefix(prefix.as_str()))
+    }
+}
