Add a randomized soak of the real programs, with proxies, signals and outages

Checked from outside: at most once, true refusals, whole own answers in order, an answer for each request unless its entry was killed or paused, planned stops with code 0, memory, one holder and tokens that never fall.

--- a/tests/pool/answers.rs
+++ b/tests/pool/answers.rs
@@ -4,10 +4,9 @@
 
 use rstest::rstest;
 
-use crate::{
-    standin::Mode,
-    support::{Ask, Deployment},
-};
+use citronrill_platform_standin::Mode;
+
+use crate::support::{Ask, Deployment};
 
 /// An endpoint breaks off midway. The caller must see that the answer is not whole: a dispatcher
 /// would else plan by half a list.
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -5,6 +5,4 @@
 mod answers;
 mod life;
 mod requests;
-#[path = "../../platform/tests/standin/mod.rs"]
-mod standin;
 mod support;
--- a/tests/pool/requests.rs
+++ b/tests/pool/requests.rs
@@ -2,10 +2,9 @@
 
 use std::io::Write;
 
-use crate::{
-    standin::Mode,
-    support::{Answer, Ask, Deployment},
-};
+use citronrill_platform_standin::Mode;
+
+use crate::support::{Answer, Ask, Deployment};
 
 /// Nobody holds the model that is asked for. It is fetched, and the request gets its whole stream;
 /// the order names the instance's state and a token.
--- a/tests/pool/support.rs
+++ b/tests/pool/support.rs
@@ -1,5 +1,7 @@
 //! Real processes on loopback, and a caller.
 
+#![allow(dead_code, reason = "two test programs share this file and use parts of it each")]
+
 use std::{
     fs,
     io::{BufRead, BufReader, Read, Write},
@@ -16,18 +18,19 @@
 
 use serde_json::json;
 
-use crate::standin::{Platform, Store, Worker, WorkerSpec};
+use citronrill_platform_standin::{Platform, Proxy, Store, Worker, WorkerSpec};
 
 pub(crate) const HOST: &str = "pool.example";
 /// How long a test waits for something that must come.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 
-/// A port that is free on all loopback addresses that tests use.
+/// A port that is free on all loopback addresses that tests use, below those that the system gives
+/// to outgoing connections: one of these may be taken between this look and the listening.
 pub(crate) fn free_port() -> u16 {
     static NEXT: AtomicU16 = AtomicU16::new(0);
     let offset = (std::process::id() % 40) as u16 * 500;
     loop {
-        let port = 20_000 + offset + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 12_000 + offset + NEXT.fetch_add(1, Ordering::Relaxed);
         if TcpListener::bind((Ipv4Addr::UNSPECIFIED, port)).is_ok() {
             return port;
         }
@@ -149,7 +152,7 @@
     pub(crate) ledger: Worker,
     pub(crate) store: Store,
     pub(crate) peer_port: u16,
-    _platform: Platform,
+    platform: Platform,
 }
 
 impl Deployment {
@@ -196,7 +199,7 @@
             ledger,
             store,
             peer_port,
-            _platform: platform,
+            platform,
         };
         deployment.until("the sides are connected", || {
             let connected = deployment.sides.iter().all(|side| side.logged(&["entry_connected"]));
@@ -205,6 +208,33 @@
         deployment
     }
 
+    /// Puts a proxy before each engine and lists the engines there.
+    pub(crate) fn proxies(&self) -> Vec<Proxy> {
+        let proxy = |engine: &Worker| {
+            let proxy = self.platform.proxy(engine.address());
+            engine.list_at(proxy.address());
+            proxy
+        };
+        self.engines.iter().map(proxy).collect()
+    }
+
+    /// Kills the side beside an engine.
+    pub(crate) fn kill_side(&mut self, index: usize) {
+        let side = &mut self.sides[index];
+        // An error means that it has ended already.
+        let _ = side.child.kill();
+        let _ = side.child.wait();
+    }
+
+    /// Starts the side beside an engine again.
+    pub(crate) fn start_side(&mut self, index: usize) {
+        let engine = &self.engines[index];
+        let peers = SocketAddr::new(engine.address().ip(), self.peer_port);
+        let name = format!("e{}", index + 1);
+        let settings = side_settings(&name, peers, &self.store, engine);
+        self.sides[index] = Process::start("pool-side", &settings);
+    }
+
     /// Starts the entry again, as the platform does after a kill.
     pub(crate) fn restart_entry(&mut self) {
         let settings = entry_settings(self.callers, self.readiness, self.peer_port, &self.store);
@@ -307,7 +337,7 @@
         Ask { method: "POST", path, id, model: "", headers: "", body: b"booking" }
     }
 
-    fn bytes(&self) -> Vec<u8> {
+    pub(crate) fn bytes(&self) -> Vec<u8> {
         let model = match self.model {
             "" => String::new(),
             model => format!("X-Citronrill-Model: {model}\r\n"),
