--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -25,7 +25,7 @@
     dialect::{Dialect, Table},
     error::GatewayError,
     front::{Front, serve},
-    logs::LogStats,
+    logs::{LogBudget, LogStats},
     metrics::{EntryMetrics, serve_metrics},
     sides::{SideCommand, run_sides},
     store::{TextBoard, watch_table},
@@ -127,6 +127,7 @@
         limits: limits_sender,
         shared: shared.clone(),
         metrics: metrics.clone(),
+        budget: LogBudget::new(),
     };
     let thread = thread::Builder::new().name("control".to_owned()).spawn(move || control.run())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -187,6 +188,7 @@
     limits: watch::Sender<CallerLimits>,
     shared: Arc<Shared>,
     metrics: Arc<EntryMetrics>,
+    budget: LogBudget,
 }
 
 impl Control {
@@ -245,7 +247,12 @@
                 self.side(SideCommand::Say(address, PoolKind::Used(used)));
             }
             EntryEffect::Sides(addresses) => self.side(SideCommand::Keep(addresses)),
-            EntryEffect::Log(event) => log::info!("{event}"),
+            EntryEffect::Log(event) => {
+                let now_ms = self.start.elapsed().as_millis() as u64;
+                if self.budget.take(event.event, now_ms) {
+                    log::info!("{event}");
+                }
+            }
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,6 @@
     dialect::{Dialect, DialectError, OrderCall, RequestMeta, RowPage, StoreRow, Table},
     entry::run_entry,
     error::GatewayError,
-    logs::{LogPipe, LogStats},
+    logs::{LogBudget, LogPipe, LogStats},
     side::run_side,
 };
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -1,6 +1,7 @@
 //! Log lines without blocking: a bounded queue and a thread that writes.
 
 use std::{
+    collections::BTreeMap,
     io::{self, Write},
     sync::{
         Arc,
@@ -14,6 +15,45 @@
 /// Lines that wait at most: about a second of the busiest process at 200 bytes a line.
 const QUEUE: usize = 4_096;
 
+/// Lines of one kind of event in a second at most: an entry at the load it is sized for writes some
+/// 300 of the most frequent kind, and ten kinds at this bound stay within what the queue holds.
+const KIND_LIMIT: u32 = 400;
+/// Milliseconds of a budget's period.
+const PERIOD_MS: u64 = 1_000;
+
+/// Bounds the lines of each kind of event in a second.
+///
+/// The failure it prevents: a fault that touches every request makes one kind of line flood the log,
+/// and what changes a belief, which explains the fault, drowns or is lost with it. Each kind has a
+/// budget of its own; what goes over it is counted and said when its second is over.
+#[derive(Debug, Default)]
+pub struct LogBudget {
+    began: u64,
+    kinds: BTreeMap<&'static str, u32>,
+}
+
+impl LogBudget {
+    /// A budget that is full.
+    pub fn new() -> LogBudget {
+        LogBudget::default()
+    }
+
+    /// Whether a line of this kind may be written at `now_ms`.
+    pub fn take(&mut self, kind: &'static str, now_ms: u64) -> bool {
+        if now_ms >= self.began + PERIOD_MS {
+            self.began = now_ms;
+            for (kind, lines) in std::mem::take(&mut self.kinds) {
+                if lines > KIND_LIMIT {
+                    log::warn!("event=log_left_out kind={kind} lines={}", lines - KIND_LIMIT);
+                }
+            }
+        }
+        let lines = self.kinds.entry(kind).or_default();
+        *lines += 1;
+        *lines <= KIND_LIMIT
+    }
+}
+
 /// Counts of the log.
 #[derive(Debug, Default)]
 pub struct LogStats {
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -31,7 +31,7 @@
     dialect::Dialect,
     error::GatewayError,
     link::split,
-    logs::LogStats,
+    logs::{LogBudget, LogStats},
     metrics::{Counter, Show, line, log_lines, serve_metrics},
 };
 
@@ -127,6 +127,7 @@
         states: state_sender,
         links: links.clone(),
         metrics: metrics.clone(),
+        budget: LogBudget::new(),
     };
     thread::Builder::new().name("control".to_owned()).spawn(move || control.run())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -171,6 +172,7 @@
     states: watch::Sender<Option<SideState>>,
     links: Arc<Links>,
     metrics: Arc<SideMetrics>,
+    budget: LogBudget,
 }
 
 impl ControlThread {
@@ -191,7 +193,7 @@
         }
     }
 
-    fn carry_out(&self, effect: SideEffect) {
+    fn carry_out(&mut self, effect: SideEffect) {
         let task = match effect {
             SideEffect::Poll => {
                 self.metrics.polls.add();
@@ -210,7 +212,10 @@
                 return;
             }
             SideEffect::Log(event) => {
-                log::info!("{event}");
+                let now_ms = self.start.elapsed().as_millis() as u64;
+                if self.budget.take(event.event, now_ms) {
+                    log::info!("{event}");
+                }
                 return;
             }
         };
--- a/crates/gateway/tests/logs.rs
+++ b/crates/gateway/tests/logs.rs
@@ -7,7 +7,7 @@
     sync::{Arc, Mutex, mpsc},
 };
 
-use citronrill_gateway::LogPipe;
+use citronrill_gateway::{LogBudget, LogPipe};
 
 /// A reader that has stopped until it is told to go on.
 struct Stopped {
@@ -46,3 +46,15 @@
         std::thread::yield_now();
     }
 }
+
+/// Every request fails at once and one kind of line floods the log. The line that says why, of another
+/// kind, still gets through, and the flood may go on in the next second.
+#[test]
+fn a_flood_of_one_kind_leaves_room_for_others() {
+    let mut budget = LogBudget::new();
+    let written = (0..5_000).filter(|_| budget.take("failed", 10)).count();
+    assert_eq!(written, 400);
+    assert!(budget.take("side_lost", 11));
+    assert!(!budget.take("failed", 900));
+    assert!(budget.take("failed", 1_010));
+}
