Write the last log lines before a process ends

Cause: the log's thread was not waited for, so a process that ended right after its last line lost it; one of 30 runs of the tests over sockets missed 'event=stopped'. A test of the pipe fails without the wait.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,6 @@
     dialect::{Dialect, DialectError, OrderCall, RequestMeta, RowPage, StoreRow, Table},
     entry::run_entry,
     error::GatewayError,
-    logs::{LogBudget, LogPipe, LogStats},
+    logs::{LogBudget, LogHandle, LogPipe, LogStats},
     side::run_side,
 };
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -3,11 +3,13 @@
 use std::{
     collections::BTreeMap,
     io::{self, Write},
+    iter,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
     },
     thread,
+    time::Duration,
 };
 
 use crossbeam::channel::{Sender, TrySendError, bounded};
@@ -15,6 +17,8 @@
 /// Lines that wait at most: about a second of the busiest process at 200 bytes a line.
 const QUEUE: usize = 4_096;
 
+/// Milliseconds that the end of a process waits for its log.
+const DRAIN_MS: u64 = 200;
 /// Lines of one kind of event in a second at most: an entry at the load it is sized for writes some
 /// 300 of the most frequent kind, and ten kinds at this bound stay within what the queue holds.
 const KIND_LIMIT: u32 = 400;
@@ -79,22 +83,57 @@
 /// that logs hangs with its requests. Here the queue fills instead, and further lines are counted
 /// and left out; the next line that gets through says how many.
 pub struct LogPipe {
-    sender: Sender<Vec<u8>>,
+    sender: Sender<Entry>,
     stats: Arc<LogStats>,
 }
 
+/// What goes through the queue.
+enum Entry {
+    /// A whole line.
+    Line(Vec<u8>),
+    /// All before it is to be written; then the sender is told.
+    Drain(Sender<()>),
+}
+
+/// What a process needs of its log besides writing to it.
+#[derive(Clone)]
+pub struct LogHandle {
+    sender: Sender<Entry>,
+    /// The counts, for metrics.
+    pub stats: Arc<LogStats>,
+}
+
+impl LogHandle {
+    /// Waits until everything logged so far is written, [`DRAIN_MS`] at most.
+    ///
+    /// A process that ends right after its last line would else end before the line is written, and
+    /// the end of a planned stop was missing from its log.
+    pub fn drain(&self) {
+        let (told, done) = bounded(1);
+        let wait = Duration::from_millis(DRAIN_MS);
+        if self.sender.send_timeout(Entry::Drain(told), wait).is_ok() {
+            // Nobody is left to be told that the reader has stopped.
+            let _ = done.recv_timeout(wait);
+        }
+    }
+}
+
 impl LogPipe {
     /// A pipe into `out`.
     pub fn new(mut out: impl Write + Send + 'static) -> LogPipe {
-        let (sender, receiver) = bounded::<Vec<u8>>(QUEUE);
+        let (sender, receiver) = bounded::<Entry>(QUEUE);
         let stats = Arc::new(LogStats::default());
         let counts = stats.clone();
         thread::spawn(move || {
             let mut told = 0;
-            while let Ok(line) = receiver.recv() {
-                let mut batch = line;
-                while let Ok(more) = receiver.try_recv() {
-                    batch.extend(more);
+            while let Ok(entry) = receiver.recv() {
+                let mut batch = Vec::new();
+                let mut drains = Vec::new();
+                for entry in iter::once(entry).chain(receiver.try_iter()) {
+                    match entry {
+                        Entry::Line(line) => batch.extend(line),
+                        Entry::Drain(told) => drains.push(told),
+                    }
                 }
                 let lost = counts.lost();
                 if lost > told {
@@ -106,20 +145,24 @@
                     // The reader is gone for good; there is nobody left to tell.
                     break;
                 }
+                for told in drains {
+                    // Whoever waited may have given up.
+                    let _ = told.send(());
+                }
             }
         });
         LogPipe { sender, stats }
     }
 
-    /// The counts, for metrics.
-    pub fn stats(&self) -> Arc<LogStats> {
-        self.stats.clone()
+    /// The handle for the process's own use.
+    pub fn handle(&self) -> LogHandle {
+        LogHandle { sender: self.sender.clone(), stats: self.stats.clone() }
     }
 }
 
 impl Write for LogPipe {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        match self.sender.try_send(line.to_vec()) {
+        match self.sender.try_send(Entry::Line(line.to_vec())) {
             Ok(()) => self.stats.written.fetch_add(1, Ordering::Relaxed),
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
                 self.stats.lost.fetch_add(1, Ordering::Relaxed)
--- a/crates/gateway/tests/logs.rs
+++ b/crates/gateway/tests/logs.rs
@@ -35,7 +35,7 @@
     let (go, stopped) = mpsc::channel();
     let read = Arc::new(Mutex::new(Vec::new()));
     let mut pipe = LogPipe::new(Stopped { go: stopped, read: read.clone() });
-    let stats = pipe.stats();
+    let stats = pipe.handle().stats;
     for _ in 0..20_000 {
         pipe.write_all(b"event=x\n").unwrap();
     }
@@ -58,3 +58,16 @@
     assert!(!budget.take("failed", 900));
     assert!(budget.take("failed", 1_010));
 }
+
+/// A process ends right after its last line. The line is written before, however slow the reader.
+#[test]
+fn the_last_line_is_written_before_the_end() {
+    let (go, stopped) = mpsc::channel();
+    let read = Arc::new(Mutex::new(Vec::new()));
+    let mut pipe = LogPipe::new(Stopped { go: stopped, read: read.clone() });
+    pipe.write_all(b"event=stopped\n").unwrap();
+    let slow = std::thread::spawn(move || go.send(()));
+    pipe.handle().drain();
+    assert_eq!(read.lock().unwrap().as_slice(), b"event=stopped\n");
+    slow.join().unwrap().unwrap();
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,11 +7,10 @@
 use std::{
     io::{self, Write},
     process::ExitCode,
-    sync::Arc,
 };
 
 use argh::FromArgs;
-use citronrill_gateway::{LogPipe, LogStats};
+use citronrill_gateway::{LogHandle, LogPipe};
 
 use crate::{commands::Command, exit::Exit};
 
@@ -44,7 +43,9 @@
     let out: Box<dyn Write + Send> =
         if arguments.command.logs_out() { Box::new(io::stdout()) } else { Box::new(io::stderr()) };
     let logs = start_log(arguments.log.as_deref(), arguments.command.default_log(), out);
-    match arguments.command.run(logs) {
+    let result = arguments.command.run(logs.stats.clone());
+    logs.drain();
+    match result {
         Ok(exit) => exit.into(),
         Err(error) => {
             eprintln!("citronrill: {error}");
@@ -54,7 +55,7 @@
 }
 
 /// One line of key=value pairs an event; `--log` goes before the environment's `RUST_LOG`.
-fn start_log(level: Option<&str>, default: &str, out: Box<dyn Write + Send>) -> Arc<LogStats> {
+fn start_log(level: Option<&str>, default: &str, out: Box<dyn Write + Send>) -> LogHandle {
     let environment = env_logger::Env::default().default_filter_or(default);
     let mut builder = env_logger::Builder::from_env(environment);
     if let Some(level) = level {
@@ -64,8 +65,8 @@
         writeln!(out, "level={} {}", record.level().as_str().to_lowercase(), record.args())
     });
     let pipe = LogPipe::new(out);
-    let stats = pipe.stats();
+    let handle = pipe.handle();
     builder.target(env_logger::Target::Pipe(Box::new(pipe)));
     builder.init();
-    stats
+    handle
 }
