--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -241,10 +241,10 @@
             EntryEffect::Cut(id) => self.tell(id, Command::Cut, true),
             EntryEffect::Want(address, want) => {
                 self.metrics.wants.add();
-                self.side(SideCommand::Say(address, PoolKind::Want(want)));
+                self.side(SideCommand::Say(address, Box::new(PoolKind::Want(want))));
             }
             EntryEffect::Used(address, used) => {
-                self.side(SideCommand::Say(address, PoolKind::Used(used)));
+                self.side(SideCommand::Say(address, Box::new(PoolKind::Used(used))));
             }
             EntryEffect::Sides(addresses) => self.side(SideCommand::Keep(addresses)),
             EntryEffect::Log(event) => {
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -8,7 +8,7 @@
         atomic::{AtomicU64, Ordering},
     },
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -24,6 +24,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{mpsc, watch},
+    time::{Instant, sleep_until},
 };
 
 use crate::{
@@ -40,6 +41,9 @@
 /// Milliseconds for an answer to an order.
 const ORDER_MS: u64 = 400;
 
+/// Milliseconds after which a side passes a text on to an entry that does not have it.
+const PASS_ON_MS: u64 = 400;
+
 /// What a side counts.
 struct SideMetrics {
     orders: Counter,
@@ -121,7 +125,7 @@
     let links = Arc::new(Links::default());
     let control = ControlThread {
         reducer: PoolSide::new(&settings.service),
-        start: Instant::now(),
+        start: std::time::Instant::now(),
         inputs,
         tasks: task_sender,
         states: state_sender,
@@ -166,7 +170,7 @@
 /// The control thread's own state.
 struct ControlThread {
     reducer: PoolSide,
-    start: Instant,
+    start: std::time::Instant,
     inputs: Receiver<SideEvent>,
     tasks: mpsc::UnboundedSender<Task>,
     states: watch::Sender<Option<SideState>>,
@@ -353,7 +357,11 @@
     states.mark_changed();
     let mut texts = shared.texts.subscribe();
     texts.mark_changed();
+    let mut theirs = 0;
+    let mut pass_on = None;
     loop {
+        pass_on = lacks(&texts, theirs)
+            .then(|| pass_on.unwrap_or_else(|| Instant::now() + Duration::from_millis(PASS_ON_MS)));
         tokio::select! {
             changed = states.changed() => {
                 changed.map_err(|_| WireError::Closed)?;
@@ -362,19 +370,38 @@
                     sender.send(PoolKind::State(state)).await?;
                 }
             }
-            changed = texts.changed() => {
-                changed.map_err(|_| WireError::Closed)?;
+            // Entries read the store by themselves. A copy is for one that cannot reach it, and most
+            // have the text by the time that this looks.
+            () = until(pass_on) => {
                 let copy = texts.borrow_and_update().clone();
                 if let Some(copy) = copy {
+                    theirs = copy.version;
                     sender.send(PoolKind::Text(copy)).await?;
                 }
             }
+            changed = texts.changed() => changed.map_err(|_| WireError::Closed)?,
             Some(reply) = replies.recv() => sender.send(reply).await?,
-            heard = receiver.next() => take(heard?, link, shared)?,
+            heard = receiver.next() => match heard? {
+                PoolKind::Version(text) => theirs = text.version,
+                kind => take(kind, link, shared)?,
+            },
         }
     }
 }
 
+/// Waits for a moment, or for ever if there is none.
+async fn until(moment: Option<Instant>) {
+    match moment {
+        Some(moment) => sleep_until(moment).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Whether the side's text is newer than that of an entry.
+fn lacks(texts: &watch::Receiver<Option<TextCopy>>, theirs: u64) -> bool {
+    texts.borrow().as_ref().is_some_and(|copy| copy.version > theirs)
+}
+
 fn take(kind: PoolKind, link: EntryLink, shared: &Shared) -> Result<(), WireError> {
     let event = match kind {
         PoolKind::Want(want) => SideEvent::Want(link, want),
@@ -383,7 +410,9 @@
             take_text(copy, shared);
             return Ok(());
         }
-        PoolKind::State(_) | PoolKind::Declined(_) => return Err(WireError::OutOfTurn),
+        PoolKind::State(_) | PoolKind::Declined(_) | PoolKind::Version(_) => {
+            return Err(WireError::OutOfTurn);
+        }
     };
     shared.events.send(event).map_err(|_| WireError::Closed)
 }
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -19,7 +19,7 @@
 
 /// What another zone costs, as a share of the slots: among endpoints about as busy, the one in the
 /// same zone saves bytes between zones and half a millisecond each way.
-const ZONE_COST: f64 = 0.15;
+const ZONE_COST: f64 = 0.4;
 /// Weight of an endpoint's share of failures: one that fails half of its requests looks as if it
 /// ran two batches more.
 const FAIL_COST: f64 = 4.0;
--- a/crates/pool/src/side.rs
+++ b/crates/pool/src/side.rs
@@ -707,6 +707,7 @@
             busy_ms: self.busy_ms(report),
             store_loads: self.store_loads(report),
             store_slow: self.store_slow,
+            text: self.text_version(),
             instance: self.instance.clone().unwrap_or_default(),
         })
     }
@@ -762,6 +763,7 @@
         && a.store_loads == b.store_loads
         && a.store_slow == b.store_slow
         && a.instance == b.instance
+        && a.text == b.text
         && names(a) == names(b)
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,5 +17,5 @@
         Proof, Resume, TextPull, TextReply, Verdict, frame::Kind,
     },
     handshake::{Handshake, Identity, Peer, PeerRole},
-    pool::{ModelName, ModelState, PoolFrame, PoolKind, SideState, TextCopy, Want},
+    pool::{ModelName, ModelState, PoolFrame, PoolKind, SideState, TextCopy, TextVersion, Want},
 };
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PoolFrame {
     /// What it says.
-    #[prost(oneof = "PoolKind", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "PoolKind", tags = "1, 2, 3, 4, 5, 6")]
     pub kind: Option<PoolKind>,
 }
 
@@ -25,6 +25,9 @@
     /// A side tells what its endpoint holds and does.
     #[prost(message, tag = "4")]
     State(SideState),
+    /// An entry tells which text it has.
+    #[prost(message, tag = "6")]
+    Version(TextVersion),
     /// A side will not fetch what the entry asked for.
     #[prost(message, tag = "5")]
     Declined(ModelName),
@@ -41,6 +44,14 @@
     pub bytes: Vec<u8>,
 }
 
+/// Which text the sender has.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct TextVersion {
+    /// The text's version; 0 for none.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+}
+
 /// Asks for a model, or for an adapter of one.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Want {
@@ -124,6 +135,9 @@
     /// there was none.
     #[prost(uint32, tag = "14")]
     pub store_slow: u32,
+    /// The version of the text that the side has; 0 for none.
+    #[prost(uint64, tag = "16")]
+    pub text: u64,
     /// The name of the endpoint's present start, or empty if the side has not learned it.
     #[prost(string, tag = "15")]
     pub instance: String,
