--- /dev/null
+++ b/crates/pool/src/entry/clock.rs
@@ -0,0 +1,144 @@
+//! What time brings: requests that are over, endpoints that are silent, and what waits.
+
+use citronrill_base::Set;
+use citronrill_decide::LogEvent;
+
+use super::{EntryEffect, PoolEntry, Reason, RequestId, Stage};
+
+/// Latency objectives without a first byte after which a request is moved: at two, what another
+/// endpoint answers in its usual time still comes within three.
+const SILENT_TARGETS: u64 = 2;
+/// Milliseconds below which a silence is no sign of anything.
+const SILENT_MIN_MS: u64 = 400;
+
+impl PoolEntry {
+    /// Ends what has run out of time, and looks again at what waits.
+    pub(super) fn tick(&mut self) {
+        self.end_overdue();
+        self.end_stopped();
+        self.note_stalls();
+        self.move_silent();
+        self.expire_wants();
+        self.retry_waiting();
+        self.spread();
+        self.fetch_missed();
+    }
+
+    fn end_overdue(&mut self) {
+        let over = self.requests.iter().filter(|(_, request)| self.now >= request.ends);
+        let over = over.map(|(id, request)| (*id, request.stage, request.runs));
+        for (id, stage, runs) in over.collect::<Vec<_>>() {
+            match stage {
+                Stage::Waiting if runs == 0 => self.refuse(id, Reason::Expired),
+                Stage::Waiting | Stage::Sent => self.refuse(id, Reason::TimedOut),
+                Stage::Passing => {
+                    self.effects.push(EntryEffect::Cut(id));
+                    self.finish(id, false);
+                }
+            }
+        }
+    }
+
+    /// Notes for each endpoint how long its oldest sending has had no answer.
+    ///
+    /// An endpoint that hangs answers nothing, so no answer tells of it; what waits there does.
+    fn note_stalls(&mut self) {
+        self.pool.endpoints.values_mut().for_each(|endpoint| endpoint.stall = 0);
+        for request in self.requests.values().filter(|one| one.stage == Stage::Sent) {
+            let endpoint = request.at.as_ref().and_then(|at| self.pool.endpoints.get_mut(at));
+            if let Some(endpoint) = endpoint {
+                endpoint.stall = endpoint.stall.max(self.now.since(request.sent));
+            }
+        }
+    }
+
+    /// Sends elsewhere what an endpoint has not begun to answer for long.
+    ///
+    /// The failure it answers: an endpoint hangs, or its instance has lost power, and nothing closes
+    /// the connection for seconds. Only what may run again is moved, within the retry budget, and
+    /// the first sending is cancelled.
+    fn move_silent(&mut self) {
+        let silent = self.requests.iter().filter(|(_, one)| {
+            let patience = (SILENT_TARGETS * one.target_ms).max(SILENT_MIN_MS);
+            one.stage == Stage::Sent
+                && one.repeat.may_rerun()
+                && one.runs + 1 < one.attempts
+                && self.now.since(one.sent) > patience
+        });
+        for id in silent.map(|(id, _)| *id).collect::<Vec<_>>() {
+            let Some(request) = self.requests.get(&id) else { continue };
+            let elsewhere = self.pool.endpoints.values().any(|endpoint| {
+                Some(&endpoint.member.instance) != request.at.as_ref()
+                    && self.able(endpoint, request)
+                    && endpoint.fill() < 1.0
+            });
+            let service = request.service.clone();
+            let now = self.now;
+            if elsewhere && self.budget(&service).take(now) {
+                let event = LogEvent::new("moved");
+                self.log(event.with("id", self.requests[&id].caller.clone()));
+                self.give_up_on(id);
+                self.dispatch(id);
+            }
+        }
+    }
+
+    /// Takes a request back from an endpoint that does not answer it.
+    fn give_up_on(&mut self, id: RequestId) {
+        let now = self.now;
+        self.release(id);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.runs += 1;
+        request.stage = Stage::Waiting;
+        if let Some(at) = request.at.take() {
+            if let Some(endpoint) = self.pool.endpoints.get_mut(&at) {
+                endpoint.note(true);
+                endpoint.note_lag(now.since(request.sent), now);
+            }
+            request.tried.push(at);
+        }
+    }
+
+    /// In a planned stop, answers what would otherwise be cut off when the process ends.
+    ///
+    /// The failure it prevents: a request waits for its model at an entry that is being stopped, the
+    /// process ends first, and the caller sees a closed connection without knowing whether it ran.
+    fn end_stopped(&mut self) {
+        let Some(stop) = self.stop else { return };
+        let open = self.requests.iter().map(|(id, one)| (*id, one.stage, one.runs));
+        for (id, stage, runs) in open.collect::<Vec<_>>() {
+            match stage {
+                Stage::Waiting if runs == 0 && self.now >= stop.wait => {
+                    self.refuse(id, Reason::Stopping);
+                }
+                Stage::Waiting | Stage::Sent if self.now >= stop.end => {
+                    self.refuse(id, Reason::TimedOut);
+                }
+                Stage::Waiting | Stage::Sent | Stage::Passing => {}
+            }
+        }
+    }
+
+    /// Looks again at what waits, the most urgent first.
+    ///
+    /// Of those that need the same, the rest is passed over once one found no place: the queue may
+    /// hold hundreds, and an entry has a fifth of a core.
+    pub(super) fn retry_waiting(&mut self) {
+        let waiting = self.requests.iter().filter(|(_, one)| one.stage == Stage::Waiting);
+        let mut order = waiting.map(|(id, one)| (one.rank, *id)).collect::<Vec<_>>();
+        order.sort_unstable();
+        let mut blocked = Set::default();
+        for (_, id) in order {
+            let Some(request) = self.requests.get(&id) else { continue };
+            let need = (request.service.clone(), request.target);
+            if blocked.contains(&need) {
+                continue;
+            }
+            self.dispatch(id);
+            let waits = self.requests.get(&id).is_some_and(|one| one.stage == Stage::Waiting);
+            if waits {
+                blocked.insert(need);
+            }
+        }
+    }
+}
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -1,27 +1,30 @@
 //! The entry's reducer: one request from its arrival to its end.
 
 mod choose;
+mod clock;
 mod placement;
+mod rules;
 mod store_limit;
 mod types;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use citronrill_base::{Map, Millis, ModelKey, Names, Set, hash_bytes};
+use citronrill_base::{Map, Millis, ModelKey, Names, hash_bytes};
 use citronrill_decide::LogEvent;
 use citronrill_wire::{ModelName, SideState};
 
+pub use self::rules::judge;
 pub use self::types::{
     AnswerHead, Arrival, EntryEffect, EntryEvent, EntryProfile, FailureKind, Reason, Refusal,
     RequestId, Sending, Verdict,
 };
-use self::{choose::Choice, placement::OpenWant, store_limit::StoreLimit};
+use self::{choose::Choice, placement::OpenWant, rules::share, store_limit::StoreLimit};
 use crate::{
     budget::RetryBudget,
     member::MemberChange,
     pool::Pool,
     rate::Rate,
-    text::{Repeat, Route, ServingText},
+    text::{Repeat, ServingText},
 };
 
 /// Entries assumed while no side has said how many there are: small shares of a common budget are
@@ -37,11 +40,6 @@
 /// Milliseconds in which the slots of an endpoint turn over once: a stream runs about that long, a
 /// plain call less.
 const WAVE_MS: f64 = 500.0;
-/// Latency objectives without a first byte after which a request is moved: at two, what another
-/// endpoint answers in its usual time still comes within three.
-const SILENT_TARGETS: u64 = 2;
-/// Milliseconds below which a silence is no sign of anything.
-const SILENT_MIN_MS: u64 = 400;
 /// Latency objectives for which a request waits for a slot at most: who has waited that long in a
 /// queue that was worked out to be shorter is better told to come back.
 const CROWD_TARGETS: u64 = 4;
@@ -524,136 +522,6 @@
         }
     }
 
-    /// Ends what has run out of time, and looks again at what waits.
-    fn tick(&mut self) {
-        self.end_overdue();
-        self.end_stopped();
-        self.note_stalls();
-        self.move_silent();
-        self.expire_wants();
-        self.retry_waiting();
-        self.spread();
-        self.fetch_missed();
-    }
-
-    fn end_overdue(&mut self) {
-        let over = self.requests.iter().filter(|(_, request)| self.now >= request.ends);
-        let over = over.map(|(id, request)| (*id, request.stage, request.runs));
-        for (id, stage, runs) in over.collect::<Vec<_>>() {
-            match stage {
-                Stage::Waiting if runs == 0 => self.refuse(id, Reason::Expired),
-                Stage::Waiting | Stage::Sent => self.refuse(id, Reason::TimedOut),
-                Stage::Passing => {
-                    self.effects.push(EntryEffect::Cut(id));
-                    self.finish(id, false);
-                }
-            }
-        }
-    }
-
-    /// Notes for each endpoint how long its oldest sending has had no answer.
-    ///
-    /// An endpoint that hangs answers nothing, so no answer tells of it; what waits there does.
-    fn note_stalls(&mut self) {
-        self.pool.endpoints.values_mut().for_each(|endpoint| endpoint.stall = 0);
-        for request in self.requests.values().filter(|one| one.stage == Stage::Sent) {
-            let endpoint = request.at.as_ref().and_then(|at| self.pool.endpoints.get_mut(at));
-            if let Some(endpoint) = endpoint {
-                endpoint.stall = endpoint.stall.max(self.now.since(request.sent));
-            }
-        }
-    }
-
-    /// Sends elsewhere what an endpoint has not begun to answer for long.
-    ///
-    /// The failure it answers: an endpoint hangs, or its instance has lost power, and nothing closes
-    /// the connection for seconds. Only what may run again is moved, within the retry budget, and
-    /// the first sending is cancelled.
-    fn move_silent(&mut self) {
-        let silent = self.requests.iter().filter(|(_, one)| {
-            let patience = (SILENT_TARGETS * one.target_ms).max(SILENT_MIN_MS);
-            one.stage == Stage::Sent
-                && one.repeat.may_rerun()
-                && one.runs + 1 < one.attempts
-                && self.now.since(one.sent) > patience
-        });
-        for id in silent.map(|(id, _)| *id).collect::<Vec<_>>() {
-            let Some(request) = self.requests.get(&id) else { continue };
-            let elsewhere = self.pool.endpoints.values().any(|endpoint| {
-                Some(&endpoint.member.instance) != request.at.as_ref()
-                    && self.able(endpoint, request)
-                    && endpoint.fill() < 1.0
-            });
-            let service = request.service.clone();
-            let now = self.now;
-            if elsewhere && self.budget(&service).take(now) {
-                let event = LogEvent::new("moved");
-                self.log(event.with("id", self.requests[&id].caller.clone()));
-                self.give_up_on(id);
-                self.dispatch(id);
-            }
-        }
-    }
-
-    /// Takes a request back from an endpoint that does not answer it.
-    fn give_up_on(&mut self, id: RequestId) {
-        let now = self.now;
-        self.release(id);
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        request.runs += 1;
-        request.stage = Stage::Waiting;
-        if let Some(at) = request.at.take() {
-            if let Some(endpoint) = self.pool.endpoints.get_mut(&at) {
-                endpoint.note(true);
-                endpoint.note_lag(now.since(request.sent), now);
-            }
-            request.tried.push(at);
-        }
-    }
-
-    /// In a planned stop, answers what would otherwise be cut off when the process ends.
-    ///
-    /// The failure it prevents: a request waits for its model at an entry that is being stopped, the
-    /// process ends first, and the caller sees a closed connection without knowing whether it ran.
-    fn end_stopped(&mut self) {
-        let Some(stop) = self.stop else { return };
-        let open = self.requests.iter().map(|(id, one)| (*id, one.stage, one.runs));
-        for (id, stage, runs) in open.collect::<Vec<_>>() {
-            match stage {
-                Stage::Waiting if runs == 0 && self.now >= stop.wait => {
-                    self.refuse(id, Reason::Stopping);
-                }
-                Stage::Waiting | Stage::Sent if self.now >= stop.end => {
-                    self.refuse(id, Reason::TimedOut);
-                }
-                Stage::Waiting | Stage::Sent | Stage::Passing => {}
-            }
-        }
-    }
-
-    /// Looks again at what waits, the most urgent first.
-    ///
-    /// Of those that need the same, the rest is passed over once one found no place: the queue may
-    /// hold hundreds, and an entry has a fifth of a core.
-    fn retry_waiting(&mut self) {
-        let waiting = self.requests.iter().filter(|(_, one)| one.stage == Stage::Waiting);
-        let mut order = waiting.map(|(id, one)| (one.rank, *id)).collect::<Vec<_>>();
-        order.sort_unstable();
-        let mut blocked = Set::default();
-        for (_, id) in order {
-            let Some(request) = self.requests.get(&id) else { continue };
-            let need = (request.service.clone(), request.target);
-            if blocked.contains(&need) {
-                continue;
-            }
-            self.dispatch(id);
-            let waits = self.requests.get(&id).is_some_and(|one| one.stage == Stage::Waiting);
-            if waits {
-                blocked.insert(need);
-            }
-        }
-    }
-
     fn refuse(&mut self, id: RequestId, reason: Reason) {
         self.release(id);
         let Some(request) = self.requests.remove(&id) else { return };
@@ -729,35 +597,3 @@
 /// Milliseconds after which a caller may come back when its entry is stopping: just enough not to
 /// come in one wave.
 const STOPPING_RETRY_MS: u64 = 50;
-
-/// The service that a request goes to: callers are spread over the shares by their number.
-fn share<'a>(route: &'a Route, caller: &str) -> Option<&'a str> {
-    let total = route.shares.iter().map(|(_, weight)| u64::from(*weight)).sum::<u64>();
-    let mut left = hash_bytes(caller.as_bytes()) % total.max(1);
-    let pick = route.shares.iter().find(|(_, weight)| {
-        let weight = u64::from(*weight);
-        let here = left < weight;
-        left = left.saturating_sub(weight);
-        here
-    });
-    pick.or(route.shares.first()).map(|(service, _)| service.as_str())
-}
-
-/// What becomes of an endpoint's answer.
-///
-/// The failures it guards against: a success without the endpoint's signature, or one that names
-/// another request, is somebody else's or spoilt and must not reach the caller; a failure of a
-/// request that may run again is worth another endpoint; a refusal that says "not run" is one for
-/// any kind of request.
-pub fn judge(head: AnswerHead, repeat: Repeat) -> Verdict {
-    let success = (200..300).contains(&head.status);
-    let spoilt = success && !head.signed;
-    let failed = head.status >= 500 && repeat.may_rerun();
-    if !head.foreign && (head.not_run || head.status == 421) {
-        Verdict::NotRun
-    } else if head.foreign || spoilt || failed {
-        Verdict::Failed
-    } else {
-        Verdict::Pass
-    }
-}
