--- a/crates/config/tests/text.rs
+++ b/crates/config/tests/text.rs
@@ -92,9 +92,22 @@
 #[test]
 fn the_settings_reference_is_complete() {
     let page = include_str!("../../../docs/operators/SETTINGS.md");
-    let parser = [include_str!("../src/settings.rs"), include_str!("../src/catalogue.rs")].concat();
+    let parser = [
+        include_str!("../src/settings.rs"),
+        include_str!("../src/catalogue.rs"),
+        include_str!("../src/pool.rs"),
+    ]
+    .concat();
     let quoted = |text: &str| {
-        let calls = ["required(\"", "optional(\"", ".or(\"", ".list(\"", "required::<"];
+        let calls = [
+            "required(\"",
+            "optional(\"",
+            ".or(\"",
+            ".list(\"",
+            "maybe(&mut fields, \"",
+            "required::<",
+            "maybe::<",
+        ];
         let mut keys = Vec::new();
         for call in calls {
             for part in text.split(call).skip(1) {
