--- a/crates/decide/src/entry/mod.rs
+++ b/crates/decide/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod queue;
 mod release;
 mod requests;
+mod state;
 mod types;
 
 use std::collections::BTreeSet;
@@ -505,61 +506,6 @@
         self.rng.random()
     }
 
-    /// The version of the text in force here.
-    pub fn version(&self) -> u64 {
-        self.catalogue.version
-    }
-
-    /// Whether the table itself has confirmed what is known, and not only a peer.
-    pub fn confirmed(&self) -> bool {
-        self.text.confirmed
-    }
-
-    /// The text in force.
-    pub fn catalogue(&self) -> &Catalogue {
-        &self.catalogue
-    }
-
-    /// The whole text in force.
-    pub fn text(&self) -> &str {
-        &self.text.text
-    }
-
-    /// What is known of the table.
-    pub fn view(&self) -> &View {
-        &self.view
-    }
-
-    /// The feed of the table's changes.
-    pub fn feed(&self) -> &Feed {
-        &self.feed
-    }
-
-    /// Requests that have no final answer yet.
-    pub fn open_requests(&self) -> usize {
-        self.requests.len()
-    }
-
-    /// Requests that stand in a queue.
-    pub fn waiting_requests(&self) -> usize {
-        self.queues.values().map(WaitQueue::len).sum()
-    }
-
-    /// Models whose home this process believes to be.
-    pub fn home_models(&self) -> usize {
-        self.homes.len()
-    }
-
-    /// Whether new requests are taken.
-    pub fn ready(&self) -> bool {
-        !self.draining && self.catalogue.version > 0
-    }
-
-    /// Whether the table answered last.
-    pub fn store_is_up(&self) -> bool {
-        self.store_up
-    }
-
     /// Whether a sending is the one that stands for its request now.
     ///
     /// News of an earlier one may come late: taken for news of the present one, a late decline would
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod effects;
+mod frames;
 mod life;
 mod meters;
 mod table;
@@ -21,13 +22,14 @@
     Answer, Arrival, CallId, CancelAnswer, Decline, Effect, EngineReport, Entry, EntryProfile,
     Event, FeedEffect, Listed, Offer, PAGE, Page, Peer, Policies, Refusal, RequestId, Side,
     SideEffect, SideEvent, SideProfile, Source, Wish,
-    rows::{Cached, DeltaRow, FEED, HEAD, HeadRow, RowKind, Tier, decode, delta_key, row_kind},
+    rows::{Cached, DeltaRow, FEED, HEAD, HeadRow, Tier, decode, delta_key},
 };
 use citronrill_platform::{MemoryTable, Table};
 use citronrill_wire as wire;
 use prost::Message;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
+use self::frames::{count_kinds, frame_bytes, rows_frame};
 use crate::{
     engine::{Engine, LoadStart},
     faults::Faults,
@@ -554,49 +556,6 @@
     }
 }
 
-/// Rows as they go between processes.
-fn rows_frame(rows: &[Row]) -> wire::Frame {
-    let rows = rows.iter().map(|row| wire::FeedRow {
-        key: row.key.clone(),
-        version: row.version,
-        body: row.body.clone(),
-    });
-    wire::FeedRows { id: 1, rows: rows.collect(), sequence: 1, age_ms: 0 }.into()
-}
-
-/// Adds a frame's bytes to what they were for.
-fn count_kinds(frame: &wire::Frame, kinds: &mut BTreeMap<&'static str, u64>) {
-    let mut add = |kind, bytes: usize| *kinds.entry(kind).or_insert(0) += bytes as u64;
-    match &frame.kind {
-        Some(wire::Kind::FeedRows(rows)) => {
-            add("feed headers", 54);
-            for row in &rows.rows {
-                add(row_kind_word(&row.key), row.encoded_len() + 2);
-            }
-        }
-        Some(wire::Kind::Demand(_)) => add("demand", frame_bytes(frame) as usize),
-        _ => add("other", frame_bytes(frame) as usize),
-    }
-}
-
-fn row_kind_word(key: &str) -> &'static str {
-    match row_kind(key) {
-        RowKind::Endpoint(_) => "endpoint rows",
-        RowKind::Model(_) => "model rows",
-        RowKind::Share(..) => "share rows",
-        RowKind::Weights => "permit rows",
-        RowKind::Member(_) => "member rows",
-        RowKind::Cache(_) => "cache rows",
-        RowKind::Head | RowKind::Delta | RowKind::Other => "text rows",
-    }
-}
-
-/// Bytes of a frame on a connection, with its length and the headers of TCP and IP.
-fn frame_bytes(frame: &wire::Frame) -> u64 {
-    const HEADERS: usize = 4 + 40;
-    (frame.encoded_len() + HEADERS) as u64
-}
-
 /// The API key of an organisation of a world.
 pub fn world_key(org: &str) -> String {
     format!("key-{org}")
