Count the copies of a text at a side, and test that it gets one

With four entries a side gets one copy or two; when sides do not tell what they have the test fails.

--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -49,6 +49,8 @@
     orders: Counter,
     polls: Counter,
     wants: Counter,
+    /// Copies of the text that entries sent.
+    texts: Counter,
     logs: Arc<LogStats>,
 }
 
@@ -58,6 +60,7 @@
         line(&mut text, "citronrill_orders_total", "", self.orders.value());
         line(&mut text, "citronrill_polls_total", "", self.polls.value());
         line(&mut text, "citronrill_wants_total", "", self.wants.value());
+        line(&mut text, "citronrill_texts_total", "", self.texts.value());
         log_lines(&mut text, &self.logs);
         text
     }
@@ -76,6 +79,7 @@
     texts: watch::Sender<Option<TextCopy>>,
     states: watch::Receiver<Option<SideState>>,
     links: Arc<Links>,
+    metrics: Arc<SideMetrics>,
 }
 
 /// The connections to entries.
@@ -120,6 +124,7 @@
         orders: Counter::default(),
         polls: Counter::default(),
         wants: Counter::default(),
+        texts: Counter::default(),
         logs,
     });
     let links = Arc::new(Links::default());
@@ -141,6 +146,7 @@
         texts: watch::Sender::new(None),
         states,
         links,
+        metrics: metrics.clone(),
     });
     let peers = settings.peers;
     let (done_sender, done) = tokio::sync::oneshot::channel();
@@ -407,6 +413,7 @@
         PoolKind::Want(want) => SideEvent::Want(link, want),
         PoolKind::Used(used) => SideEvent::Used(used),
         PoolKind::Text(copy) => {
+            shared.metrics.texts.add();
             take_text(copy, shared);
             return Ok(());
         }
--- a/tests/pool/life.rs
+++ b/tests/pool/life.rs
@@ -20,6 +20,25 @@
     assert_eq!(pool.ask(&Ask::call("/added/x", "id-2")).status, 200);
 }
 
+/// A text of many routes comes, and every entry is connected to every side. A side gets it from one of
+/// them; sent by each to each, copies were a tenth of what a day cost. Two may cross, four may not.
+#[test]
+fn a_side_gets_a_text_once() {
+    let pool = Deployment::start(&[("e1", &["m0"])]);
+    let more = (0..3).map(|_| pool.one_more_entry()).collect::<Vec<_>>();
+    let side = &pool.sides[0];
+    pool.until("all are connected", || side.logged(&["event=entry_connected", "entries=4"]));
+    let before = side.metric("citronrill_texts_total");
+    pool.store.put("op", "config", Some(text(4, &["/added/"])));
+    pool.until("the side has it", || side.logged(&["event=text ", "version=4"]));
+    let known = |entry: &Process| entry.logged(&["event=text ", "version=4"]);
+    pool.until("the entries have it", || more.iter().all(known));
+    // Longer than the time over which entries spread their copies.
+    std::thread::sleep(std::time::Duration::from_millis(2_000));
+    let copies = side.metric("citronrill_texts_total") - before;
+    assert!((1..=2).contains(&copies), "{copies} copies");
+}
+
 /// The store goes away. What is known goes on being served, also a model that has to be fetched;
 /// what was written meanwhile is in force soon after its return.
 #[test]
--- a/tests/pool/support.rs
+++ b/tests/pool/support.rs
@@ -113,6 +113,18 @@
         lines.iter().any(|line| parts.iter().all(|part| line.contains(part)))
     }
 
+    /// A count of its metrics.
+    pub(crate) fn metric(&self, name: &str) -> u64 {
+        let settings = fs::read_to_string(&self.settings).unwrap();
+        let address = settings.lines().find_map(|line| line.strip_prefix("metrics = ")).unwrap();
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").unwrap();
+        let body = Answer::read(&mut stream).body;
+        let line = body.lines().find_map(|line| line.strip_prefix(name)).unwrap();
+        line.trim().parse().unwrap()
+    }
+
     /// Sends a signal by its number.
     pub(crate) fn signal(&self, signal: i32) {
         let id = self.child.id().to_string();
@@ -235,6 +247,13 @@
         self.sides[index] = Process::start("pool-side", &settings);
     }
 
+    /// Starts one more entry.
+    pub(crate) fn one_more_entry(&self) -> Process {
+        let address = || SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
+        let settings = entry_settings(address(), address(), self.peer_port, &self.store);
+        Process::start("pool-entry", &settings)
+    }
+
     /// Starts the entry again, as the platform does after a kill.
     pub(crate) fn restart_entry(&mut self) {
         let settings = entry_settings(self.callers, self.readiness, self.peer_port, &self.store);
