--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -113,7 +113,6 @@
     let (limits_sender, limits) = watch::channel(CallerLimits::default());
     let profile = EntryProfile {
         zone: settings.zone.clone(),
-        side_port: settings.peers.port(),
         retry_ratio: settings.retry_ratio,
         retry_slack: settings.retry_slack,
         retry_window_ms: settings.retry_window_ms,
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -21,7 +21,7 @@
 use self::{choose::Choice, placement::OpenWant, rules::share, store_limit::StoreLimit};
 use crate::{
     budget::RetryBudget,
-    member::MemberChange,
+    member::{MemberChange, full_name},
     pool::Pool,
     rate::Rate,
     text::{Repeat, ServingText},
@@ -233,7 +233,7 @@
         let Some(endpoint) = self.pool.at(address) else { return };
         endpoint.decline(now);
         let event = LogEvent::new("want_declined").with("at", &endpoint.member.instance);
-        let full = PoolEntry::full_name(&name.model, &name.adapter);
+        let full = full_name(&name.model, &name.adapter);
         let key = self.names.intern(&full);
         if name.adapter.is_empty() {
             // Another side may have room at once.
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -8,7 +8,8 @@
 
 use super::{EntryEffect, PoolEntry, Reason, RequestId, Stage};
 use crate::{
-    pool::{DECLINED_MS, Endpoint, full_name},
+    member::full_name,
+    pool::{DECLINED_MS, Endpoint},
     text::{EngineSpec, ModelSpec},
 };
 
@@ -522,11 +523,6 @@
             self.ask(key, &place.instance, place.victims, ttl_ms);
         }
     }
-
-    /// The full name of a model or adapter, for tests and dumps.
-    pub fn full_name(model: &str, adapter: &str) -> String {
-        if adapter.is_empty() { model.to_owned() } else { full_name(model, adapter) }
-    }
 }
 
 /// Milliseconds for which another replica is still of use: a load from the weight store takes six
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -16,8 +16,6 @@
 pub struct EntryProfile {
     /// The entry's availability zone.
     pub zone: String,
-    /// The port on which every side takes connections from entries.
-    pub side_port: u16,
     /// Second sends allowed, as a share of requests.
     pub retry_ratio: f64,
     /// Second sends allowed besides, over all entries.
--- a/crates/pool/src/member.rs
+++ b/crates/pool/src/member.rs
@@ -44,3 +44,8 @@
     /// Instances by name; `None` where one is gone.
     pub rows: Vec<(String, Option<Member>)>,
 }
+
+/// The name of a model, or of an adapter of it; `adapter` is empty for the model itself.
+pub(crate) fn full_name(model: &str, adapter: &str) -> String {
+    if adapter.is_empty() { model.to_owned() } else { format!("{model}/{adapter}") }
+}
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -5,7 +5,7 @@
 use citronrill_base::{Map, Millis, ModelKey, Names};
 use citronrill_wire::SideState;
 
-use crate::member::{Member, MemberChange};
+use crate::member::{Member, MemberChange, full_name};
 
 /// Milliseconds after which a side's last word no longer counts as fresh: four of its periods of
 /// 500 ms, so that one lost message does not turn a worker dark.
@@ -288,11 +288,6 @@
     }
 }
 
-/// The full name of an adapter.
-pub(crate) fn full_name(model: &str, adapter: &str) -> String {
-    format!("{model}/{adapter}")
-}
-
 fn listed_holding(member: &Member, names: &mut Names<ModelKey>) -> Holding {
     let mut holding = Holding::default();
     for model in &member.models {
--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -15,11 +15,12 @@
 use citronrill_decide::LogEvent;
 use citronrill_wire::{ModelName, ModelState, SideState, Want};
 
-use self::report::{holds, outcome_of, same_news, target_name};
+use self::report::{holds, outcome_of, same_news};
 pub use self::types::{
     EngineReport, EntryLink, Order, OrderKind, OrderOutcome, SideEffect, SideEvent,
 };
 use crate::{
+    member::full_name,
     rate::Rate,
     text::{EngineSpec, ServingText},
 };
@@ -227,7 +228,7 @@
     }
 
     fn take_used(&mut self, used: &ModelName) {
-        for name in [used.model.clone(), target_name(&used.model, &used.adapter)] {
+        for name in [used.model.clone(), full_name(&used.model, &used.adapter)] {
             let usage = self.usage.entry(name).or_default();
             usage.rate.add(self.now);
             usage.last = self.now;
@@ -305,7 +306,7 @@
             rate_milli: (usage(&model.name).rate.per_s(self.now) * 1_000.0) as u32,
             fixed: self.stays(&model.name),
         });
-        let wants = self.plan.iter().map(|one| target_name(&one.want.model, &one.want.adapter));
+        let wants = self.plan.iter().map(|one| full_name(&one.want.model, &one.want.adapter));
         Some(SideState {
             sequence: report.sequence,
             models: models.collect(),
--- a/crates/pool/src/side/orders.rs
+++ b/crates/pool/src/side/orders.rs
@@ -6,9 +6,9 @@
 
 use super::{
     EngineReport, Given, Order, OrderKind, OrderOutcome, Planned, PoolSide, SideEffect, UNSOUND_MS,
-    report::{holds, target_name, used_mb},
+    report::{holds, used_mb},
 };
-use crate::text::EngineSpec;
+use crate::{member::full_name, text::EngineSpec};
 
 /// Milliseconds between the word that a model makes way and its unloading: entries hear it and
 /// stop sending, or what is under way to the endpoint would be refused there.
@@ -109,7 +109,7 @@
         let Some(spec) = engine.model(&want.model) else { return };
         if !holds(report, &want.model, "")
             || self.is_leaving(&want.model)
-            || report.pending.contains(&target_name(&want.model, &want.adapter))
+            || report.pending.contains(&full_name(&want.model, &want.adapter))
         {
             return;
         }
@@ -123,7 +123,7 @@
             model.adapters.iter().map(|adapter| (model.name.clone(), adapter.clone()))
         });
         let last = |model: &str, adapter: &str| {
-            self.usage.get(&target_name(model, adapter)).map_or(Millis(0), |usage| usage.last)
+            self.usage.get(&full_name(model, adapter)).map_or(Millis(0), |usage| usage.last)
         };
         let oldest = adapters.min_by_key(|(model, adapter)| last(model, adapter));
         let Some((model, adapter)) = oldest else { return };
--- a/crates/pool/src/side/report.rs
+++ b/crates/pool/src/side/report.rs
@@ -4,7 +4,7 @@
 use citronrill_wire::SideState;
 
 use super::{BUSY_POLL_MS, EngineReport, Given, OrderKind};
-use crate::text::EngineSpec;
+use crate::{member::full_name, text::EngineSpec};
 
 /// Milliseconds that an unload may wait for its runs: longer than any route lets a request last.
 const UNLOAD_MS: u64 = 16_000;
@@ -40,16 +40,12 @@
     }
     // An unload waits for its runs, and meanwhile the model is still told as held.
     let unloading = order.kind == OrderKind::Unload && now.since(given.at) < UNLOAD_MS;
-    let coming = report.pending.contains(&target_name(&order.model, &order.adapter));
+    let coming = report.pending.contains(&full_name(&order.model, &order.adapter));
     let accepted = report.sequence > order.sequence;
     let over = accepted && !report.busy && !coming && now.since(given.at) > BUSY_POLL_MS;
     (over && !unloading).then_some(false)
 }
 
-pub(super) fn target_name(model: &str, adapter: &str) -> String {
-    if adapter.is_empty() { model.to_owned() } else { format!("{model}/{adapter}") }
-}
-
 pub(super) fn holds(report: &EngineReport, model: &str, adapter: &str) -> bool {
     let held = report.models.iter().find(|held| held.name == model);
     held.is_some_and(|held| adapter.is_empty() || held.adapters.iter().any(|one| one == adapter))
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -146,7 +146,6 @@
     pub(crate) fn blank() -> Bench {
         let profile = EntryProfile {
             zone: "a".to_owned(),
-            side_port: 7000,
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_ms: 10_000,
--- a/crates/pool/tests/all/world.rs
+++ b/crates/pool/tests/all/world.rs
@@ -193,7 +193,6 @@
         };
         let profile = EntryProfile {
             zone: "a".to_owned(),
-            side_port: 7000,
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_ms: 10_000,
