Bound what the log's thread takes at once

Cause: its thread drained the queue until it was empty before it wrote; with writers that never pause the batch grew without bound and fewer lines were counted as lost than the reader's stop means.

--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -129,7 +129,9 @@
             while let Ok(entry) = receiver.recv() {
                 let mut batch = Vec::new();
                 let mut drains = Vec::new();
-                for entry in iter::once(entry).chain(receiver.try_iter()) {
+                // No more than the queue holds: with writers that never pause, what is drained would
+                // else grow without bound and never be written.
+                for entry in iter::once(entry).chain(receiver.try_iter().take(QUEUE)) {
                     match entry {
                         Entry::Line(line) => batch.extend(line),
                         Entry::Drain(told) => drains.push(told),
