Count what callers ask for as demand, served or not

An entry's own arrivals now count for all entries where they are many enough to tell (0.4 a second); `want` says the victims' rates.

Ruled out: that no other victim was there; other engines held models asked for once in 17 s.

--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -111,6 +111,8 @@
     requests: BTreeMap<RequestId, Request>,
     budgets: Map<String, RetryBudget>,
     wants: Map<ModelKey, OpenWant>,
+    /// Requests that came for each model, served or not.
+    asked: Map<ModelKey, Rate>,
     /// Requests whose model found no place.
     misses: Map<ModelKey, Rate>,
     store: StoreLimit,
@@ -130,6 +132,7 @@
             requests: BTreeMap::new(),
             budgets: Map::default(),
             wants: Map::default(),
+            asked: Map::default(),
             misses: Map::default(),
             store: StoreLimit::default(),
             stop: None,
@@ -276,7 +279,9 @@
         if let Some(engine) = engine {
             engine.model(model).ok_or(Reason::NoModel)?;
             target = Some(self.names.intern(&arrival.model));
-            base = Some(self.names.intern(model));
+            let key = self.names.intern(model);
+            self.asked.entry(key).or_default().add(self.now);
+            base = Some(key);
         }
         let allowed = arrival.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
         Ok(Request {
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -33,6 +33,9 @@
 const RARE_STORE_SHARE: u32 = 8;
 /// Requests a second from which a model counts as busy: its loss is felt within half a second.
 const BUSY_RATE: f64 = 2.0;
+/// Requests a second at this entry from which its own arrivals tell something of all entries': four
+/// within the ten seconds of the slow average.
+const OWN_RATE: f64 = 0.4;
 /// Share of a second's requests that a spare replica is worth: an endpoint in twenty crashes within
 /// the horizon, and its model is away for about as long.
 const CRASH_SHARE: f64 = 0.5;
@@ -263,11 +266,13 @@
             ttl_ms,
             waiting: waiting.count() as u32,
         };
+        let rates = victims.iter().map(|key| format!("{:.2}", self.rate(*key))).collect::<Vec<_>>();
         let event = LogEvent::new("want")
             .with("model", model)
             .with("adapter", adapter)
             .with("at", instance)
             .with("victims", want.victims.join(","))
+            .with("rates", rates.join(","))
             .with("waiting", want.waiting)
             .with("sequence", endpoint.holding.sequence);
         let open = OpenWant {
@@ -396,10 +401,17 @@
         })
     }
 
-    /// Requests a second for a model, over all endpoints.
+    /// Requests a second for a model, over all entries.
+    ///
+    /// Sides count what reached them. A model that was away for some seconds has reached nobody, and
+    /// by that count alone it looked idle the moment it came: it was unloaded for a single request
+    /// of a rare model while a hundred a second asked for it. So an entry's own arrivals, served or
+    /// not, count for all entries where they are many enough to tell.
     fn rate(&self, key: ModelKey) -> f64 {
         let live = self.pool.endpoints.values().filter(|one| one.fresh_side(self.now).is_some());
-        live.map(|endpoint| rate_of(endpoint, key)).sum()
+        let served = live.map(|endpoint| rate_of(endpoint, key)).sum::<f64>();
+        let own = self.asked.get(&key).map_or(0.0, |rate| rate.per_s(self.now));
+        if own < OWN_RATE { served } else { served.max(own * f64::from(self.entries())) }
     }
 
     /// Closes wants that an endpoint's side has answered by its state.
--- a/crates/pool/tests/all/placement.rs
+++ b/crates/pool/tests/all/placement.rs
@@ -162,3 +162,21 @@
     let (at, want) = wanted(&effects).unwrap();
     assert_eq!((at, want.model.as_str()), (address(2), "m0"));
 }
+
+/// Demand moves to a model that no endpoint holds. Ten requests a second wait for it; when it has
+/// come, its side has counted none of them yet, and a single request for a rare model would push it
+/// out again. What callers asked for counts as demand, whether it was served or not.
+#[test]
+fn a_model_that_was_away_counts_as_asked_for() {
+    let members = vec![member(1, ENGINE, &["m2", "m3"]), member(2, ENGINE, &["m1", "m4"])];
+    let mut bench = Bench::new(members);
+    bench.step(EntryEvent::Side(address(1), busy(&[("m2", 1), ("m3", 1)])));
+    bench.step(EntryEvent::Side(address(2), busy(&[("m1", 1), ("m4", 1)])));
+    for _ in 0..10 {
+        bench.ask("/chat/x", "m0");
+    }
+    bench.step(EntryEvent::Side(address(1), busy(&[("m0", 0), ("m3", 1)])));
+    let (_, effects) = bench.ask("/draft/x", "m7");
+    let (_, want) = wanted(&effects).unwrap();
+    assert!(!want.victims.contains(&"m0".to_owned()), "{:?}", want.victims);
+}
