Bound what one waiting request may push out

A place now counts only if what makes way is worth at most four missed requests for each that waits.

Ruled out: too few victims on offer by mistake (all others were in a plan).

--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -33,6 +33,13 @@
 const RARE_STORE_SHARE: u32 = 8;
 /// Requests a second from which a model counts as busy: its loss is felt within half a second.
 const BUSY_RATE: f64 = 2.0;
+/// Milliseconds of other callers' waiting that one waiting request may cost at most.
+///
+/// Answers a burst of rare models beyond what the engines can swap: every model that may make way is
+/// promised already, and what is left are the busy ones. Without the bound the last replica of a model
+/// with 48 requests a second was unloaded for a single one; with it whoever asks for a rare model waits
+/// for a place among those, and models from some three requests a second on stay.
+const WAITER_MS: f64 = 4.0 * MISS_MS;
 /// Requests a second at this entry from which its own arrivals tell something of all entries': four
 /// within the ten seconds of the slow average.
 const OWN_RATE: f64 = 0.4;
@@ -99,6 +106,8 @@
 struct Place {
     instance: String,
     cost: f64,
+    /// What is lost with the victims.
+    price: f64,
     ready_ms: f64,
     victims: Vec<ModelKey>,
 }
@@ -130,7 +139,8 @@
                 return;
             }
         }
-        let Some(place) = self.place(&request.service, &request.model, base) else {
+        let worth = self.waiting_for(base) * WAITER_MS;
+        let Some(place) = self.place(&request.service, &request.model, base, worth) else {
             self.await_place(id, base);
             return;
         };
@@ -288,14 +298,22 @@
         self.log(event);
     }
 
-    /// The cheapest endpoint to fetch `model` to.
-    fn place(&self, service: &str, name: &str, model: ModelKey) -> Option<Place> {
+    /// Requests that wait here for a model, or for an adapter of it.
+    fn waiting_for(&self, model: ModelKey) -> f64 {
+        let waiting = self.requests.values();
+        let waiting = waiting.filter(|one| one.stage == Stage::Waiting && one.base == Some(model));
+        waiting.count() as f64
+    }
+
+    /// The cheapest endpoint to fetch `model` to, where what makes way is worth `worth` at most.
+    fn place(&self, service: &str, name: &str, model: ModelKey, worth: f64) -> Option<Place> {
         let engine = self.text.as_ref()?.service(service)?.engine.as_ref()?;
         let spec = engine.model(name)?;
         let members = self.pool.endpoints.values();
         let fit = members.filter(|one| one.open() && one.member.service == service);
         let store = self.store_open(model);
         let places = fit.filter_map(|one| self.place_at(one, engine, spec, model, store));
+        let places = places.filter(|place| place.price <= worth);
         places.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
@@ -332,7 +350,7 @@
         }
         let tie = rendezvous_score(&spec.name, &endpoint.member.instance) as f64 / u64::MAX as f64;
         let instance = endpoint.member.instance.clone();
-        Some(Place { instance, cost: cost + ready_ms + price + tie, ready_ms, victims })
+        Some(Place { instance, cost: cost + ready_ms + price + tie, price, ready_ms, victims })
     }
 
     /// What has to make way at `endpoint` for a model, cheapest first, and what that costs.
@@ -378,11 +396,7 @@
             self.live_holders(key).filter(|one| one.member.instance != endpoint.member.instance);
         let others = others.count() as f64;
         let rate = self.rate(key);
-        let waiting = self
-            .requests
-            .values()
-            .filter(|one| one.stage == Stage::Waiting && one.base == Some(key));
-        let urgent = waiting.count() as f64 * MISS_MS;
+        let urgent = self.waiting_for(key) * MISS_MS;
         if others > 0.0 && rate <= others * KEEP_RATE {
             let in_use = rate_of(endpoint, key) * RUN_S > 0.5;
             let drain = if in_use { DRAIN_MS } else { 0.0 };
@@ -466,7 +480,7 @@
                 // What it costs must be less than what callers lose without it.
                 let missed = self.misses.get(&key).map_or(0.0, |rate| rate.per_s(self.now));
                 let gain = MISS_MS * (2.0 + missed * HORIZON_S + rate * CRASH_SHARE);
-                let place = self.place(&service.name, &name, key);
+                let place = self.place(&service.name, &name, key, gain);
                 if let Some(place) = place.filter(|place| place.cost < gain) {
                     self.ask(key, &place.instance, place.victims, SPREAD_TTL_MS);
                 }
@@ -528,7 +542,9 @@
         let service = services
             .find(|one| one.engine.as_ref().is_some_and(|engine| engine.model(&name).is_some()));
         let Some(service) = service else { return };
-        if let Some(place) = self.place(&service.name, &name, key) {
+        let missed = self.misses.get(&key).map_or(0.0, |rate| rate.per_s(now));
+        let worth = (1.0 + missed * HORIZON_S) * WAITER_MS;
+        if let Some(place) = self.place(&service.name, &name, key, worth) {
             let ttl_ms = (2.0 * place.ready_ms) as u64;
             self.ask(key, &place.instance, place.victims, ttl_ms);
         }
--- a/crates/pool/tests/all/load.rs
+++ b/crates/pool/tests/all/load.rs
@@ -5,12 +5,14 @@
 use crate::world::{Faults, Load, World};
 
 /// Rare models are asked for at once, 18 a second over 60 of them, beside a busy one at 40 a second
-/// (the pattern of a morning's drafts). Swaps must not take the busy model away, and what can be
-/// served in time must be.
-#[test]
-fn a_burst_of_rare_models_is_served() {
+/// (the pattern of a morning's drafts). That is more than the engines can swap: every model that may
+/// make way is promised already, and the only one left is the busy one. It must stay, whoever waits,
+/// and what can be served in time must be. Without a bound on what one request may push out, seeds 12
+/// and 14 served 88 and 77 of 100 of the busy model's requests in time.
+#[rstest]
+fn a_burst_of_rare_models_is_served(#[values(1, 5, 7, 8, 11, 12, 13, 14, 15)] seed: u64) {
     let load = Load { busy_per_s: 40.0, rare_per_s: 18.0, rare_models: 60, seconds: 20 };
-    let figures = World::new(7, 12, 3, Faults::none()).play(&load);
+    let figures = World::new(seed, 12, 3, Faults::none()).play(&load);
     assert_eq!(figures.broken, Vec::<String>::new());
     assert!(figures.busy_share() > 0.95, "{figures:?}");
     assert!(figures.rare_share() > 0.85, "{figures:?}");
