Ask a restarted endpoint for its name, and use it before the list has it

Cause: an endpoint that crashed is up again after two seconds, but the list names its last start for one or two more. The side now asks the endpoint itself on its health path, once for each start, declines what names another start, and tells name and service with its state; entries put the new start in the old one's place and ignore old rows of the list. A side of another service at a used address names nothing.

Ruled out: the name in the refusal of an order (it bears none), taking it from the list sooner (it lags by itself).

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -123,6 +123,9 @@
     /// Reads what the endpoint said to an order; with its name if the order meant another start.
     fn ordered(&self, status: StatusCode, headers: &HeaderMap) -> (OrderOutcome, Option<String>);
 
+    /// The name of the start of an endpoint that an answer bears.
+    fn named(&self, headers: &HeaderMap) -> Option<String>;
+
     /// The path of an endpoint's state.
     fn report_path(&self) -> &'static str;
 
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -69,6 +69,8 @@
 /// What the control thread asks of the traffic runtime.
 enum Task {
     Poll,
+    /// Ask for the endpoint's name on this path.
+    Identify(String),
     Order(Order),
 }
 
@@ -209,6 +211,7 @@
                 self.metrics.polls.add();
                 Task::Poll
             }
+            SideEffect::Identify(path) => Task::Identify(path),
             SideEffect::Order(order) => {
                 self.metrics.orders.add();
                 Task::Order(order)
@@ -253,6 +256,10 @@
                     let report = this.report(&mut reports).await;
                     this.tell(SideEvent::Report(report));
                 }
+                Task::Identify(path) => {
+                    let this = this.clone();
+                    tokio::spawn(async move { this.identify(&path).await });
+                }
                 Task::Order(order) => {
                     let this = this.clone();
                     // A silent order must not hold up the looks that show what became of it.
@@ -289,6 +296,21 @@
         }
     }
 
+    /// Asks the endpoint for its name; whatever it says of its health, the answer bears it.
+    async fn identify(&self, path: &str) {
+        let asked = async {
+            let request = get(self.address, path)?;
+            Control::new(self.address).call(request, REPORT_MS).await
+        };
+        match asked.await {
+            Ok(response) => match self.dialect.named(response.headers()) {
+                Some(name) => self.tell(SideEvent::Named(name)),
+                None => log::info!("event=endpoint_unnamed status={}", response.status()),
+            },
+            Err(error) => log::info!("event=endpoint_unnamed error=\"{error}\""),
+        }
+    }
+
     async fn order(&self, order: &Order) -> (OrderOutcome, Option<String>) {
         let call = self.dialect.order(order, &self.holder);
         let mut request = Request::new(Full::new(Bytes::from(call.body)));
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -224,7 +224,11 @@
     }
 
     fn take_side(&mut self, address: SocketAddr, state: &SideState) {
-        if self.pool.hear(address, state, &mut self.names, self.now) {
+        if let Some(heard) = self.pool.hear(address, state, &mut self.names, self.now) {
+            if let Some(over) = heard.over {
+                let event = LogEvent::new("superseded").with("instance", over);
+                self.log(event.with("by", &state.instance).with("sequence", state.sequence));
+            }
             self.learn_store();
             self.close_wants(address);
             self.retry_waiting();
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use citronrill_base::{Map, Millis, ModelKey, Names};
+use citronrill_base::{Map, Millis, ModelKey, Names, Set};
 use citronrill_wire::SideState;
 
 use crate::member::{Member, MemberChange, full_name};
@@ -83,6 +83,8 @@
     /// Milliseconds to the first byte of late, and when that was last heard.
     lag: f64,
     lagged: Millis,
+    /// Whether only its side has named this start yet.
+    unlisted: bool,
 }
 
 impl Endpoint {
@@ -99,6 +101,7 @@
             stall: 0,
             lag: 0.0,
             lagged: Millis(0),
+            unlisted: false,
         }
     }
 
@@ -164,11 +167,20 @@
     }
 }
 
+/// What an entry learned from a side's word.
+#[derive(Debug)]
+pub(crate) struct Heard {
+    /// The start of the endpoint that is over, as the side named another.
+    pub(crate) over: Option<String>,
+}
+
 /// The endpoints by instance name.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Pool {
     pub(crate) endpoints: Map<String, Endpoint>,
     by_address: Map<SocketAddr, String>,
+    /// Starts of endpoints that are known to be over though the list may still name them.
+    over: Set<String>,
     pub(crate) version: u64,
 }
 
@@ -189,7 +201,10 @@
         let whole = change.whole;
         if whole {
             let listed = |id: &String| change.rows.iter().any(|(row, _)| row == id);
-            let gone = self.endpoints.keys().filter(|id| !listed(id)).cloned().collect::<Vec<_>>();
+            self.over.retain(listed);
+            let named = |one: &Endpoint| one.unlisted && one.fresh_side(now).is_some();
+            let gone = self.endpoints.iter().filter(|(id, one)| !listed(id) && !named(one));
+            let gone = gone.map(|(id, _)| id.clone()).collect::<Vec<_>>();
             moved |= !gone.is_empty();
             gone.iter().for_each(|id| self.remove(id));
         }
@@ -198,6 +213,7 @@
                 Some(member) => moved |= self.put(member, whole, names, now),
                 None => {
                     moved |= self.endpoints.contains_key(&id);
+                    self.over.remove(&id);
                     self.remove(&id);
                 }
             }
@@ -226,6 +242,9 @@
         now: Millis,
     ) -> bool {
         let id = member.instance.clone();
+        if self.over.contains(&id) {
+            return false;
+        }
         let known = self.endpoints.contains_key(&id);
         // An endpoint that crashed is listed for some heartbeats beside its next start. Only one can
         // be there, and it is the one that turned up last.
@@ -242,6 +261,7 @@
         }
         let moved = !known || endpoint.member.leaving != member.leaving;
         endpoint.member = member;
+        endpoint.unlisted = false;
         moved
     }
 
@@ -258,16 +278,9 @@
         state: &SideState,
         names: &mut Names<ModelKey>,
         now: Millis,
-    ) -> bool {
-        let named = self.endpoints.get(&state.instance);
-        if named.is_some_and(|endpoint| endpoint.member.address == address) {
-            // Two starts of the endpoint are listed; the side knows which of them is there.
-            let held = self.by_address.insert(address, state.instance.clone());
-            if let Some(held) = held.filter(|held| *held != state.instance) {
-                self.endpoints.remove(&held);
-            }
-        }
-        let Some(endpoint) = self.at(address) else { return false };
+    ) -> Option<Heard> {
+        let over = self.supersede(address, state);
+        let endpoint = self.at(address)?;
         if state.sound {
             endpoint.holding = told_holding(state, names);
         }
@@ -291,7 +304,33 @@
             fixed,
             rates,
         });
-        true
+        Some(Heard { over })
+    }
+
+    /// Makes the start that the side names the one at `address`; gives the one that is over.
+    ///
+    /// An endpoint that crashed is listed under its last name for seconds after it is up again, and
+    /// whatever is sent to that name is refused. The new start has the place and the service of the
+    /// last one; a side of another service at the same address says nothing of either.
+    fn supersede(&mut self, address: SocketAddr, state: &SideState) -> Option<String> {
+        let held = self.by_address.get(&address)?.clone();
+        let service = &self.endpoints.get(&held)?.member.service;
+        let told = state.sound && !state.instance.is_empty() && *service == state.service;
+        if !told || held == state.instance {
+            return None;
+        }
+        let mut member = self.endpoints.remove(&held)?.member;
+        member.instance.clone_from(&state.instance);
+        member.leaving = false;
+        let endpoint = self
+            .endpoints
+            .entry(state.instance.clone())
+            .or_insert_with(|| Endpoint { unlisted: true, ..Endpoint::new(member) });
+        endpoint.member.address = address;
+        self.by_address.insert(address, state.instance.clone());
+        self.over.remove(&state.instance);
+        self.over.insert(held.clone());
+        Some(held)
     }
 }
 
--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -7,6 +7,7 @@
 mod orders;
 mod plan;
 mod report;
+mod start_name;
 mod types;
 
 use std::{collections::VecDeque, sync::Arc};
@@ -15,10 +16,13 @@
 use citronrill_decide::LogEvent;
 use citronrill_wire::{ModelName, ModelState, SideState, Want};
 
-use self::report::{holds, outcome_of, same_news};
 pub use self::types::{
     EngineReport, EntryLink, Order, OrderKind, OrderOutcome, SideEffect, SideEvent,
 };
+use self::{
+    report::{holds, outcome_of, same_news},
+    start_name::StartName,
+};
 use crate::{
     member::full_name,
     rate::Rate,
@@ -80,8 +84,7 @@
     /// No order is given on a report older than this: the last one was refused.
     stale_until: Millis,
     token: Option<u64>,
-    /// The name of the endpoint's present start, once an order that meant another told it.
-    instance: Option<String>,
+    start: StartName,
     plan: VecDeque<Planned>,
     model_order: Option<Given>,
     adapter_order: Option<Given>,
@@ -109,7 +112,7 @@
             asking: false,
             stale_until: Millis(0),
             token: None,
-            instance: None,
+            start: StartName::unknown(),
             plan: VecDeque::new(),
             model_order: None,
             adapter_order: None,
@@ -138,18 +141,18 @@
             SideEvent::Want(link, want) => self.take_want(link, want),
             SideEvent::Used(used) => self.take_used(&used),
             SideEvent::Ordered(number, outcome, instance) => {
+                self.take_outcome(number, outcome);
                 if let Some(instance) = instance {
-                    self.log(LogEvent::new("endpoint_named").with("instance", &instance));
-                    self.plan.retain(|one| one.want.instance == instance);
-                    self.instance = Some(instance);
+                    self.take_name(&instance);
                 }
-                self.take_outcome(number, outcome);
             }
+            SideEvent::Named(instance) => self.take_name(&instance),
             SideEvent::Entries(count) => self.entries = count,
             SideEvent::Tick => {}
         }
         self.advance();
         self.poll();
+        self.identify();
         self.publish();
         std::mem::take(&mut self.effects)
     }
@@ -163,7 +166,10 @@
 
     fn take_report(&mut self, report: Option<EngineReport>) {
         self.asking = false;
-        let Some(report) = report else { return };
+        let Some(report) = report else {
+            self.start.doubt();
+            return;
+        };
         self.seen = self.now;
         let old = self.report.as_ref().map(|old| old.sequence);
         if old.is_some_and(|old| report.sequence < old) {
@@ -174,7 +180,7 @@
             self.adapter_order = None;
             self.plan.clear();
             self.token = None;
-            self.instance = None;
+            self.start.forget(self.now);
         }
         // What the first report shows was there before; nobody has just asked for it.
         let held = |name: &str| self.report.as_ref().is_none_or(|old| holds(old, name, ""));
@@ -253,6 +259,9 @@
             refused = slot.take();
             // The endpoint is not as the last report told: the next order waits for a newer one.
             self.stale_until = self.now;
+            if outcome == OrderOutcome::Rejected {
+                self.start.forget(self.now);
+            }
         } else if let Some(given) = slot {
             given.outcome = Some(outcome);
         }
@@ -265,6 +274,25 @@
         self.log(LogEvent::new("order_answered").with("order", number).with("outcome", word));
     }
 
+    /// Takes the name of the endpoint's present start; what was asked of another is void.
+    fn take_name(&mut self, instance: &str) {
+        if self.start.learn(instance) {
+            self.log(LogEvent::new("endpoint_named").with("instance", instance));
+            self.plan.retain(|one| one.want.instance == instance);
+        }
+    }
+
+    /// Asks the endpoint for its name where that is in doubt.
+    fn identify(&mut self) {
+        let heard = self.report.is_some() && self.now.since(self.seen) <= IDLE_POLL_MS;
+        let service = self.text.as_ref().and_then(|text| text.service(&self.service));
+        let path = service.map(|service| service.health.clone());
+        let Some(path) = path.filter(|path| heard && !path.is_empty()) else { return };
+        if self.start.take_turn(self.now) {
+            self.effects.push(SideEffect::Identify(path));
+        }
+    }
+
     fn poll(&mut self) {
         let wait = self.wake_ms();
         // Counted from the last look, not from the last answer: an endpoint that is down refuses
@@ -323,7 +351,8 @@
             store_loads: self.store_loads(report),
             store_slow: self.store_slow,
             text: self.text_version(),
-            instance: self.instance.clone().unwrap_or_default(),
+            instance: self.start.known().unwrap_or_default().to_owned(),
+            service: self.service.clone(),
         })
     }
 
--- a/crates/pool/src/side/plan.rs
+++ b/crates/pool/src/side/plan.rs
@@ -26,8 +26,7 @@
             return;
         }
         let victims_named = want.victims.clone();
-        let known = self.instance.as_ref();
-        let gone = known.is_some_and(|instance| *instance != want.instance);
+        let gone = !self.start.is_present(&want.instance, self.now);
         let victims = if gone {
             None
         } else if want.adapter.is_empty() {
--- a/crates/pool/src/side/types.rs
+++ b/crates/pool/src/side/types.rs
@@ -96,6 +96,8 @@
     Used(ModelName),
     /// The endpoint answered an order; with its name if the order meant another start of it.
     Ordered(u64, OrderOutcome, Option<String>),
+    /// The endpoint has told the name of its present start.
+    Named(String),
     /// So many entries are connected.
     Entries(u32),
     /// Time has passed.
@@ -107,6 +109,8 @@
 pub enum SideEffect {
     /// Ask the endpoint for its state.
     Poll,
+    /// Ask the endpoint for the name of its present start, on this path.
+    Identify(String),
     /// Give an order.
     Order(Order),
     /// Tell all entries.
--- a/crates/pool/src/text.rs
+++ b/crates/pool/src/text.rs
@@ -107,6 +107,8 @@
 pub struct Service {
     /// The service's name.
     pub name: String,
+    /// The path on which an endpoint says that it is healthy, and names itself; may be empty.
+    pub health: String,
     /// Connections that one endpoint takes from all callers.
     pub connections: u32,
     /// Set where the endpoints are model engines.
--- a/crates/pool/tests/all/placement.rs
+++ b/crates/pool/tests/all/placement.rs
@@ -1,6 +1,6 @@
 //! Where models are fetched to, and what makes way for them.
 
-use citronrill_pool::{EntryEvent, Reason};
+use citronrill_pool::{EntryEvent, Member, Reason};
 use citronrill_wire::{ModelName, SideState};
 
 use crate::support::{Bench, ENGINE, address, member, refusal, sending, state, wanted};
@@ -180,3 +180,37 @@
     let (_, want) = wanted(&effects).unwrap();
     assert!(!want.victims.contains(&"m0".to_owned()), "{:?}", want.victims);
 }
+
+/// An endpoint crashed and is up again under another name, which the list does not have yet. Its
+/// side has: models are fetched to the new start at once, and the old name, which the list repeats
+/// for a while, does not come back.
+#[test]
+fn a_restarted_endpoint_is_used_before_the_list_names_it() {
+    let mut bench = Bench::new(vec![member(1, ENGINE, &["m0"])]);
+    bench.step(EntryEvent::Side(address(1), state(3, &["m0"])));
+    let again = SideState { instance: "i1-b".to_owned(), ..state(0, &[]) };
+    bench.step(EntryEvent::Side(address(1), again.clone()));
+    bench.list(2, vec![member(1, ENGINE, &["m0"])]);
+    let (_, effects) = bench.ask("/draft/x", "m5");
+    assert_eq!(wanted(&effects).unwrap().1.instance, "i1-b");
+    let there = SideState { instance: "i1-b".to_owned(), ..state(1, &["m5"]) };
+    let effects = bench.step(EntryEvent::Side(address(1), there));
+    assert_eq!(sending(&effects).unwrap().instance, "i1-b");
+    // Once listed, the new start leaves like any other.
+    let leaving = Member { instance: "i1-b".to_owned(), leaving: true, ..member(1, ENGINE, &[]) };
+    bench.list(3, vec![leaving]);
+    let (_, effects) = bench.ask("/draft/x", "m5");
+    assert!(sending(&effects).is_none());
+}
+
+/// An address is used again by an endpoint of another service. What its side says must not make it
+/// an endpoint of the first: requests would be run by a service that they were not meant for.
+#[test]
+fn a_side_of_another_service_names_no_endpoint() {
+    let mut bench = Bench::new(vec![member(1, ENGINE, &["m0"])]);
+    let other =
+        SideState { instance: "x1".to_owned(), service: "other".to_owned(), ..state(0, &["m0"]) };
+    bench.step(EntryEvent::Side(address(1), other));
+    let (_, effects) = bench.ask("/chat/x", "m0");
+    assert_eq!(sending(&effects).unwrap().instance, "i1");
+}
--- a/crates/pool/tests/all/world.rs
+++ b/crates/pool/tests/all/world.rs
@@ -418,6 +418,12 @@
                     let report = self.report(side);
                     self.soon(Happening::Side(side, SideEvent::Report(report)));
                 }
+                SideEffect::Identify(_) => {
+                    if self.engines[side].up {
+                        let name = self.engines[side].instance(side);
+                        self.soon(Happening::Side(side, SideEvent::Named(name)));
+                    }
+                }
                 SideEffect::Order(order) => self.send_order(side, order),
                 SideEffect::Publish(state) => {
                     for entry in 0..self.entries.len() {
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -141,6 +141,9 @@
     /// The name of the endpoint's present start, or empty if the side has not learned it.
     #[prost(string, tag = "15")]
     pub instance: String,
+    /// The service that the endpoint belongs to.
+    #[prost(string, tag = "17")]
+    pub service: String,
 }
 
 /// One model that an endpoint holds.
