Take what came while a model was away as its demand, for replicas too

Only what comes while no live endpoint holds the model is counted now; once it is there the sides' counts stand. Replicas are judged by it too, so that a model that is away gets as many as it needs as soon as the first has come.

--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use citronrill_base::{Map, Millis, ModelKey, rendezvous_score};
+use citronrill_base::{Millis, ModelKey, Set, rendezvous_score};
 use citronrill_decide::LogEvent;
 use citronrill_wire::Want;
 
@@ -416,7 +416,7 @@
     }
 
     /// Endpoints that hold a model and whose side says that they live.
-    fn live_holders(&self, key: ModelKey) -> impl Iterator<Item = &Endpoint> {
+    pub(super) fn live_holders(&self, key: ModelKey) -> impl Iterator<Item = &Endpoint> {
         self.pool.endpoints.values().filter(move |one| {
             one.open()
                 && one.holding.models.contains(&key)
@@ -426,14 +426,15 @@
 
     /// Requests a second for a model, over all entries.
     ///
-    /// Sides count what reached them. A model that was away for some seconds has reached nobody, and
-    /// by that count alone it looked idle the moment it came: it was unloaded for a single request
-    /// of a rare model while a hundred a second asked for it. So an entry's own arrivals, served or
-    /// not, count for all entries where they are many enough to tell.
+    /// Sides count what reached them. Requests for a model that is away reach nobody, and by that
+    /// count alone it looked idle the moment it came: it was unloaded for a single request of a rare
+    /// model while a hundred a second asked for it. So what came to this entry while the model was
+    /// away counts for all entries, where it is enough to tell. What comes while it is there does not:
+    /// callers are spread unevenly over entries, and the busiest would see twice the demand.
     fn rate(&self, key: ModelKey) -> f64 {
         let live = self.pool.endpoints.values().filter(|one| one.fresh_side(self.now).is_some());
         let served = live.map(|endpoint| rate_of(endpoint, key)).sum::<f64>();
-        let own = self.asked.get(&key).map_or(0.0, |rate| rate.per_s(self.now));
+        let own = self.away.get(&key).map_or(0.0, |rate| rate.per_s(self.now));
         if own < OWN_RATE { served } else { served.max(own * f64::from(self.entries())) }
     }
 
@@ -506,12 +507,11 @@
 
     /// Models that are asked for often, with their requests a second.
     fn busy_models(&self) -> Vec<(ModelKey, f64)> {
-        let mut rates = Map::<ModelKey, f64>::default();
-        let live = self.pool.endpoints.values().filter(|one| one.fresh_side(self.now).is_some());
-        for (key, rate) in live.flat_map(|one| one.side.iter().flat_map(|side| &side.rates)) {
-            *rates.entry(*key).or_default() += rate;
-        }
-        let mut busy = rates.into_iter().filter(|(_, rate)| *rate >= BUSY_RATE).collect::<Vec<_>>();
+        let sides = self.pool.endpoints.values().flat_map(|one| one.side.iter());
+        let served = sides.flat_map(|side| side.rates.iter().map(|(key, _)| *key));
+        let keys = served.chain(self.away.keys().copied()).collect::<Set<_>>();
+        let rates = keys.into_iter().map(|key| (key, self.rate(key)));
+        let mut busy = rates.filter(|(_, rate)| *rate >= BUSY_RATE).collect::<Vec<_>>();
         busy.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
         busy
     }
--- a/crates/pool/tests/all/placement.rs
+++ b/crates/pool/tests/all/placement.rs
@@ -247,3 +247,26 @@
     bench.step(EntryEvent::Side(address(2), busy(&[("m1", 1), ("m0", 0)])));
     assert!(wanted(&bench.wait(1_000)).is_none(), "one spare is enough");
 }
+
+/// All instances have lost power and no endpoint holds anything. Ten requests a second come for one
+/// model: it needs two replicas, and both are fetched at once instead of one after the other.
+#[test]
+fn replicas_of_a_model_that_is_away_come_together() {
+    let mut bench = Bench::new(vec![member(1, ENGINE, &[]), member(2, ENGINE, &[])]);
+    bench.step(EntryEvent::Side(address(1), state(0, &[])));
+    bench.step(EntryEvent::Side(address(2), state(0, &[])));
+    let (_, effects) = bench.ask("/chat/x", "m0");
+    let (first, _) = wanted(&effects).unwrap();
+    for _ in 0..9 {
+        bench.ask("/chat/x", "m0");
+        bench.wait(20);
+    }
+    let coming = SideState { loading: vec!["m0".to_owned()], ..state(0, &[]) };
+    bench.step(EntryEvent::Side(first, coming));
+    bench.wait(100);
+    let there = SideState { ..state(1, &["m0"]) };
+    let effects = [bench.step(EntryEvent::Side(first, there)), bench.wait(40)].concat();
+    let (second, want) = wanted(&effects).unwrap();
+    assert_eq!(want.model, "m0");
+    assert_ne!(second, first);
+}
