Log the time to the head of each answer

An answer that is late for its endpoint could not be told from one that waited at the entry: `finished` now says head_ms beside took_ms.

--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -80,6 +80,8 @@
     stage: Stage,
     /// When it was last sent.
     sent: Millis,
+    /// Milliseconds from the last sending to the head of its answer.
+    head_ms: u64,
     /// The instance that has it.
     at: Option<String>,
     /// Instances that had it and failed or refused it.
@@ -306,6 +308,7 @@
             ends: self.now + allowed,
             stage: Stage::Waiting,
             sent: self.now,
+            head_ms: 0,
             at: None,
             tried: Vec::new(),
             runs: 0,
@@ -413,7 +416,8 @@
         if let Some(endpoint) = endpoint {
             endpoint.load = head.load.unwrap_or(endpoint.load);
             if verdict == Verdict::Pass {
-                endpoint.note_lag(now.since(request.sent), now);
+                request.head_ms = now.since(request.sent);
+                endpoint.note_lag(request.head_ms, now);
             }
             if verdict != Verdict::NotRun {
                 endpoint.note(verdict == Verdict::Failed || head.status >= 500);
@@ -507,6 +511,7 @@
                     .with("id", &request.caller)
                     .with("from", request.at.as_deref().unwrap_or(""))
                     .with("complete", complete)
+                    .with("head_ms", request.head_ms)
                     .with("took_ms", self.now.since(request.arrived)),
             );
         }
