Reach sides sooner after a loss of power, and wait for a copy about to be heard

Cause: when all instances lose power, an entry is up before some sides. Meanwhile models whose copies lie on disks there were loaded from the weight store at the few sides that were heard, in 6 s, and callers with less time were refused.

Connections to sides are now tried each 250 ms, and a model is not loaded from the store while an endpoint that has a copy by the list was first listed less than 1.2 s ago and its side was not heard yet.

Ruled out: the text's way to the sides (55 ms), the name of the new start (4 ms).

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -18,7 +18,7 @@
 
 /// Milliseconds for a connection: between zones a round trip takes under 5, and a lost first packet
 /// is sent again after a second, by when another endpoint is the better choice.
-const CONNECT_MS: u64 = 600;
+pub(crate) const CONNECT_MS: u64 = 600;
 /// Milliseconds after which unacknowledged bytes end a connection: a peer without power or behind a
 /// cut sends no reset, and the connection would hang for minutes.
 const USER_TIMEOUT_MS: u64 = 2_500;
@@ -35,10 +35,10 @@
     }
 }
 
-/// Opens a connection.
-pub(crate) async fn connect(address: SocketAddr) -> Result<TcpStream, GatewayError> {
-    let stream = timeout(Duration::from_millis(CONNECT_MS), TcpStream::connect(address)).await;
-    let stream = stream.map_err(|_| GatewayError::Timeout(CONNECT_MS))?;
+/// Opens a connection within `limit_ms`.
+pub(crate) async fn connect(address: SocketAddr, limit_ms: u64) -> Result<TcpStream, GatewayError> {
+    let stream = timeout(Duration::from_millis(limit_ms), TcpStream::connect(address)).await;
+    let stream = stream.map_err(|_| GatewayError::Timeout(limit_ms))?;
     let stream = stream.map_err(|source| GatewayError::Connect { address, source })?;
     tune(&stream);
     Ok(stream)
@@ -64,7 +64,7 @@
 impl Channel {
     /// Connects to `address`.
     pub(crate) async fn open(address: SocketAddr) -> Result<Channel, GatewayError> {
-        let stream = connect(address).await?;
+        let stream = connect(address, CONNECT_MS).await?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
--- a/crates/gateway/src/sides.rs
+++ b/crates/gateway/src/sides.rs
@@ -25,8 +25,12 @@
 /// Milliseconds over which entries spread copies of a newer text: sides need what it says of models,
 /// which seldom changes.
 const SPREAD_MS: u64 = 1_500;
+/// Milliseconds for a connection to a side. While its instance has no power the first packet is lost,
+/// and is sent again after a second: a new try is quicker. With 600, after a loss of power everywhere,
+/// entries reached most sides a second later than those were up.
+const CONNECT_MS: u64 = 150;
 /// Milliseconds before another try.
-const AGAIN_MS: u64 = 300;
+const AGAIN_MS: u64 = 100;
 
 /// What the control thread wants of the connections.
 #[derive(Debug)]
@@ -111,7 +115,7 @@
     events: &Events,
     known: &mut bool,
 ) -> Result<(), WireError> {
-    let stream = connect(side_address(endpoint, port))
+    let stream = connect(side_address(endpoint, port), CONNECT_MS)
         .await
         .map_err(|error| WireError::Io(std::io::Error::other(error.to_string())))?;
     let local = stream.local_addr()?;
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -320,12 +320,26 @@
         let spec = engine.model(name)?;
         let members = self.pool.endpoints.values();
         let fit = members.filter(|one| one.open() && one.member.service == service);
-        let store = self.store_open(model);
+        let store = self.store_open(model) && !self.copy_unheard(service, model);
         let places = fit.filter_map(|one| self.place_at(one, engine, spec, model, store));
         let places = places.filter(|place| place.price <= worth);
         places.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
+    /// Whether a copy of a model lies at an endpoint whose side is about to be heard.
+    ///
+    /// The failure it meets: an entry starts when all instances do and hears of some sides first.
+    /// None of these has a copy, so it had the model loaded from the weight store, in six seconds,
+    /// a tenth of a second before the side of an instance that has it on disk was heard.
+    fn copy_unheard(&self, service: &str, model: ModelKey) -> bool {
+        self.pool.endpoints.values().any(|one| {
+            one.open()
+                && one.member.service == service
+                && one.unheard_yet(self.now)
+                && one.holding.has_copy(model)
+        })
+    }
+
     fn place_at(
         &self,
         endpoint: &Endpoint,
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -15,6 +15,9 @@
 /// Milliseconds of a side's silence after which its endpoint comes after all that are heard: two
 /// periods of 500 ms and a little.
 const DARK_MS: u64 = 1_100;
+/// Milliseconds from an endpoint's first listing within which its side is heard, if it is up: a lost
+/// connection and another try take 250.
+const FIRST_WORD_MS: u64 = 1_200;
 /// Share of the newest answer in the average time to the first byte.
 const LAG_STEP: f64 = 0.25;
 /// Milliseconds in which what was seen of that time loses its weight: a backlog of prompts is read
@@ -85,10 +88,12 @@
     lagged: Millis,
     /// Whether only its side has named this start yet.
     unlisted: bool,
+    /// Since when it is known here.
+    since: Millis,
 }
 
 impl Endpoint {
-    fn new(member: Member) -> Endpoint {
+    fn new(member: Member, now: Millis) -> Endpoint {
         Endpoint {
             member,
             holding: Holding::default(),
@@ -102,6 +107,7 @@
             lag: 0.0,
             lagged: Millis(0),
             unlisted: false,
+            since: now,
         }
     }
 
@@ -126,6 +132,11 @@
         self.side.as_ref().is_none_or(|side| !side.sound || now.since(side.at) > DARK_MS)
     }
 
+    /// Whether its side is likely to be heard for the first time within moments.
+    pub(crate) fn unheard_yet(&self, now: Millis) -> bool {
+        self.side.is_none() && now.since(self.since) < FIRST_WORD_MS
+    }
+
     /// The side's word, while it is fresh.
     pub(crate) fn fresh_side(&self, now: Millis) -> Option<&SideBelief> {
         self.side.as_ref().filter(|side| now.since(side.at) < FRESH_MS)
@@ -253,7 +264,8 @@
             self.endpoints.remove(&before);
         }
         self.by_address.insert(member.address, id.clone());
-        let endpoint = self.endpoints.entry(id).or_insert_with(|| Endpoint::new(member.clone()));
+        let endpoint =
+            self.endpoints.entry(id).or_insert_with(|| Endpoint::new(member.clone(), now));
         // The list is seconds behind. While the side speaks, its word stands: a list that still
         // names a model that is making way would bring its requests back to be refused.
         if endpoint.fresh_side(now).is_none() {
@@ -279,7 +291,7 @@
         names: &mut Names<ModelKey>,
         now: Millis,
     ) -> Option<Heard> {
-        let over = self.supersede(address, state);
+        let over = self.supersede(address, state, now);
         let endpoint = self.at(address)?;
         if state.sound {
             endpoint.holding = told_holding(state, names);
@@ -312,7 +324,7 @@
     /// An endpoint that crashed is listed under its last name for seconds after it is up again, and
     /// whatever is sent to that name is refused. The new start has the place and the service of the
     /// last one; a side of another service at the same address says nothing of either.
-    fn supersede(&mut self, address: SocketAddr, state: &SideState) -> Option<String> {
+    fn supersede(&mut self, address: SocketAddr, state: &SideState, now: Millis) -> Option<String> {
         let held = self.by_address.get(&address)?.clone();
         let service = &self.endpoints.get(&held)?.member.service;
         let told = state.sound && !state.instance.is_empty() && *service == state.service;
@@ -325,7 +337,7 @@
         let endpoint = self
             .endpoints
             .entry(state.instance.clone())
-            .or_insert_with(|| Endpoint { unlisted: true, ..Endpoint::new(member) });
+            .or_insert_with(|| Endpoint { unlisted: true, ..Endpoint::new(member, now) });
         endpoint.member.address = address;
         self.by_address.insert(address, state.instance.clone());
         self.over.remove(&state.instance);
--- a/crates/pool/tests/all/placement.rs
+++ b/crates/pool/tests/all/placement.rs
@@ -270,3 +270,31 @@
     assert_eq!(want.model, "m0");
     assert_ne!(second, first);
 }
+
+/// All instances have power again and an entry hears of one side first. The model that callers wait
+/// for lies on the disk of another instance, whose side is heard a moment later: it is fetched there
+/// within a second, and not from the weight store in six.
+#[test]
+fn a_copy_that_is_about_to_be_heard_is_waited_for() {
+    let bare = |index| Member { on_disk: Vec::new(), ..member(index, ENGINE, &[]) };
+    let mut bench = Bench::new(vec![bare(1), member(2, ENGINE, &[])]);
+    bench.step(EntryEvent::Side(address(1), SideState { on_disk: Vec::new(), ..state(0, &[]) }));
+    let (_, effects) = bench.ask("/draft/x", "m5");
+    assert!(wanted(&effects).is_none() && refusal(&effects).is_none(), "{effects:?}");
+    let effects = bench.step(EntryEvent::Side(address(2), state(0, &[])));
+    assert_eq!(wanted(&effects).unwrap().0, address(2));
+}
+
+/// The side of the instance with the copy does not come. The request is not held for it: after a
+/// moment the model is loaded from the weight store.
+#[test]
+fn a_copy_that_is_not_heard_holds_nothing_up() {
+    let bare = |index| Member { on_disk: Vec::new(), ..member(index, ENGINE, &[]) };
+    let mut bench = Bench::new(vec![bare(1), member(2, ENGINE, &[])]);
+    bench.step(EntryEvent::Side(address(1), SideState { on_disk: Vec::new(), ..state(0, &[]) }));
+    bench.ask("/draft/x", "m5");
+    bench.wait(1_000);
+    bench.step(EntryEvent::Side(address(1), SideState { on_disk: Vec::new(), ..state(0, &[]) }));
+    let effects = bench.wait(400);
+    assert_eq!(wanted(&effects).unwrap().0, address(1));
+}
