End a side's connections with it, and count a burst of lost calls once

The connections that a side had accepted outlived it inside a process and went on answering pings, so entries took it for slow and callers waited until their 20 s were over. And each lost call doubled the pause for which an entry leaves an endpoint alone: six at one moment made 13 s, also for the process that had taken the endpoint over meanwhile.

Ruled out: the takeover (the successor owned the row within 1 s and told the replica), claims, the caller's side of the connection.

The listener now closes what it accepted when it is dropped; a silence of an earlier owner does not count, nor does a second one during the pause, and a new owner clears it.

--- a/crates/decide/src/entry/cleanup.rs
+++ b/crates/decide/src/entry/cleanup.rs
@@ -45,6 +45,9 @@
         if self.owners.insert(key, epoch) != Some(epoch) {
             self.absent.remove(&instance);
             self.avoided.remove(&key);
+            let contact = self.contact(key);
+            contact.silences = 0;
+            contact.suspect_until = Default::default();
         }
     }
 
--- a/crates/decide/src/entry/requests.rs
+++ b/crates/decide/src/entry/requests.rs
@@ -427,7 +427,7 @@
             return self.cancelled(id, CancelAnswer::NotRun, out);
         }
         if let Some(endpoint) = self.take_back(id) {
-            self.silent(endpoint);
+            self.note_silence(id, endpoint);
             self.send_again(id, out);
         }
     }
@@ -455,7 +455,7 @@
             State::Claiming | State::Waiting => return,
         };
         let again = request.repeatable && !began && request.tries < TRY_LIMIT;
-        self.silent(endpoint);
+        self.note_silence(id, endpoint);
         if again && self.retry_tokens >= 1.0 {
             self.take_back(id);
             if let Some(request) = self.requests.get_mut(&id) {
@@ -494,9 +494,28 @@
         self.refuse(id, refusal, out);
     }
 
+    /// Takes note that the side that a request was sent to did not answer.
+    ///
+    /// What an earlier process beside the endpoint left unanswered says nothing of the present one.
+    fn note_silence(&mut self, id: RequestId, endpoint: EndpointKey) {
+        let asked = self.requests.get(&id).map(|request| request.owner);
+        let present = self.view.endpoint(endpoint).map(owner);
+        if asked == present {
+            self.silent(endpoint);
+        }
+    }
+
+    /// Leaves an endpoint alone for a while, longer each time.
+    ///
+    /// All calls that were on their way to a side when it ended are lost at one moment, and count as
+    /// one silence: six of them once doubled the pause six times, and callers of the side's successor
+    /// waited for 13 s.
     pub(super) fn silent(&mut self, endpoint: EndpointKey) {
         let now = self.now;
         let contact = self.contact(endpoint);
+        if now < contact.suspect_until {
+            return;
+        }
         contact.silences = (contact.silences + 1).min(16);
         let pause = (SUSPECT_MS << (contact.silences - 1)).min(SUSPECT_LIMIT_MS);
         contact.suspect_until = now + pause;
--- a/crates/decide/tests/entry.rs
+++ b/crates/decide/tests/entry.rs
@@ -84,15 +84,7 @@
     }
 
     fn ask(&mut self) -> Vec<Effect> {
-        self.step(Event::Arrive(Arrival {
-            id: ID,
-            key: hash_api_key("k"),
-            wish: Wish::Model("m".to_owned()),
-            deadline_ms: None,
-            once: None,
-            content: 0,
-            prefix: 0,
-        }))
+        self.step(arrival(ID))
     }
 }
 
@@ -103,6 +95,19 @@
     })
 }
 
+/// A request for model `m` by this name.
+fn arrival(id: RequestId) -> Event {
+    Event::Arrive(Arrival {
+        id,
+        key: hash_api_key("k"),
+        wish: Wish::Model("m".to_owned()),
+        deadline_ms: None,
+        once: None,
+        content: 0,
+        prefix: 0,
+    })
+}
+
 fn declined(call: u64) -> Event {
     Event::Declined { id: ID, call, why: Decline::Leaving, load: 0 }
 }
@@ -166,3 +171,23 @@
     bench.step(Event::Text { version: 2, text: text("forged") });
     assert_eq!(bench.entry.version(), 1);
 }
+
+/// Callers wait for 13 s though the model is there.
+///
+/// The side beside the only endpoint with the model ends while six calls are on their way to it, and
+/// another process takes the endpoint over at once. All six are lost at the same moment. They count
+/// as one silence of the old process, and the requests go to the new one.
+#[test]
+fn lost_calls_of_an_ended_side_do_not_bar_its_successor() {
+    let mut bench = Bench::new();
+    bench.step(Event::Rows(vec![Row { key: endpoint_key("b"), version: 6, body: None }]));
+    let calls = (1..=4).map(|id| (RequestId(id), sent(&bench.step(arrival(RequestId(id))))));
+    let calls = calls.collect::<Vec<_>>();
+    let mut row = EndpointRow::decode(&*serving("a", 7).body.unwrap()).unwrap();
+    (row.epoch, row.address) = (2, "a2".to_owned());
+    let body = Some(row.encode_to_vec());
+    bench.step(Event::Rows(vec![Row { key: endpoint_key("a"), version: 7, body }]));
+    let again = calls.into_iter().map(|(id, call)| bench.step(Event::Lost(id, call.unwrap())));
+    let again = again.filter(|effects| sent(effects).is_some()).count();
+    assert_eq!(again, 4, "each goes to the new process at once");
+}
--- a/crates/runtime/src/connect.rs
+++ b/crates/runtime/src/connect.rs
@@ -3,9 +3,9 @@
 use std::{
     collections::HashMap,
     io,
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -88,47 +88,107 @@
     }
 }
 
-/// Accepts connections of peers until `stop` is set.
+/// A listener for peers; dropping it ends it and every connection that it accepted.
+///
+/// The failure it prevents: a side stops and its connections live on, answering pings from threads of
+/// their own. Entries then take it for slow, and callers wait for their calls until their time is up.
+pub(crate) struct PeerListener {
+    address: SocketAddr,
+    accepted: Arc<Accepted>,
+}
+
+impl Drop for PeerListener {
+    fn drop(&mut self) {
+        self.accepted.close();
+        wake(self.address);
+    }
+}
+
+/// The accepted connections.
+#[derive(Default)]
+struct Accepted {
+    /// Connections and handshakes.
+    open: AtomicUsize,
+    stopped: AtomicBool,
+    links: Mutex<Vec<Weak<Link>>>,
+}
+
+impl Accepted {
+    fn close(&self) {
+        self.stopped.store(true, Ordering::Release);
+        let links = std::mem::take(&mut *self.links());
+        links.iter().filter_map(Weak::upgrade).for_each(|link| link.close());
+    }
+
+    /// Keeps a connection, unless the listener has stopped meanwhile.
+    fn keep(&self, link: &Arc<Link>) {
+        let mut links = self.links();
+        links.retain(|link| link.strong_count() > 0);
+        links.push(Arc::downgrade(link));
+        drop(links);
+        if self.stopped.load(Ordering::Acquire) {
+            self.close();
+        }
+    }
+
+    fn links(&self) -> MutexGuard<'_, Vec<Weak<Link>>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Accepts connections of peers until what it gives is dropped.
 pub(crate) fn listen(
     listener: TcpListener,
     context: LinkContext,
     sink: Arc<dyn FrameSink>,
-    stop: Arc<AtomicBool>,
-) -> io::Result<()> {
-    let open = Arc::new(AtomicUsize::new(0));
+) -> io::Result<PeerListener> {
+    let address = listener.local_addr()?;
+    let accepted = Arc::new(Accepted::default());
+    let peers = PeerListener { address, accepted: accepted.clone() };
     spawn("accept", move || {
         for stream in listener.incoming() {
-            if stop.load(Ordering::Acquire) {
+            if accepted.stopped.load(Ordering::Acquire) {
                 break;
             }
             let Ok(stream) = stream else {
                 std::thread::park_timeout(ACCEPT_PAUSE);
                 continue;
             };
-            // Strangers could else use up the threads before they prove anything.
-            if open.fetch_add(1, Ordering::AcqRel) >= ACCEPT_LIMIT {
-                open.fetch_sub(1, Ordering::AcqRel);
-                continue;
-            }
-            let counted = Arc::new(Counted { open: open.clone(), sink: sink.clone() });
-            let (context, count) = (context.clone(), open.clone());
-            let started = spawn("greet", move || {
-                if Link::accept(stream, &context, counted).is_err() {
-                    count.fetch_sub(1, Ordering::AcqRel);
-                    context.meter.add("handshakes_failed", "", 1);
-                }
-            });
-            if started.is_err() {
-                open.fetch_sub(1, Ordering::AcqRel);
-            }
+            greet(stream, context.clone(), sink.clone(), &accepted);
         }
-    })
-    .map(drop)
+    })?;
+    Ok(peers)
+}
+
+/// Shakes hands with a peer, in a thread of its own.
+fn greet(
+    stream: TcpStream,
+    context: LinkContext,
+    sink: Arc<dyn FrameSink>,
+    accepted: &Arc<Accepted>,
+) {
+    // Strangers could else use up the threads before they prove anything.
+    if accepted.open.fetch_add(1, Ordering::AcqRel) >= ACCEPT_LIMIT {
+        accepted.open.fetch_sub(1, Ordering::AcqRel);
+        return;
+    }
+    let counted = Arc::new(Counted { accepted: accepted.clone(), sink });
+    let count = accepted.clone();
+    let started = spawn("greet", move || match Link::accept(stream, &context, counted) {
+        Ok(link) => count.keep(&link),
+        Err(_) => {
+            count.open.fetch_sub(1, Ordering::AcqRel);
+            context.meter.add("handshakes_failed", "", 1);
+        }
+    });
+    if started.is_err() {
+        accepted.open.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 /// Counts accepted connections while they live.
 struct Counted {
-    open: Arc<AtomicUsize>,
+    accepted: Arc<Accepted>,
     sink: Arc<dyn FrameSink>,
 }
 
@@ -138,14 +198,14 @@
     }
 
     fn closed(&self, link: &Arc<Link>) {
-        self.open.fetch_sub(1, Ordering::AcqRel);
+        self.accepted.open.fetch_sub(1, Ordering::AcqRel);
         self.sink.closed(link);
     }
 }
 
-/// Wakes a listener that waits in `accept`, so that it sees its stop flag.
-pub(crate) fn wake(address: SocketAddr) {
-    let _ = std::net::TcpStream::connect_timeout(&address, Duration::from_millis(200));
+/// Wakes a listener that waits in `accept`, so that it sees that it has stopped.
+fn wake(address: SocketAddr) {
+    let _ = TcpStream::connect_timeout(&address, Duration::from_millis(200));
 }
 
 struct DumpSink(Sender<String>);
--- a/crates/runtime/src/entry/mod.rs
+++ b/crates/runtime/src/entry/mod.rs
@@ -28,7 +28,7 @@
 use self::{control::Control, exchange::Active, intake::Held, peers::PeerSink};
 use crate::{
     clock::Clock,
-    connect::{Links, listen, wake},
+    connect::{Links, PeerListener, listen},
     error::StartError,
     link::{Link, LinkContext},
     meter::Meter,
@@ -111,6 +111,7 @@
     server: Arc<Server>,
     stop: Arc<AtomicBool>,
     stop_after: Duration,
+    _peers: PeerListener,
 }
 
 impl EntryProcess {
@@ -165,7 +166,7 @@
         let control = Control::new(shared.clone(), entry, session, table, objects);
         let control = spawn("control", move || control.run(&inputs))?;
         let stop = Arc::new(AtomicBool::new(false));
-        listen(listener, context, sink, stop.clone())?;
+        let peers = listen(listener, context, sink)?;
         watch_instances(instances, input.clone(), stop.clone())?;
         for index in 0..INTAKE_THREADS {
             let (server, shared) = (server.clone(), shared.clone());
@@ -173,7 +174,16 @@
         }
         let stop_after = Duration::from_secs(common.stop_s);
         let control = Some(control);
-        Ok(EntryProcess { http, listen: listen_address, input, control, server, stop, stop_after })
+        Ok(EntryProcess {
+            http,
+            listen: listen_address,
+            input,
+            control,
+            server,
+            stop,
+            stop_after,
+            _peers: peers,
+        })
     }
 
     /// Where callers reach the process.
@@ -204,7 +214,6 @@
     fn drop(&mut self) {
         let _ = self.input.send(Input::Stop);
         self.stop.store(true, Ordering::Release);
-        wake(self.listen);
         for _ in 0..INTAKE_THREADS {
             self.server.unblock();
         }
--- a/crates/runtime/src/side/mod.rs
+++ b/crates/runtime/src/side/mod.rs
@@ -27,7 +27,7 @@
 };
 use crate::{
     clock::Clock,
-    connect::{Links, listen, wake},
+    connect::{Links, PeerListener, listen},
     entry::bind,
     error::StartError,
     link::{Link, LinkContext},
@@ -68,6 +68,7 @@
     control: Option<JoinHandle<()>>,
     stop: Arc<AtomicBool>,
     stop_after: Duration,
+    _peers: PeerListener,
 }
 
 impl SideProcess {
@@ -116,11 +117,11 @@
         );
         let control = spawn("control", move || control.run(&inputs, clock))?;
         let stop = Arc::new(AtomicBool::new(false));
-        listen(listener, context, sink, stop.clone())?;
+        let peers = listen(listener, context, sink)?;
         watch_leaving(options.instances, &common.instance, input.clone(), stop.clone())?;
         let stop_after = Duration::from_secs(common.stop_s);
         let control = Some(control);
-        Ok(SideProcess { listen: listen_address, input, control, stop, stop_after })
+        Ok(SideProcess { listen: listen_address, input, control, stop, stop_after, _peers: peers })
     }
 
     /// Where entries reach the process.
@@ -155,7 +156,6 @@
     fn drop(&mut self) {
         let _ = self.input.send(Input::Stop);
         self.stop.store(true, Ordering::Release);
-        wake(self.listen);
     }
 }
 
--- a/tests/all/life.rs
+++ b/tests/all/life.rs
@@ -132,6 +132,31 @@
     assert_eq!(asker.join().unwrap(), 200);
 }
 
+/// The side with a model ends while six callers' calls are on their way to it. Its connections must end
+/// with it: they once answered pings for ever, and the calls hung until their callers' time was up.
+#[test]
+fn the_connections_of_a_side_end_with_it() {
+    let mut it = Deployment::start(1, 2);
+    assert_eq!(it.chat(0, "north-key", "alpha", "wake up", false).0, 200);
+    let holder = (0..2).find(|index| !it.engines[*index].models().is_empty()).unwrap();
+    let url = it.url(0, "/v1/chat/completions");
+    let callers = (0..6).map(|caller| {
+        let url = url.clone();
+        thread::spawn(move || {
+            let question = json!({ "model": "alpha",
+                "messages": [{ "role": "user", "content": format!("c{caller}") }] });
+            let request = attohttpc::post(url).bearer_auth("north-key").json(&question).unwrap();
+            request.send().unwrap().status().as_u16()
+        })
+    });
+    let callers = callers.collect::<Vec<_>>();
+    drop(it.sides.remove(holder));
+    it.add_side(holder);
+    for caller in callers {
+        assert_ne!(caller.join().unwrap(), 504, "held until its time was up");
+    }
+}
+
 /// Entries and sides are killed and replaced while callers ask; each caller must get one answer or
 /// one refusal, and no booking may run twice.
 #[test]
