Let an entry that starts in an outage learn text and list from its peers

Cause: an entry that is killed while the store is away comes back without text and endpoints, and refuses everybody until the store is back, though entries beside it serve. The store's word replaces theirs, and a text never goes back.

Ruled out: asking sides (they know the text but no list, and without the list no side is known), keeping anything on the instance (nothing outlives it).

Test: an entry started against stand-ins while the store is down.

--- a/crates/config/src/pool.rs
+++ b/crates/config/src/pool.rs
@@ -23,6 +23,10 @@
     pub peers: SocketAddr,
     /// Where metrics are served.
     pub metrics: SocketAddr,
+    /// Where an entry tells other entries what it believes.
+    pub snapshots: Option<SocketAddr>,
+    /// Where other entries do so; some may be down.
+    pub seeds: Vec<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
     /// The endpoint beside a side.
@@ -56,6 +60,19 @@
     }
 }
 
+/// Addresses with commas between them; may be empty.
+#[derive(Default)]
+struct Addresses(Vec<SocketAddr>);
+
+impl Value for Addresses {
+    const EXPECTED: &'static str = "addresses with commas between them";
+    fn parse(text: &str) -> Option<Addresses> {
+        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+        let parts = parts.map(|part| part.parse().ok()).collect::<Option<Vec<_>>>();
+        parts.map(Addresses)
+    }
+}
+
 fn maybe<V: Value>(fields: &mut Fields<'_>, key: &str) -> Option<V> {
     fields.optional::<Maybe<V>>(key).and_then(|value| value.0)
 }
@@ -78,6 +95,8 @@
         let readiness = maybe(&mut fields, "readiness");
         let peers = fields.required::<SocketAddr>("peers");
         let metrics = fields.required::<SocketAddr>("metrics");
+        let snapshots = maybe(&mut fields, "snapshots");
+        let seeds = fields.optional::<Addresses>("seeds").unwrap_or_default();
         fields.finish();
         let mut fields = reader.fields("platform");
         let store = fields.required::<SocketAddr>("store");
@@ -99,6 +118,8 @@
                 readiness,
                 peers: peers?,
                 metrics: metrics?,
+                snapshots,
+                seeds: seeds.0,
                 store: store?,
                 endpoint,
                 service: service.unwrap_or_default(),
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -24,11 +24,12 @@
 use crate::{
     dialect::{Dialect, Table},
     error::GatewayError,
-    front::{Front, serve},
+    front::{Front, listen, serve},
     logs::{LogBudget, LogStats},
     metrics::{EntryMetrics, serve_metrics},
+    seeds::{ask_seeds, serve_seeds},
     sides::{SideCommand, run_sides},
-    store::{TextBoard, watch_table},
+    store::{Board, watch_table},
 };
 
 /// Milliseconds between looks at the clock while requests are in hand: a request's end is met
@@ -131,11 +132,15 @@
     let thread = thread::Builder::new().name("control".to_owned()).spawn(move || control.run())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let result = runtime.block_on(async {
-        let board = TextBoard::new(dialect.clone(), events.clone());
+        let board = Board::new(dialect.clone(), events.clone());
         let store = settings.store;
         tokio::spawn(watch_table(store, Table::Text, dialect.clone(), board.clone()));
         tokio::spawn(watch_table(store, Table::Members, dialect.clone(), board.clone()));
         let port = settings.peers.port();
+        if let Some(address) = settings.snapshots {
+            tokio::spawn(serve_seeds(listen(address).await?, board.clone()));
+        }
+        tokio::spawn(ask_seeds(settings.seeds.clone(), settings.snapshots, board.clone()));
         tokio::spawn(run_sides(port, side_commands, board, events.clone()));
         tokio::spawn(serve_metrics(settings.metrics, metrics.clone()));
         let front = Front { dialect, events, shared, metrics, limits };
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -64,7 +64,8 @@
     pub(crate) limits: watch::Receiver<CallerLimits>,
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+/// Listens on `address`.
+pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
     TcpListener::bind(address).await.map_err(|source| GatewayError::Listen { address, source })
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod logs;
 mod metrics;
 mod relay;
+mod seeds;
 mod side;
 mod sides;
 mod store;
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -439,7 +439,10 @@
             take_text(copy, shared);
             return Ok(());
         }
-        PoolKind::State(_) | PoolKind::Declined(_) | PoolKind::Version(_) => {
+        PoolKind::State(_)
+        | PoolKind::Declined(_)
+        | PoolKind::Version(_)
+        | PoolKind::Snapshot(_) => {
             return Err(WireError::OutOfTurn);
         }
     };
--- a/crates/gateway/src/sides.rs
+++ b/crates/gateway/src/sides.rs
@@ -15,7 +15,7 @@
     call::connect,
     entry::{Events, side_address},
     link::split,
-    store::TextBoard,
+    store::Board,
 };
 
 /// Milliseconds without a word after which a connection counts as lost: a side speaks every 500.
@@ -50,7 +50,7 @@
 pub(crate) async fn run_sides(
     port: u16,
     mut commands: UnboundedReceiver<SideCommand>,
-    board: TextBoard,
+    board: Board,
     events: Events,
 ) {
     let mut links = BTreeMap::<SocketAddr, Link>::new();
@@ -88,7 +88,7 @@
     endpoint: SocketAddr,
     port: u16,
     mut says: UnboundedReceiver<PoolKind>,
-    board: TextBoard,
+    board: Board,
     events: Events,
 ) {
     let mut known = true;
@@ -111,7 +111,7 @@
     endpoint: SocketAddr,
     port: u16,
     says: &mut UnboundedReceiver<PoolKind>,
-    board: &TextBoard,
+    board: &Board,
     events: &Events,
     known: &mut bool,
 ) -> Result<(), WireError> {
@@ -161,7 +161,10 @@
                     PoolKind::Declined(name) => {
                         events.send(EntryEvent::Declined(endpoint, name));
                     }
-                    PoolKind::Want(_) | PoolKind::Used(_) | PoolKind::Version(_) => {
+                    PoolKind::Want(_)
+                    | PoolKind::Used(_)
+                    | PoolKind::Version(_)
+                    | PoolKind::Snapshot(_) => {
                         return Err(WireError::OutOfTurn);
                     }
                 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,10 +1,15 @@
 //! Reading the platform's store: a whole table first, its changes after.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use bytes::Bytes;
-use citronrill_pool::{EntryEvent, MemberChange};
-use citronrill_wire::TextCopy;
+use citronrill_pool::{EntryEvent, Member, MemberChange};
+use citronrill_wire::{MemberRow, Snapshot, TextCopy};
 use hyper::StatusCode;
 use tokio::{sync::watch, time::sleep};
 
@@ -28,17 +33,27 @@
 /// Milliseconds before another try when the store does not answer.
 const FAILED_PAUSE_MS: u64 = 250;
 
-/// The text as last read, for all who pass it on.
+/// Text and list as last read, for all who pass them on.
 #[derive(Clone)]
-pub(crate) struct TextBoard {
+pub(crate) struct Board {
     dialect: Arc<dyn Dialect>,
     events: Events,
     sender: Arc<watch::Sender<Option<ReadText>>>,
+    list: Arc<Mutex<List>>,
+}
+
+/// The list of endpoints, as the platform keeps it.
+#[derive(Default)]
+struct List {
+    /// 0 until it was read.
+    version: u64,
+    rows: BTreeMap<String, Vec<u8>>,
 }
 
-impl TextBoard {
-    pub(crate) fn new(dialect: Arc<dyn Dialect>, events: Events) -> TextBoard {
-        TextBoard { dialect, events, sender: Arc::new(watch::Sender::new(None)) }
+impl Board {
+    pub(crate) fn new(dialect: Arc<dyn Dialect>, events: Events) -> Board {
+        let sender = Arc::new(watch::Sender::new(None));
+        Board { dialect, events, sender, list: Arc::default() }
     }
 
     /// Takes the bytes of a text, from the store or a peer; an older one changes nothing.
@@ -69,6 +84,69 @@
     pub(crate) fn follow(&self) -> watch::Receiver<Option<ReadText>> {
         self.sender.subscribe()
     }
+
+    /// Takes rows of the list; with `whole`, those that are missing are gone.
+    fn take_list(&self, version: u64, whole: bool, rows: Vec<StoreRow>) {
+        let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        if whole {
+            list.rows.clear();
+        }
+        list.version = list.version.max(version);
+        for row in &rows {
+            match &row.value {
+                Some(bytes) => list.rows.insert(row.key.clone(), bytes.clone()),
+                None => list.rows.remove(&row.key),
+            };
+        }
+        drop(list);
+        let rows = rows.iter().filter_map(|row| self.member(row)).collect();
+        self.events.send(EntryEvent::Members(MemberChange { whole, version, rows }));
+    }
+
+    fn member(&self, row: &StoreRow) -> Option<(String, Option<Member>)> {
+        let Some(bytes) = &row.value else { return Some((row.key.clone(), None)) };
+        match self.dialect.member(&row.key, bytes) {
+            Ok(member) => Some((row.key.clone(), Some(member))),
+            Err(error) => {
+                log::warn!("event=member_unreadable instance={} error=\"{error}\"", row.key);
+                None
+            }
+        }
+    }
+
+    /// Whether text and list are known.
+    pub(crate) fn complete(&self) -> bool {
+        let listed = self.list.lock().unwrap_or_else(PoisonError::into_inner).version > 0;
+        listed && self.sender.borrow().is_some()
+    }
+
+    /// What a peer is told; nothing while either is unknown.
+    pub(crate) fn snapshot(&self) -> Option<Snapshot> {
+        let text = self.sender.borrow().as_ref().map(|read| read.copy.clone());
+        let list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = text.is_some() && list.version > 0;
+        let rows = list.rows.iter();
+        let rows = rows.map(|(name, bytes)| MemberRow { name: name.clone(), bytes: bytes.clone() });
+        known.then(|| Snapshot { text, list: list.version, members: rows.collect() })
+    }
+
+    /// Takes what a peer believes, where the store has told nothing yet.
+    pub(crate) fn take_snapshot(&self, snapshot: Snapshot, peer: SocketAddr) {
+        let (version, count) = (snapshot.list, snapshot.members.len());
+        if version == 0 {
+            return;
+        }
+        log::info!("event=snapshot_read peer={peer} list={version} members={count}");
+        if let Some(text) = snapshot.text {
+            self.offer(&text.bytes, "peer");
+        }
+        let unread = self.list.lock().unwrap_or_else(PoisonError::into_inner).version == 0;
+        if unread {
+            let rows = snapshot.members.into_iter();
+            let rows = rows.map(|row| StoreRow { key: row.name, value: Some(row.bytes) });
+            self.take_list(version, true, rows.collect());
+        }
+    }
 }
 
 /// Follows one table for good.
@@ -76,7 +154,7 @@
     store: SocketAddr,
     table: Table,
     dialect: Arc<dyn Dialect>,
-    board: TextBoard,
+    board: Board,
 ) {
     let mut watch = Watch { store, table, dialect, board, control: Control::new(store), at: None };
     let mut lost = false;
@@ -106,7 +184,7 @@
     store: SocketAddr,
     table: Table,
     dialect: Arc<dyn Dialect>,
-    board: TextBoard,
+    board: Board,
     control: Control,
     /// The version up to which everything is known.
     at: Option<u64>,
@@ -176,22 +254,7 @@
                 let texts = texts.filter_map(|row| row.value.as_ref());
                 texts.for_each(|bytes| self.board.offer(bytes, "store"));
             }
-            Table::Members => {
-                let rows = page.rows.iter().filter_map(|row| self.member(row));
-                let change = MemberChange { whole, version: page.version, rows: rows.collect() };
-                self.board.events.send(EntryEvent::Members(change));
-            }
-        }
-    }
-
-    fn member(&self, row: &StoreRow) -> Option<(String, Option<citronrill_pool::Member>)> {
-        let Some(bytes) = &row.value else { return Some((row.key.clone(), None)) };
-        match self.dialect.member(&row.key, bytes) {
-            Ok(member) => Some((row.key.clone(), Some(member))),
-            Err(error) => {
-                log::warn!("event=member_unreadable instance={} error=\"{error}\"", row.key);
-                None
-            }
+            Table::Members => self.board.take_list(page.version, whole, page.rows),
         }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,5 +17,8 @@
         Proof, Resume, TextPull, TextReply, Verdict, frame::Kind,
     },
     handshake::{Handshake, Identity, Peer, PeerRole},
-    pool::{ModelName, ModelState, PoolFrame, PoolKind, SideState, TextCopy, TextVersion, Want},
+    pool::{
+        MemberRow, ModelName, ModelState, PoolFrame, PoolKind, SideState, Snapshot, TextCopy,
+        TextVersion, Want,
+    },
 };
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PoolFrame {
     /// What it says.
-    #[prost(oneof = "PoolKind", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "PoolKind", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub kind: Option<PoolKind>,
 }
 
@@ -31,6 +31,34 @@
     /// A side will not fetch what the entry asked for.
     #[prost(message, tag = "5")]
     Declined(ModelName),
+    /// An entry tells another what it believes.
+    #[prost(message, tag = "7")]
+    Snapshot(Snapshot),
+}
+
+/// What an entry believes of the text and of the list of endpoints.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Snapshot {
+    /// The text.
+    #[prost(message, optional, tag = "1")]
+    pub text: Option<TextCopy>,
+    /// The version of the list.
+    #[prost(uint64, tag = "2")]
+    pub list: u64,
+    /// The list's entries.
+    #[prost(message, repeated, tag = "3")]
+    pub members: Vec<MemberRow>,
+}
+
+/// One entry of the list of endpoints.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct MemberRow {
+    /// The instance's name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The entry, encoded as the platform keeps it.
+    #[prost(bytes = "vec", tag = "2")]
+    pub bytes: Vec<u8>,
 }
 
 /// The operators' text as the platform keeps it.
--- a/tests/pool/life.rs
+++ b/tests/pool/life.rs
@@ -81,6 +81,25 @@
     assert_eq!(pool.ask(&Ask::call("/book/x", "id-2")).status, 200);
 }
 
+/// An entry starts while the store is away and another one serves. It learns text and endpoints from
+/// that one and is ready; peers that are down and its own address among the named ones stop nothing.
+/// What the store has when it is back is in force there too.
+#[test]
+fn an_entry_that_starts_in_an_outage_asks_its_peers() {
+    let pool = Deployment::start(&[("e1", &["m0"])]);
+    pool.store.set_down(true);
+    pool.until("the loss is in the log", || pool.entry.logged(&["event=store_lost"]));
+    let more = pool.entry_that_asks(&format!("127.0.0.1:9,{}", pool.snapshots));
+    pool.until("it knows both", || {
+        more.logged(&["event=text_read", "source=peer", "version=1"])
+            && more.logged(&["event=members", "known=2 open=2"])
+    });
+    pool.until("it reaches the side", || pool.sides[0].logged(&["entry_connected", "entries=2"]));
+    pool.store.put("op", "config", Some(text(5, &["/added/"])));
+    pool.store.set_down(false);
+    pool.until("the text is known", || more.logged(&["event=text ", "version=5"]));
+}
+
 /// A worker says that it leaves, another is taken out of the list without a word. Neither gets
 /// anything new.
 #[test]
--- a/tests/pool/support.rs
+++ b/tests/pool/support.rs
@@ -160,6 +160,8 @@
     pub(crate) sides: Vec<Process>,
     pub(crate) callers: SocketAddr,
     pub(crate) readiness: SocketAddr,
+    /// Where the entry tells others what it believes.
+    pub(crate) snapshots: SocketAddr,
     pub(crate) engines: Vec<Worker>,
     pub(crate) ledger: Worker,
     pub(crate) store: Store,
@@ -200,13 +202,15 @@
         let ledger = platform.worker(&store, SocketAddr::from((next_ip(), 0)), spec);
         let callers = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
         let readiness = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
-        let settings = entry_settings(callers, readiness, peer_port, &store);
+        let snapshots = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
+        let settings = entry_settings(callers, readiness, peer_port, &store, snapshots, "");
         let entry = Process::start("pool-entry", &settings);
         let deployment = Deployment {
             entry,
             sides,
             callers,
             readiness,
+            snapshots,
             engines: workers,
             ledger,
             store,
@@ -249,14 +253,23 @@
 
     /// Starts one more entry.
     pub(crate) fn one_more_entry(&self) -> Process {
+        self.entry_that_asks("")
+    }
+
+    /// Starts one more entry, which asks these peers while the store is away.
+    pub(crate) fn entry_that_asks(&self, seeds: &str) -> Process {
         let address = || SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
-        let settings = entry_settings(address(), address(), self.peer_port, &self.store);
+        let (callers, readiness, snapshots) = (address(), address(), address());
+        let settings =
+            entry_settings(callers, readiness, self.peer_port, &self.store, snapshots, seeds);
         Process::start("pool-entry", &settings)
     }
 
     /// Starts the entry again, as the platform does after a kill.
     pub(crate) fn restart_entry(&mut self) {
-        let settings = entry_settings(self.callers, self.readiness, self.peer_port, &self.store);
+        let (callers, readiness) = (self.callers, self.readiness);
+        let settings =
+            entry_settings(callers, readiness, self.peer_port, &self.store, self.snapshots, "");
         // The old process must be gone before the new one listens on its addresses.
         let _ = self.entry.child.kill();
         let _ = self.entry.child.wait();
@@ -327,10 +340,13 @@
     readiness: SocketAddr,
     peer_port: u16,
     store: &Store,
+    snapshots: SocketAddr,
+    seeds: &str,
 ) -> String {
     let peers = SocketAddr::from((Ipv4Addr::LOCALHOST, peer_port));
     format!(
-        "{}callers = {callers}\nreadiness = {readiness}\n[endpoint]\naddress =\nservice =\n",
+        "{}callers = {callers}\nreadiness = {readiness}\nsnapshots = {snapshots}\nseeds = {seeds}\n\
+         [endpoint]\naddress =\nservice =\n",
         common("entry-1", peers, store)
     )
 }
