Wait for a model that an endpoint brings in for somebody else

Cause: entries that ask in the same milliseconds ask different sides.

A request now waits for the model where it is coming, unless another endpoint has it half a second sooner.

--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -63,6 +63,8 @@
 /// Milliseconds for which an endpoint takes no order while a model in use drains there: 400 to 3,400
 /// were measured.
 const DRAIN_MS: f64 = 700.0;
+/// Milliseconds that another endpoint must be quicker by to be asked for a model that is on its way.
+const AGAIN_MS: f64 = 500.0;
 /// Milliseconds after which a side that was asked and shows nothing is given up for another.
 const UNHEARD_MS: u64 = 400;
 /// What one load under way costs a holder when an adapter is to be fetched, in shares of the slots.
@@ -149,7 +151,14 @@
             }
         }
         let worth = self.waiting_for(base) * WAITER_MS;
-        let Some(place) = self.place(&request.service, &request.model, base, worth) else {
+        let place = self.place(&request.service, &request.model, base, worth);
+        if let Some(coming_ms) = self.coming_ms(base) {
+            let sooner = place.as_ref().is_some_and(|one| one.ready_ms + AGAIN_MS < coming_ms);
+            if coming_ms <= left as f64 && !sooner {
+                return;
+            }
+        }
+        let Some(place) = place else {
             self.await_place(id, base);
             return;
         };
@@ -510,6 +519,23 @@
         }
     }
 
+    /// Milliseconds until a model is there that an endpoint brings in for somebody else.
+    ///
+    /// Entries that ask at the same moment ask different sides. Without a look at what others have
+    /// under way, a busy model was brought in by five engines at once, four of them from the weight
+    /// store, which carries four loads at full speed and had no room for another model for 6 s.
+    fn coming_ms(&self, key: ModelKey) -> Option<f64> {
+        let sides = self
+            .pool
+            .endpoints
+            .values()
+            .filter(|one| one.open() && !one.holding.models.contains(&key));
+        let sides = sides.filter_map(|one| one.fresh_side(self.now));
+        let loading = sides.filter(|side| side.sound && side.loading.contains(&key));
+        let left = loading.map(|side| side.busy_ms.saturating_sub(self.now.since(side.at)));
+        left.min().map(|ms| ms as f64)
+    }
+
     /// Endpoints to which a model is on its way, whoever asked for it.
     fn coming(&self, key: ModelKey) -> usize {
         let sides = self.pool.endpoints.values().filter_map(|one| {
--- a/crates/pool/tests/all/placement.rs
+++ b/crates/pool/tests/all/placement.rs
@@ -298,3 +298,26 @@
     let effects = bench.wait(400);
     assert_eq!(wanted(&effects).unwrap().0, address(1));
 }
+
+/// Two entries get requests for the same model within milliseconds, and the side that the other one
+/// asked is loading it already. It is waited for: a second load would take another engine's time, or
+/// the weight store's, for the same callers.
+#[test]
+fn a_model_on_its_way_for_others_is_waited_for() {
+    let mut bench = Bench::new(vec![member(1, ENGINE, &["m0"]), member(2, ENGINE, &["m1"])]);
+    let coming = |busy_ms| {
+        let loading = vec!["m5".to_owned()];
+        EntryEvent::Side(address(1), SideState { loading, busy_ms, ..state(1, &["m0"]) })
+    };
+    bench.step(coming(700));
+    bench.step(EntryEvent::Side(address(2), state(1, &["m1"])));
+    let (_, effects) = bench.ask("/draft/x", "m5");
+    assert!(wanted(&effects).is_none() && refusal(&effects).is_none(), "{effects:?}");
+    let effects = bench.step(EntryEvent::Side(address(1), state(2, &["m0", "m5"])));
+    assert_eq!(sending(&effects).unwrap().instance, "i1");
+    // From the weight store it would take six seconds, and the other endpoint has a copy.
+    bench.step(EntryEvent::Side(address(1), state(3, &["m0"])));
+    bench.step(coming(6_000));
+    let (_, effects) = bench.ask("/draft/x", "m5");
+    assert_eq!(wanted(&effects).unwrap().0, address(2));
+}
