Tell one request's story from the logs, and draw a run

`citronrill explain ID FILE...` joins the lines of several processes, those of the request and those that decided it, and says in a sentence what became of it and why; `citronrill report FILE...` draws waits, loads, refusals and changed beliefs over time as SVG. Lines now begin with the time, so that files can be joined; `refused` says how many endpoints held the model, had a copy, or were loading it.

--- /dev/null
+++ b/crates/insight/tests/logs.rs
@@ -0,0 +1,78 @@
+//! What lines of log become.
+
+#![allow(clippy::unwrap_used, reason = "a test that cannot go on must fail")]
+
+use citronrill_insight::{Line, Log, ReportError, explain, report};
+use rstest::rstest;
+
+/// A collector puts its own words before a line, and values with spaces stand in quotes.
+#[test]
+fn a_line_is_read() {
+    let line =
+        Line::parse("e", "1.5 host time=17 level=info event=send_failed id=a error=\"no way\"");
+    let line = line.unwrap();
+    assert_eq!((line.time, line.event.as_str(), line.get("error")), (17, "send_failed", "no way"));
+    assert_eq!(line.inputs().collect::<Vec<_>>(), [("id", "a"), ("error", "no way")]);
+    assert_eq!(Line::parse("e", "some words, a=b"), None);
+}
+
+const ENTRY: &str = "\
+time=1000 event=want model=m9 adapter= at=i-2 victims=m1 rates=0.10 waiting=1 sequence=6
+time=2113 event=sent id=late to=i-2 model=m9 waited_ms=1113 load=3 list=22 sequence=8
+time=2900 event=finished id=late from=i-2 complete=true head_ms=40 took_ms=1900
+time=3000 event=sent id=cut to=i-2 model=m9 waited_ms=0 load=3 list=22 sequence=8
+time=3500 event=finished id=cut from=i-2 complete=false head_ms=20 took_ms=500
+time=4000 event=failed id=gone from=i-3 status=0 ran=false sends=1 barred=false
+time=4100 event=refused id=gone reason=too_far status=503 model=m9 after_ms=400 sends=1 runs=0 text=4 list=85
+time=9000 event=want model=other adapter= at=i-2 victims= rates= waiting=1 sequence=6
+";
+const SIDE: &str = "\
+time=1001 event=planned model=m9 adapter= victims=m1 before=0 waiting=1
+time=1015 event=order order=7 kind=unload model=m1 adapter= wanted=m9 waiting=1 sequence=6 age_ms=2
+time=1090 event=order order=8 kind=load model=m9 adapter= wanted=m9 waiting=1 sequence=7 age_ms=0
+time=2110 event=order_ended order=8 model=m9 adapter= done=true sequence=8 took_ms=1020
+time=3490 event=endpoint_restarted instance=i-2 sequence=0
+";
+
+fn log() -> Log {
+    let mut log = Log::default();
+    log.add("side", SIDE);
+    log.add("entry", ENTRY);
+    log
+}
+
+/// An on-call engineer has an id and the files. The story names what was decided for the request, on
+/// what, and what it comes to; lines of other models stay out.
+#[rstest]
+#[case("late", "1113 ms until it was sent", "took 1020 ms", 7)]
+#[case("cut", "Broken off: endpoint i-2", "500 ms after", 8)]
+#[case("gone", "Refused with 503 after 400 ms: m9 could not be there in time", "i-3 (0)", 7)]
+fn a_story_has_its_cause(
+    #[case] id: &str,
+    #[case] what: &str,
+    #[case] why: &str,
+    #[case] lines: usize,
+) {
+    let story = explain(&log(), id).unwrap();
+    assert!(story.verdict().contains(what), "{}", story.verdict());
+    assert!(story.verdict().contains(why), "{}", story.verdict());
+    assert_eq!(story.lines().len(), lines, "{story}");
+    assert!(story.lines().is_sorted_by_key(|line| line.time));
+    assert!(story.to_string().contains("wanted=m9"));
+}
+
+#[test]
+fn an_unknown_id_has_no_story() {
+    assert!(explain(&log(), "nobody").is_none());
+}
+
+/// The picture is whole and has every curve; a log without times cannot be drawn.
+#[test]
+fn a_run_is_drawn() {
+    let svg = report(&log()).unwrap();
+    assert!(svg.starts_with("<svg") && svg.trim_end().ends_with("</svg>"));
+    for name in ["refused", "waited at the entry", "ended after more than 3 s", "changed"] {
+        assert!(svg.contains(name), "{name}");
+    }
+    assert!(matches!(report(&Log::default()), Err(ReportError::Timeless)));
+}
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -546,12 +546,16 @@
         let lie = request.runs > 0 && reason.status() == NOT_RUN_STATUS;
         let reason = if lie { Reason::Broken } else { reason };
         let retry_ms = self.retry_after(reason, &request);
+        let (holders, copies, coming) = request.base.map_or((0, 0, 0), |base| self.nearness(base));
         self.log(
             LogEvent::new("refused")
                 .with("id", &request.caller)
                 .with("reason", reason.word())
                 .with("status", reason.status())
                 .with("model", &request.model)
+                .with("holders", holders)
+                .with("copies", copies)
+                .with("coming", coming)
                 .with("after_ms", self.now.since(request.arrived))
                 .with("sends", request.sends)
                 .with("runs", request.runs)
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -536,6 +536,13 @@
         left.min().map(|ms| ms as f64)
     }
 
+    /// Endpoints that hold a model, that have a copy of it, and to which it is on its way.
+    pub(super) fn nearness(&self, key: ModelKey) -> (usize, usize, usize) {
+        let open = self.pool.endpoints.values().filter(|one| one.open());
+        let copies = open.filter(|one| one.holding.has_copy(key)).count();
+        (self.live_holders(key).count(), copies, self.coming(key))
+    }
+
     /// Endpoints to which a model is on its way, whoever asked for it.
     fn coming(&self, key: ModelKey) -> usize {
         let sides = self.pool.endpoints.values().filter_map(|one| {
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -6,9 +6,11 @@
 mod dev;
 mod dump;
 mod entry;
+mod explain;
 mod fuzz;
 mod pool;
 mod replay;
+mod report;
 mod show;
 mod side;
 mod slopes;
@@ -45,6 +47,8 @@
     Ask(ask::Ask),
     Dev(dev::Dev),
     Standin(standin::Standin),
+    Explain(explain::Explain),
+    Report(report::Report),
     Fuzz(fuzz::Fuzz),
     Replay(replay::Replay),
     Slopes(slopes::Slopes),
@@ -65,6 +69,8 @@
             Command::Ask(command) => command.run(),
             Command::Dev(command) => command.run(),
             Command::Standin(command) => command.run(),
+            Command::Explain(command) => command.run(),
+            Command::Report(command) => command.run(),
             Command::Fuzz(command) => command.run(),
             Command::Replay(command) => command.run(),
             Command::Slopes(command) => command.run(),
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -86,6 +86,9 @@
     /// Something that `dev` waited for did not happen.
     #[error("{0} did not happen in time")]
     Patience(&'static str),
+    /// A picture could not be drawn.
+    #[error("{0}")]
+    Report(#[from] citronrill_insight::ReportError),
     /// An experiment failed.
     #[error("{0}")]
     Lab(#[from] citronrill_lab::LabError),
--- a/src/main.rs
+++ b/src/main.rs
@@ -62,7 +62,8 @@
         builder.parse_filters(level);
     }
     builder.format(|out, record| {
-        writeln!(out, "level={} {}", record.level().as_str().to_lowercase(), record.args())
+        let level = record.level().as_str().to_lowercase();
+        writeln!(out, "time={} level={level} {}", unix_ms(), record.args())
     });
     let pipe = LogPipe::new(out);
     let handle = pipe.handle();
@@ -70,3 +71,9 @@
     builder.init();
     handle
 }
+
+/// Milliseconds since the epoch, to put the lines of several processes in order; decides nothing.
+fn unix_ms() -> u128 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |since| since.as_millis())
+}
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that cannot go on must fail")]
 
 mod answers;
+mod events;
 mod life;
 mod requests;
 mod support;
