Load models where least is asked for; fetch adapters where the engine is free

Sides now tell how long that still takes, and a model's place costs 50 ms for each request a second that its endpoint serves.

Own wants that no side has shown yet now count, and so does what was asked for before.

Ruled out: too few holders (most models in demand have two).

--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -113,6 +113,8 @@
     requests: BTreeMap<RequestId, Request>,
     budgets: Map<String, RetryBudget>,
     wants: Map<ModelKey, OpenWant>,
+    /// Requests that came for each model.
+    asked: Map<ModelKey, Rate>,
     /// Requests that came for each model while no endpoint that is heard held it.
     away: Map<ModelKey, Rate>,
     /// Requests whose model found no place.
@@ -134,6 +136,7 @@
             requests: BTreeMap::new(),
             budgets: Map::default(),
             wants: Map::default(),
+            asked: Map::default(),
             away: Map::default(),
             misses: Map::default(),
             store: StoreLimit::default(),
@@ -286,6 +289,7 @@
             engine.model(model).ok_or(Reason::NoModel)?;
             target = Some(self.names.intern(&arrival.model));
             let key = self.names.intern(model);
+            self.asked.entry(key).or_default().add(self.now);
             if self.live_holders(key).next().is_none() {
                 self.away.entry(key).or_default().add(self.now);
             }
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use citronrill_base::{Millis, ModelKey, Set, rendezvous_score};
+use citronrill_base::{Map, Millis, ModelKey, Set, rendezvous_score};
 use citronrill_decide::LogEvent;
 use citronrill_wire::Want;
 
@@ -10,6 +10,7 @@
 use crate::{
     member::full_name,
     pool::{DECLINED_MS, Endpoint},
+    rate::Rate,
     text::{EngineSpec, ModelSpec},
 };
 
@@ -67,8 +68,12 @@
 const AGAIN_MS: f64 = 500.0;
 /// Milliseconds after which a side that was asked and shows nothing is given up for another.
 const UNHEARD_MS: u64 = 400;
-/// What one load under way costs a holder when an adapter is to be fetched, in shares of the slots.
-const LOADING_COST: f64 = 2.0;
+/// Milliseconds that callers of an endpoint's other models lose while one is loaded there, for each
+/// request a second that it serves: one in ten needs an adapter that is away, and waits half a second.
+const HELD_UP_MS: f64 = 50.0;
+/// Milliseconds of an order under way that weigh like a whole batch when an adapter is to be fetched:
+/// the endpoint takes no other order meanwhile, and half of the objective of a chat is over.
+const BUSY_HOLDER_MS: f64 = 250.0;
 /// Milliseconds added to a load from the weight store: for its whole time the endpoint takes no
 /// other order, and the store is shared by all.
 const STORE_COST_MS: f64 = 3_000.0;
@@ -91,6 +96,8 @@
     asked: Millis,
     until: Millis,
     seen: bool,
+    /// Whether it is a load from the weight store.
+    far: bool,
     /// The side has declined; nothing is asked for again before `until`.
     declined: bool,
 }
@@ -201,10 +208,18 @@
     /// what most requests miss: one more replica of a busy model serves more callers than any rare
     /// one.
     fn store_open(&self, model: ModelKey) -> bool {
-        let missed = |key: &ModelKey| self.misses.get(key).map_or(0.0, |rate| rate.per_s(self.now));
-        let own = missed(&model);
-        let before = self.misses.keys().filter(|key| {
-            **key != model && !self.wants.contains_key(key) && missed(key) > own && self.far(**key)
+        // What is missed and what is asked for: right after all copies are lost nothing was missed
+        // yet, and six rare models were asked for in the same millisecond before the busy one.
+        let rate = |rates: &Map<ModelKey, Rate>, key: &ModelKey| {
+            rates.get(key).map_or(0.0, |rate| rate.per_s(self.now))
+        };
+        let need = |key: &ModelKey| {
+            let asked = rate(&self.asked, key);
+            rate(&self.misses, key).max(if asked < BUSY_RATE { 0.0 } else { asked })
+        };
+        let own = need(&model);
+        let before = self.asked.keys().filter(|key| {
+            **key != model && !self.wants.contains_key(key) && need(key) > own && self.far(**key)
         });
         // A load of six seconds for one caller holds up an eighth of the endpoints at most, and never
         // takes the last place: a model that many wait for would stand behind it.
@@ -244,10 +259,12 @@
         }
     }
 
-    /// Loads from the weight store that are planned or under way.
+    /// Loads from the weight store that are planned or under way, or that this entry has just asked for.
     fn store_loads(&self) -> u32 {
         let sides = self.pool.endpoints.values().filter_map(|one| one.fresh_side(self.now));
-        sides.map(|side| side.store_loads).sum()
+        let told = sides.map(|side| side.store_loads).sum::<u32>();
+        let unseen = self.wants.values().filter(|want| want.far && !want.seen && !want.declined);
+        told + unseen.count() as u32
     }
 
     /// Takes what a finished load from the weight store says of how many the store bears.
@@ -267,12 +284,10 @@
     /// not all taken by the same ones; a holder that waits for a load takes no adapter meanwhile.
     fn adapter_cost(&self, endpoint: &Endpoint, model: &str, adapter: &str) -> f64 {
         let side = endpoint.fresh_side(self.now);
-        let loads = side.map_or(0, |side| {
-            side.loading.iter().filter(|key| !self.names.name(**key).contains('/')).count()
-        });
+        let busy = side.map_or(0, |side| side.order_ms.saturating_sub(self.now.since(side.at)));
         let name = full_name(model, adapter);
         let order = rendezvous_score(&name, &endpoint.member.instance) as f64 / u64::MAX as f64;
-        endpoint.fill() + LOADING_COST * loads as f64 - order
+        endpoint.fill() + busy as f64 / BUSY_HOLDER_MS - order
     }
 
     fn ask(&mut self, key: ModelKey, instance: &str, victims: Vec<ModelKey>, ttl_ms: u64) {
@@ -309,6 +324,7 @@
             asked: self.now,
             until: self.now + ttl_ms,
             seen: false,
+            far: adapter.is_empty() && !endpoint.holding.has_copy(key),
             declined: false,
         };
         self.wants.insert(key, open);
@@ -380,6 +396,8 @@
         if busy {
             ready_ms += BUSY_VICTIM_MS;
         }
+        // While a model comes, no adapter does: the busier the endpoint, the more callers wait.
+        cost += HELD_UP_MS * side.rates.iter().map(|(_, rate)| rate).sum::<f64>();
         let tie = rendezvous_score(&spec.name, &endpoint.member.instance) as f64 / u64::MAX as f64;
         let instance = endpoint.member.instance.clone();
         Some(Place { instance, cost: cost + ready_ms + price + tie, price, ready_ms, victims })
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -59,6 +59,8 @@
     pub(crate) entries: u32,
     pub(crate) sound: bool,
     pub(crate) busy_ms: u64,
+    /// Milliseconds until the order under way has ended, when the side spoke.
+    pub(crate) order_ms: u64,
     pub(crate) store_loads: u32,
     pub(crate) store_slow: u32,
     /// Models that cannot make way now.
@@ -311,6 +313,7 @@
             entries: state.entries,
             sound: state.sound,
             busy_ms: state.busy_ms,
+            order_ms: state.order_ms,
             store_loads: state.store_loads,
             store_slow: state.store_slow,
             fixed,
--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -348,6 +348,7 @@
             entries: self.entries,
             sound: self.now.since(self.seen) <= UNSOUND_MS,
             busy_ms: self.busy_ms(report),
+            order_ms: self.order_ms(report),
             store_loads: self.store_loads(report),
             store_slow: self.store_slow,
             text: self.text_version(),
@@ -365,13 +366,28 @@
         plan.sum::<u64>().saturating_sub(spent)
     }
 
-    /// Milliseconds that a load takes here, by where the nearest copy is.
+    /// Milliseconds until the model order under way has ended.
+    fn order_ms(&self, report: &EngineReport) -> u64 {
+        let Some(given) = &self.model_order else { return 0 };
+        let whole = match given.order.kind {
+            OrderKind::Load => self.model_ms(report, &given.order.model),
+            OrderKind::Unload => UNLOAD_USUAL_MS,
+        };
+        whole.saturating_sub(self.now.since(given.at))
+    }
+
+    /// Milliseconds that what is wanted takes here.
     fn load_ms(&self, report: &EngineReport, want: &Want) -> u64 {
-        let spec = self.engine().and_then(|engine| engine.model(&want.model));
-        let Some(spec) = spec.filter(|_| want.adapter.is_empty()) else { return ADAPTER_USUAL_MS };
-        if report.in_memory.contains(&want.model) {
+        if want.adapter.is_empty() { self.model_ms(report, &want.model) } else { ADAPTER_USUAL_MS }
+    }
+
+    /// Milliseconds that a model's load takes here, by where the nearest copy is.
+    fn model_ms(&self, report: &EngineReport, model: &str) -> u64 {
+        let spec = self.engine().and_then(|engine| engine.model(model));
+        let Some(spec) = spec else { return 0 };
+        if report.in_memory.iter().any(|name| name == model) {
             spec.memory_ms
-        } else if report.on_disk.contains(&want.model) {
+        } else if report.on_disk.iter().any(|name| name == model) {
             spec.disk_ms
         } else {
             spec.store_ms * u64::from(self.store_slow.max(1_000)) / 1_000
--- a/crates/pool/tests/all/load.rs
+++ b/crates/pool/tests/all/load.rs
@@ -30,11 +30,13 @@
 }
 
 /// All engines lose their memory and their copies at once. The weight store brings back what most
-/// callers miss first, so that the busy model is there again within seconds.
-#[test]
-fn after_a_loss_of_power_the_busy_model_comes_first() {
+/// callers miss first, so that the busy model is there again within seconds. Entries that ask for six
+/// rare models in the millisecond in which the engines are up leave no room for it: with seed 9 it came
+/// 12 s later.
+#[rstest]
+fn after_a_loss_of_power_the_busy_model_comes_first(#[values(5, 8, 9, 10, 13)] seed: u64) {
     let load = Load { busy_per_s: 40.0, rare_per_s: 6.0, rare_models: 40, seconds: 30 };
-    let mut world = World::new(9, 8, 3, Faults::none());
+    let mut world = World::new(seed, 8, 3, Faults::none());
     world.wipe_at(5_000);
     let figures = world.play(&load);
     assert_eq!(figures.broken, Vec::<String>::new());
--- a/crates/pool/tests/all/placement.rs
+++ b/crates/pool/tests/all/placement.rs
@@ -321,3 +321,32 @@
     let (_, effects) = bench.ask("/draft/x", "m5");
     assert_eq!(wanted(&effects).unwrap().0, address(2));
 }
+
+/// A rare model can go to an endpoint that answers twenty requests a second with adapters, or to one
+/// that answers one. While it is loaded no adapter is, so it goes where fewer wait for that.
+#[test]
+fn models_are_loaded_where_least_is_asked_for() {
+    for (first, second, at) in [(20, 1, 2), (1, 20, 1)] {
+        let members = vec![member(1, ENGINE, &["m0"]), member(2, ENGINE, &["m1"])];
+        let mut bench = Bench::new(members);
+        bench.step(EntryEvent::Side(address(1), busy(&[("m0", first)])));
+        bench.step(EntryEvent::Side(address(2), busy(&[("m1", second)])));
+        let (_, effects) = bench.ask("/draft/x", "m7");
+        assert_eq!(wanted(&effects).unwrap().0, address(at));
+    }
+}
+
+/// Two endpoints hold a model, and one of them has just begun to load another for a second. An adapter
+/// goes to the one that is free, from every entry and whichever of them it leans to.
+#[test]
+fn an_adapter_goes_to_a_holder_that_is_free() {
+    for (busy, free) in [(1, 2), (2, 1)] {
+        let members = vec![member(1, ENGINE, &["m0"]), member(2, ENGINE, &["m0"])];
+        let mut bench = Bench::new(members);
+        let loading = SideState { order_ms: 900, ..state(1, &["m0"]) };
+        bench.step(EntryEvent::Side(address(busy), loading));
+        bench.step(EntryEvent::Side(address(free), state(1, &["m0"])));
+        let (_, effects) = bench.ask("/chat/x", "m0/a3");
+        assert_eq!(wanted(&effects).unwrap().0, address(free));
+    }
+}
--- a/crates/pool/tests/all/side.rs
+++ b/crates/pool/tests/all/side.rs
@@ -294,3 +294,17 @@
     bench.report(report(0, &[]));
     assert_eq!(declines(&bench.want(want("m5", &[]))), 0);
 }
+
+/// An entry chooses the holder for an adapter by how long each is held up. The side says how long the
+/// order under way still takes, and not how long all that is planned does.
+#[test]
+fn the_order_under_way_is_told() {
+    let mut bench = Bench::new(&["m0"]);
+    let order = orders(&bench.want(want("m5", &[]))).remove(0);
+    bench.accepted(&order);
+    bench.want(want("m6", &["m0"]));
+    bench.now += 300;
+    let state = bench.side.state().unwrap();
+    assert!((1..=800).contains(&state.order_ms), "{}", state.order_ms);
+    assert!(state.busy_ms > 800, "{}", state.busy_ms);
+}
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -169,6 +169,9 @@
     /// The name of the endpoint's present start, or empty if the side has not learned it.
     #[prost(string, tag = "15")]
     pub instance: String,
+    /// Milliseconds until the order under way has ended, as far as can be told; 0 if there is none.
+    #[prost(uint64, tag = "18")]
+    pub order_ms: u64,
     /// The service that the endpoint belongs to.
     #[prost(string, tag = "17")]
     pub service: String,
