Play random worlds of the pool by seed

The fuzz of the pool's reducers had twelve seeds of one size. Sizes, loads and a loss of power now vary with the seed, more seeds are named by an environment variable, and steps are counted.

--- a/crates/pool/tests/all/load.rs
+++ b/crates/pool/tests/all/load.rs
@@ -52,3 +52,31 @@
     assert_eq!(figures.broken, Vec::<String>::new());
     assert!(figures.busy_served > 0, "{figures:?}");
 }
+
+/// The same over more seeds: `CITRONRILL_POOL_SEEDS=FIRST:COUNT` names them, two by default. Sizes,
+/// loads and a loss of power vary with the seed.
+#[test]
+fn random_worlds_break_nothing() {
+    let named = std::env::var("CITRONRILL_POOL_SEEDS").unwrap_or("1000:2".to_owned());
+    let (first, count) = named.split_once(':').unwrap();
+    let (first, count) = (first.parse::<u64>().unwrap(), count.parse::<u64>().unwrap());
+    let mut steps = 0;
+    for seed in first..first + count {
+        let (engines, entries) = (3 + seed as usize % 9, 2 + seed as usize % 4);
+        let load = Load {
+            busy_per_s: 20.0 + (seed % 50) as f64,
+            rare_per_s: 2.0 + (seed % 17) as f64,
+            rare_models: 10 + seed as usize % 70,
+            seconds: 10 + seed % 10,
+        };
+        let mut world = World::new(seed, engines, entries, Faults::some());
+        if seed % 5 == 0 {
+            world.wipe_at(6_000);
+        }
+        let figures = world.play(&load);
+        assert_eq!(figures.broken, Vec::<String>::new(), "seed {seed}");
+        assert!(figures.busy_served > 0, "seed {seed}: {figures:?}");
+        steps += figures.steps;
+    }
+    println!("{count} worlds, {steps} steps of reducers, nothing broken");
+}
--- a/crates/pool/tests/all/world.rs
+++ b/crates/pool/tests/all/world.rs
@@ -74,6 +74,8 @@
     pub(crate) rare_in_time: u32,
     pub(crate) refused: u32,
     pub(crate) expired: u32,
+    /// Steps of reducers.
+    pub(crate) steps: u64,
     /// Promises that were broken.
     pub(crate) broken: Vec<String>,
 }
@@ -343,6 +345,7 @@
         if let EntryEvent::Finish(id, complete) = &event {
             self.finished(entry, *id, *complete);
         }
+        self.figures.steps += 1;
         let effects = self.entries[entry].step(Millis(self.now), event);
         for effect in effects {
             self.entry_effect(entry, effect);
@@ -411,6 +414,7 @@
     }
 
     fn side(&mut self, side: usize, event: SideEvent) {
+        self.figures.steps += 1;
         let effects = self.sides[side].step(Millis(self.now), event);
         for effect in effects {
             match effect {
