Fetch a second copy of a busy model while its only one is there

A spare replica was not asked for, as such a load costs more than a crash was reckoned to. What callers lose when the sole copy goes now counts: its rate, the store's time, and the chance that an endpoint leaves within ten seconds.

--- a/crates/pool/src/entry/demand.rs
+++ b/crates/pool/src/entry/demand.rs
@@ -7,7 +7,7 @@
     placement::{HORIZON_S, MISS_MS},
     wants::WAITER_MS,
 };
-use crate::{pool::Endpoint, rate::Rate};
+use crate::{pool::Endpoint, rate::Rate, text::ModelSpec};
 
 /// Requests a second for each slot that one replica answers well within its objective: a request
 /// takes a slot for half a second, and for three quarters once all are taken. Engines of 24 slots
@@ -29,6 +29,10 @@
 /// Share of a second's requests that a spare replica is worth: an endpoint in twenty crashes within
 /// the horizon, and its model is away for about as long.
 const CRASH_SHARE: f64 = 0.5;
+/// Share of the endpoints that leave or crash within [`HORIZON_S`].
+const LEAVE_SHARE: f64 = 0.05;
+/// Milliseconds that a refusal costs its caller: it comes back after one or two seconds, once.
+const REFUSED_MS: f64 = 2_000.0;
 /// Misses a second below which a model is no longer fetched for them: less than one in ten seconds.
 const MISS_FLOOR: f64 = 0.05;
 /// Time to the first byte of the quickest replica, as a share of the objective, above which another
@@ -121,6 +125,7 @@
                 // What it costs must be less than what callers lose without it.
                 let missed = self.demand.missed(key, self.now);
                 let gain = MISS_MS * (2.0 + missed * HORIZON_S + rate * CRASH_SHARE);
+                let gain = gain + self.sole_copy_loss(key, rate, engine.model(&name));
                 let place = self.place(&service.name, &name, key, gain);
                 if let Some(place) = place.filter(|place| place.cost < gain) {
                     self.ask(key, &place.instance, place.victims, SPREAD_TTL_MS);
@@ -129,6 +134,19 @@
         }
     }
 
+    /// What callers lose, by chance, as only one endpoint has a copy of a model.
+    ///
+    /// When that endpoint goes, the model is away for as long as the weight store takes: 13 s on one
+    /// pool, in which 262 callers of a calm day were refused.
+    fn sole_copy_loss(&self, key: ModelKey, rate: f64, spec: Option<&ModelSpec>) -> f64 {
+        let open = self.pool.endpoints.values().filter(|one| one.open());
+        if open.filter(|one| one.holding.has_copy(key)).count() > 1 {
+            return 0.0;
+        }
+        let away_s = spec.map_or(0.0, |spec| spec.store_ms as f64 / 1_000.0);
+        LEAVE_SHARE * rate * away_s * REFUSED_MS
+    }
+
     /// Milliseconds until a model is there that an endpoint brings in for somebody else.
     ///
     /// Entries that ask at the same moment ask different sides. Without a look at what others have
--- a/crates/pool/tests/all/placement.rs
+++ b/crates/pool/tests/all/placement.rs
@@ -350,3 +350,19 @@
         assert_eq!(wanted(&effects).unwrap().0, address(free));
     }
 }
+
+/// Twenty requests a second go to a model of which one instance has the only copy. When that one is
+/// taken away, a load from the weight store takes six seconds, in which all of them are refused. So a
+/// second copy is fetched from the store at once, dear as that is.
+#[test]
+fn a_sole_copy_of_a_busy_model_gets_a_second() {
+    let bare =
+        |index, models: &[&str]| Member { on_disk: Vec::new(), ..member(index, ENGINE, models) };
+    let told = |rates: &[(&str, u32)]| SideState { on_disk: Vec::new(), ..busy(rates) };
+    let mut bench = Bench::new(vec![bare(1, &["m0"]), bare(2, &["m1", "m2"])]);
+    bench.step(EntryEvent::Side(address(2), told(&[("m1", 1), ("m2", 1)])));
+    bench.step(EntryEvent::Side(address(1), told(&[("m0", 20)])));
+    let effects = bench.wait(20);
+    let (at, want) = wanted(&effects).unwrap();
+    assert_eq!((at, want.model.as_str()), (address(2), "m0"));
+}
