Wait no longer than callers do, and say when a model will be there

Cause: callers of a stream leave after a silence of some seconds (3.2 s for a chat with pauses of 400 ms), but requests waited for their model until the deadline of 15 s: held until the caller had gone. Others were refused and told to come back in a second, though the model came in six: refused again, once and for all. And an adapter waited behind one more replica of its model for up to 8 s.

Now the pauses that a route declares bound the wait; who would leave first is sent back at once with the time at which the model will be there; what comes is not loaded again; an adapter is fetched at a living holder.

--- a/crates/pool/src/entry/clock.rs
+++ b/crates/pool/src/entry/clock.rs
@@ -3,7 +3,7 @@
 use citronrill_base::Set;
 use citronrill_decide::LogEvent;
 
-use super::{EntryEffect, PoolEntry, Reason, RequestId, Stage};
+use super::{EntryEffect, LAST_CALL_MS, PoolEntry, Reason, RequestId, Stage};
 
 /// Latency objectives without a first byte after which a request is moved: at two, what another
 /// endpoint answers in its usual time still comes within three.
@@ -15,6 +15,7 @@
     /// Ends what has run out of time, and looks again at what waits.
     pub(super) fn tick(&mut self) {
         self.end_overdue();
+        self.end_impatient();
         self.end_stopped();
         self.note_stalls();
         self.move_silent();
@@ -41,6 +42,19 @@
         }
     }
 
+    /// Refuses what has waited for as long as its caller stays.
+    ///
+    /// A caller of a stream leaves after some seconds without an event, long before its deadline. Held
+    /// until then it gets nothing; told when to come back, it is served once the model is there.
+    fn end_impatient(&mut self) {
+        let waiting = self.requests.iter().filter(|(_, one)| one.stage == Stage::Waiting);
+        let over = waiting.filter(|(_, one)| one.runs == 0 && one.wait_ms(self.now) < LAST_CALL_MS);
+        let over = over.map(|(id, one)| (*id, one.late_reason(self.now)));
+        for (id, reason) in over.collect::<Vec<_>>() {
+            self.refuse(id, reason);
+        }
+    }
+
     /// Notes for each endpoint how long its oldest sending has had no answer.
     ///
     /// An endpoint that hangs answers nothing, so no answer tells of it; what waits there does.
--- a/crates/pool/src/entry/demand.rs
+++ b/crates/pool/src/entry/demand.rs
@@ -128,7 +128,8 @@
                 let gain = gain + self.sole_copy_loss(key, rate, engine.model(&name));
                 let place = self.place(&service.name, &name, key, gain);
                 if let Some(place) = place.filter(|place| place.cost < gain) {
-                    self.ask(key, &place.instance, place.victims, SPREAD_TTL_MS);
+                    let ready_ms = place.ready_ms as u64;
+                    self.ask(key, &place.instance, place.victims, ready_ms, SPREAD_TTL_MS);
                 }
             }
         }
@@ -228,7 +229,7 @@
         let worth = (1.0 + missed * HORIZON_S) * WAITER_MS;
         if let Some(place) = self.place(&service.name, &name, key, worth) {
             let ttl_ms = (2.0 * place.ready_ms) as u64;
-            self.ask(key, &place.instance, place.victims, ttl_ms);
+            self.ask(key, &place.instance, place.victims, place.ready_ms as u64, ttl_ms);
         }
     }
 }
--- a/crates/pool/src/entry/exchange.rs
+++ b/crates/pool/src/entry/exchange.rs
@@ -19,6 +19,9 @@
 /// Milliseconds after which a caller may come back when its entry is stopping: just enough not to
 /// come in one wave.
 const STOPPING_RETRY_MS: u64 = 50;
+/// Part of the time until a model is there over which its callers are spread when they come back: an
+/// endpoint takes a batch at once, and reads the prompts of one in the time that the next one adds.
+const RETURN_SPREAD: u64 = 8;
 
 impl PoolEntry {
     pub(super) fn send(&mut self, id: RequestId, instance: &str) {
@@ -222,12 +225,17 @@
     /// When a refused caller may come back.
     ///
     /// The endpoints work off a full queue within about the latency objective, so half of that
-    /// finds room again without a wave of callers at one moment; the caller's number spreads it.
+    /// finds room again without a wave of callers at one moment; the caller's number spreads it. Where
+    /// a model is away, its callers come back when it is there: sent back earlier, they are refused
+    /// again, and most come back only once.
     fn retry_after(&self, reason: Reason, request: &Request) -> Option<u64> {
-        let spread = hash_bytes(request.caller.as_bytes()) % (request.target_ms / 4 + 1);
+        let soon = request.target_ms / 2;
+        let spread = |ms: u64| hash_bytes(request.caller.as_bytes()) % (ms + 1);
         match reason {
-            Reason::Full | Reason::NoEndpoint | Reason::TooFar => {
-                Some(request.target_ms / 2 + spread)
+            Reason::Full => Some(soon + spread(request.target_ms / 4)),
+            Reason::NoEndpoint | Reason::TooFar => {
+                let ms = self.ready_ms(request).unwrap_or(0).max(soon);
+                Some(ms + spread((request.target_ms / 4).max(ms / RETURN_SPREAD)))
             }
             Reason::NoText => Some(NO_TEXT_RETRY_MS),
             // Any other entry takes it at once.
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -23,8 +23,12 @@
     RequestId, Sending, Verdict,
 };
 use self::{
-    choose::Choice, demand::Demand, exchange::NO_TEXT_RETRY_MS, rules::share,
-    store_limit::StoreLimit, wants::OpenWant,
+    choose::Choice,
+    demand::Demand,
+    exchange::NO_TEXT_RETRY_MS,
+    rules::{patience_ms, share},
+    store_limit::StoreLimit,
+    wants::OpenWant,
 };
 use crate::{
     budget::RetryBudget,
@@ -51,6 +55,9 @@
 const CROWD_TARGETS: u64 = 4;
 /// Milliseconds that a request may wait for a slot whatever its objective.
 const CROWD_MIN_MS: u64 = 500;
+/// Milliseconds that an endpoint with room takes to the first event of a stream: a prompt of 9,000
+/// tokens is read in 240.
+const FIRST_EVENT_MS: u64 = 250;
 /// Where a request stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -80,6 +87,8 @@
     prefix: u64,
     arrived: Millis,
     ends: Millis,
+    /// When its caller leaves if no event of its stream has come.
+    patient: Millis,
     stage: Stage,
     /// When it was last sent.
     sent: Millis,
@@ -96,6 +105,23 @@
     missed: bool,
 }
 
+impl Request {
+    /// Milliseconds for which it may still wait before it is sent: an endpoint then has the time that
+    /// it usually takes to the first event before the caller leaves.
+    fn wait_ms(&self, now: Millis) -> u64 {
+        let end = if self.patient < self.ends { self.patient } else { self.ends };
+        let first =
+            if self.target.is_some() && self.patient < self.ends { FIRST_EVENT_MS } else { 0 };
+        end.since(now).saturating_sub(first)
+    }
+
+    /// Why it is refused when it may wait no longer: its time is up, or what it needs comes too late
+    /// for its caller's patience and may be there when the caller comes back.
+    fn late_reason(&self, now: Millis) -> Reason {
+        if self.ends.since(now) < LAST_CALL_MS { Reason::Expired } else { Reason::TooFar }
+    }
+}
+
 /// When a planned stop ends what is in hand.
 #[derive(Debug, Clone, Copy)]
 struct Stop {
@@ -337,6 +363,7 @@
             prefix: arrival.prefix,
             arrived: self.now,
             ends: self.now + allowed,
+            patient: self.now + allowed.min(patience_ms(route).unwrap_or(u64::MAX)),
             stage: Stage::Waiting,
             sent: self.now,
             head_ms: 0,
@@ -354,8 +381,8 @@
         if request.stage != Stage::Waiting {
             return;
         }
-        if request.ends.since(self.now) < LAST_CALL_MS {
-            self.refuse(id, Reason::Expired);
+        if request.wait_ms(self.now) < LAST_CALL_MS {
+            self.refuse(id, request.late_reason(self.now));
             return;
         }
         match self.choose(request) {
@@ -390,7 +417,7 @@
         let slots = holders.map(|one| one.member.slots).sum::<u32>();
         let entries = self.entries();
         let rounds = (ahead + 1) as f64 * f64::from(entries) / f64::from(slots.max(1));
-        let left = request.ends.since(self.now) as f64;
+        let left = request.wait_ms(self.now) as f64;
         let waited = self.now.since(request.arrived);
         let tired = waited > (CROWD_TARGETS * request.target_ms).max(CROWD_MIN_MS);
         if rounds * WAVE_MS > left - WAVE_MS || tired {
--- a/crates/pool/src/entry/rules.rs
+++ b/crates/pool/src/entry/rules.rs
@@ -18,6 +18,20 @@
     pick.or(route.shares.first()).map(|(service, _)| service.as_str())
 }
 
+/// Milliseconds for which a caller of a stream waits for an event at least.
+const PATIENCE_MIN_MS: u64 = 2_000;
+/// Latency objectives for which it does.
+const PATIENCE_TARGETS: u64 = 4;
+/// Pauses of the longest kind that is on time for which it does.
+const PATIENCE_GAPS: u64 = 8;
+
+/// Milliseconds after which a caller of a stream leaves if no event comes: the longest of three times
+/// that the platform's pages name. `None` where a route does not declare enough to tell.
+pub(super) fn patience_ms(route: &Route) -> Option<u64> {
+    let gaps = route.gap_ms.filter(|_| route.repeat.is_stream())? * PATIENCE_GAPS;
+    Some(gaps.max(route.target_ms * PATIENCE_TARGETS).max(PATIENCE_MIN_MS))
+}
+
 /// What becomes of an endpoint's answer.
 ///
 /// The failures it guards against: a success without the endpoint's signature, or one that names
--- a/crates/pool/src/entry/wants.rs
+++ b/crates/pool/src/entry/wants.rs
@@ -6,7 +6,7 @@
 use citronrill_decide::LogEvent;
 use citronrill_wire::Want;
 
-use super::{EntryEffect, PoolEntry, Reason, RequestId, Stage, placement::MISS_MS};
+use super::{EntryEffect, PoolEntry, Reason, Request, RequestId, Stage, placement::MISS_MS};
 use crate::{
     member::full_name,
     pool::{DECLINED_MS, Endpoint},
@@ -30,6 +30,10 @@
 /// orders under way at the endpoints end within about a second and make new places.
 const PLACE_MS: u64 = 2_500;
 
+/// Milliseconds until an adapter is there at an endpoint that is free, measured with the look that
+/// shows it.
+const ADAPTER_READY_MS: u64 = 25;
+
 /// A model or adapter that this entry has asked for.
 #[derive(Debug, Clone)]
 pub(super) struct OpenWant {
@@ -37,6 +41,8 @@
     address: SocketAddr,
     asked: Millis,
     until: Millis,
+    /// When it should be there.
+    ready: Millis,
     pub(super) seen: bool,
     /// Whether it is a load from the weight store.
     pub(super) far: bool,
@@ -67,12 +73,15 @@
     pub(super) fn want(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
         let (Some(target), Some(base)) = (request.target, request.base) else { return };
-        if self.wants.contains_key(&target) || self.wants.contains_key(&base) {
+        // One more replica that is under way helps nobody who needs an adapter: while a holder lives, the
+        // adapter is fetched there. Held up behind the replica, its callers waited 6 s and left.
+        let held_up = self.wants.contains_key(&base) && self.live_holders(base).next().is_none();
+        if self.wants.contains_key(&target) || held_up {
             self.check_arrival(id, target, base);
             return;
         }
         let adapter = request.adapter.clone();
-        let left = request.ends.since(self.now);
+        let left = request.wait_ms(self.now);
         let held = |endpoint: &&Endpoint| {
             endpoint.open()
                 && endpoint.holding.keys.contains(&base)
@@ -85,7 +94,7 @@
             let best = holders.min_by(|a, b| cost(a).total_cmp(&cost(b)));
             if let Some(best) = best {
                 let instance = best.member.instance.clone();
-                self.ask(target, &instance, Vec::new(), left);
+                self.ask(target, &instance, Vec::new(), ADAPTER_READY_MS, left);
                 return;
             }
         }
@@ -93,7 +102,11 @@
         let place = self.place(&request.service, &request.model, base, worth);
         if let Some(coming_ms) = self.coming_ms(base) {
             let sooner = place.as_ref().is_some_and(|one| one.ready_ms + AGAIN_MS < coming_ms);
-            if coming_ms <= left as f64 && !sooner {
+            if !sooner {
+                if coming_ms > left as f64 {
+                    self.miss(id, base);
+                    self.refuse(id, Reason::TooFar);
+                }
                 return;
             }
         }
@@ -105,11 +118,11 @@
             // Too late for this one; but others will ask, and without a load it stays too late.
             self.miss(id, base);
             let ttl_ms = (2.0 * place.ready_ms) as u64;
-            self.ask(base, &place.instance, place.victims, ttl_ms);
+            self.ask(base, &place.instance, place.victims, place.ready_ms as u64, ttl_ms);
             self.refuse(id, Reason::TooFar);
             return;
         }
-        self.ask(base, &place.instance, place.victims, left);
+        self.ask(base, &place.instance, place.victims, place.ready_ms as u64, left);
     }
 
     /// Refuses a request whose model is on its way but will not be there in time.
@@ -120,7 +133,7 @@
         let side = self.pool.endpoints.get(&want.instance).and_then(|one| one.side.as_ref());
         let Some(side) = side else { return };
         let known_ms = side.busy_ms.saturating_sub(self.now.since(side.at));
-        if want.seen && known_ms > request.ends.since(self.now) {
+        if want.seen && known_ms > request.wait_ms(self.now) {
             self.refuse(id, Reason::TooFar);
         }
     }
@@ -137,13 +150,40 @@
         let near = self.pool.endpoints.values().any(copied);
         let needs = spec.map_or(0, |spec| if near { spec.disk_ms } else { spec.store_ms });
         let waited = now.since(request.arrived);
-        if request.ends.since(now) < needs {
+        if request.wait_ms(now) < needs {
             self.refuse(id, Reason::TooFar);
         } else if waited > request.target_ms.max(PLACE_MS) {
             self.refuse(id, Reason::NoEndpoint);
         }
     }
 
+    /// Milliseconds until what a request needs is there, as far as it can be told.
+    ///
+    /// For a model that nobody brings in: the weight store has to come free first, and then takes its
+    /// time for it.
+    pub(super) fn ready_ms(&self, request: &Request) -> Option<u64> {
+        let base = request.base?;
+        if self.live_holders(base).next().is_some() {
+            return None;
+        }
+        let asked = self.wants.get(&base).filter(|want| !want.declined && !want.seen);
+        let asked = asked.map(|want| want.ready.since(self.now) as f64);
+        let coming = self.coming_ms(base);
+        if let Some(ms) = coming.into_iter().chain(asked).min_by(f64::total_cmp) {
+            return Some(ms as u64);
+        }
+        let engine = self.text.as_ref()?.service(&request.service)?.engine.as_ref()?;
+        let spec = engine.model(&request.model)?;
+        let (_, copies, _) = self.nearness(base);
+        if copies > 0 {
+            return Some(spec.disk_ms);
+        }
+        let sides = self.pool.endpoints.values().filter_map(|one| one.fresh_side(self.now));
+        let loading = sides.filter(|side| side.store_loads > 0);
+        let free = loading.map(|side| side.busy_ms.saturating_sub(self.now.since(side.at))).min();
+        Some(free.unwrap_or(0) + spec.store_ms)
+    }
+
     /// What an adapter costs at a holder of its model, in shares of the slots.
     ///
     /// Each adapter leans to the same holder from every entry, so that the holders' few places are
@@ -161,6 +201,7 @@
         key: ModelKey,
         instance: &str,
         victims: Vec<ModelKey>,
+        ready_ms: u64,
         ttl_ms: u64,
     ) {
         let name = self.names.name(key).to_owned();
@@ -196,6 +237,7 @@
             address,
             asked: self.now,
             until: self.now + ttl_ms,
+            ready: self.now + ready_ms,
             seen: false,
             far: adapter.is_empty() && !endpoint.holding.has_copy(key),
             declined: false,
--- a/crates/pool/src/text.rs
+++ b/crates/pool/src/text.rs
@@ -94,6 +94,8 @@
     pub timeout_ms: u64,
     /// The latency objective, in milliseconds.
     pub target_ms: u64,
+    /// The longest pause between a stream's events that is on time, in milliseconds, if declared.
+    pub gap_ms: Option<u64>,
     /// 0 is the most urgent.
     pub rank: u8,
     /// Services and their weights.
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -9,4 +9,5 @@
 mod side;
 mod start;
 mod support;
+mod waiting;
 mod world;
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -33,6 +33,7 @@
         repeat,
         timeout_ms: 5_000,
         target_ms: 500,
+        gap_ms: None,
         rank: 0,
         shares: vec![(service.to_owned(), 1)],
         attempts,
@@ -183,6 +184,16 @@
 
     /// A request under `path` for `model`.
     pub(crate) fn ask(&mut self, path: &str, model: &str) -> (RequestId, Vec<EntryEffect>) {
+        self.ask_for(path, model, 5_000)
+    }
+
+    /// The same of a caller that waits for so many milliseconds.
+    pub(crate) fn ask_for(
+        &mut self,
+        path: &str,
+        model: &str,
+        deadline_ms: u64,
+    ) -> (RequestId, Vec<EntryEffect>) {
         let id = RequestId(self.next);
         self.next += 1;
         let effects = self.step(EntryEvent::Arrive(Arrival {
@@ -190,7 +201,7 @@
             caller: format!("c{}", id.0),
             host: HOST.to_owned(),
             path: path.to_owned(),
-            deadline_ms: Some(5_000),
+            deadline_ms: Some(deadline_ms),
             model: model.to_owned(),
             prefix: 0,
         }));
