Fetch an adapter where somebody is heard

Its callers were sent there after its side had been silent for 1.1 s, and left after 3.2 s of silence, while another holder of the model could have had the adapter in 25 ms.

--- a/crates/pool/tests/all/waiting.rs
+++ b/crates/pool/tests/all/waiting.rs
@@ -129,6 +129,28 @@
     assert_eq!((at, want.adapter.as_str()), (address(1), "a1"));
 }
 
+/// An instance stands still, and holds the only copy of an adapter. Its callers were sent there and left
+/// after seconds of silence, while another holder of the model could have the adapter in 25 ms.
+#[test]
+fn an_adapter_is_fetched_where_somebody_is_heard() {
+    let mut bench = Bench::new(vec![member(1, ENGINE, &["m0"]), member(2, ENGINE, &["m0"])]);
+    let mut holder = state(1, &["m0"]);
+    holder.models[0].adapters = vec!["a1".to_owned()];
+    bench.step(EntryEvent::Side(address(1), holder));
+    bench.step(EntryEvent::Side(address(2), state(1, &["m0"])));
+    let (_, effects) = bench.ask("/draft/x", "m0/a1");
+    assert_eq!(sending(&effects).unwrap().instance, "i1");
+    bench.now += 1_200;
+    bench.step(EntryEvent::Side(address(2), state(1, &["m0"])));
+    let (_, effects) = bench.ask("/draft/x", "m0/a1");
+    let (at, want) = wanted(&effects).unwrap();
+    assert_eq!((at, want.adapter.as_str()), (address(2), "a1"));
+    // With nobody else to be heard, it goes where the adapter is.
+    bench.now += 1_200;
+    let (_, effects) = bench.ask("/draft/x", "m0/a1");
+    assert_eq!(sending(&effects).map(|one| one.instance.as_str()), Some("i1"));
+}
+
 /// A plain call is not a stream: its caller stays until its deadline, whatever its route says of pauses.
 #[test]
 fn plain_calls_have_no_patience() {
