Keep copies of models in demand as a stock

Now an entry reckons what callers lose by chance for want of a copy (how fast endpoints leave, copies left, requests a second, time of a load) and has the model brought to an endpoint with free room before it is missed. And no model is brought to more than two endpoints at once, nor to a second while another is away.

--- a/crates/pool/src/entry/demand.rs
+++ b/crates/pool/src/entry/demand.rs
@@ -38,6 +38,8 @@
 /// Time to the first byte of the quickest replica, as a share of the objective, above which another
 /// one is asked for.
 const LAGGING: f64 = 1.2;
+/// Endpoints to which the weight store brings a model at the same time, at most.
+const REPLICAS_COMING: usize = 2;
 /// Fill of the least busy replica above which another one is asked for.
 pub(super) const CROWDED: f64 = 0.9;
 /// Milliseconds for which another replica is still of use: a load from the weight store takes six
@@ -127,7 +129,9 @@
                 let gain = MISS_MS * (2.0 + missed * HORIZON_S + rate * CRASH_SHARE);
                 let gain = gain + self.sole_copy_loss(key, rate, engine.model(&name));
                 let place = self.place(&service.name, &name, key, gain);
-                if let Some(place) = place.filter(|place| place.cost < gain) {
+                let place = place.filter(|place| place.cost < gain);
+                let place = place.filter(|place| !place.far || self.replica_due(key, coming));
+                if let Some(place) = place {
                     let ready_ms = place.ready_ms as u64;
                     self.ask(key, &place.instance, place.victims, ready_ms, SPREAD_TTL_MS);
                 }
@@ -135,6 +139,28 @@
         }
     }
 
+    /// Whether the weight store may bring one more replica of a model now.
+    ///
+    /// The failure it prevents: endpoints are replaced one after the other and come with empty disks. The
+    /// busiest model was brought to five of them at once, and the next one to six, while the last copies
+    /// of other models in demand went away; with eight loads at once each took 13 s instead of 6. One load
+    /// of a model at a time goes first, for each model that callers miss, and never more than two.
+    fn replica_due(&self, key: ModelKey, coming: usize) -> bool {
+        let first = coming == 0 && self.live_holders(key).next().is_none();
+        first || coming < REPLICAS_COMING && !self.others_away(key)
+    }
+
+    /// Whether another model is missed that no endpoint has and that nobody brings in.
+    fn others_away(&self, key: ModelKey) -> bool {
+        self.demand.missed.iter().any(|(other, rate)| {
+            *other != key
+                && rate.per_s(self.now) > MISS_FLOOR
+                && !self.wants.contains_key(other)
+                && self.coming(*other) == 0
+                && self.far(*other)
+        })
+    }
+
     /// What callers lose, by chance, as only one endpoint has a copy of a model.
     ///
     /// When that endpoint goes, the model is away for as long as the weight store takes: 13 s on one
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod placement;
 mod rules;
+mod stock;
 mod store_limit;
 mod types;
 mod wants;
@@ -27,6 +28,7 @@
     demand::Demand,
     exchange::NO_TEXT_RETRY_MS,
     rules::{patience_ms, share},
+    stock::Stock,
     store_limit::StoreLimit,
     wants::OpenWant,
 };
@@ -143,6 +145,7 @@
     budgets: Map<String, RetryBudget>,
     wants: Map<ModelKey, OpenWant>,
     demand: Demand,
+    stock: Stock,
     store: StoreLimit,
     stop: Option<Stop>,
     effects: Vec<EntryEffect>,
@@ -161,6 +164,7 @@
             budgets: Map::default(),
             wants: Map::default(),
             demand: Demand::default(),
+            stock: Stock::default(),
             store: StoreLimit::default(),
             stop: None,
             effects: Vec::new(),
@@ -233,6 +237,7 @@
 
     fn take_members(&mut self, change: MemberChange) {
         let listed = self.pool.apply(change, &mut self.names, self.now);
+        self.stock.note_list(self.now);
         self.note_listed(listed);
         self.retry_waiting();
     }
@@ -247,6 +252,9 @@
             let event = LogEvent::new("older_start").with("instance", instance);
             self.log(event.with("version", version));
         }
+        for service in listed.departed {
+            self.stock.note_departure(&service, self.now);
+        }
         for (instance, service) in listed.strangers {
             let event = LogEvent::new("unknown_service").with("instance", instance);
             self.log(event.with("service", service).with("version", version));
@@ -346,6 +354,7 @@
             target = Some(self.names.intern(&arrival.model));
             let key = self.names.intern(model);
             self.note_asked(key);
+            self.stock.note_asked(key, self.now);
             base = Some(key);
         }
         let allowed = arrival.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -41,7 +41,11 @@
     pub(super) cost: f64,
     /// What is lost with the victims.
     price: f64,
+    /// What callers of the endpoint's other models lose while it loads.
+    pub(super) held_up: f64,
     pub(super) ready_ms: f64,
+    /// Whether the weight store has to bring it.
+    pub(super) far: bool,
     pub(super) victims: Vec<ModelKey>,
 }
 
@@ -78,7 +82,7 @@
         })
     }
 
-    fn place_at(
+    pub(super) fn place_at(
         &self,
         endpoint: &Endpoint,
         engine: &EngineSpec,
@@ -91,17 +95,17 @@
         if shut || endpoint.holding.models.contains(&model) {
             return None;
         }
-        let mut cost = 0.0;
+        let far = !endpoint.holding.has_copy(model);
+        if far && !store_open {
+            return None;
+        }
+        let mut cost = if far { STORE_COST_MS } else { 0.0 };
         let load_ms = if endpoint.holding.in_memory.contains(&model) {
             spec.memory_ms
-        } else if endpoint.holding.on_disk.contains(&model) {
-            spec.disk_ms
-        } else {
-            if !store_open {
-                return None;
-            }
-            cost += STORE_COST_MS;
+        } else if far {
             spec.store_ms
+        } else {
+            spec.disk_ms
         };
         let mut ready_ms = (load_ms + side.busy_ms) as f64;
         let (victims, price) = self.victims(endpoint, engine, spec)?;
@@ -110,10 +114,11 @@
             ready_ms += BUSY_VICTIM_MS;
         }
         // While a model comes, no adapter does: the busier the endpoint, the more callers wait.
-        cost += HELD_UP_MS * side.rates.iter().map(|(_, rate)| rate).sum::<f64>();
+        let held_up = HELD_UP_MS * side.rates.iter().map(|(_, rate)| rate).sum::<f64>();
         let tie = rendezvous_score(&spec.name, &endpoint.member.instance) as f64 / u64::MAX as f64;
         let instance = endpoint.member.instance.clone();
-        Some(Place { instance, cost: cost + ready_ms + price + tie, price, ready_ms, victims })
+        cost += held_up + ready_ms + price + tie;
+        Some(Place { instance, cost, price, held_up, ready_ms, far, victims })
     }
 
     /// What has to make way at `endpoint` for a model, cheapest first, and what that costs.
--- a/crates/pool/src/entry/weights.rs
+++ b/crates/pool/src/entry/weights.rs
@@ -40,7 +40,7 @@
     }
 
     /// Whether no endpoint has a copy of a model or holds it with room.
-    fn far(&self, model: ModelKey) -> bool {
+    pub(super) fn far(&self, model: ModelKey) -> bool {
         let near = |one: &Endpoint| {
             one.open()
                 && (one.holding.has_copy(model)
@@ -50,7 +50,7 @@
     }
 
     /// Loads from the weight store that are planned or under way, or that this entry has just asked for.
-    fn store_loads(&self) -> u32 {
+    pub(super) fn store_loads(&self) -> u32 {
         let sides = self.pool.endpoints.values().filter_map(|one| one.fresh_side(self.now));
         let told = sides.map(|side| side.store_loads).sum::<u32>();
         let unseen = self.wants.values().filter(|want| want.far && !want.seen && !want.declined);
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -218,6 +218,8 @@
     pub(crate) anew: Vec<String>,
     /// Endpoints whose entry was withheld, as it is of a start that seems over.
     pub(crate) older: Vec<String>,
+    /// The services of endpoints that have begun to leave, or are gone without having said so.
+    pub(crate) departed: Vec<String>,
     /// Entries of services that the text does not name, with the services.
     pub(crate) strangers: Vec<(String, String)>,
 }
@@ -251,7 +253,7 @@
         }
         self.version = change.version;
         if change.whole {
-            listed.moved |= self.drop_unlisted(&change.rows, now);
+            self.drop_unlisted(&change.rows, now, &mut listed);
         }
         for (id, member) in change.rows {
             match member {
@@ -260,9 +262,8 @@
                     self.put(member, change.whole, names, now, &mut listed);
                 }
                 member => {
-                    listed.moved |= self.endpoints.contains_key(&id);
                     self.over.remove(&id);
-                    self.remove(&id);
+                    self.depart(&id, &mut listed);
                     self.strangers.remove(&id);
                     if let Some(member) = member {
                         listed.strangers.push((id.clone(), member.service.clone()));
@@ -274,16 +275,30 @@
         listed
     }
 
-    /// Forgets whoever a whole list does not name; true if there was one.
-    fn drop_unlisted(&mut self, rows: &[(String, Option<Member>)], now: Millis) -> bool {
+    /// Forgets whoever a whole list does not name.
+    fn drop_unlisted(
+        &mut self,
+        rows: &[(String, Option<Member>)],
+        now: Millis,
+        changes: &mut Listed,
+    ) {
         let listed = |id: &String| rows.iter().any(|(row, _)| row == id);
         self.over.retain(listed);
         self.strangers.retain(|id, _| listed(id));
         let named = |one: &Endpoint| one.unlisted && one.fresh_side(now).is_some();
         let gone = self.endpoints.iter().filter(|(id, one)| !listed(id) && !named(one));
         let gone = gone.map(|(id, _)| id.clone()).collect::<Vec<_>>();
-        gone.iter().for_each(|id| self.remove(id));
-        !gone.is_empty()
+        gone.iter().for_each(|id| self.depart(id, changes));
+    }
+
+    /// Forgets an endpoint that is no longer listed.
+    fn depart(&mut self, id: &str, listed: &mut Listed) {
+        let Some(endpoint) = self.endpoints.get(id) else { return };
+        if endpoint.open() {
+            listed.departed.push(endpoint.member.service.clone());
+        }
+        listed.moved = true;
+        self.remove(id);
     }
 
     /// Whether a service is one of the text's; any is while no text is known.
@@ -381,6 +396,9 @@
             endpoint.holding = listed_holding(&member, names);
         }
         listed.moved |= !known || endpoint.member.leaving != member.leaving;
+        if known && endpoint.open() && member.leaving {
+            listed.departed.push(member.service.clone());
+        }
         endpoint.member = member;
         endpoint.unlisted = false;
     }
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod side;
 mod start;
+mod stock;
 mod support;
 mod waiting;
 mod world;
