--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -3,7 +3,7 @@
 use citronrill_base::hash_bytes;
 
 use super::{PoolEntry, Reason, Request};
-use crate::pool::Endpoint;
+use crate::endpoint::Endpoint;
 
 /// What is to be done with a waiting request.
 pub(super) enum Choice {
--- a/crates/pool/src/entry/demand.rs
+++ b/crates/pool/src/entry/demand.rs
@@ -7,7 +7,7 @@
     placement::{HORIZON_S, MISS_MS},
     wants::WAITER_MS,
 };
-use crate::{pool::Endpoint, rate::Rate, text::ModelSpec};
+use crate::{endpoint::Endpoint, rate::Rate, text::ModelSpec};
 
 /// Requests a second for each slot that one replica answers well within its objective: a request
 /// takes a slot for half a second, and for three quarters once all are taken. Engines of 24 slots
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -4,7 +4,7 @@
 
 use super::{PoolEntry, demand::rate_of};
 use crate::{
-    pool::Endpoint,
+    endpoint::Endpoint,
     text::{EngineSpec, ModelSpec},
 };
 
--- a/crates/pool/src/entry/stock.rs
+++ b/crates/pool/src/entry/stock.rs
@@ -10,7 +10,7 @@
 
 use super::{PoolEntry, demand::BUSY_RATE, placement::Place};
 use crate::{
-    pool::Endpoint,
+    endpoint::Endpoint,
     text::{EngineSpec, ModelSpec},
 };
 
--- a/crates/pool/src/entry/wants.rs
+++ b/crates/pool/src/entry/wants.rs
@@ -8,8 +8,8 @@
 
 use super::{EntryEffect, PoolEntry, Reason, Request, RequestId, Stage, placement::MISS_MS};
 use crate::{
+    endpoint::{DECLINED_MS, Endpoint},
     member::full_name,
-    pool::{DECLINED_MS, Endpoint},
 };
 
 /// Milliseconds of other callers' waiting that one waiting request may cost at most.
--- a/crates/pool/src/entry/weights.rs
+++ b/crates/pool/src/entry/weights.rs
@@ -6,7 +6,7 @@
     PoolEntry,
     demand::{BUSY_RATE, CROWDED},
 };
-use crate::pool::Endpoint;
+use crate::endpoint::Endpoint;
 
 /// Engines for each load from the weight store that serves a rarely used model: with three at once
 /// on nine engines, a third of them took no other order for six seconds.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -7,6 +7,7 @@
 //! endpoint, and entries act on beliefs that each carry a sequence.
 
 mod budget;
+mod endpoint;
 mod entry;
 mod member;
 mod pool;
--- a/crates/pool/tests/all/side.rs
+++ b/crates/pool/tests/all/side.rs
@@ -10,9 +10,10 @@
 
 const LINK: EntryLink = EntryLink(1);
 
-struct Bench {
-    side: PoolSide,
-    now: u64,
+/// A side with a clock.
+pub(crate) struct Bench {
+    pub(crate) side: PoolSide,
+    pub(crate) now: u64,
 }
 
 impl Bench {
@@ -24,17 +25,17 @@
         bench
     }
 
-    fn step(&mut self, event: SideEvent) -> Vec<SideEffect> {
+    pub(crate) fn step(&mut self, event: SideEvent) -> Vec<SideEffect> {
         self.side.step(Millis(self.now), event)
     }
 
     /// Time passes and the endpoint is looked at.
-    fn report(&mut self, report: EngineReport) -> Vec<SideEffect> {
+    pub(crate) fn report(&mut self, report: EngineReport) -> Vec<SideEffect> {
         self.now += 25;
         self.step(SideEvent::Report(Some(report)))
     }
 
-    fn want(&mut self, want: Want) -> Vec<SideEffect> {
+    pub(crate) fn want(&mut self, want: Want) -> Vec<SideEffect> {
         self.step(SideEvent::Want(LINK, want))
     }
 
@@ -43,7 +44,8 @@
     }
 }
 
-fn orders(effects: &[SideEffect]) -> Vec<Order> {
+/// The orders among the effects.
+pub(crate) fn orders(effects: &[SideEffect]) -> Vec<Order> {
     let one = |effect: &SideEffect| match effect {
         SideEffect::Order(order) => Some(order.clone()),
         _ => None,
@@ -58,7 +60,8 @@
     })
 }
 
-fn declines(effects: &[SideEffect]) -> usize {
+/// How many wants are declined among the effects.
+pub(crate) fn declines(effects: &[SideEffect]) -> usize {
     effects.iter().filter(|effect| matches!(effect, SideEffect::Decline(..))).count()
 }
 
--- a/crates/pool/tests/all/start.rs
+++ b/crates/pool/tests/all/start.rs
@@ -1,15 +1,15 @@
 //! Endpoints that start again under their names, and entries of the list that others have written.
 
-use citronrill_base::Millis;
 use citronrill_pool::{
-    EngineReport, EntryEffect, EntryEvent, EntryLink, Member, MemberChange, Order, OrderOutcome,
-    PoolSide, SideEffect, SideEvent, StartTime,
+    EngineReport, EntryEffect, EntryEvent, Member, MemberChange, Order, OrderOutcome, PoolSide,
+    SideEffect, SideEvent, StartTime,
 };
 use citronrill_wire::{SideState, Want};
 use rstest::rstest;
 
-use crate::support::{
-    Bench, ENGINE, PLAIN, address, member, report, sending, state, text, want, wanted,
+use crate::{
+    side::{Bench as SideBench, declines, orders},
+    support::{Bench, ENGINE, PLAIN, address, member, report, sending, state, text, want, wanted},
 };
 
 /// Unix milliseconds of an endpoint's first start.
@@ -41,52 +41,29 @@
 }
 
 /// A side whose endpoint has started at `at` and holds `m0`.
-struct Beside {
-    side: PoolSide,
-    now: u64,
+fn beside(at: u64, sequence: u64) -> SideBench {
+    let mut bench = SideBench { side: PoolSide::new(ENGINE), now: 1_000 };
+    bench.step(SideEvent::Text(text(1)));
+    bench.report(said(report(sequence, &["m0"]), at));
+    bench.step(SideEvent::Named("i1".to_owned()));
+    bench
 }
 
-impl Beside {
-    fn new(at: u64, sequence: u64) -> Beside {
-        let mut beside = Beside { side: PoolSide::new(ENGINE), now: 1_000 };
-        beside.step(SideEvent::Text(text(1)));
-        beside.report(said(report(sequence, &["m0"]), at));
-        beside.step(SideEvent::Named("i1".to_owned()));
-        beside
-    }
-
-    fn step(&mut self, event: SideEvent) -> Vec<SideEffect> {
-        self.side.step(Millis(self.now), event)
-    }
-
-    fn report(&mut self, report: EngineReport) -> Vec<SideEffect> {
-        self.now += 25;
-        self.step(SideEvent::Report(Some(report)))
-    }
-
-    fn want(&mut self, want: Want) -> Vec<SideEffect> {
-        self.step(SideEvent::Want(EntryLink(1), want))
-    }
-
-    fn loading(&self) -> Vec<String> {
-        self.side.state().unwrap().loading
-    }
+fn loading(bench: &SideBench) -> Vec<String> {
+    bench.side.state().unwrap().loading
+}
 
-    fn held(&self) -> Vec<String> {
-        let state = self.side.state().unwrap();
-        state.models.into_iter().map(|model| model.name).collect()
-    }
+fn held(bench: &SideBench) -> Vec<String> {
+    let state = bench.side.state().unwrap();
+    state.models.into_iter().map(|model| model.name).collect()
 }
 
 fn order(effects: &[SideEffect]) -> Option<Order> {
-    effects.iter().find_map(|effect| match effect {
-        SideEffect::Order(order) => Some(order.clone()),
-        _ => None,
-    })
+    orders(effects).into_iter().next()
 }
 
 fn declined(effects: &[SideEffect]) -> bool {
-    effects.iter().any(|effect| matches!(effect, SideEffect::Decline(..)))
+    declines(effects) > 0
 }
 
 /// An endpoint crashes and is up again under its name before its side looks. It has accepted as many
@@ -96,11 +73,11 @@
 #[case(3)]
 #[case(9)]
 fn a_restart_is_seen_whatever_the_count(#[case] sequence: u64) {
-    let mut beside = Beside::new(FIRST, 3);
-    beside.want(want("m5", &["m0"]));
-    assert_eq!(beside.loading(), vec!["m5"]);
-    let effects = beside.report(said(report(sequence, &["m7"]), SECOND));
-    assert_eq!((beside.loading(), beside.held()), (vec![], vec!["m7".to_owned()]));
+    let mut side = beside(FIRST, 3);
+    side.want(want("m5", &["m0"]));
+    assert_eq!(loading(&side), vec!["m5"]);
+    let effects = side.report(said(report(sequence, &["m7"]), SECOND));
+    assert_eq!((loading(&side), held(&side)), (vec![], vec!["m7".to_owned()]));
     assert_eq!(order(&effects), None);
 }
 
@@ -108,24 +85,24 @@
 /// endpoint would count as holding what it held before its crash.
 #[test]
 fn a_late_report_of_the_last_start_changes_nothing() {
-    let mut beside = Beside::new(FIRST, 3);
-    beside.report(said(report(0, &[]), SECOND));
-    beside.report(said(report(4, &["m0", "m1"]), FIRST));
-    assert!(beside.held().is_empty());
-    beside.report(said(report(1, &["m5"]), SECOND));
-    beside.report(said(report(0, &[]), SECOND));
-    assert_eq!(beside.held(), vec!["m5"], "nor does a late one of the same start");
+    let mut side = beside(FIRST, 3);
+    side.report(said(report(0, &[]), SECOND));
+    side.report(said(report(4, &["m0", "m1"]), FIRST));
+    assert!(held(&side).is_empty());
+    side.report(said(report(1, &["m5"]), SECOND));
+    side.report(said(report(0, &[]), SECOND));
+    assert_eq!(held(&side), vec!["m5"], "nor does a late one of the same start");
 }
 
 /// The clock of an instance is set back, and its endpoint starts again: the new start bears an earlier
 /// time than the last. It is taken for a late word first, but must not stay unheard for good.
 #[test]
 fn a_start_before_the_last_is_believed_once_it_persists() {
-    let mut beside = Beside::new(SECOND, 3);
+    let mut side = beside(SECOND, 3);
     for _ in 0..120 {
-        beside.report(said(report(0, &["m2"]), FIRST));
+        side.report(said(report(0, &["m2"]), FIRST));
     }
-    assert_eq!(beside.held(), vec!["m2"]);
+    assert_eq!(held(&side), vec!["m2"]);
 }
 
 /// An order of the last start is still on its way when the endpoint starts again under its name, and
@@ -133,17 +110,17 @@
 /// is refused, and it looks again before it gives the next one, which relies on the new count.
 #[test]
 fn an_order_of_the_last_start_that_is_applied_late_is_counted() {
-    let mut beside = Beside::new(FIRST, 0);
-    let lost = order(&beside.want(want("m5", &[]))).unwrap();
-    beside.step(SideEvent::Ordered(lost.number, OrderOutcome::Unknown, None));
-    beside.report(said(report(0, &[]), SECOND));
-    beside.step(SideEvent::Named("i1".to_owned()));
-    let next = order(&beside.want(Want { started: Some(SECOND), ..want("m6", &[]) })).unwrap();
+    let mut side = beside(FIRST, 0);
+    let lost = order(&side.want(want("m5", &[]))).unwrap();
+    side.step(SideEvent::Ordered(lost.number, OrderOutcome::Unknown, None));
+    side.report(said(report(0, &[]), SECOND));
+    side.step(SideEvent::Named("i1".to_owned()));
+    let next = order(&side.want(Want { started: Some(SECOND), ..want("m6", &[]) })).unwrap();
     assert!(next.token > lost.token, "{} after {}", next.token, lost.token);
-    beside.step(SideEvent::Ordered(next.number, OrderOutcome::Conflict, None));
+    side.step(SideEvent::Ordered(next.number, OrderOutcome::Conflict, None));
     let busy = EngineReport { busy: true, ..said(report(1, &[]), SECOND) };
-    assert_eq!(order(&beside.report(busy)), None, "the late order is under way");
-    let effects = beside.report(said(report(1, &["m5"]), SECOND));
+    assert_eq!(order(&side.report(busy)), None, "the late order is under way");
+    let effects = side.report(said(report(1, &["m5"]), SECOND));
     assert_eq!(order(&effects).unwrap().sequence, 1);
 }
 
@@ -151,9 +128,9 @@
 /// orders has fallen, but tokens must not: the endpoint's pages tell its starts apart by nothing else.
 #[test]
 fn tokens_rise_over_restarts_of_side_and_endpoint() {
-    let mut first = Beside::new(FIRST, 41);
+    let mut first = beside(FIRST, 41);
     let before = order(&first.want(want("m5", &[]))).unwrap().token;
-    let mut second = Beside::new(SECOND, 0);
+    let mut second = beside(SECOND, 0);
     let after = order(&second.want(want("m5", &[]))).unwrap().token;
     assert!(after > before, "{after} after {before}");
 }
@@ -162,9 +139,9 @@
 /// what it counted on, so the side declines.
 #[test]
 fn a_want_for_the_last_start_is_declined() {
-    let mut beside = Beside::new(SECOND, 0);
-    assert!(declined(&beside.want(Want { started: Some(FIRST), ..want("m5", &[]) })));
-    assert!(!declined(&beside.want(Want { started: Some(SECOND), ..want("m5", &[]) })));
+    let mut side = beside(SECOND, 0);
+    assert!(declined(&side.want(Want { started: Some(FIRST), ..want("m5", &[]) })));
+    assert!(!declined(&side.want(Want { started: Some(SECOND), ..want("m5", &[]) })));
 }
 
 /// An endpoint starts again under its name, and the list is first to tell. What its side said of the
