--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -60,14 +60,12 @@
 
 impl List {
     /// Logs a row that cannot be read: once, until it can be, and for so many rows at most.
-    fn note_unreadable(&mut self, key: &str, reason: &str) -> bool {
+    fn note_unreadable(&mut self, key: &str, reason: &str) {
         let room = self.unreadable.len() < UNREADABLE_LIMIT;
-        let first = room && self.unreadable.insert(key.to_owned());
-        if first {
+        if room && self.unreadable.insert(key.to_owned()) {
             let reason = reason.chars().take(REASON_LIMIT).collect::<String>();
             log::warn!("event=member_unreadable instance={key:?} error={reason:?}");
         }
-        first
     }
 }
 
@@ -124,24 +122,27 @@
     /// also where the row was good before, and peers are not told of it.
     fn take_row(&self, list: &mut List, row: StoreRow) -> (String, Option<Member>) {
         let StoreRow { key, value } = row;
-        let read = match &value {
-            RowValue::Removed => None,
-            RowValue::Bytes(bytes) => {
-                Some(self.dialect.member(&key, bytes).map_err(|error| error.to_string()))
-            }
-            RowValue::Unreadable(reason) => Some(Err(reason.clone())),
+        let read = match value {
+            RowValue::Removed => Ok(None),
+            RowValue::Bytes(bytes) => match self.dialect.member(&key, &bytes) {
+                Ok(member) => Ok(Some((member, bytes))),
+                Err(error) => Err(error.to_string()),
+            },
+            RowValue::Unreadable(reason) => Err(reason),
         };
-        match (read, value) {
-            (Some(Ok(member)), RowValue::Bytes(bytes)) => {
+        list.rows.remove(&key);
+        match read {
+            Ok(found) => {
                 list.unreadable.remove(&key);
-                list.rows.insert(key.clone(), bytes);
-                return (key, Some(member));
+                let (member, bytes) = found.unzip();
+                list.rows.extend(bytes.map(|bytes| (key.clone(), bytes)));
+                (key, member)
             }
-            (Some(Err(reason)), _) => list.note_unreadable(&key, &reason),
-            _ => list.unreadable.remove(&key),
-        };
-        list.rows.remove(&key);
-        (key, None)
+            Err(reason) => {
+                list.note_unreadable(&key, &reason);
+                (key, None)
+            }
+        }
     }
 
     /// Whether text and list are known.
--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -100,6 +100,13 @@
     pub(crate) rates: Vec<(ModelKey, f64)>,
 }
 
+impl SideBelief {
+    /// Milliseconds until all that is on its way there has come.
+    pub(crate) fn left_ms(&self, now: Millis) -> u64 {
+        self.busy_ms.saturating_sub(now.since(self.at))
+    }
+}
+
 /// One endpoint.
 #[derive(Debug, Clone)]
 pub(crate) struct Endpoint {
--- a/crates/pool/src/entry/demand.rs
+++ b/crates/pool/src/entry/demand.rs
@@ -187,7 +187,7 @@
             .filter(|one| one.open() && !one.holding.models.contains(&key));
         let sides = sides.filter_map(|one| one.fresh_side(self.now));
         let loading = sides.filter(|side| side.sound && side.loading.contains(&key));
-        let left = loading.map(|side| side.busy_ms.saturating_sub(self.now.since(side.at)));
+        let left = loading.map(|side| side.left_ms(self.now));
         left.min().map(|ms| ms as f64)
     }
 
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -89,7 +89,7 @@
     prefix: u64,
     arrived: Millis,
     ends: Millis,
-    /// When its caller leaves if no event of its stream has come.
+    /// When its caller leaves if no event of its stream has come; never after `ends`.
     patient: Millis,
     stage: Stage,
     /// When it was last sent.
@@ -111,10 +111,9 @@
     /// Milliseconds for which it may still wait before it is sent: an endpoint then has the time that
     /// it usually takes to the first event before the caller leaves.
     fn wait_ms(&self, now: Millis) -> u64 {
-        let end = if self.patient < self.ends { self.patient } else { self.ends };
-        let first =
-            if self.target.is_some() && self.patient < self.ends { FIRST_EVENT_MS } else { 0 };
-        end.since(now).saturating_sub(first)
+        let bounded = self.target.is_some() && self.patient < self.ends;
+        let first = if bounded { FIRST_EVENT_MS } else { 0 };
+        self.patient.since(now).saturating_sub(first)
     }
 
     /// Why it is refused when it may wait no longer: its time is up, or what it needs comes too late
--- a/crates/pool/src/entry/stock.rs
+++ b/crates/pool/src/entry/stock.rs
@@ -127,6 +127,7 @@
         }
         // The store's last place is kept for what many callers miss.
         let last = loads + 1 >= limit && limit > 1;
+        let leaving = self.leaving_rate(service);
         let copies = self.copies(service);
         let keys = self.stock.asked.keys().copied();
         let known = keys.filter(|key| !self.wants.contains_key(key));
@@ -135,7 +136,7 @@
             let rate = self.long_rate(key);
             let held = copies.get(&key).copied().unwrap_or(0);
             let price = spec.store_ms as f64 / f64::from(limit);
-            let gain = self.loss(service, spec, rate, held) - price;
+            let gain = loss(spec, rate, leaving, held) - price;
             (rate >= BUSY_RATE || !last).then_some((key, gain))
         });
         let best = gains.max_by(|a, b| a.1.total_cmp(&b.1).then(b.0.cmp(&a.0)))?;
@@ -148,17 +149,13 @@
         self.rate(key).max(own * f64::from(self.entries()))
     }
 
-    /// Milliseconds that callers lose by chance for want of copies of a model.
-    fn loss(&self, service: &str, spec: &ModelSpec, rate: f64, copies: u32) -> f64 {
-        let away_s = spec.store_ms as f64 / 1_000.0;
+    /// Share of a service's endpoints that leave in a second.
+    fn leaving_rate(&self, service: &str) -> f64 {
         let open = self.pool.endpoints.values();
         let open = open.filter(|one| one.open() && one.member.service == service).count();
         let departures = self.stock.departures.get(service);
         let left = departures.map_or(0.0, |tally| tally.decayed(WAVE_MS, self.now));
-        let each = left * 1_000.0 / WAVE_MS / open.max(1) as f64;
-        let goes = 1.0 - (-each * away_s * LOADS_AHEAD).exp();
-        let asked = 1.0 - (-rate * NEXT_USE_S).exp();
-        goes.powi(copies as i32) * asked * (1.0 + rate * away_s) * REFUSED_MS
+        left * 1_000.0 / WAVE_MS / open.max(1) as f64
     }
 
     /// Endpoints of a service that have each model or a copy of it, or soon will.
@@ -200,3 +197,12 @@
         places.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 }
+
+/// Milliseconds that callers lose by chance for want of copies of a model, while `leaving` of the endpoints
+/// go in a second.
+fn loss(spec: &ModelSpec, rate: f64, leaving: f64, copies: u32) -> f64 {
+    let away_s = spec.store_ms as f64 / 1_000.0;
+    let goes = 1.0 - (-leaving * away_s * LOADS_AHEAD).exp();
+    let asked = 1.0 - (-rate * NEXT_USE_S).exp();
+    goes.powi(copies as i32) * asked * (1.0 + rate * away_s) * REFUSED_MS
+}
--- a/crates/pool/src/entry/wants.rs
+++ b/crates/pool/src/entry/wants.rs
@@ -133,7 +133,7 @@
         let Some(want) = want.filter(|want| !want.declined) else { return };
         let side = self.pool.endpoints.get(&want.instance).and_then(|one| one.side.as_ref());
         let Some(side) = side else { return };
-        let known_ms = side.busy_ms.saturating_sub(self.now.since(side.at));
+        let known_ms = side.left_ms(self.now);
         if want.seen && known_ms > request.wait_ms(self.now) {
             self.refuse(id, Reason::TooFar);
         }
@@ -181,7 +181,7 @@
         }
         let sides = self.pool.endpoints.values().filter_map(|one| one.fresh_side(self.now));
         let loading = sides.filter(|side| side.store_loads > 0);
-        let free = loading.map(|side| side.busy_ms.saturating_sub(self.now.since(side.at))).min();
+        let free = loading.map(|side| side.left_ms(self.now)).min();
         Some(free.unwrap_or(0) + spec.store_ms)
     }
 
