Answer whoever has connected before a planned stop ends

When the time for new connections is over, the entry closed its listener with what waited in the queue, and the HTTP library closes a connection on which nothing has come yet, although its caller's first request may be on the way.

Both tests failed before (status 0 instead of 200) and pass now.

Change: the queue is emptied before the listener is closed, and a connection that was taken is given 300 ms for its first request. What arrives between the last look at the queue and the close is still reset; that is microseconds. A log line says when nothing is taken any more.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    io::ErrorKind,
     net::SocketAddr,
     sync::{
         Arc,
@@ -27,6 +28,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{
+        Notify,
         mpsc::{UnboundedReceiver, unbounded_channel},
         watch,
     },
@@ -53,6 +55,9 @@
 
 /// Milliseconds before the end of a planned stop at which the last answers are given.
 const LAST_ANSWERS_MS: u64 = 300;
+/// Milliseconds for which a stopping entry waits for the first request of a connection that it has taken:
+/// a caller sends at once when it is connected, and a lost packet is sent again after 200.
+const FIRST_REQUEST_MS: u64 = 300;
 
 /// What every connection shares.
 #[derive(Clone)]
@@ -110,7 +115,10 @@
             },
         }
     }
-    drop(listener);
+    for stream in take_queue(listener)? {
+        connections.spawn(hold(stream, front.clone(), closed.clone()));
+    }
+    log::info!("event=closed callers={callers}");
     closing.send_replace(true);
     let all = async { while connections.join_next().await.is_some() {} };
     let finished = timeout(plan.finish, all).await.is_ok();
@@ -118,6 +126,26 @@
     Ok(())
 }
 
+/// Takes what waits in a listener's queue and closes the listener.
+///
+/// The failure it prevents: callers that have connected and were not taken yet are reset with the queue,
+/// although an entry that is being stopped as planned owes them an answer.
+fn take_queue(listener: TcpListener) -> Result<Vec<TcpStream>, GatewayError> {
+    // The runtime's own listener knows only of what its last look at the sockets has shown.
+    let listener = listener.into_std()?;
+    let mut streams = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                streams.push(TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(streams),
+            Err(error) => log::warn!("event=accept_failed error=\"{error}\""),
+        }
+    }
+}
+
 async fn answer_probes(listener: TcpListener, shared: Arc<Shared>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -148,7 +176,9 @@
 async fn hold(stream: TcpStream, front: Front, mut closed: watch::Receiver<bool>) {
     tune(&stream);
     let limits = *front.limits.borrow();
+    let asked = Notify::new();
     let service = service_fn(|request| {
+        asked.notify_one();
         let front = front.clone();
         async move { Ok::<_, Infallible>(front.handle(request).await) }
     });
@@ -160,8 +190,13 @@
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    // Nothing of the watched value may be kept over the next wait.
-    let closing = async { drop(closed.wait_for(|closed| *closed).await) };
+    let closing = async {
+        // Nothing of the watched value may be kept over the next wait.
+        drop(closed.wait_for(|closed| *closed).await);
+        // The library closes a connection on which nothing has come yet, while the first request of a
+        // caller that was taken a moment ago is still on its way. Each has had one, or waits for it.
+        drop(timeout(Duration::from_millis(FIRST_REQUEST_MS), asked.notified()).await);
+    };
     let result = tokio::select! {
         result = connection.as_mut() => result,
         () = closing => {
--- a/tests/pool/life.rs
+++ b/tests/pool/life.rs
@@ -3,12 +3,15 @@
 use std::{
     io::{Read, Write},
     net::TcpStream,
+    time::Duration,
 };
 
 use crate::support::{Answer, Ask, Deployment, PATIENCE, Process, text, until};
 
 const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
 
 /// An operator adds a route. It is served as soon as the entry has read it.
 #[test]
@@ -34,7 +37,7 @@
     let known = |entry: &Process| entry.logged(&["event=text ", "version=4"]);
     pool.until("the entries have it", || more.iter().all(known));
     // Longer than the time over which entries spread their copies.
-    std::thread::sleep(std::time::Duration::from_millis(2_000));
+    std::thread::sleep(Duration::from_millis(2_000));
     let copies = side.metric("citronrill_texts_total") - before;
     assert!((1..=2).contains(&copies), "{copies} copies");
 }
@@ -160,3 +163,39 @@
     let mut process = Process::start("pool-entry", "[process]\nname = e\nzone =\n");
     assert_eq!(process.wait(), Some(2));
 }
+
+/// A caller connects while a stopping entry still takes connections, and its request comes when none is
+/// taken any more. The connection was taken, so the request has its answer; it was closed unread
+/// before, and the caller could not tell whether it had run.
+#[test]
+fn a_connection_taken_in_a_planned_stop_is_answered() {
+    let mut pool = Deployment::start(&[("e1", &["m0"])]);
+    pool.entry.signal(SIGTERM);
+    until("the stop is in the log", || pool.entry.logged(&["event=stopping"]));
+    let mut stream = TcpStream::connect(pool.callers).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    until("nothing is taken any more", || pool.entry.logged(&["event=closed"]));
+    stream.write_all(&Ask::call("/book/x", "id-1").bytes()).unwrap();
+    assert_eq!(Answer::read(&mut stream).status, 200);
+    assert_eq!(pool.entry.wait(), Some(0));
+}
+
+/// The process stands still for a moment, and callers connect before it stops taking connections. When
+/// it goes on, its time for that is over; whoever is in the queue has connected, and is answered
+/// instead of being reset with the queue.
+#[test]
+fn connections_in_the_queue_are_answered_in_a_planned_stop() {
+    let mut pool = Deployment::start(&[("e1", &["m0"])]);
+    pool.entry.signal(SIGTERM);
+    until("the stop is in the log", || pool.entry.logged(&["event=stopping"]));
+    pool.entry.signal(SIGSTOP);
+    let ask = |index: u32| pool.open(&Ask::call("/book/x", &format!("id-{index}")));
+    let streams = (0..8).map(ask).collect::<Vec<_>>();
+    // Over the time in which new connections are taken, and within the time for open requests.
+    std::thread::sleep(Duration::from_millis(2_200));
+    pool.entry.signal(SIGCONT);
+    for mut stream in streams {
+        assert_eq!(Answer::read(&mut stream).status, 200);
+    }
+    assert_eq!(pool.entry.wait(), Some(0));
+}
