--- a/crates/pool/src/entry/exchange.rs
+++ b/crates/pool/src/entry/exchange.rs
@@ -27,12 +27,12 @@
     /// Sends a request to `instance`; `copy` says that its run goes on there from a copy of its memory.
     pub(super) fn send(&mut self, id: RequestId, instance: &str, copy: bool) {
         let now = self.now;
-        let helper = self.requests.get(&id).and_then(|request| self.helper(request, instance));
-        let backup = helper.as_ref().and_then(|helper| self.pool.endpoints.get(helper));
-        let backup = backup.map(|one| one.member.address);
+        let backup = self.requests.get(&id).and_then(|one| self.backup_for(one, instance));
+        let backup_at = backup.as_ref().and_then(|backup| self.pool.endpoints.get(backup));
+        let backup_at = backup_at.map(|one| one.member.address);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(endpoint) = self.pool.endpoints.get_mut(instance) else { return };
-        request.helper = helper;
+        request.backup = backup;
         let resume = Resume { after: request.after, copy };
         endpoint.own += 1;
         endpoint.load += 1;
@@ -46,7 +46,7 @@
             instance: instance.to_owned(),
             remaining_ms: request.ends.since(now),
             rank: request.rank,
-            backup,
+            backup: backup_at,
             resume: (request.begun || copy).then_some(resume),
         };
         let event = LogEvent::new("sent")
@@ -55,7 +55,7 @@
             .with("model", &request.model)
             .with("waited_ms", now.since(request.arrived))
             .with("load", endpoint.load)
-            .with("backup", request.helper.as_deref().unwrap_or(""))
+            .with("backup", request.backup.as_deref().unwrap_or(""))
             .with("copy", copy)
             .with("list", self.pool.version)
             .with("sequence", endpoint.holding.sequence);
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -115,7 +115,7 @@
     /// The last event that its caller had.
     after: Option<u64>,
     /// The instance to which the memory of its last run was copied.
-    helper: Option<String>,
+    backup: Option<String>,
 }
 
 impl Request {
@@ -401,7 +401,7 @@
             patience,
             begun: false,
             after: None,
-            helper: None,
+            backup: None,
         })
     }
 
--- a/crates/pool/src/entry/resume.rs
+++ b/crates/pool/src/entry/resume.rs
@@ -28,7 +28,7 @@
 /// Milliseconds that an engine takes for one token of an answer, with a batch half full.
 const TOKEN_MS: f64 = 10.0;
 /// Bytes whose copying is worth one stream that is not lost. A copy costs bandwidth, and memory at the
-/// helper that its own runs then lack: with every stream copied, prompts of 9,000 tokens at 128 KiB each
+/// other endpoint that its own runs then lack: with every stream copied, prompts of 9,000 tokens at 128 KiB each
 /// filled the engines, and callers that were late or left outweighed those that were saved. With this
 /// figure 3.0 instead of 3.3 in 100 requests went unserved on days with three crashes among nine endpoints
 /// (14 days, paired), and 4.7 instead of 5.0 on standard days of 42 endpoints (10 days, paired).
@@ -73,7 +73,7 @@
     }
 
     /// The instance to which the memory of a run at `at` is to be copied.
-    pub(super) fn helper(&self, request: &Request, at: &str) -> Option<String> {
+    pub(super) fn backup_for(&self, request: &Request, at: &str) -> Option<String> {
         if !request.repeat.is_stream() {
             return None;
         }
@@ -125,8 +125,8 @@
         let now = self.now;
         let Some(request) = self.requests.get(&id) else { return false };
         let due = request.after.is_some() && request.sends < SEND_LIMIT;
-        let Some(helper) = request.helper.clone().filter(|_| due) else { return false };
-        let live = self.pool.endpoints.get(&helper).is_some_and(|one| {
+        let Some(backup) = request.backup.clone().filter(|_| due) else { return false };
+        let live = self.pool.endpoints.get(&backup).is_some_and(|one| {
             one.member.service == request.service && !one.dark(now) && one.open()
         });
         let service = request.service.clone();
@@ -134,7 +134,7 @@
             return false;
         }
         self.leave_endpoint(id);
-        self.send(id, &helper, true);
+        self.send(id, &backup, true);
         true
     }
 
