--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -36,7 +36,7 @@
 
     /// Takes bytes of the present run; gives the whole events among them that are due.
     pub(crate) fn take(&mut self, bytes: Bytes) -> Bytes {
-        if self.rest.is_empty() && self.had.is_none() && ends_event(&bytes) {
+        if self.rest.is_empty() && self.had.is_none() && bytes.ends_with(END) {
             self.note(&bytes);
             return bytes;
         }
@@ -69,10 +69,6 @@
     }
 }
 
-fn ends_event(bytes: &[u8]) -> bool {
-    bytes.ends_with(END)
-}
-
 /// The number of the last event in `bytes` that has one.
 fn number(bytes: &[u8]) -> Option<u64> {
     let text = str::from_utf8(bytes).ok()?;
--- a/crates/pool/src/entry/demand.rs
+++ b/crates/pool/src/entry/demand.rs
@@ -32,7 +32,7 @@
 /// Share of the endpoints that leave or crash within [`HORIZON_S`].
 const LEAVE_SHARE: f64 = 0.05;
 /// Milliseconds that a refusal costs its caller: it comes back after one or two seconds, once.
-const REFUSED_MS: f64 = 2_000.0;
+pub(super) const REFUSED_MS: f64 = 2_000.0;
 /// Misses a second below which a model is no longer fetched for them: less than one in ten seconds.
 const MISS_FLOOR: f64 = 0.05;
 /// Time to the first byte of the quickest replica, as a share of the objective, above which another
--- a/crates/pool/src/entry/resume.rs
+++ b/crates/pool/src/entry/resume.rs
@@ -50,7 +50,7 @@
         self.losses.last.retain(|_, at| now.since(*at) < ONE_LOSS_MS);
         if self.losses.last.insert(endpoint.member.address, now).is_none() {
             let tally = self.losses.by_service.entry(endpoint.member.service.clone()).or_default();
-            tally.add(1.0, LOSS_MEMORY_MS, now);
+            tally.add(LOSS_MEMORY_MS, now);
         }
     }
 
--- a/crates/pool/src/entry/stock.rs
+++ b/crates/pool/src/entry/stock.rs
@@ -8,7 +8,11 @@
 use citronrill_base::{Map, Millis, ModelKey};
 use citronrill_decide::LogEvent;
 
-use super::{PoolEntry, demand::BUSY_RATE, placement::Place};
+use super::{
+    PoolEntry,
+    demand::{BUSY_RATE, REFUSED_MS},
+    placement::Place,
+};
 use crate::{
     endpoint::Endpoint,
     tally::Tally,
@@ -17,8 +21,6 @@
 
 /// Milliseconds between looks at the stock: a load takes seconds, and a look visits every copy.
 const LOOK_MS: u64 = 100;
-/// Milliseconds that a refusal costs its caller, who comes back once and is late then.
-const REFUSED_MS: f64 = 2_000.0;
 /// Seconds ahead in which a model's next request counts.
 const NEXT_USE_S: f64 = 30.0;
 /// Milliseconds after which a request counts 1/e in what is known of rarely used models: most of them
@@ -51,7 +53,7 @@
     /// Counts a request.
     pub(super) fn note_asked(&mut self, key: ModelKey, now: Millis) {
         self.began.get_or_insert(now);
-        self.asked.entry(key).or_default().add(1.0, MEMORY_MS, now);
+        self.asked.entry(key).or_default().add(MEMORY_MS, now);
     }
 
     /// Notes that a list was read.
@@ -61,7 +63,7 @@
 
     /// Counts an endpoint of `service` that leaves.
     pub(super) fn note_departure(&mut self, service: &str, now: Millis) {
-        self.departures.entry(service.to_owned()).or_default().add(1.0, WAVE_MS, now);
+        self.departures.entry(service.to_owned()).or_default().add(WAVE_MS, now);
     }
 
     /// Requests a second for a model at this entry, over the last [`MEMORY_MS`].
--- a/crates/pool/src/tally.rs
+++ b/crates/pool/src/tally.rs
@@ -15,8 +15,8 @@
         self.weight * (-(now.since(self.at) as f64) / decay_ms).exp()
     }
 
-    /// Counts `more`.
-    pub(crate) fn add(&mut self, more: f64, decay_ms: f64, now: Millis) {
-        *self = Tally { weight: self.decayed(decay_ms, now) + more, at: now };
+    /// Counts one more.
+    pub(crate) fn add(&mut self, decay_ms: f64, now: Millis) {
+        *self = Tally { weight: self.decayed(decay_ms, now) + 1.0, at: now };
     }
 }
