Log copies of the text and the time that large answers take

The logs could not tell whether sides' copies or entries' copies fill slow links. Now each copy is logged when it begins and when it has been sent, with its bytes, and each answer of 64 KB or more with its time on the way.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,7 +5,10 @@
 //! connection each of these meets the next request, which may be one that must not be sent twice.
 //! On a fresh one there is no next request.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -24,6 +27,8 @@
 const USER_TIMEOUT_MS: u64 = 2_500;
 /// Bytes of a control answer at most: a whole page of the store's rows is the largest.
 const CONTROL_LIMIT: usize = 4 << 20;
+/// Bytes from which on an answer's time on the way is logged: 50 ms of the slowest link, 10 Mbit/s.
+const LARGE_ANSWER: usize = 64 << 10;
 
 /// Ends the connection's task when the call is dropped, so that the endpoint sees its caller leave.
 #[derive(Debug)]
@@ -126,9 +131,18 @@
         };
         let response = channel.send(request).await?;
         let (parts, body) = response.into_parts();
+        let start = Instant::now();
         let body = Limited::new(body, CONTROL_LIMIT).collect().await;
-        let body = body.map_err(|_| GatewayError::Status(parts.status.as_u16()))?;
-        Ok(Response::from_parts(parts, body.to_bytes()))
+        let body = body.map_err(|_| GatewayError::Status(parts.status.as_u16()))?.to_bytes();
+        if body.len() >= LARGE_ANSWER {
+            let took_ms = start.elapsed().as_millis();
+            log::info!(
+                "event=large_answer from={} bytes={} took_ms={took_ms}",
+                self.address,
+                body.len()
+            );
+        }
+        Ok(Response::from_parts(parts, body))
     }
 }
 
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -404,7 +404,10 @@
                 let copy = texts.borrow_and_update().clone();
                 if let Some(copy) = copy {
                     theirs = copy.version;
+                    let (version, bytes) = (copy.version, copy.bytes.len());
+                    log::info!("event=text_sending link={} version={version} bytes={bytes}", link.0);
                     sender.send(PoolKind::Text(copy)).await?;
+                    log::info!("event=text_sent link={} version={version} bytes={bytes}", link.0);
                 }
             }
             changed = texts.changed() => changed.map_err(|_| WireError::Closed)?,
@@ -436,6 +439,8 @@
         PoolKind::Used(used) => SideEvent::Used(used),
         PoolKind::Text(copy) => {
             shared.metrics.texts.add();
+            let (version, bytes) = (copy.version, copy.bytes.len());
+            log::info!("event=text_received link={} version={version} bytes={bytes}", link.0);
             take_text(copy, shared);
             return Ok(());
         }
--- a/crates/gateway/src/sides.rs
+++ b/crates/gateway/src/sides.rs
@@ -141,7 +141,10 @@
                 push.sent();
                 let copy = texts.borrow().as_ref().map(|read| read.copy.clone());
                 if let Some(copy) = copy {
+                    let (version, bytes) = (copy.version, copy.bytes.len());
+                    log::info!("event=text_sending to={endpoint} version={version} bytes={bytes}");
                     sender.send(PoolKind::Text(copy)).await?;
+                    log::info!("event=text_sent to={endpoint} version={version} bytes={bytes}");
                 }
             }
             () = sleep_until(heard_at + silence) => return Err(WireError::Closed),
@@ -157,7 +160,11 @@
                         push.peer(state.text);
                         events.send(EntryEvent::Side(endpoint, state));
                     }
-                    PoolKind::Text(copy) => board.offer(&copy.bytes, "side"),
+                    PoolKind::Text(copy) => {
+                        let (version, bytes) = (copy.version, copy.bytes.len());
+                        log::info!("event=text_received from={endpoint} version={version} bytes={bytes}");
+                        board.offer(&copy.bytes, "side");
+                    }
                     PoolKind::Declined(name) => {
                         events.send(EntryEvent::Declined(endpoint, name));
                     }
