--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -9,3 +9,4 @@
 mod requests;
 mod resume;
 mod support;
+mod texts;
--- a/tests/pool/support.rs
+++ b/tests/pool/support.rs
@@ -18,7 +18,7 @@
 
 use serde_json::json;
 
-use citronrill_platform_standin::{Platform, Proxy, Store, Worker, WorkerSpec};
+use citronrill_platform_standin::{Link, Platform, Proxy, Store, Worker, WorkerSpec};
 
 pub(crate) const HOST: &str = "pool.example";
 /// How long a test waits for something that must come.
@@ -76,6 +76,12 @@
     .into_bytes()
 }
 
+/// Version `version` of a text with so many routes more, about 240 bytes each.
+pub(crate) fn large_text(version: u64, more: usize) -> Vec<u8> {
+    let prefixes = (0..more).map(|index| format!("/more-{index}/")).collect::<Vec<_>>();
+    text(version, &prefixes.iter().map(String::as_str).collect::<Vec<_>>())
+}
+
 /// A process of citronrill; it is killed when this is dropped.
 pub(crate) struct Process {
     pub(crate) child: Child,
@@ -204,7 +210,8 @@
         let callers = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
         let readiness = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
         let snapshots = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
-        let settings = entry_settings(callers, readiness, peer_port, &store, snapshots, "");
+        let settings =
+            entry_settings(callers, readiness, peer_port, store.address(), snapshots, "");
         let entry = Process::start("pool-entry", &settings);
         let deployment = Deployment {
             entry,
@@ -261,16 +268,33 @@
     pub(crate) fn entry_that_asks(&self, seeds: &str) -> Process {
         let address = || SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
         let (callers, readiness, snapshots) = (address(), address(), address());
-        let settings =
-            entry_settings(callers, readiness, self.peer_port, &self.store, snapshots, seeds);
+        let store = self.store.address();
+        let settings = entry_settings(callers, readiness, self.peer_port, store, snapshots, seeds);
         Process::start("pool-entry", &settings)
     }
 
+    /// Starts one more entry, whose instance has a link of `rate` bytes a second: all that it says to
+    /// the store and to the sides goes over it.
+    pub(crate) fn entry_behind_link(&self, rate: u64) -> (Process, Link) {
+        let link = self.platform.link(rate);
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let store = link.carry(any, self.store.address());
+        let port = free_port();
+        for engine in &self.engines {
+            let ip = engine.address().ip();
+            link.carry(SocketAddr::new(ip, port), SocketAddr::new(ip, self.peer_port));
+        }
+        let address = || SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
+        let settings = entry_settings(address(), address(), port, store, address(), "");
+        (Process::start("pool-entry", &settings), link)
+    }
+
     /// Starts the entry again, as the platform does after a kill.
     pub(crate) fn restart_entry(&mut self) {
         let (callers, readiness) = (self.callers, self.readiness);
+        let store = self.store.address();
         let settings =
-            entry_settings(callers, readiness, self.peer_port, &self.store, self.snapshots, "");
+            entry_settings(callers, readiness, self.peer_port, store, self.snapshots, "");
         // The old process must be gone before the new one listens on its addresses.
         let _ = self.entry.child.kill();
         let _ = self.entry.child.wait();
@@ -318,20 +342,19 @@
 }
 
 /// The sections that both roles share.
-fn common(name: &str, peers: SocketAddr, store: &Store) -> String {
+fn common(name: &str, peers: SocketAddr, store: SocketAddr) -> String {
     let metrics = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
     format!(
-        "[process]\nname = {name}\nzone = a\nstop_s = 4\n[platform]\nstore = {}\n\
+        "[process]\nname = {name}\nzone = a\nstop_s = 4\n[platform]\nstore = {store}\n\
          [retry]\nratio = 0.2\nslack = 50\nwindow_s = 10\n\
-         [listen]\npeers = {peers}\nmetrics = {metrics}\n",
-        store.address()
+         [listen]\npeers = {peers}\nmetrics = {metrics}\n"
     )
 }
 
 fn side_settings(name: &str, peers: SocketAddr, store: &Store, worker: &Worker) -> String {
     format!(
         "{}callers =\nreadiness =\n[endpoint]\naddress = {}\nservice = engines\n",
-        common(name, peers, store),
+        common(name, peers, store.address()),
         worker.address()
     )
 }
@@ -340,7 +363,7 @@
     callers: SocketAddr,
     readiness: SocketAddr,
     peer_port: u16,
-    store: &Store,
+    store: SocketAddr,
     snapshots: SocketAddr,
     seeds: &str,
 ) -> String {
