Ask for copies of the text, piece by piece, and read it to its end

Cause: copies of the operators' text were pushed. A side took an entry that had not told of a new text after 400 ms for one that is cut off, and so did all sides at once; entries pushed to sides alike. A slow link needs longer than that for the text alone, so that the copies filled it, the entry's own read of the store was given up after 3 s and begun anew, and the connections broke and met the same again. The class: unasked, uncoordinated redundancy whose volume grows with the fleet, triggered by a fixed time that the amount of data outgrew.

Now whoever lacks the text asks one peer for it, a piece of 16 KB at a time; a process serves two at once; an entry asks only while nothing of the text comes from the store. The same cause elsewhere: reads of the store and what an entry tells another at its start had fixed times for the whole; they have one for the pause between two parts.

Ruled out: the store (no call refused or late at entries with fast links), decoding (7 ms at a slow entry).

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -10,8 +10,8 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -25,10 +25,16 @@
 /// Milliseconds after which unacknowledged bytes end a connection: a peer without power or behind a
 /// cut sends no reset, and the connection would hang for minutes.
 const USER_TIMEOUT_MS: u64 = 2_500;
-/// Bytes of a control answer at most: a whole page of the store's rows is the largest.
-const CONTROL_LIMIT: usize = 4 << 20;
+/// Bytes of a control answer at most: a page with the operators' text, which has no bound of its own.
+/// 1,400 routes take 345 KB as the store spells them.
+const CONTROL_LIMIT: usize = 16 << 20;
 /// Bytes from which on an answer's time on the way is logged: 50 ms of the slowest link, 10 Mbit/s.
 const LARGE_ANSWER: usize = 64 << 10;
+/// Milliseconds between two parts of a large answer, after which it counts as broken: a lost packet is
+/// sent again within one second, and a full link of 10 Mbit/s holds half a second of bytes.
+const PART_MS: u64 = 1_500;
+/// Milliseconds for the whole of it all the same: [`CONTROL_LIMIT`] takes 14 s on a link of 10 Mbit/s.
+const WHOLE_MS: u64 = 20_000;
 
 /// Ends the connection's task when the call is dropped, so that the endpoint sees its caller leave.
 #[derive(Debug)]
@@ -112,38 +118,86 @@
         request: Request<Full<Bytes>>,
         limit_ms: u64,
     ) -> Result<Response<Bytes>, GatewayError> {
-        let whole = timeout(Duration::from_millis(limit_ms), self.exchange(request)).await;
-        let result = whole.unwrap_or(Err(GatewayError::Timeout(limit_ms)));
+        let exchange = async {
+            let response = self.head(request).await?;
+            read_body(response, limit_ms, || ()).await
+        };
+        let result = within(limit_ms, exchange).await;
+        self.settle(result)
+    }
+
+    /// Makes one call whose answer may be large; gives the whole answer.
+    ///
+    /// Its head has to come within `head_ms`. After that each part has to follow the last one within
+    /// [`PART_MS`], and `progress` is told of it. Guards against an answer that takes longer on its way
+    /// than any fixed time: with one for the whole, a text of 0.7 MB on a link of 10 Mbit/s was given up
+    /// before its end and asked for again, for good.
+    pub(crate) async fn fetch(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        head_ms: u64,
+        progress: impl Fn(),
+    ) -> Result<Response<Bytes>, GatewayError> {
+        let result = match within(head_ms, self.head(request)).await {
+            Ok(response) => within(WHOLE_MS, read_body(response, PART_MS, progress)).await,
+            Err(error) => Err(error),
+        };
+        self.settle(result)
+    }
+
+    /// Drops the connection after a failure: a late answer must not meet the next call.
+    fn settle<T>(&mut self, result: Result<T, GatewayError>) -> Result<T, GatewayError> {
         if result.is_err() {
-            // A late answer must not meet the next call.
             self.channel = None;
         }
         result
     }
 
-    async fn exchange(
+    async fn head(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Bytes>, GatewayError> {
+    ) -> Result<Response<Incoming>, GatewayError> {
         let channel = match &mut self.channel {
             Some(channel) if !channel.sender.is_closed() => channel,
             slot => slot.insert(Channel::open(self.address).await?),
         };
-        let response = channel.send(request).await?;
-        let (parts, body) = response.into_parts();
-        let start = Instant::now();
-        let body = Limited::new(body, CONTROL_LIMIT).collect().await;
-        let body = body.map_err(|_| GatewayError::Status(parts.status.as_u16()))?.to_bytes();
-        if body.len() >= LARGE_ANSWER {
-            let took_ms = start.elapsed().as_millis();
-            log::info!(
-                "event=large_answer from={} bytes={} took_ms={took_ms}",
-                self.address,
-                body.len()
-            );
+        channel.send(request).await
+    }
+}
+
+async fn within<T>(
+    limit_ms: u64,
+    work: impl Future<Output = Result<T, GatewayError>>,
+) -> Result<T, GatewayError> {
+    let result = timeout(Duration::from_millis(limit_ms), work).await;
+    result.unwrap_or(Err(GatewayError::Timeout(limit_ms)))
+}
+
+/// Reads a body to its end; each part within `part_ms` of the last.
+async fn read_body(
+    response: Response<Incoming>,
+    part_ms: u64,
+    progress: impl Fn(),
+) -> Result<Response<Bytes>, GatewayError> {
+    let (parts, mut body) = response.into_parts();
+    let start = Instant::now();
+    let mut bytes = BytesMut::new();
+    loop {
+        let part = timeout(Duration::from_millis(part_ms), body.frame()).await;
+        let Some(frame) = part.map_err(|_| GatewayError::Stalled(bytes.len()))? else { break };
+        if let Ok(data) = frame?.into_data() {
+            bytes.extend_from_slice(&data);
+            progress();
         }
-        Ok(Response::from_parts(parts, body))
+        if bytes.len() > CONTROL_LIMIT {
+            return Err(GatewayError::TooLarge(CONTROL_LIMIT));
+        }
+    }
+    if bytes.len() >= LARGE_ANSWER {
+        let took_ms = start.elapsed().as_millis();
+        log::info!("event=large_answer bytes={} took_ms={took_ms}", bytes.len());
     }
+    Ok(Response::from_parts(parts, bytes.freeze()))
 }
 
 /// A GET without a body.
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -11,17 +11,18 @@
     time::{Duration, Instant},
 };
 
-use citronrill_base::Millis;
+use citronrill_base::{Millis, hash_bytes};
 use citronrill_config::PoolSettings;
 use citronrill_pool::{
-    Arrival, CallerLimits, EntryEffect, EntryEvent, EntryProfile, PoolEntry, Refusal, RequestId,
-    Sending, ServingText,
+    Arrival, CallerLimits, CopyEvent, CopyPatience, EntryEffect, EntryEvent, EntryProfile,
+    PoolEntry, Refusal, RequestId, Sending, ServingText,
 };
 use citronrill_wire::{PoolKind, TextCopy};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use tokio::sync::{mpsc, watch};
 
 use crate::{
+    copies::{Copies, fetch_copies},
     dialect::{Dialect, Table},
     error::GatewayError,
     front::{Front, listen, serve},
@@ -111,6 +112,8 @@
     let shared = Arc::new(Shared::default());
     let metrics = Arc::new(EntryMetrics::new(logs));
     let (side_sender, side_commands) = mpsc::unbounded_channel();
+    // Weak, as the connections to sides end when the control thread closes this channel.
+    let copy_asks = side_sender.downgrade();
     let (limits_sender, limits) = watch::channel(CallerLimits::default());
     let profile = EntryProfile {
         zone: settings.zone.clone(),
@@ -132,7 +135,8 @@
     let thread = thread::Builder::new().name("control".to_owned()).spawn(move || control.run())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let result = runtime.block_on(async {
-        let board = Board::new(dialect.clone(), events.clone());
+        let (copies, copy_events) = Copies::new();
+        let board = Board::new(dialect.clone(), events.clone(), copies.clone());
         let store = settings.store;
         tokio::spawn(watch_table(store, Table::Text, dialect.clone(), board.clone()));
         tokio::spawn(watch_table(store, Table::Members, dialect.clone(), board.clone()));
@@ -141,7 +145,8 @@
             tokio::spawn(serve_seeds(listen(address).await?, board.clone()));
         }
         tokio::spawn(ask_seeds(settings.seeds.clone(), settings.snapshots, board.clone()));
-        tokio::spawn(run_sides(port, side_commands, board, events.clone()));
+        tokio::spawn(fetch_texts(&settings.name, copy_events, copy_asks, board.clone()));
+        tokio::spawn(run_sides(port, side_commands, board, copies, events.clone()));
         tokio::spawn(serve_metrics(settings.metrics, metrics.clone()));
         let front = Front { dialect, events, shared, metrics, limits };
         serve(callers, readiness, front, stop_plan(stop, settings.stop_ms)).await
@@ -154,6 +159,24 @@
     result
 }
 
+/// Fetches the text from sides while the store does not give it.
+fn fetch_texts(
+    name: &str,
+    events: mpsc::UnboundedReceiver<CopyEvent<SocketAddr>>,
+    sides: mpsc::WeakUnboundedSender<SideCommand>,
+    board: Board,
+) -> impl Future<Output = ()> + use<> {
+    let ask = move |endpoint, ask| {
+        let say = SideCommand::Say(endpoint, Box::new(PoolKind::TextAsk(ask)));
+        let sent = sides.upgrade().is_some_and(|sides| sides.send(say).is_ok());
+        if !sent {
+            log::debug!("event=sides_gone");
+        }
+    };
+    let take = move |copy: TextCopy| board.offer(&copy.bytes, "side");
+    fetch_copies(CopyPatience::OwnRead, hash_bytes(name.as_bytes()), events, ask, take)
+}
+
 /// When the parts of a planned stop come.
 pub(crate) struct StopPlan {
     pub(crate) asked: watch::Receiver<bool>,
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -40,6 +40,12 @@
     /// No answer came in time.
     #[error("no answer within {0} ms")]
     Timeout(u64),
+    /// An answer that had begun stopped coming.
+    #[error("the answer stopped after {0} bytes")]
+    Stalled(usize),
+    /// An answer is larger than anything that is asked for.
+    #[error("an answer of more than {0} bytes")]
+    TooLarge(usize),
     /// The other end answered with an error.
     #[error("status {0}")]
     Status(u16),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! its calls is behind [`Dialect`], so this crate knows none of its words.
 
 mod call;
+mod copies;
 mod dialect;
 mod entry;
 mod error;
--- a/crates/gateway/src/seeds.rs
+++ b/crates/gateway/src/seeds.rs
@@ -8,19 +8,24 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use citronrill_wire::{PoolKind, Snapshot, WireError};
+use citronrill_pool::is_last;
+use citronrill_wire::{PoolKind, TextAsk, WireError};
 use tokio::{
     net::{TcpListener, TcpStream},
     time::{sleep, timeout},
 };
 
-use crate::{call::connect, call::tune, link::split, store::Board};
+use crate::{
+    call::{connect, tune},
+    link::{Receiver, Sender, split},
+    store::Board,
+};
 
 /// Milliseconds that the store is given before peers are asked: it answers within a few.
 const STORE_FIRST_MS: u64 = 250;
 /// Milliseconds for a connection to a peer; some of those that are named may be down.
 const CONNECT_MS: u64 = 150;
-/// Milliseconds for a peer's whole word.
+/// Milliseconds for one message of a peer.
 const ANSWER_MS: u64 = 500;
 /// Milliseconds before the peers are asked again.
 const AGAIN_MS: u64 = 400;
@@ -46,11 +51,16 @@
     let (mut receiver, mut sender) = split(stream);
     // An entry that knows nothing itself says so, or the asker would wait for its word.
     sender.send(PoolKind::Snapshot(board.snapshot().unwrap_or_default())).await?;
-    // The asker closes once it has read; closing first could reset what is still on its way.
-    match timeout(Duration::from_millis(ANSWER_MS), receiver.next()).await {
-        Ok(Err(WireError::Closed)) | Err(_) => Ok(()),
-        Ok(Err(error)) => Err(error),
-        Ok(Ok(_)) => Err(WireError::OutOfTurn),
+    // The asker closes once it has what it needs; closing first could reset what is still on its way.
+    loop {
+        match timeout(Duration::from_millis(ANSWER_MS), receiver.next()).await {
+            Ok(Err(WireError::Closed)) | Err(_) => return Ok(()),
+            Ok(Err(error)) => return Err(error),
+            Ok(Ok(PoolKind::TextAsk(ask))) => {
+                sender.send(PoolKind::TextPart(board.piece(&ask))).await?;
+            }
+            Ok(Ok(_)) => return Err(WireError::OutOfTurn),
+        }
     }
 }
 
@@ -62,22 +72,55 @@
             if board.complete() {
                 return;
             }
-            match ask(*seed).await {
-                Ok(snapshot) => board.take_snapshot(snapshot, *seed),
-                Err(error) => log::info!("event=peer_silent peer={seed} error=\"{error}\""),
+            if let Err(error) = ask(*seed, &board).await {
+                log::info!("event=peer_silent peer={seed} error=\"{error}\"");
             }
         }
         sleep(Duration::from_millis(AGAIN_MS)).await;
     }
 }
 
-async fn ask(seed: SocketAddr) -> Result<Snapshot, WireError> {
+/// Takes what one peer believes; its text first, as the list alone serves nobody.
+async fn ask(seed: SocketAddr, board: &Board) -> Result<(), WireError> {
     let stream = connect(seed, CONNECT_MS).await;
     let stream = stream.map_err(|error| WireError::Io(std::io::Error::other(error.to_string())))?;
-    let (mut receiver, _sender) = split(stream);
-    let told = timeout(Duration::from_millis(ANSWER_MS), receiver.next()).await;
-    match told.map_err(|_| WireError::Closed)?? {
-        PoolKind::Snapshot(snapshot) => Ok(snapshot),
-        _ => Err(WireError::OutOfTurn),
+    let (mut receiver, mut sender) = split(stream);
+    let PoolKind::Snapshot(snapshot) = heard(&mut receiver).await? else {
+        return Err(WireError::OutOfTurn);
+    };
+    if snapshot.text > board.text_version() {
+        let text = ask_text(snapshot.text, &mut receiver, &mut sender).await?;
+        board.offer(&text, "peer");
+    }
+    board.take_snapshot(snapshot, seed);
+    Ok(())
+}
+
+/// Asks for a text piece by piece, so that no time limit depends on its size.
+async fn ask_text(
+    version: u64,
+    receiver: &mut Receiver,
+    sender: &mut Sender,
+) -> Result<Vec<u8>, WireError> {
+    let mut bytes = Vec::new();
+    loop {
+        let offset = bytes.len() as u64;
+        sender.send(PoolKind::TextAsk(TextAsk { version, offset })).await?;
+        let PoolKind::TextPart(part) = heard(receiver).await? else {
+            return Err(WireError::OutOfTurn);
+        };
+        // Another version has come meanwhile; the next try begins with that.
+        if part.version != version || part.offset != offset || part.bytes.is_empty() {
+            return Err(WireError::OutOfTurn);
+        }
+        bytes.extend_from_slice(&part.bytes);
+        if is_last(&part) {
+            return Ok(bytes);
+        }
     }
 }
+
+async fn heard(receiver: &mut Receiver) -> Result<PoolKind, WireError> {
+    let told = timeout(Duration::from_millis(ANSWER_MS), receiver.next()).await;
+    told.map_err(|_| WireError::Closed)?
+}
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -12,10 +12,11 @@
 };
 
 use bytes::Bytes;
-use citronrill_base::Millis;
+use citronrill_base::{Millis, hash_bytes};
 use citronrill_config::PoolSettings;
 use citronrill_pool::{
-    EngineReport, EntryLink, Order, OrderOutcome, PoolSide, SideEffect, SideEvent,
+    CopyEvent, CopyPatience, EngineReport, EntryLink, Order, OrderOutcome, PoolSide, SideEffect,
+    SideEvent,
 };
 use citronrill_wire::{PoolKind, SideState, TextCopy, WireError};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
@@ -24,11 +25,11 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{mpsc, watch},
-    time::{Instant, sleep_until},
 };
 
 use crate::{
     call::{Control, get, tune},
+    copies::{Copies, fetch_copies},
     dialect::Dialect,
     error::GatewayError,
     link::split,
@@ -41,15 +42,12 @@
 /// Milliseconds for an answer to an order.
 const ORDER_MS: u64 = 400;
 
-/// Milliseconds after which a side passes a text on to an entry that does not have it.
-const PASS_ON_MS: u64 = 400;
-
 /// What a side counts.
 struct SideMetrics {
     orders: Counter,
     polls: Counter,
     wants: Counter,
-    /// Copies of the text that entries sent.
+    /// Whole copies of the text that came from entries.
     texts: Counter,
     logs: Arc<LogStats>,
 }
@@ -81,6 +79,7 @@
     texts: watch::Sender<Option<TextCopy>>,
     states: watch::Receiver<Option<SideState>>,
     links: Arc<Links>,
+    copies: Copies<EntryLink>,
     metrics: Arc<SideMetrics>,
 }
 
@@ -142,14 +141,17 @@
     };
     thread::Builder::new().name("control".to_owned()).spawn(move || control.run())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let (copies, copy_events) = Copies::new();
     let shared = Arc::new(Shared {
         dialect: dialect.clone(),
         events: events.clone(),
         texts: watch::Sender::new(None),
         states,
         links,
+        copies,
         metrics: metrics.clone(),
     });
+    let seed = hash_bytes(settings.name.as_bytes());
     let peers = settings.peers;
     let (done_sender, done) = tokio::sync::oneshot::channel();
     thread::spawn(move || {
@@ -166,6 +168,7 @@
         tokio::spawn(serve_metrics(settings.metrics, metrics));
         let engine = Engine { address: endpoint, holder: settings.name.clone(), dialect, events };
         tokio::spawn(engine.run(tasks));
+        tokio::spawn(fetch_texts(seed, copy_events, shared.clone()));
         tokio::spawn(accept(listener, shared));
         if done.await.is_err() {
             std::future::pending::<()>().await;
@@ -361,6 +364,7 @@
     if let Err(error) = converse(stream, link, replies, &shared).await {
         log::info!("event=entry_lost from={from} error=\"{error}\"");
     }
+    shared.copies.gone(link);
     let entries = shared.links.change(|open| {
         open.remove(&link);
         open.len()
@@ -383,13 +387,7 @@
     let (mut receiver, mut sender) = split(stream);
     let mut states = shared.states.clone();
     states.mark_changed();
-    let mut texts = shared.texts.subscribe();
-    texts.mark_changed();
-    let mut theirs = 0;
-    let mut pass_on = None;
     loop {
-        pass_on = lacks(&texts, theirs)
-            .then(|| pass_on.unwrap_or_else(|| Instant::now() + Duration::from_millis(PASS_ON_MS)));
         tokio::select! {
             changed = states.changed() => {
                 changed.map_err(|_| WireError::Closed)?;
@@ -398,63 +396,51 @@
                     sender.send(PoolKind::State(state)).await?;
                 }
             }
-            // Entries read the store by themselves. A copy is for one that cannot reach it, and most
-            // have the text by the time that this looks.
-            () = until(pass_on) => {
-                let copy = texts.borrow_and_update().clone();
-                if let Some(copy) = copy {
-                    theirs = copy.version;
-                    let (version, bytes) = (copy.version, copy.bytes.len());
-                    log::info!("event=text_sending link={} version={version} bytes={bytes}", link.0);
-                    sender.send(PoolKind::Text(copy)).await?;
-                    log::info!("event=text_sent link={} version={version} bytes={bytes}", link.0);
-                }
-            }
-            changed = texts.changed() => changed.map_err(|_| WireError::Closed)?,
             Some(reply) = replies.recv() => sender.send(reply).await?,
-            heard = receiver.next() => match heard? {
-                PoolKind::Version(text) => theirs = text.version,
-                kind => take(kind, link, shared)?,
-            },
+            heard = receiver.next() => take(heard?, link, shared)?,
         }
     }
 }
 
-/// Waits for a moment, or for ever if there is none.
-async fn until(moment: Option<Instant>) {
-    match moment {
-        Some(moment) => sleep_until(moment).await,
-        None => std::future::pending().await,
-    }
-}
-
-/// Whether the side's text is newer than that of an entry.
-fn lacks(texts: &watch::Receiver<Option<TextCopy>>, theirs: u64) -> bool {
-    texts.borrow().as_ref().is_some_and(|copy| copy.version > theirs)
-}
-
 fn take(kind: PoolKind, link: EntryLink, shared: &Shared) -> Result<(), WireError> {
     let event = match kind {
         PoolKind::Want(want) => SideEvent::Want(link, want),
         PoolKind::Used(used) => SideEvent::Used(used),
-        PoolKind::Text(copy) => {
-            shared.metrics.texts.add();
-            let (version, bytes) = (copy.version, copy.bytes.len());
-            log::info!("event=text_received link={} version={version} bytes={bytes}", link.0);
-            take_text(copy, shared);
+        PoolKind::Version(text) => {
+            shared.copies.tell(CopyEvent::Offered(link, text.version));
+            return Ok(());
+        }
+        PoolKind::TextPart(part) => {
+            shared.copies.tell(CopyEvent::Part(link, part));
+            return Ok(());
+        }
+        PoolKind::TextAsk(ask) => {
+            let part = shared.copies.answer(link, &ask, shared.texts.borrow().as_ref());
+            shared.links.say(link, PoolKind::TextPart(part));
             return Ok(());
         }
-        PoolKind::State(_)
-        | PoolKind::Declined(_)
-        | PoolKind::Version(_)
-        | PoolKind::Snapshot(_) => {
+        PoolKind::State(_) | PoolKind::Declined(_) | PoolKind::Snapshot(_) => {
             return Err(WireError::OutOfTurn);
         }
     };
     shared.events.send(event).map_err(|_| WireError::Closed)
 }
 
-/// Keeps the newest text, and passes it on to the entries that do not have it.
+/// Fetches the text from entries.
+async fn fetch_texts(
+    seed: u64,
+    events: mpsc::UnboundedReceiver<CopyEvent<EntryLink>>,
+    shared: Arc<Shared>,
+) {
+    let ask = |link, ask| shared.links.say(link, PoolKind::TextAsk(ask));
+    let take = |copy| {
+        shared.metrics.texts.add();
+        take_text(copy, &shared);
+    };
+    fetch_copies(CopyPatience::PeersOnly, seed, events, ask, take).await;
+}
+
+/// Keeps a text, if it is newer.
 fn take_text(copy: TextCopy, shared: &Shared) {
     let newer =
         |held: &Option<TextCopy>| held.as_ref().is_none_or(|held| held.version < copy.version);
@@ -463,6 +449,7 @@
     }
     match shared.dialect.text(&copy.bytes) {
         Ok(text) => {
+            shared.copies.tell(CopyEvent::Own(copy.version));
             shared.texts.send_replace(Some(copy));
             if shared.events.send(SideEvent::Text(Arc::new(text))).is_err() {
                 log::debug!("event=control_gone");
--- a/crates/gateway/src/sides.rs
+++ b/crates/gateway/src/sides.rs
@@ -2,8 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use citronrill_base::hash_bytes;
-use citronrill_pool::EntryEvent;
+use citronrill_pool::{CopyEvent, EntryEvent};
 use citronrill_wire::{PoolKind, TextVersion, WireError};
 use tokio::{
     sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
@@ -13,18 +12,14 @@
 
 use crate::{
     call::connect,
-    entry::{Events, side_address},
+    copies::Copies,
+    entry::{Events, ReadText, side_address},
     link::split,
     store::Board,
 };
 
 /// Milliseconds without a word after which a connection counts as lost: a side speaks every 500.
 const SILENT_MS: u64 = 1_700;
-/// Milliseconds over which entries spread the first copy of a text for a side.
-const FIRST_SPREAD_MS: u64 = 300;
-/// Milliseconds over which entries spread copies of a newer text: sides need what it says of models,
-/// which seldom changes.
-const SPREAD_MS: u64 = 1_500;
 /// Milliseconds for a connection to a side. While its instance has no power the first packet is lost,
 /// and is sent again after a second: a new try is quicker. With 600, after a loss of power everywhere,
 /// entries reached most sides a second later than those were up.
@@ -51,6 +46,7 @@
     port: u16,
     mut commands: UnboundedReceiver<SideCommand>,
     board: Board,
+    copies: Copies<SocketAddr>,
     events: Events,
 ) {
     let mut links = BTreeMap::<SocketAddr, Link>::new();
@@ -61,14 +57,21 @@
                     let kept = endpoints.contains(endpoint);
                     if !kept {
                         link.task.abort();
+                        copies.gone(*endpoint);
                     }
                     kept
                 });
                 for endpoint in endpoints {
                     links.entry(endpoint).or_insert_with(|| {
                         let (sender, receiver) = unbounded_channel();
-                        let (board, events) = (board.clone(), events.clone());
-                        let task = tokio::spawn(keep(endpoint, port, receiver, board, events));
+                        let link = SideLink {
+                            endpoint,
+                            port,
+                            board: board.clone(),
+                            copies: copies.clone(),
+                            events: events.clone(),
+                        };
+                        let task = tokio::spawn(link.keep(receiver));
                         Link { sender, task }
                     });
                 }
@@ -83,153 +86,104 @@
     }
 }
 
-/// Keeps one connection.
-async fn keep(
+/// The connection to one side.
+struct SideLink {
     endpoint: SocketAddr,
+    /// Where sides listen, beside each endpoint.
     port: u16,
-    mut says: UnboundedReceiver<PoolKind>,
     board: Board,
+    copies: Copies<SocketAddr>,
     events: Events,
-) {
-    let mut known = true;
-    loop {
-        let error = match talk(endpoint, port, &mut says, &board, &events, &mut known).await {
-            Ok(()) => return,
-            Err(error) => error,
-        };
-        if known {
-            log::info!("event=side_lost endpoint={endpoint} error=\"{error}\"");
-        }
-        known = false;
-        // What was asked for meanwhile is stale by the time the side is back.
-        while says.try_recv().is_ok() {}
-        sleep(Duration::from_millis(AGAIN_MS)).await;
-    }
 }
 
-async fn talk(
-    endpoint: SocketAddr,
-    port: u16,
-    says: &mut UnboundedReceiver<PoolKind>,
-    board: &Board,
-    events: &Events,
-    known: &mut bool,
-) -> Result<(), WireError> {
-    let stream = connect(side_address(endpoint, port), CONNECT_MS)
-        .await
-        .map_err(|error| WireError::Io(std::io::Error::other(error.to_string())))?;
-    let local = stream.local_addr()?;
-    let (mut receiver, mut sender) = split(stream);
-    let mut texts = board.follow();
-    texts.mark_changed();
-    let silence = Duration::from_millis(SILENT_MS);
-    let mut heard_at = Instant::now();
-    let mut push = Push::new(hash_bytes(format!("{local} {endpoint}").as_bytes()));
-    loop {
-        tokio::select! {
-            said = says.recv() => match said {
-                Some(kind) => sender.send(kind).await?,
-                None => return Ok(()),
-            },
-            changed = texts.changed() => {
-                changed.map_err(|_| WireError::Closed)?;
-                let version = texts.borrow_and_update().as_ref().map_or(0, |read| read.copy.version);
-                sender.send(PoolKind::Version(TextVersion { version })).await?;
-                push.own(version);
-            }
-            () = push.due() => {
-                push.sent();
-                let copy = texts.borrow().as_ref().map(|read| read.copy.clone());
-                if let Some(copy) = copy {
-                    let (version, bytes) = (copy.version, copy.bytes.len());
-                    log::info!("event=text_sending to={endpoint} version={version} bytes={bytes}");
-                    sender.send(PoolKind::Text(copy)).await?;
-                    log::info!("event=text_sent to={endpoint} version={version} bytes={bytes}");
-                }
+impl SideLink {
+    /// Keeps the connection.
+    async fn keep(self, mut says: UnboundedReceiver<PoolKind>) {
+        let endpoint = self.endpoint;
+        let mut known = true;
+        loop {
+            let error = match self.talk(&mut says, &mut known).await {
+                Ok(()) => return,
+                Err(error) => error,
+            };
+            self.copies.gone(endpoint);
+            if known {
+                log::info!("event=side_lost endpoint={endpoint} error=\"{error}\"");
             }
-            () = sleep_until(heard_at + silence) => return Err(WireError::Closed),
-            kind = receiver.next() => {
-                let kind = kind?;
-                heard_at = Instant::now();
-                if !*known {
-                    *known = true;
-                    log::info!("event=side_regained endpoint={endpoint}");
+            known = false;
+            // What was asked for meanwhile is stale by the time the side is back.
+            while says.try_recv().is_ok() {}
+            sleep(Duration::from_millis(AGAIN_MS)).await;
+        }
+    }
+
+    async fn talk(
+        &self,
+        says: &mut UnboundedReceiver<PoolKind>,
+        known: &mut bool,
+    ) -> Result<(), WireError> {
+        let endpoint = self.endpoint;
+        let stream = connect(side_address(endpoint, self.port), CONNECT_MS)
+            .await
+            .map_err(|error| WireError::Io(std::io::Error::other(error.to_string())))?;
+        let (mut receiver, mut sender) = split(stream);
+        let mut texts = self.board.follow();
+        texts.mark_changed();
+        let silence = Duration::from_millis(SILENT_MS);
+        let mut heard_at = Instant::now();
+        loop {
+            tokio::select! {
+                said = says.recv() => match said {
+                    Some(kind) => sender.send(kind).await?,
+                    None => return Ok(()),
+                },
+                changed = texts.changed() => {
+                    changed.map_err(|_| WireError::Closed)?;
+                    let version = version_of(&texts.borrow_and_update());
+                    sender.send(PoolKind::Version(TextVersion { version })).await?;
                 }
-                match kind {
-                    PoolKind::State(state) => {
-                        push.peer(state.text);
-                        events.send(EntryEvent::Side(endpoint, state));
-                    }
-                    PoolKind::Text(copy) => {
-                        let (version, bytes) = (copy.version, copy.bytes.len());
-                        log::info!("event=text_received from={endpoint} version={version} bytes={bytes}");
-                        board.offer(&copy.bytes, "side");
+                () = sleep_until(heard_at + silence) => return Err(WireError::Closed),
+                kind = receiver.next() => {
+                    let kind = kind?;
+                    heard_at = Instant::now();
+                    if !*known {
+                        *known = true;
+                        log::info!("event=side_regained endpoint={endpoint}");
                     }
-                    PoolKind::Declined(name) => {
-                        events.send(EntryEvent::Declined(endpoint, name));
-                    }
-                    PoolKind::Want(_)
-                    | PoolKind::Used(_)
-                    | PoolKind::Version(_)
-                    | PoolKind::Snapshot(_) => {
-                        return Err(WireError::OutOfTurn);
+                    if let Some(reply) = self.take(kind)? {
+                        sender.send(reply).await?;
                     }
                 }
             }
         }
     }
-}
-
-/// When a copy of the text is sent to a side that does not have it.
-///
-/// Every entry is connected to every side. Sent at once by each, a text of many routes crossed
-/// between zones once for each pair of them: 0.84 GB on a day with ten changes, 26 entries and 47
-/// sides, most of them of copies that the side had from another by then. Each entry waits for a time
-/// of its own, and sends only if the side still lacks it.
-struct Push {
-    spread: u64,
-    own: u64,
-    peer: u64,
-    at: Option<Instant>,
-}
-
-impl Push {
-    fn new(spread: u64) -> Push {
-        Push { spread, own: 0, peer: 0, at: None }
-    }
-
-    /// The entry has this version now.
-    fn own(&mut self, version: u64) {
-        self.own = version;
-        self.plan();
-    }
-
-    /// The side has this version.
-    fn peer(&mut self, version: u64) {
-        self.peer = version;
-        self.plan();
-    }
 
-    fn plan(&mut self) {
-        if self.own <= self.peer {
-            self.at = None;
-        } else if self.at.is_none() {
-            // A side without any text can do nothing; one with an old text misses little.
-            let window = if self.peer == 0 { FIRST_SPREAD_MS } else { SPREAD_MS };
-            let wait = Duration::from_millis(self.spread % window);
-            self.at = Some(Instant::now() + wait);
+    /// Takes what the side says; gives what it is answered.
+    fn take(&self, kind: PoolKind) -> Result<Option<PoolKind>, WireError> {
+        let endpoint = self.endpoint;
+        match kind {
+            PoolKind::State(state) => {
+                self.copies.tell(CopyEvent::Offered(endpoint, state.text));
+                self.events.send(EntryEvent::Side(endpoint, state));
+            }
+            PoolKind::TextPart(part) => self.copies.tell(CopyEvent::Part(endpoint, part)),
+            PoolKind::TextAsk(ask) => {
+                let held = self.board.follow();
+                let held = held.borrow();
+                let copy = held.as_ref().map(|read| &read.copy);
+                let part = self.copies.answer(endpoint, &ask, copy);
+                return Ok(Some(PoolKind::TextPart(part)));
+            }
+            PoolKind::Declined(name) => self.events.send(EntryEvent::Declined(endpoint, name)),
+            PoolKind::Want(_)
+            | PoolKind::Used(_)
+            | PoolKind::Version(_)
+            | PoolKind::Snapshot(_) => return Err(WireError::OutOfTurn),
         }
+        Ok(None)
     }
+}
 
-    /// A copy was sent; another follows only if the side does not say that it has it.
-    fn sent(&mut self) {
-        self.at = Some(Instant::now() + Duration::from_millis(SPREAD_MS));
-    }
-
-    async fn due(&self) {
-        match self.at {
-            Some(at) => sleep_until(at).await,
-            None => std::future::pending().await,
-        }
-    }
+fn version_of(held: &Option<ReadText>) -> u64 {
+    held.as_ref().map_or(0, |read| read.copy.version)
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -8,13 +8,14 @@
 };
 
 use bytes::Bytes;
-use citronrill_pool::{EntryEvent, Member, MemberChange};
-use citronrill_wire::{MemberRow, Snapshot, TextCopy};
+use citronrill_pool::{CopyEvent, EntryEvent, Member, MemberChange, piece};
+use citronrill_wire::{MemberRow, Snapshot, TextAsk, TextCopy, TextPart};
 use hyper::StatusCode;
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
     call::{Control, get},
+    copies::Copies,
     dialect::{Dialect, RowPage, RowValue, StoreRow, Table},
     entry::{Events, ReadText},
     error::GatewayError,
@@ -44,6 +45,7 @@
 pub(crate) struct Board {
     dialect: Arc<dyn Dialect>,
     events: Events,
+    copies: Copies<SocketAddr>,
     sender: Arc<watch::Sender<Option<ReadText>>>,
     list: Arc<Mutex<List>>,
 }
@@ -70,9 +72,13 @@
 }
 
 impl Board {
-    pub(crate) fn new(dialect: Arc<dyn Dialect>, events: Events) -> Board {
+    pub(crate) fn new(
+        dialect: Arc<dyn Dialect>,
+        events: Events,
+        copies: Copies<SocketAddr>,
+    ) -> Board {
         let sender = Arc::new(watch::Sender::new(None));
-        Board { dialect, events, sender, list: Arc::default() }
+        Board { dialect, events, copies, sender, list: Arc::default() }
     }
 
     /// Takes the bytes of a text, from the store or a peer; an older one changes nothing.
@@ -94,11 +100,18 @@
             newer
         });
         if newer {
-            log::info!("event=text_read source={source} version={}", read.copy.version);
+            let (version, size) = (read.copy.version, read.copy.bytes.len());
+            log::info!("event=text_read source={source} version={version} bytes={size}");
+            self.copies.tell(CopyEvent::Own(version));
             self.events.send(EntryEvent::Text(read.text));
         }
     }
 
+    /// Bytes of the text arrive from the store: no peer is to be asked for a copy.
+    fn text_arrives(&self) {
+        self.copies.tell(CopyEvent::Progress);
+    }
+
     /// Follows the text.
     pub(crate) fn follow(&self) -> watch::Receiver<Option<ReadText>> {
         self.sender.subscribe()
@@ -151,11 +164,21 @@
         listed && self.sender.borrow().is_some()
     }
 
+    /// The version of the text; 0 if none is known.
+    pub(crate) fn text_version(&self) -> u64 {
+        self.sender.borrow().as_ref().map_or(0, |read| read.copy.version)
+    }
+
+    /// A piece of the text; it has no bytes if none is known.
+    pub(crate) fn piece(&self, ask: &TextAsk) -> TextPart {
+        self.sender.borrow().as_ref().map(|read| piece(&read.copy, ask)).unwrap_or_default()
+    }
+
     /// What a peer is told; nothing while either is unknown.
     pub(crate) fn snapshot(&self) -> Option<Snapshot> {
-        let text = self.sender.borrow().as_ref().map(|read| read.copy.clone());
+        let text = self.text_version();
         let list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
-        let known = text.is_some() && list.version > 0;
+        let known = text > 0 && list.version > 0;
         let rows = list.rows.iter();
         let rows = rows.map(|(name, bytes)| MemberRow { name: name.clone(), bytes: bytes.clone() });
         known.then(|| Snapshot { text, list: list.version, members: rows.collect() })
@@ -168,9 +191,6 @@
             return;
         }
         log::info!("event=snapshot_read peer={peer} list={version} members={count}");
-        if let Some(text) = snapshot.text {
-            self.offer(&text.bytes, "peer");
-        }
         let unread = self.list.lock().unwrap_or_else(PoisonError::into_inner).version == 0;
         if unread {
             let rows = snapshot.members.into_iter();
@@ -274,8 +294,19 @@
         Ok(())
     }
 
-    async fn call(&mut self, path: &str, ms: u64) -> Result<(StatusCode, Bytes), GatewayError> {
-        let response = self.control.call(get(self.store, path)?, ms).await?;
+    /// Makes a call; the head of its answer has to come within `head_ms`.
+    async fn call(
+        &mut self,
+        path: &str,
+        head_ms: u64,
+    ) -> Result<(StatusCode, Bytes), GatewayError> {
+        let is_text = self.table == Table::Text;
+        let progress = || {
+            if is_text {
+                self.board.text_arrives();
+            }
+        };
+        let response = self.control.fetch(get(self.store, path)?, head_ms, progress).await?;
         Ok((response.status(), response.into_body()))
     }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! [`PoolEntry`] decides for callers' requests: route, endpoint, wait, refuse, try again, ask for a
 //! model. [`PoolSide`] decides for one endpoint: which order to give next. Both take events and give
-//! effects; they read no clock and draw no random number. The crate stands apart from `decide` as
+//! effects; they read no clock and draw no random number. [`CopyFetch`] and [`CopyServer`] decide in the same
+//! way how copies of the text cross between both. The crate stands apart from `decide` as
 //! nothing here is agreed through the platform's table: a side is the only holder of orders for its
 //! endpoint, and entries act on beliefs that each carry a sequence.
 
 mod budget;
+mod copies;
 mod endpoint;
 mod entry;
 mod member;
@@ -19,6 +21,7 @@
 
 pub use crate::{
     budget::RetryBudget,
+    copies::{CopyEffect, CopyEvent, CopyFetch, CopyPatience, CopyServer, is_last, piece},
     entry::{
         AnswerHead, Arrival, EntryEffect, EntryEvent, EntryProfile, FailureKind, PoolEntry, Reason,
         Refusal, RequestId, Resume, Sending, TokenCount, Verdict, judge,
--- a/crates/pool/src/side/types.rs
+++ b/crates/pool/src/side/types.rs
@@ -1,6 +1,6 @@
 //! Events, effects and small types of the side's reducer.
 
-use std::sync::Arc;
+use std::{fmt, sync::Arc};
 
 use citronrill_decide::LogEvent;
 use citronrill_wire::{ModelName, SideState, Want};
@@ -85,6 +85,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct EntryLink(pub u64);
 
+impl fmt::Display for EntryLink {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "link-{}", self.0)
+    }
+}
+
 /// What happens at a side.
 #[derive(Debug, Clone)]
 pub enum SideEvent {
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -6,16 +6,13 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PoolFrame {
     /// What it says.
-    #[prost(oneof = "PoolKind", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "PoolKind", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub kind: Option<PoolKind>,
 }
 
 /// What a [`PoolFrame`] says.
 #[derive(Clone, PartialEq, Oneof)]
 pub enum PoolKind {
-    /// A copy of the operators' text, in either direction.
-    #[prost(message, tag = "1")]
-    Text(TextCopy),
     /// An entry asks for a model or adapter.
     #[prost(message, tag = "2")]
     Want(Want),
@@ -34,14 +31,20 @@
     /// An entry tells another what it believes.
     #[prost(message, tag = "7")]
     Snapshot(Snapshot),
+    /// Asks for a piece of the operators' text, in either direction.
+    #[prost(message, tag = "8")]
+    TextAsk(TextAsk),
+    /// Answers it.
+    #[prost(message, tag = "9")]
+    TextPart(TextPart),
 }
 
 /// What an entry believes of the text and of the list of endpoints.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Snapshot {
-    /// The text.
-    #[prost(message, optional, tag = "1")]
-    pub text: Option<TextCopy>,
+    /// The version of the text, which is asked for on the same connection; 0 for none.
+    #[prost(uint64, tag = "4")]
+    pub text: u64,
     /// The version of the list.
     #[prost(uint64, tag = "2")]
     pub list: u64,
@@ -61,14 +64,40 @@
     pub bytes: Vec<u8>,
 }
 
-/// The operators' text as the platform keeps it.
-#[derive(Clone, PartialEq, Eq, Message)]
+/// The operators' text as the platform keeps it; it crosses connections in pieces.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TextCopy {
     /// The text's version.
-    #[prost(uint64, tag = "1")]
     pub version: u64,
     /// The text, encoded as the platform keeps it.
-    #[prost(bytes = "vec", tag = "2")]
+    pub bytes: Vec<u8>,
+}
+
+/// Asks for a piece of a text.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct TextAsk {
+    /// The version that is meant.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Bytes of it that the sender has.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+}
+
+/// A piece of a text.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct TextPart {
+    /// The text's version; the beginning of this one where another was asked for.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Bytes before this piece.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    /// Bytes of the whole text.
+    #[prost(uint64, tag = "3")]
+    pub total: u64,
+    /// The piece; empty if the sender cannot serve now.
+    #[prost(bytes = "vec", tag = "4")]
     pub bytes: Vec<u8>,
 }
 
