--- a/crates/pool/src/copies.rs
+++ b/crates/pool/src/copies.rs
@@ -23,6 +23,9 @@
 const SERVED_LIMIT: usize = 2;
 /// Milliseconds after its last piece for which a peer counts as being served.
 const SERVED_MS: u64 = 1_000;
+/// Milliseconds for this process to put a whole copy into force, before it asks for another: decoding
+/// 0.5 MB takes 7 on a tenth of a core.
+const DECODE_MS: u64 = 100;
 /// Bytes of a text at most; more is a peer's mistake.
 const TEXT_LIMIT: u64 = 16 << 20;
 /// Milliseconds over which those that have some text spread their first question for a newer one.
@@ -90,8 +93,17 @@
     /// Since when a newer text has been offered and not come by other ways.
     lacking: Option<Millis>,
     pieces: Option<Pieces>,
-    /// Whom the next piece was asked of, and when.
-    asked: Option<(P, Millis)>,
+    /// No question before this.
+    paused: Millis,
+    /// The question that is open.
+    asked: Option<Question<P>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Question<P> {
+    peer: P,
+    version: u64,
+    at: Millis,
 }
 
 impl<P: Copy + Ord + ToString> CopyFetch<P> {
@@ -105,6 +117,7 @@
             avoided: BTreeMap::new(),
             lacking: None,
             pieces: None,
+            paused: Millis::default(),
             asked: None,
         }
     }
@@ -129,13 +142,13 @@
 
     /// When [`CopyEvent::Tick`] is due, if nothing else happens.
     pub fn wake(&self) -> Option<Millis> {
-        if let Some((_, at)) = self.asked {
-            return Some(at + PIECE_MS);
+        if let Some(asked) = &self.asked {
+            return Some(asked.at + PIECE_MS);
         }
         let due = self.lacking? + self.patience_ms();
         let free = |peer: &P| self.avoided.get(peer).copied().unwrap_or_default();
         let somebody = self.newer().map(|(peer, _)| free(&peer)).min()?;
-        Some(due.max(somebody))
+        Some(due.max(somebody).max(self.paused))
     }
 
     /// Peers with a newer text than this process.
@@ -158,16 +171,14 @@
         }
         self.own = version;
         self.lacking = None;
-        if self.pieces.as_ref().is_some_and(|pieces| pieces.version <= version) {
-            self.pieces = None;
-            self.asked = None;
-        }
+        self.pieces = self.pieces.take().filter(|pieces| pieces.version > version);
+        self.asked = self.asked.filter(|asked| asked.version > version);
     }
 
     fn drop_peer(&mut self, peer: P) {
         self.offers.remove(&peer);
         self.avoided.remove(&peer);
-        self.asked = self.asked.filter(|asked| asked.0 != peer);
+        self.asked = self.asked.filter(|asked| asked.peer != peer);
     }
 
     fn take_part(
@@ -178,7 +189,7 @@
         effects: &mut Vec<CopyEffect<P>>,
     ) {
         // An answer that came too late: somebody else is asked by now.
-        if self.asked.is_none_or(|asked| asked.0 != peer) {
+        if self.asked.is_none_or(|asked| asked.peer != peer) {
             return;
         }
         self.asked = None;
@@ -202,6 +213,7 @@
         }
         // If it cannot be read, this process goes on lacking it: somebody else may have it unharmed.
         self.avoided.insert(peer, now + SILENT_MS);
+        self.paused = now + DECODE_MS;
         let copy = TextCopy { version: pieces.version, bytes: pieces.bytes };
         effects.push(CopyEffect::Whole(peer, copy));
     }
@@ -209,18 +221,19 @@
     /// Guards against a peer that has frozen or is cut off: its connection says nothing of that for
     /// seconds. What has come stays, and the rest is asked of another.
     fn give_up_silent(&mut self, now: Millis, effects: &mut Vec<CopyEffect<P>>) {
-        let Some((peer, at)) = self.asked.filter(|asked| now.since(asked.1) >= PIECE_MS) else {
+        let Some(asked) = self.asked.filter(|asked| now.since(asked.at) >= PIECE_MS) else {
             return;
         };
         self.asked = None;
-        self.avoided.insert(peer, at + PIECE_MS + SILENT_MS);
-        let (version, offset) = self.next_piece();
-        effects.push(CopyEffect::Silent(peer, TextAsk { version, offset }));
+        self.avoided.insert(asked.peer, now + SILENT_MS);
+        let offset = self.offset_of(asked.version);
+        effects.push(CopyEffect::Silent(asked.peer, TextAsk { version: asked.version, offset }));
     }
 
-    fn next_piece(&self) -> (u64, u64) {
-        let pieces = self.pieces.as_ref();
-        pieces.map_or((0, 0), |pieces| (pieces.version, pieces.bytes.len() as u64))
+    /// How much of a text has come.
+    fn offset_of(&self, version: u64) -> u64 {
+        let pieces = self.pieces.as_ref().filter(|pieces| pieces.version == version);
+        pieces.map_or(0, |pieces| pieces.bytes.len() as u64)
     }
 
     fn ask_somebody(&mut self, now: Millis, effects: &mut Vec<CopyEffect<P>>) {
@@ -232,10 +245,11 @@
             return;
         }
         let since = *self.lacking.get_or_insert(now);
-        if self.asked.is_some() || now.since(since) < self.patience_ms() {
+        let patient = now >= since + self.patience_ms() && now >= self.paused;
+        if self.asked.is_some() || !patient {
             return;
         }
-        let begun = self.next_piece().0;
+        let begun = self.pieces.as_ref().map_or(0, |pieces| pieces.version);
         let choice = self
             .newer()
             .filter(|(peer, _)| !self.avoided.contains_key(peer))
@@ -251,9 +265,8 @@
     }
 
     fn ask(&mut self, now: Millis, peer: P, version: u64, effects: &mut Vec<CopyEffect<P>>) {
-        let (begun, offset) = self.next_piece();
-        let offset = if begun == version { offset } else { 0 };
-        self.asked = Some((peer, now));
+        let offset = self.offset_of(version);
+        self.asked = Some(Question { peer, version, at: now });
         effects.push(CopyEffect::Ask(peer, TextAsk { version, offset }));
     }
 }
