--- a/tests/pool/support.rs
+++ b/tests/pool/support.rs
@@ -270,6 +270,16 @@
         self.entry_that_asks("")
     }
 
+    /// Starts one more entry, which reaches the store through a proxy.
+    pub(crate) fn entry_behind_proxy(&self) -> (Process, Proxy) {
+        let proxy = self.platform.proxy(self.store.address());
+        let address = || SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
+        let (callers, readiness, snapshots) = (address(), address(), address());
+        let settings =
+            entry_settings(callers, readiness, self.peer_port, proxy.address(), snapshots, "");
+        (Process::start("pool-entry", &settings), proxy)
+    }
+
     /// Starts one more entry, which asks these peers while the store is away.
     pub(crate) fn entry_that_asks(&self, seeds: &str) -> Process {
         let address = || SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
--- a/tests/pool/texts.rs
+++ b/tests/pool/texts.rs
@@ -1,5 +1,7 @@
 //! How a large text reaches entries whose links are slow.
 
+use citronrill_platform_standin::Harm;
+
 use crate::support::{Deployment, Process, large_text, until};
 
 /// Routes that make a text of about half a megabyte.
@@ -54,3 +56,18 @@
     pool.store.put("op", "config", Some(large_text(2, MANY)));
     until("the text is in force", || in_force(&slow.process, 2));
 }
+
+/// The store is silent towards one entry, whose connections hang, and a large text is written. The entry
+/// gets it from one side, in pieces, long before it gives the store's connection up.
+#[test]
+fn an_entry_cut_off_from_the_store_asks_a_side() {
+    let pool = Deployment::start(&[("e1", &["m0"]), ("e2", &["m0"])]);
+    let (cut, path) = pool.entry_behind_proxy();
+    settle(&pool, &cut);
+    path.set(Harm::Silent);
+    pool.store.put("op", "config", Some(large_text(2, MANY)));
+    until("the text is in force", || in_force(&cut, 2));
+    assert!(cut.logged(&["event=text_copied", "version=2"]));
+    let sent = |side: &&Process| side.logged(&["event=text_sent", "version=2"]);
+    assert_eq!(pool.sides.iter().filter(sent).count(), 1);
+}
