--- a/tests/pool/support.rs
+++ b/tests/pool/support/mod.rs
@@ -2,16 +2,13 @@
 
 #![allow(dead_code, reason = "two test programs share this file and use parts of it each")]
 
+mod messages;
+mod process;
+
 use std::{
-    fs,
-    io::{BufRead, BufReader, Read, Write},
+    io::Write,
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
-    path::PathBuf,
-    process::{Child, Command, Stdio},
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU16, Ordering},
-    },
+    sync::atomic::{AtomicU16, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -20,6 +17,11 @@
 
 use citronrill_platform_standin::{Link, Platform, Proxy, Store, Worker, WorkerSpec};
 
+pub(crate) use self::{
+    messages::{Answer, Ask},
+    process::Process,
+};
+
 pub(crate) const HOST: &str = "pool.example";
 /// How long a test waits for something that must come.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
@@ -83,107 +85,6 @@
     text(version, &prefixes.iter().map(String::as_str).collect::<Vec<_>>())
 }
 
-/// A process of citronrill; it is killed when this is dropped.
-pub(crate) struct Process {
-    pub(crate) child: Child,
-    role: String,
-    lines: Arc<Mutex<Vec<String>>>,
-    settings: PathBuf,
-}
-
-impl Process {
-    /// Starts `role` with these settings.
-    pub(crate) fn start(role: &str, settings: &str) -> Process {
-        let file = std::env::temp_dir().join(format!(
-            "citronrill-pool-{}-{}.ini",
-            std::process::id(),
-            free_port()
-        ));
-        fs::write(&file, settings).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_citronrill"))
-            .args([role, "--settings", file.to_str().unwrap()])
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let lines = Arc::new(Mutex::new(Vec::new()));
-        let out = BufReader::new(child.stdout.take().unwrap());
-        let kept = lines.clone();
-        thread::spawn(move || {
-            for line in out.lines().map_while(Result::ok) {
-                kept.lock().unwrap().push(line);
-            }
-        });
-        Process { child, role: role.to_owned(), lines, settings: file }
-    }
-
-    /// Kills it and starts it with the same settings, as the platform does; its log begins anew.
-    pub(crate) fn start_again(&mut self) {
-        let settings = fs::read_to_string(&self.settings).unwrap();
-        self.kill();
-        *self = Process::start(&self.role, &settings);
-    }
-
-    /// Kills it and waits until it is gone, and with it its listeners.
-    pub(crate) fn kill(&mut self) {
-        // An error means that it has ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// The numbers that follow `key` in the lines of its log that have `event`, in order.
-    pub(crate) fn numbers(&self, event: &str, key: &str) -> Vec<u64> {
-        let lines = self.lines.lock().unwrap();
-        let lines = lines.iter().filter(|line| line.contains(event));
-        let words = lines.filter_map(|line| line.split(' ').find_map(|w| w.strip_prefix(key)));
-        words.filter_map(|word| word.parse().ok()).collect()
-    }
-
-    /// Whether a line of its log has all of these parts.
-    pub(crate) fn logged(&self, parts: &[&str]) -> bool {
-        let lines = self.lines.lock().unwrap();
-        lines.iter().any(|line| parts.iter().all(|part| line.contains(part)))
-    }
-
-    /// A count of its metrics.
-    pub(crate) fn metric(&self, name: &str) -> u64 {
-        let settings = fs::read_to_string(&self.settings).unwrap();
-        let address = settings.lines().find_map(|line| line.strip_prefix("metrics = ")).unwrap();
-        let mut stream = TcpStream::connect(address).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        stream.write_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").unwrap();
-        let body = Answer::read(&mut stream).body;
-        let line = body.lines().find_map(|line| line.strip_prefix(name)).unwrap();
-        line.trim().parse().unwrap()
-    }
-
-    /// Sends a signal by its number.
-    pub(crate) fn signal(&self, signal: i32) {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill").args([format!("-{signal}"), id]).status().unwrap();
-        assert!(status.success());
-    }
-
-    /// Waits for its end; gives the exit code.
-    pub(crate) fn wait(&mut self) -> Option<i32> {
-        let end = Instant::now() + PATIENCE;
-        while Instant::now() < end {
-            if let Some(status) = self.child.try_wait().unwrap() {
-                return status.code();
-            }
-            thread::yield_now();
-        }
-        panic!("the process does not end");
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-        // An error leaves a file in the folder for such files.
-        let _ = fs::remove_file(&self.settings);
-    }
-}
-
 /// A pool: store, workers, sides and one entry.
 pub(crate) struct Deployment {
     pub(crate) entry: Process,
@@ -391,106 +292,3 @@
         common("entry-1", peers, store)
     )
 }
-
-/// One request.
-pub(crate) struct Ask<'a> {
-    pub(crate) method: &'a str,
-    pub(crate) path: &'a str,
-    pub(crate) id: &'a str,
-    pub(crate) model: &'a str,
-    pub(crate) headers: &'a str,
-    pub(crate) body: &'a [u8],
-}
-
-impl<'a> Ask<'a> {
-    /// A stream under `/chat/` or `/draft/`.
-    pub(crate) fn stream(path: &'a str, id: &'a str, model: &'a str) -> Ask<'a> {
-        Ask { method: "POST", path, id, model, headers: "", body: b"{}" }
-    }
-
-    /// A call of the ledger.
-    pub(crate) fn call(path: &'a str, id: &'a str) -> Ask<'a> {
-        Ask { method: "POST", path, id, model: "", headers: "", body: b"booking" }
-    }
-
-    pub(crate) fn bytes(&self) -> Vec<u8> {
-        self.spell("Connection: close\r\n")
-    }
-
-    /// The same on a connection that is to be kept.
-    pub(crate) fn kept_bytes(&self) -> Vec<u8> {
-        self.spell("")
-    }
-
-    fn spell(&self, connection: &str) -> Vec<u8> {
-        let model = match self.model {
-            "" => String::new(),
-            model => format!("X-Citronrill-Model: {model}\r\n"),
-        };
-        let head = format!(
-            "{} {} HTTP/1.1\r\nHost: {HOST}\r\n{connection}\
-             X-Citronrill-Attempt-Id: {}\r\nX-Citronrill-Deadline-Ms: 5000\r\n{model}{}\
-             Content-Length: {}\r\n\r\n",
-            self.method,
-            self.path,
-            self.id,
-            self.headers,
-            self.body.len()
-        );
-        [head.as_bytes(), self.body].concat()
-    }
-}
-
-/// An answer as it came over the connection.
-#[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: u16,
-    pub(crate) head: String,
-    pub(crate) body: String,
-    /// Whether the body has its end.
-    pub(crate) whole: bool,
-}
-
-impl Answer {
-    /// Reads until the connection closes.
-    pub(crate) fn read(stream: &mut TcpStream) -> Answer {
-        let mut bytes = Vec::new();
-        // A reset after the last byte changes nothing about what was read.
-        let _ = stream.read_to_end(&mut bytes);
-        Answer::parse(&bytes)
-    }
-
-    /// Reads one answer on a connection that is kept, or what comes of it.
-    pub(crate) fn read_kept(stream: &mut TcpStream) -> Answer {
-        let (mut bytes, mut part) = (Vec::new(), [0; 4_096]);
-        loop {
-            let answer = Answer::parse(&bytes);
-            if answer.status != 0 && answer.whole {
-                return answer;
-            }
-            match stream.read(&mut part) {
-                Ok(0) | Err(_) => return answer,
-                Ok(read) => bytes.extend_from_slice(&part[..read]),
-            }
-        }
-    }
-
-    fn parse(bytes: &[u8]) -> Answer {
-        let text = String::from_utf8_lossy(bytes).into_owned();
-        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
-        let head = head.to_lowercase();
-        let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
-        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
-        let length = length.and_then(|length| length.trim().parse::<usize>().ok());
-        let whole = match length {
-            Some(length) => body.len() == length,
-            None => body.ends_with("0\r\n\r\n"),
-        };
-        Answer { status, body: body.to_owned(), whole, head }
-    }
-
-    pub(crate) fn header(&self, name: &str) -> Option<&str> {
-        let prefix = format!("{name}: ");
-        self.head.lines().find_map(|line| line.strip_prefix(prefix.as_str()))
-    }
-}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -11,7 +11,7 @@
 
 mod callers;
 mod faults;
-#[path = "../pool/support.rs"]
+#[path = "../pool/support/mod.rs"]
 mod support;
 
 use std::{
