Fetch an adapter to a holder of its model that is much the better place

Cause of the open finding: each adapter has one holder, whichever took it first, and all zones' callers go there; when that instance stands still, it has most streams of the busiest model, and more than a quarter of the runs whose callers leave go on. Hypothesis: fetched (25 to 45 ms) also where another holder costs less by 0.3 of its slots, which is less than another zone costs, adapters come to a holder in each zone.

Three guards taken out one by one: a test fails for each.

--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry's reducer: one request from its arrival to its end.
 
+mod adapters;
 mod choose;
 mod clock;
 mod demand;
