Bound whom an entry serves with the text at others' start, and take the list first

The same cause elsewhere, seen in review: in an outage of the store, entries that start ask a peer for the text, all at once, each with half a second for a piece; thirty of them on a link of 10 Mbit/s need 0.4 s a round. They count among the two that an entry serves at once now. The list comes first: the sides that it leads to give the text, too.

--- a/crates/gateway/src/seeds.rs
+++ b/crates/gateway/src/seeds.rs
@@ -39,14 +39,15 @@
         };
         let board = board.clone();
         tokio::spawn(async move {
-            if let Err(error) = tell(stream, &board).await {
+            if let Err(error) = tell(stream, from, &board).await {
                 log::info!("event=snapshot_untold to={from} error=\"{error}\"");
             }
+            board.peer_gone(from);
         });
     }
 }
 
-async fn tell(stream: TcpStream, board: &Board) -> Result<(), WireError> {
+async fn tell(stream: TcpStream, from: SocketAddr, board: &Board) -> Result<(), WireError> {
     tune(&stream);
     let (mut receiver, mut sender) = split(stream);
     // An entry that knows nothing itself says so, or the asker would wait for its word.
@@ -57,7 +58,7 @@
             Ok(Err(WireError::Closed)) | Err(_) => return Ok(()),
             Ok(Err(error)) => return Err(error),
             Ok(Ok(PoolKind::TextAsk(ask))) => {
-                sender.send(PoolKind::TextPart(board.piece(&ask))).await?;
+                sender.send(PoolKind::TextPart(board.answer(from, &ask))).await?;
             }
             Ok(Ok(_)) => return Err(WireError::OutOfTurn),
         }
@@ -80,7 +81,8 @@
     }
 }
 
-/// Takes what one peer believes; its text first, as the list alone serves nobody.
+/// Takes what one peer believes: the list first, as the sides that it leads to may have the text while
+/// the peer serves others.
 async fn ask(seed: SocketAddr, board: &Board) -> Result<(), WireError> {
     let stream = connect(seed, CONNECT_MS).await;
     let stream = stream.map_err(|error| WireError::Io(std::io::Error::other(error.to_string())))?;
@@ -88,11 +90,12 @@
     let PoolKind::Snapshot(snapshot) = heard(&mut receiver).await? else {
         return Err(WireError::OutOfTurn);
     };
-    if snapshot.text > board.text_version() {
-        let text = ask_text(snapshot.text, &mut receiver, &mut sender).await?;
+    let version = snapshot.text;
+    board.take_snapshot(snapshot, seed);
+    if version > board.text_version() {
+        let text = ask_text(version, &mut receiver, &mut sender).await?;
         board.offer(&text, "peer");
     }
-    board.take_snapshot(snapshot, seed);
     Ok(())
 }
 
@@ -109,7 +112,7 @@
         let PoolKind::TextPart(part) = heard(receiver).await? else {
             return Err(WireError::OutOfTurn);
         };
-        // Another version has come meanwhile; the next try begins with that.
+        // Another version has come meanwhile, or the peer serves others; the next try begins anew.
         if part.version != version || part.offset != offset || part.bytes.is_empty() {
             return Err(WireError::OutOfTurn);
         }
--- a/crates/gateway/src/sides.rs
+++ b/crates/gateway/src/sides.rs
@@ -168,11 +168,7 @@
             }
             PoolKind::TextPart(part) => self.copies.tell(CopyEvent::Part(endpoint, part)),
             PoolKind::TextAsk(ask) => {
-                let held = self.board.follow();
-                let held = held.borrow();
-                let copy = held.as_ref().map(|read| &read.copy);
-                let part = self.copies.answer(endpoint, &ask, copy);
-                return Ok(Some(PoolKind::TextPart(part)));
+                return Ok(Some(PoolKind::TextPart(self.board.answer(endpoint, &ask))));
             }
             PoolKind::Declined(name) => self.events.send(EntryEvent::Declined(endpoint, name)),
             PoolKind::Want(_)
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use citronrill_pool::{CopyEvent, EntryEvent, Member, MemberChange, piece};
+use citronrill_pool::{CopyEvent, EntryEvent, Member, MemberChange};
 use citronrill_wire::{MemberRow, Snapshot, TextAsk, TextCopy, TextPart};
 use hyper::StatusCode;
 use tokio::{sync::watch, time::sleep};
@@ -169,9 +169,15 @@
         self.sender.borrow().as_ref().map_or(0, |read| read.copy.version)
     }
 
-    /// A piece of the text; it has no bytes if none is known.
-    pub(crate) fn piece(&self, ask: &TextAsk) -> TextPart {
-        self.sender.borrow().as_ref().map(|read| piece(&read.copy, ask)).unwrap_or_default()
+    /// Answers a peer's question for the text.
+    pub(crate) fn answer(&self, peer: SocketAddr, ask: &TextAsk) -> TextPart {
+        let held = self.sender.borrow();
+        self.copies.answer(peer, ask, held.as_ref().map(|read| &read.copy))
+    }
+
+    /// The connection to a peer that may have asked has ended.
+    pub(crate) fn peer_gone(&self, peer: SocketAddr) {
+        self.copies.gone(peer);
     }
 
     /// What a peer is told; nothing while either is unknown.
--- a/crates/pool/src/copies.rs
+++ b/crates/pool/src/copies.rs
@@ -313,7 +313,7 @@
 }
 
 /// The piece of `copy` that `ask` means.
-pub fn piece(copy: &TextCopy, ask: &TextAsk) -> TextPart {
+fn piece(copy: &TextCopy, ask: &TextAsk) -> TextPart {
     let begin = if ask.version == copy.version { ask.offset } else { 0 };
     let begin = (begin as usize).min(copy.bytes.len());
     let end = (begin + PIECE_BYTES).min(copy.bytes.len());
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use crate::{
     budget::RetryBudget,
-    copies::{CopyEffect, CopyEvent, CopyFetch, CopyPatience, CopyServer, is_last, piece},
+    copies::{CopyEffect, CopyEvent, CopyFetch, CopyPatience, CopyServer, is_last},
     entry::{
         AnswerHead, Arrival, EntryEffect, EntryEvent, EntryProfile, FailureKind, PoolEntry, Reason,
         Refusal, RequestId, Resume, Sending, TokenCount, Verdict, judge,
--- a/crates/pool/tests/all/copies.rs
+++ b/crates/pool/tests/all/copies.rs
@@ -6,9 +6,7 @@
 };
 
 use citronrill_base::Millis;
-use citronrill_pool::{
-    CopyEffect, CopyEvent, CopyFetch, CopyPatience, CopyServer, EntryLink, piece,
-};
+use citronrill_pool::{CopyEffect, CopyEvent, CopyFetch, CopyPatience, CopyServer, EntryLink};
 use citronrill_wire::{TextAsk, TextCopy, TextPart};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rstest::rstest;
@@ -24,6 +22,11 @@
     TextCopy { version, bytes }
 }
 
+/// What a peer with nobody else to serve answers.
+fn piece(copy: &TextCopy, ask: &TextAsk) -> TextPart {
+    CopyServer::default().answer(Millis(0), A, ask, Some(copy))
+}
+
 /// An entry that has a text of version 1.
 fn entry() -> Fetch {
     let mut fetch = CopyFetch::new(CopyPatience::OwnRead, 5);
