--- a/crates/pool/src/entry/adapters.rs
+++ b/crates/pool/src/entry/adapters.rs
@@ -47,13 +47,14 @@
     /// Where the adapter that a request needs is to be fetched, if a holder of its model is heard.
     pub(super) fn adapter_place(&self, request: &Request) -> Option<String> {
         let used = |one: &Endpoint| self.able(one, request) && !one.dark(self.now);
-        let elsewhere = self.pool.endpoints.values().any(used);
-        let fetchers = self.fetchers(request).filter(|_| elsewhere);
-        let better =
-            fetchers.min_by(|a, b| self.cost(a, request).total_cmp(&self.cost(b, request)));
-        let cost = |one: &Endpoint| self.adapter_cost(one, request);
-        let first = || self.holders(request).min_by(|a, b| cost(a).total_cmp(&cost(b)));
-        better.or_else(first).map(|one| one.member.instance.clone())
+        let best = if self.pool.endpoints.values().any(used) {
+            let cost = |one: &Endpoint| self.cost(one, request);
+            self.fetchers(request).min_by(|a, b| cost(a).total_cmp(&cost(b)))
+        } else {
+            let cost = |one: &Endpoint| self.adapter_cost(one, request);
+            self.holders(request).min_by(|a, b| cost(a).total_cmp(&cost(b)))
+        };
+        best.map(|one| one.member.instance.clone())
     }
 
     /// Holders of a request's model that are heard; none if it needs no adapter.
