Revert adapters at several holders

Three even holders have a third of the streams each, more than the quarter that the rule allows, so spreading over zones cannot mend it.

--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -49,7 +49,6 @@
         let full = if request.target.is_some() { ENGINE_FULL } else { PLAIN_FULL };
         match best {
             Some((_, endpoint)) if self.dark_for(endpoint, request) => Choice::Fetch,
-            Some((cost, _)) if self.cheaper_elsewhere(cost, request) => Choice::Fetch,
             Some((_, endpoint)) if endpoint.fill() < full => {
                 Choice::Send(endpoint.member.instance.clone())
             }
@@ -59,6 +58,23 @@
         }
     }
 
+    /// Whether an adapter is better fetched than used where it is: nothing is heard of that endpoint, and
+    /// another holds the model.
+    ///
+    /// The failure it meets: an instance stands still for six seconds and holds the only copy of an
+    /// adapter. Its callers were sent there and left after three seconds of silence, while the adapter
+    /// could be brought to another holder of the model in 25 ms.
+    fn dark_for(&self, endpoint: &Endpoint, request: &Request) -> bool {
+        let Some(base) = request.base.filter(|_| !request.adapter.is_empty()) else { return false };
+        endpoint.dark(self.now)
+            && self.live_holders(base).any(|one| {
+                one.member.service == request.service
+                    && !one.dark(self.now)
+                    && !one.avoided(self.now)
+                    && !request.tried.contains(&one.member.instance)
+            })
+    }
+
     pub(super) fn able(&self, endpoint: &Endpoint, request: &Request) -> bool {
         let instance = &endpoint.member.instance;
         endpoint.open()
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -1,6 +1,5 @@
 //! The entry's reducer: one request from its arrival to its end.
 
-mod adapters;
 mod choose;
 mod clock;
 mod demand;
--- a/crates/pool/src/entry/wants.rs
+++ b/crates/pool/src/entry/wants.rs
@@ -2,12 +2,15 @@
 
 use std::net::SocketAddr;
 
-use citronrill_base::{Millis, ModelKey};
+use citronrill_base::{Millis, ModelKey, rendezvous_score};
 use citronrill_decide::LogEvent;
 use citronrill_wire::Want;
 
 use super::{EntryEffect, PoolEntry, Reason, Request, RequestId, Stage, placement::MISS_MS};
-use crate::endpoint::{DECLINED_MS, Endpoint};
+use crate::{
+    endpoint::{DECLINED_MS, Endpoint},
+    member::full_name,
+};
 
 /// Milliseconds of other callers' waiting that one waiting request may cost at most.
 ///
@@ -20,6 +23,9 @@
 const AGAIN_MS: f64 = 500.0;
 /// Milliseconds after which a side that was asked and shows nothing is given up for another.
 const UNHEARD_MS: u64 = 400;
+/// Milliseconds of an order under way that weigh like a whole batch when an adapter is to be fetched:
+/// the endpoint takes no other order meanwhile, and half of the objective of a chat is over.
+const BUSY_HOLDER_MS: f64 = 250.0;
 /// Milliseconds for which a request waits at least while no endpoint has a place for its model: the
 /// orders under way at the endpoints end within about a second and make new places.
 const PLACE_MS: u64 = 2_500;
@@ -74,10 +80,24 @@
             self.check_arrival(id, target, base);
             return;
         }
+        let adapter = request.adapter.clone();
         let left = request.wait_ms(self.now);
-        if let Some(instance) = self.adapter_place(request) {
-            self.ask(target, &instance, Vec::new(), ADAPTER_READY_MS, left);
-            return;
+        let held = |endpoint: &&Endpoint| {
+            endpoint.open()
+                && endpoint.holding.keys.contains(&base)
+                && endpoint.member.service == request.service
+                && !endpoint.dark(self.now)
+                && endpoint.fresh_side(self.now).is_some_and(|side| !side.leaving.contains(&base))
+        };
+        if !adapter.is_empty() {
+            let holders = self.pool.endpoints.values().filter(held);
+            let cost = |one: &&Endpoint| self.adapter_cost(one, &request.model, &adapter);
+            let best = holders.min_by(|a, b| cost(a).total_cmp(&cost(b)));
+            if let Some(best) = best {
+                let instance = best.member.instance.clone();
+                self.ask(target, &instance, Vec::new(), ADAPTER_READY_MS, left);
+                return;
+            }
         }
         let worth = self.waiting_for(base) * WAITER_MS;
         let place = self.place(&request.service, &request.model, base, worth);
@@ -165,6 +185,18 @@
         Some(free.unwrap_or(0) + spec.store_ms)
     }
 
+    /// What an adapter costs at a holder of its model, in shares of the slots.
+    ///
+    /// Each adapter leans to the same holder from every entry, so that the holders' few places are
+    /// not all taken by the same ones; a holder that waits for a load takes no adapter meanwhile.
+    fn adapter_cost(&self, endpoint: &Endpoint, model: &str, adapter: &str) -> f64 {
+        let side = endpoint.fresh_side(self.now);
+        let busy = side.map_or(0, |side| side.order_ms.saturating_sub(self.now.since(side.at)));
+        let name = full_name(model, adapter);
+        let order = rendezvous_score(&name, &endpoint.member.instance) as f64 / u64::MAX as f64;
+        endpoint.fill() + busy as f64 / BUSY_HOLDER_MS - order
+    }
+
     pub(super) fn ask(
         &mut self,
         key: ModelKey,
