--- a/crates/gateway/src/seeds.rs
+++ b/crates/gateway/src/seeds.rs
@@ -99,7 +99,7 @@
     Ok(())
 }
 
-/// Asks for a text piece by piece, so that no time limit depends on its size.
+/// Asks for a text piece by piece, so that no timeout depends on its size.
 async fn ask_text(
     version: u64,
     receiver: &mut Receiver,
--- a/tests/pool/support/mod.rs
+++ b/tests/pool/support/mod.rs
@@ -174,20 +174,12 @@
     /// Starts one more entry, which reaches the store through a proxy.
     pub(crate) fn entry_behind_proxy(&self) -> (Process, Proxy) {
         let proxy = self.platform.proxy(self.store.address());
-        let address = || SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
-        let (callers, readiness, snapshots) = (address(), address(), address());
-        let settings =
-            entry_settings(callers, readiness, self.peer_port, proxy.address(), snapshots, "");
-        (Process::start("pool-entry", &settings), proxy)
+        (start_entry(self.peer_port, proxy.address(), "").0, proxy)
     }
 
     /// Starts one more entry, which asks these peers while the store is away.
     pub(crate) fn entry_that_asks(&self, seeds: &str) -> Process {
-        let address = || SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
-        let (callers, readiness, snapshots) = (address(), address(), address());
-        let store = self.store.address();
-        let settings = entry_settings(callers, readiness, self.peer_port, store, snapshots, seeds);
-        Process::start("pool-entry", &settings)
+        start_entry(self.peer_port, self.store.address(), seeds).0
     }
 
     /// Starts one more entry, whose instance has a link of `rate` bytes a second: all that it says to
@@ -201,10 +193,8 @@
             let ip = engine.address().ip();
             link.carry(SocketAddr::new(ip, port), SocketAddr::new(ip, self.peer_port));
         }
-        let address = || SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
-        let callers = address();
-        let settings = entry_settings(callers, address(), port, store, address(), "");
-        LinkedEntry { process: Process::start("pool-entry", &settings), callers, link }
+        let (process, callers) = start_entry(port, store, "");
+        LinkedEntry { process, callers, link }
     }
 
     /// Starts the entry again, as the platform does after a kill.
@@ -243,6 +233,14 @@
     }
 }
 
+/// Starts an entry on addresses of its own; gives it and where callers reach it.
+fn start_entry(peer_port: u16, store: SocketAddr, seeds: &str) -> (Process, SocketAddr) {
+    let address = || SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
+    let callers = address();
+    let settings = entry_settings(callers, address(), peer_port, store, address(), seeds);
+    (Process::start("pool-entry", &settings), callers)
+}
+
 /// An entry behind a link of its own.
 pub(crate) struct LinkedEntry {
     pub(crate) process: Process,
