Say with each sending what else could have run it

What the logs could not tell apart: whether an endpoint had most of the runs because entries chose it or because nothing else could run them. The line of a sending now has the adapter, how many endpoints could run it and what runs at all of the service; the line of a caller that left has the endpoint and whether anything is heard of it.

Ruled out by a trial: a time limit on the run.

--- a/crates/pool/src/entry/exchange.rs
+++ b/crates/pool/src/entry/exchange.rs
@@ -8,6 +8,7 @@
     AnswerHead, EntryEffect, FailureKind, PoolEntry, Reason, Refusal, Request, RequestId, Resume,
     Sending, Stage, Verdict, judge,
 };
+use crate::endpoint::Endpoint;
 
 /// Sendings of one request at most, refusals included: a backstop beside the budget.
 pub(super) const SEND_LIMIT: u32 = 4;
@@ -30,6 +31,7 @@
         let backup = self.requests.get(&id).and_then(|one| self.backup_for(one, instance));
         let backup_at = backup.as_ref().and_then(|backup| self.pool.endpoints.get(backup));
         let backup_at = backup_at.map(|one| one.member.address);
+        let (able, fleet_load) = self.alternatives(id);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(endpoint) = self.pool.endpoints.get_mut(instance) else { return };
         request.backup = backup;
@@ -53,8 +55,11 @@
             .with("id", &request.caller)
             .with("to", instance)
             .with("model", &request.model)
+            .with("adapter", &request.adapter)
             .with("waited_ms", now.since(request.arrived))
+            .with("able", able)
             .with("load", endpoint.load)
+            .with("fleet_load", fleet_load)
             .with("backup", request.backup.as_deref().unwrap_or(""))
             .with("copy", copy)
             .with("list", self.pool.version)
@@ -67,6 +72,16 @@
         self.log(event);
     }
 
+    /// How many endpoints could run a request, and what runs at all endpoints of its service: a log line
+    /// with both tells whether an endpoint has much because it was chosen or because it was the only one.
+    fn alternatives(&self, id: RequestId) -> (usize, u32) {
+        let Some(request) = self.requests.get(&id) else { return (0, 0) };
+        let fleet = self.pool.endpoints.values();
+        let fleet = fleet.filter(|one| one.member.service == request.service);
+        let able = fleet.clone().filter(|one| self.able(one, request)).count();
+        (able, fleet.map(Endpoint::load).sum())
+    }
+
     /// Whether an event belongs to the last sending of a request.
     ///
     /// A request that is moved may have an answer of its first endpoint on the way; taken for the
@@ -192,8 +207,11 @@
     pub(super) fn leave(&mut self, id: RequestId) {
         self.release(id);
         if let Some(request) = self.requests.remove(&id) {
-            let age = self.now.since(request.arrived);
-            self.log(LogEvent::new("left").with("id", &request.caller).with("after_ms", age));
+            let at = request.at.as_deref().unwrap_or("");
+            let silent = self.pool.endpoints.get(at).is_some_and(|one| one.dark(self.now));
+            let event = LogEvent::new("left").with("id", &request.caller).with("from", at);
+            let event = event.with("after_ms", self.now.since(request.arrived));
+            self.log(event.with("begun", request.stage == Stage::Passing).with("silent", silent));
         }
     }
 
