--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod demand;
 mod exchange;
 mod placement;
+mod replicas;
 mod resume;
 mod rules;
 mod stock;
--- a/crates/pool/src/entry/weights.rs
+++ b/crates/pool/src/entry/weights.rs
@@ -2,10 +2,7 @@
 
 use citronrill_base::ModelKey;
 
-use super::{
-    PoolEntry,
-    demand::{BUSY_RATE, CROWDED},
-};
+use super::{PoolEntry, demand::BUSY_RATE, replicas::CROWDED};
 use crate::endpoint::Endpoint;
 
 /// Engines for each load from the weight store that serves a rarely used model: with three at once
