Don't charge a spare replica the time of its load

What callers saw: the instance that alone held a model in demand stood still or crashed, and every caller of the model hung or was refused at once.

The store stood idle (loads=0 of 3). The time of the load is lost by callers who wait for it, and nobody waits while the first replica serves.

Mend: where a live replica serves at its usual pace, a place costs the store, what makes way, and what the endpoint's other callers lose for as long as it loads. Where the model is away or its replicas are slow, as before.

Why it holds: the test fails before.

--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -39,6 +39,8 @@
 pub(super) struct Place {
     pub(super) instance: String,
     pub(super) cost: f64,
+    /// The same where nobody waits for the model, as live replicas serve its callers meanwhile.
+    pub(super) spare_cost: f64,
     /// What is lost with the victims.
     price: f64,
     /// What callers of the endpoint's other models lose while it loads.
@@ -117,8 +119,11 @@
         let held_up = HELD_UP_MS * side.rates.iter().map(|(_, rate)| rate).sum::<f64>();
         let tie = rendezvous_score(&spec.name, &endpoint.member.instance) as f64 / u64::MAX as f64;
         let instance = endpoint.member.instance.clone();
+        // Whoever waits loses the time until the model is there; without anybody who does, the endpoint's
+        // other callers are held up for as long.
+        let spare_cost = cost + held_up * ready_ms / 1_000.0 + price;
         cost += held_up + ready_ms + price + tie;
-        Some(Place { instance, cost, price, held_up, ready_ms, far, victims })
+        Some(Place { instance, cost, spare_cost, price, held_up, ready_ms, far, victims })
     }
 
     /// What has to make way at `endpoint` for a model, cheapest first, and what that costs.
--- a/crates/pool/src/entry/replicas.rs
+++ b/crates/pool/src/entry/replicas.rs
@@ -5,7 +5,7 @@
 use super::{
     PoolEntry,
     demand::REFUSED_MS,
-    placement::{HORIZON_S, MISS_MS},
+    placement::{HORIZON_S, MISS_MS, Place},
 };
 use crate::{endpoint::Endpoint, text::ModelSpec};
 
@@ -51,7 +51,8 @@
                     continue;
                 }
                 let coming = self.coming(key);
-                let live = (self.live_holders(key).count() + coming) as f64;
+                let held = self.live_holders(key).count();
+                let live = (held + coming) as f64;
                 let strained = coming == 0 && self.strained(key);
                 if live >= desired(rate, engine.slots) && !strained {
                     continue;
@@ -61,7 +62,12 @@
                 let gain = MISS_MS * (2.0 + missed * HORIZON_S + rate * CRASH_SHARE);
                 let gain = gain + self.sole_copy_loss(key, rate, engine.model(&name));
                 let place = self.place(&service.name, &name, key, gain);
-                let place = place.filter(|place| place.cost < gain);
+                // The failure it prevents: a model in demand has one holder, the weight store stands idle, and
+                // no second replica comes, as six seconds of loading outweighed what it saves. Nobody waits
+                // for them while a replica serves at its usual pace.
+                let served = held > 0 && !strained;
+                let cost = |place: &Place| if served { place.spare_cost } else { place.cost };
+                let place = place.filter(|place| cost(place) < gain);
                 let place = place.filter(|place| !place.far || self.replica_due(key, coming));
                 if let Some(place) = place {
                     let ready_ms = place.ready_ms as u64;
--- a/crates/pool/tests/all/placement.rs
+++ b/crates/pool/tests/all/placement.rs
@@ -1,6 +1,6 @@
 //! Where models are fetched to, and what makes way for them.
 
-use citronrill_pool::{EntryEvent, Member, Reason};
+use citronrill_pool::{EntryEffect, EntryEvent, Member, Reason};
 use citronrill_wire::{ModelName, SideState};
 
 use crate::support::{Bench, ENGINE, address, member, refusal, sending, state, wanted};
@@ -366,3 +366,35 @@
     let (at, want) = wanted(&effects).unwrap();
     assert_eq!((at, want.model.as_str()), (address(2), "m0"));
 }
+
+/// A member, and what its side says, that has copies only of what it holds; asked for so often a second.
+fn alone(index: u8, rates: &[(&str, u32)]) -> (Member, SideState) {
+    let names = rates.iter().map(|(name, _)| *name).collect::<Vec<_>>();
+    let copies = names.iter().map(|name| (*name).to_owned()).collect::<Vec<_>>();
+    let told = SideState { on_disk: copies.clone(), ..busy(rates) };
+    (Member { on_disk: copies, ..member(index, ENGINE, &names) }, told)
+}
+
+/// An entry that hears of these endpoints, and what it does in the tenth of a second after that.
+fn first_moves(pool: Vec<(Member, SideState)>) -> Vec<EntryEffect> {
+    let (members, told): (Vec<_>, Vec<_>) = pool.into_iter().unzip();
+    let addresses = members.iter().map(|one| one.address).collect::<Vec<_>>();
+    let mut bench = Bench::new(members);
+    for (address, state) in addresses.into_iter().zip(told) {
+        bench.step(EntryEvent::Side(address, state));
+    }
+    bench.wait(100)
+}
+
+/// Seven requests a second want a model that one instance holds, and no other has a copy. The weight
+/// store stands idle, yet no second replica comes, and when that instance stands still all callers of
+/// the model hang (22 of 27 streams, each `event=sent ... able=1`). Cause: the six seconds of the load
+/// counted as time that callers wait, though the first replica serves them meanwhile.
+#[test]
+fn a_busy_model_gets_a_second_replica_from_an_idle_store() {
+    let others = [alone(2, &[("m1", 4)]), alone(3, &[("m2", 4)])];
+    let effects = first_moves([vec![alone(1, &[("m0", 7)])], others.to_vec()].concat());
+    let (at, want) = wanted(&effects).expect("a second replica is asked for");
+    assert_eq!(want.model, "m0");
+    assert_ne!(at, address(1));
+}
