Count as a cost what an endpoint has of all runs

What callers saw: as before, most callers of a model hung on one of its holders that stood still, though another was there.

Cause: a fill of 12 in 96 slots is a cost of 0.13; the zone (0.4), the lean of the prompt's beginning (0.2) and the time to the first byte decided, alike at every entry. With two or three holders of the busiest model one had 0.62 to 0.73 of its runs.

Mend: beyond 0.15 of a service's runs each tenth costs as much as another zone. Below 12 runs shares say nothing.

--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -30,6 +30,13 @@
 /// What an engine costs whose side is silent or cannot reach it: the instance may be gone, which the
 /// list tells seconds later.
 const DARK_COST: f64 = 3.0;
+/// Share of a service's runs that an endpoint may have at no cost: one of nine has a ninth where all have
+/// the same, and a little more by chance.
+const EXPOSED_FREE: f64 = 0.15;
+/// What each further share of the runs costs: a tenth of all as much as another zone.
+const EXPOSED_COST: f64 = 4.0;
+/// Runs of a service below which shares say nothing: with two runs, each endpoint that has one has half.
+const EXPOSED_RUNS: u32 = 12;
 /// What is gained where the beginning of the prompt is likely kept, as a share of the slots.
 const PREFIX_GAIN: f64 = 0.2;
 /// Fill at which a plain endpoint takes no more: its slots, and two waves that wait there, which
@@ -44,7 +51,8 @@
     /// The best endpoint that can run `request` now, or what else is to be done.
     pub(super) fn choose(&self, request: &Request) -> Choice {
         let able = self.pool.endpoints.values().filter(|endpoint| self.able(endpoint, request));
-        let costs = able.map(|endpoint| (self.cost(endpoint, request), endpoint));
+        let runs = self.runs_of(&request.service);
+        let costs = able.map(|endpoint| (self.cost(endpoint, request, runs), endpoint));
         let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
         let full = if request.target.is_some() { ENGINE_FULL } else { PLAIN_FULL };
         match best {
@@ -83,15 +91,36 @@
             && !request.tried.contains(instance)
     }
 
-    pub(super) fn cost(&self, endpoint: &Endpoint, request: &Request) -> f64 {
+    /// What runs and waits at all endpoints of a service, as far as known.
+    pub(super) fn runs_of(&self, service: &str) -> u32 {
+        let fleet = self.pool.endpoints.values().filter(|one| one.member.service == service);
+        fleet.map(Endpoint::load).sum()
+    }
+
+    /// What it costs that an endpoint has so many of its service's `runs`.
+    ///
+    /// The failure it meets: engines take a hundred requests at once, so that a fill of an eighth told little,
+    /// and the zone and the lean of the prompts sent nearly all callers of a model to one of its holders. Its
+    /// instance stood still with half of all streams of the pool; nothing ends a run there before the instance
+    /// wakes, and all its callers hung until they left. With a bound on the share others have them.
+    fn exposure(&self, endpoint: &Endpoint, runs: u32) -> f64 {
+        let share = f64::from(endpoint.load()) / f64::from(runs.max(EXPOSED_RUNS));
+        EXPOSED_COST * (share - EXPOSED_FREE).max(0.0)
+    }
+
+    /// What it costs to use an endpoint, in shares of its slots; `runs` are its service's.
+    pub(super) fn cost(&self, endpoint: &Endpoint, request: &Request, runs: u32) -> f64 {
         let mut cost = endpoint.fill();
         cost += FAIL_COST * (endpoint.failing - FAIL_FREE).max(0.0);
         if endpoint.member.zone != self.profile.zone {
             cost += ZONE_COST;
         }
         cost += endpoint.lag(self.now) / request.target_ms.max(1) as f64;
-        if request.target.is_some() && endpoint.dark(self.now) {
-            cost += DARK_COST;
+        if request.target.is_some() {
+            cost += self.exposure(endpoint, runs);
+            if endpoint.dark(self.now) {
+                cost += DARK_COST;
+            }
         }
         if endpoint.avoided(self.now) {
             cost += AVOID_COST;
--- a/crates/pool/src/entry/exchange.rs
+++ b/crates/pool/src/entry/exchange.rs
@@ -8,7 +8,6 @@
     AnswerHead, EntryEffect, FailureKind, PoolEntry, Reason, Refusal, Request, RequestId, Resume,
     Sending, Stage, Verdict, judge,
 };
-use crate::endpoint::Endpoint;
 
 /// Sendings of one request at most, refusals included: a backstop beside the budget.
 pub(super) const SEND_LIMIT: u32 = 4;
@@ -76,10 +75,8 @@
     /// with both tells whether an endpoint has much because it was chosen or because it was the only one.
     fn alternatives(&self, id: RequestId) -> (usize, u32) {
         let Some(request) = self.requests.get(&id) else { return (0, 0) };
-        let fleet = self.pool.endpoints.values();
-        let fleet = fleet.filter(|one| one.member.service == request.service);
-        let able = fleet.clone().filter(|one| self.able(one, request)).count();
-        (able, fleet.map(Endpoint::load).sum())
+        let able = self.pool.endpoints.values().filter(|one| self.able(one, request)).count();
+        (able, self.runs_of(&request.service))
     }
 
     /// Whether an event belongs to the last sending of a request.
--- a/crates/pool/src/entry/resume.rs
+++ b/crates/pool/src/entry/resume.rs
@@ -87,7 +87,8 @@
                 && !one.dark(self.now)
                 && !one.avoided(self.now)
         });
-        let costs = able.map(|one| (self.cost(one, request), one));
+        let runs = self.runs_of(&request.service);
+        let costs = able.map(|one| (self.cost(one, request, runs), one));
         let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
         best.map(|(_, one)| one.member.instance.clone())
     }
--- a/crates/pool/tests/all/placement.rs
+++ b/crates/pool/tests/all/placement.rs
@@ -427,3 +427,26 @@
     let asked = effects.iter().filter_map(|effect| wanted(std::slice::from_ref(effect)));
     assert!(asked.into_iter().all(|(_, want)| want.model != "m0"));
 }
+
+/// Two instances hold the model of all callers, and the entry is in the zone of one. Engines take a hundred
+/// requests at once, so that none looks full, and all 24 streams go to the one in the zone. It stands still:
+/// every caller hangs, and those who leave cannot be told there (12 of 24 streams at one endpoint of nine in
+/// the run that showed it, and 5 of 17 runs that went on). Cause: what one endpoint has of all was no cost.
+#[test]
+fn no_holder_gets_nearly_all_streams() {
+    let wide = |index, zone: &str| Member {
+        slots: 96,
+        zone: zone.to_owned(),
+        ..member(index, ENGINE, &["m0"])
+    };
+    let mut bench = Bench::new(vec![wide(1, "a"), wide(2, "b")]);
+    for index in [1, 2] {
+        bench.step(EntryEvent::Side(address(index), state(1, &["m0"])));
+    }
+    let instances = (0..24).map(|_| {
+        let (_, effects) = bench.ask("/draft/x", "m0");
+        sending(&effects).unwrap().instance.clone()
+    });
+    let near = instances.filter(|instance| instance == "i1").count();
+    assert!((12..=15).contains(&near), "the near one has a little more: {near} of 24");
+}
