--- a/crates/pool/src/entry/replicas.rs
+++ b/crates/pool/src/entry/replicas.rs
@@ -7,7 +7,10 @@
     demand::REFUSED_MS,
     placement::{HORIZON_S, MISS_MS, Place},
 };
-use crate::{endpoint::Endpoint, text::ModelSpec};
+use crate::{
+    endpoint::Endpoint,
+    text::{EngineSpec, ModelSpec},
+};
 
 /// Requests a second for each slot that one replica answers well within its objective: a request
 /// takes a slot for half a second, and for three quarters once all are taken. Engines of 24 slots
@@ -42,40 +45,12 @@
 
 impl PoolEntry {
     /// Asks for one more replica of each model that has too few for its demand.
-    ///
-    /// Too few are less than its rate needs, all of them crowded or slow, or so few that too many callers
-    /// hang when the instance of one stands still.
     pub(super) fn spread(&mut self) {
         let Some(text) = self.text.clone() else { return };
         for service in &text.services {
             let Some(engine) = &service.engine else { continue };
             for (key, rate) in self.busy_models() {
-                let name = self.names.name(key).to_owned();
-                if engine.model(&name).is_none() || self.wants.contains_key(&key) {
-                    continue;
-                }
-                let coming = self.coming(key);
-                let held = self.live_holders(key).count();
-                let live = (held + coming) as f64;
-                let strained = coming == 0 && self.strained(key);
-                // What it costs must be less than what callers lose without it.
-                let gain = if live < desired(rate, engine.slots) || strained {
-                    let missed = self.demand.missed(key, self.now);
-                    MISS_MS * (2.0 + missed * HORIZON_S + rate * CRASH_SHARE)
-                } else if held > 0 && coming == 0 {
-                    hang_loss(rate, live) - hang_loss(rate, live + 1.0)
-                } else {
-                    continue;
-                };
-                let gain = gain + self.sole_copy_loss(key, rate, engine.model(&name));
-                let place = self.place(&service.name, &name, key, gain);
-                // The failure it prevents: a model in demand has one holder, the weight store stands idle, and
-                // no second replica comes, as six seconds of loading outweighed what it saves. Nobody waits
-                // for them while a replica serves at its usual pace.
-                let served = held > 0 && !strained;
-                let cost = |place: &Place| if served { place.spare_cost } else { place.cost };
-                let place = place.filter(|place| cost(place) < gain);
-                let place = place.filter(|place| !place.far || self.replica_due(key, coming));
+                let place = self.replica_place(&service.name, engine, key, rate);
                 if let Some(place) = place {
                     let ready_ms = place.ready_ms as u64;
                     self.ask(key, &place.instance, place.victims, ready_ms, SPREAD_TTL_MS);
@@ -84,6 +59,37 @@
         }
     }
 
+    /// Where one more replica of a model is to come to, if it is worth what it costs.
+    fn replica_place(
+        &self,
+        service: &str,
+        engine: &EngineSpec,
+        key: ModelKey,
+        rate: f64,
+    ) -> Option<Place> {
+        let name = self.names.name(key);
+        let spec = engine.model(name).filter(|_| !self.wants.contains_key(&key))?;
+        let coming = self.coming(key);
+        let held = self.live_holders(key).count();
+        let strained = coming == 0 && self.strained(key);
+        let few = ((held + coming) as f64) < desired(rate, engine.slots) || strained;
+        let gain = if few { self.demand_loss(key, rate) } else { spared(rate, held, coming)? };
+        let gain = gain + self.sole_copy_loss(key, rate, spec);
+        // The failure it prevents: a model in demand has one holder, the weight store stands idle, and
+        // no second replica comes, as six seconds of loading outweighed what it saves. Nobody waits
+        // for them while a replica serves at its usual pace.
+        let served = held > 0 && !strained;
+        let cost = |place: &Place| if served { place.spare_cost } else { place.cost };
+        let place = self.place(service, name, key, gain).filter(|place| cost(place) < gain);
+        place.filter(|place| !place.far || self.replica_due(key, coming))
+    }
+
+    /// Milliseconds that callers lose while a model has fewer replicas than its demand needs.
+    fn demand_loss(&self, key: ModelKey, rate: f64) -> f64 {
+        let missed = self.demand.missed(key, self.now);
+        MISS_MS * (2.0 + missed * HORIZON_S + rate * CRASH_SHARE)
+    }
+
     /// Whether the weight store may bring one more replica of a model now.
     ///
     /// The failure it prevents: endpoints are replaced one after the other and come with empty disks. The
@@ -99,12 +105,12 @@
     ///
     /// When that endpoint goes, the model is away for as long as the weight store takes: 13 s on one
     /// pool, in which 262 callers of a calm day were refused.
-    fn sole_copy_loss(&self, key: ModelKey, rate: f64, spec: Option<&ModelSpec>) -> f64 {
+    fn sole_copy_loss(&self, key: ModelKey, rate: f64, spec: &ModelSpec) -> f64 {
         let open = self.pool.endpoints.values().filter(|one| one.open());
         if open.filter(|one| one.holding.has_copy(key)).count() > 1 {
             return 0.0;
         }
-        let away_s = spec.map_or(0.0, |spec| spec.store_ms as f64 / 1_000.0);
+        let away_s = spec.store_ms as f64 / 1_000.0;
         LEAVE_SHARE * rate * away_s * REFUSED_MS
     }
 
@@ -128,6 +134,13 @@
     (rate / each).ceil().max(spare)
 }
 
+/// Milliseconds that one more replica spares callers by chance, where the `held` ones carry the load; `None`
+/// while another one is `coming`.
+fn spared(rate: f64, held: usize, coming: usize) -> Option<f64> {
+    let live = held as f64;
+    (held > 0 && coming == 0).then(|| hang_loss(rate, live) - hang_loss(rate, live + 1.0))
+}
+
 /// Milliseconds that callers of a model lose by chance, within [`HORIZON_S`], as the instance of one of its
 /// replicas stands still or crashes.
 ///
