Use one way to build an endpoint that has copies only of what it holds

The tests of replicas had built it again beside those of the stock; both call it in their support now. No product code changes.

Seen in the same reading and left: a sending scans the endpoints once more for its log line, though the choice has just done so; and the choice sums the runs for plain services, which do not use the sum.

--- a/crates/pool/tests/all/placement.rs
+++ b/crates/pool/tests/all/placement.rs
@@ -3,7 +3,7 @@
 use citronrill_pool::{EntryEffect, EntryEvent, Member, Reason};
 use citronrill_wire::{ModelName, SideState};
 
-use crate::support::{Bench, ENGINE, address, member, refusal, sending, state, wanted};
+use crate::support::{Bench, ENGINE, address, bare, member, refusal, sending, state, told, wanted};
 
 /// What a side says whose models are asked for so often a second.
 fn busy(rates: &[(&str, u32)]) -> SideState {
@@ -367,12 +367,10 @@
     assert_eq!((at, want.model.as_str()), (address(2), "m0"));
 }
 
-/// A member, and what its side says, that has copies only of what it holds; asked for so often a second.
+/// An endpoint that has copies only of what it holds, and what its side says.
 fn alone(index: u8, rates: &[(&str, u32)]) -> (Member, SideState) {
     let names = rates.iter().map(|(name, _)| *name).collect::<Vec<_>>();
-    let copies = names.iter().map(|name| (*name).to_owned()).collect::<Vec<_>>();
-    let told = SideState { on_disk: copies.clone(), ..busy(rates) };
-    (Member { on_disk: copies, ..member(index, ENGINE, &names) }, told)
+    (bare(index, &names), told(rates))
 }
 
 /// An entry that hears of these endpoints, and what it does in the tenth of a second after that.
--- a/crates/pool/tests/all/stock.rs
+++ b/crates/pool/tests/all/stock.rs
@@ -3,29 +3,9 @@
 use std::sync::Arc;
 
 use citronrill_pool::{EntryEffect, EntryEvent, Member, MemberChange};
-use citronrill_wire::{ModelState, SideState, Want};
+use citronrill_wire::{SideState, Want};
 
-use crate::support::{Bench, ENGINE, address, member, state, text, wanted};
-
-/// An endpoint with copies of what it holds and of nothing else.
-fn bare(index: u8, models: &[&str]) -> Member {
-    let kept = models.iter().map(|name| (*name).to_owned()).collect();
-    Member { on_disk: kept, ..member(index, ENGINE, models) }
-}
-
-/// What its side says, with requests a second by model.
-fn told(models: &[(&str, u32)]) -> SideState {
-    let one = |(name, rate): &(&str, u32)| ModelState {
-        name: (*name).to_owned(),
-        rate_milli: rate * 1_000,
-        ..ModelState::default()
-    };
-    SideState {
-        models: models.iter().map(one).collect(),
-        on_disk: models.iter().map(|(name, _)| (*name).to_owned()).collect(),
-        ..state(1, &[])
-    }
-}
+use crate::support::{Bench, address, bare, text, told, wanted};
 
 fn wants(effects: &[EntryEffect]) -> Vec<&Want> {
     let mut found = Vec::new();
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -116,6 +116,26 @@
     }
 }
 
+/// An endpoint with copies of what it holds and of nothing else.
+pub(crate) fn bare(index: u8, models: &[&str]) -> Member {
+    let kept = models.iter().map(|name| (*name).to_owned()).collect();
+    Member { on_disk: kept, ..member(index, ENGINE, models) }
+}
+
+/// What its side says, with requests a second by model.
+pub(crate) fn told(models: &[(&str, u32)]) -> SideState {
+    let one = |(name, rate): &(&str, u32)| ModelState {
+        name: (*name).to_owned(),
+        rate_milli: rate * 1_000,
+        ..ModelState::default()
+    };
+    SideState {
+        models: models.iter().map(one).collect(),
+        on_disk: models.iter().map(|(name, _)| (*name).to_owned()).collect(),
+        ..state(1, &[])
+    }
+}
+
 pub(crate) fn report(sequence: u64, models: &[&str]) -> EngineReport {
     EngineReport {
         models: held(models),
