Send nothing to an engine on the list's word alone while its side is due

Cause: the list is seconds behind and still named what engines had held; an entry that has just started knew nothing else.

--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -134,6 +134,8 @@
     pub(crate) unlisted: bool,
     /// Since when it is known here.
     since: Millis,
+    /// When it was first listed, until it is known to have started again.
+    first_listed: Option<Millis>,
 }
 
 impl Endpoint {
@@ -155,6 +157,7 @@
             withheld: None,
             unlisted: false,
             since: now,
+            first_listed: Some(now),
         }
     }
 
@@ -166,7 +169,8 @@
     /// Forgets all that was believed of the last start; requests that run there are still counted.
     pub(crate) fn begin_anew(&mut self, now: Millis) {
         let (own, start) = (self.own, self.start);
-        *self = Endpoint { own, start, ..Endpoint::new(self.member.clone(), now) };
+        let fresh = Endpoint::new(self.member.clone(), now);
+        *self = Endpoint { own, start, first_listed: None, ..fresh };
     }
 
     /// When the start began that the beliefs here are of, if it says.
@@ -200,6 +204,13 @@
         self.side.is_none() && now.since(self.since) < FIRST_WORD_MS
     }
 
+    /// Whether only the list has told of it yet, while its side's first word is due: what it held when it was
+    /// listed may be long gone.
+    pub(crate) fn unconfirmed(&self, now: Millis) -> bool {
+        let listed = self.first_listed.is_some_and(|at| now.since(at) < FIRST_WORD_MS);
+        self.side.is_none() && listed
+    }
+
     /// The side's word, while it is fresh.
     pub(crate) fn fresh_side(&self, now: Millis) -> Option<&SideBelief> {
         self.side.as_ref().filter(|side| now.since(side.at) < FRESH_MS)
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -1,6 +1,6 @@
 //! Which endpoint a request goes to.
 
-use citronrill_base::hash_bytes;
+use citronrill_base::{ModelKey, hash_bytes};
 
 use super::{PoolEntry, Reason, Request};
 use crate::endpoint::Endpoint;
@@ -87,10 +87,18 @@
         let instance = &endpoint.member.instance;
         endpoint.open()
             && endpoint.member.service == request.service
-            && request.target.is_none_or(|target| endpoint.holding.keys.contains(&target))
+            && request.target.is_none_or(|target| self.holds_now(endpoint, target))
             && !request.tried.contains(instance)
     }
 
+    /// Whether an engine holds a model or adapter by a word that can be relied on.
+    ///
+    /// Right after all instances have lost power the list still names what engines held before. Requests that
+    /// were sent on its word alone were refused, and used up the retry budget of those that came after.
+    fn holds_now(&self, endpoint: &Endpoint, target: ModelKey) -> bool {
+        endpoint.holding.keys.contains(&target) && !endpoint.unconfirmed(self.now)
+    }
+
     /// What runs and waits at all endpoints of a service, as far as known.
     pub(super) fn runs_of(&self, service: &str) -> u32 {
         let fleet = self.pool.endpoints.values().filter(|one| one.member.service == service);
--- a/crates/pool/src/entry/wants.rs
+++ b/crates/pool/src/entry/wants.rs
@@ -99,6 +99,9 @@
                 return;
             }
         }
+        if self.holder_unheard(base) {
+            return;
+        }
         let worth = self.waiting_for(base) * WAITER_MS;
         let place = self.place(&request.service, &request.model, base, worth);
         if let Some(coming_ms) = self.coming_ms(base) {
@@ -126,6 +129,12 @@
         self.ask(base, &place.instance, place.victims, place.ready_ms as u64, left);
     }
 
+    /// Whether an endpoint is listed as a holder of a model, and its side is about to tell whether it still is.
+    fn holder_unheard(&self, model: ModelKey) -> bool {
+        let mut holders = self.pool.endpoints.values().filter(|one| one.open());
+        holders.any(|one| one.unconfirmed(self.now) && one.holding.models.contains(&model))
+    }
+
     /// Refuses a request whose model is on its way but will not be there in time.
     fn check_arrival(&mut self, id: RequestId, target: ModelKey, base: ModelKey) {
         let Some(request) = self.requests.get(&id) else { return };
--- a/crates/pool/tests/all/entry.rs
+++ b/crates/pool/tests/all/entry.rs
@@ -165,6 +165,9 @@
 fn a_silent_call_that_may_run_once_stays() {
     let members = vec![member(1, ENGINE, &["m0"]), member(2, ENGINE, &["m0"])];
     let mut bench = Bench::new(members);
+    for index in 1..=2 {
+        bench.step(EntryEvent::Side(address(index), state(1, &["m0"])));
+    }
     let (_, effects) = bench.ask("/draft/x", "m0");
     assert!(sending(&effects).is_some());
     assert!(sending(&bench.wait(3_000)).is_none());
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -12,5 +12,6 @@
 mod start;
 mod stock;
 mod support;
+mod unconfirmed;
 mod waiting;
 mod world;
