Let the weight store bring what all callers miss most, one load after the other

Three causes, from the logs: - each of 68 entries ranked models by what it had missed itself, a 68th of the demand; - all entries heard in the same millisecond that there was room and asked for eight models; - the limit was learned when a load ended.

Now one side, by rendezvous, counts what all entries miss of a model and tells all; beyond eight entries they take turns to ask the store; a want tells how many loads there are with it, and a load that is late says so while it is under way, so that the limit is known after 1.2 times its usual time. 'One load of a model before a second of another' now compares how often each is missed.

Ruled out: that loads share the store's rate. One that begins alone takes 13.2 s whatever comes after it.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -117,6 +117,7 @@
     let (limits_sender, limits) = watch::channel(CallerLimits::default());
     let profile = EntryProfile {
         zone: settings.zone.clone(),
+        seed: hash_bytes(settings.name.as_bytes()),
         retry_ratio: settings.retry_ratio,
         retry_slack: settings.retry_slack,
         retry_window_ms: settings.retry_window_ms,
--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -94,6 +94,12 @@
     pub(crate) order_ms: u64,
     pub(crate) store_loads: u32,
     pub(crate) store_slow: u32,
+    /// The same of the load from the weight store under way; 0 while it is not late.
+    pub(crate) store_overdue: u32,
+    /// Loads from the weight store when the late one was asked for, or else the last one.
+    pub(crate) store_concurrent: u32,
+    /// Requests a second that find no room anywhere, of the models that the side counts.
+    pub(crate) missed: Vec<(ModelKey, f64)>,
     /// Models that cannot make way now.
     pub(crate) fixed: Vec<ModelKey>,
     /// Requests a second by model.
--- a/crates/pool/src/entry/demand.rs
+++ b/crates/pool/src/entry/demand.rs
@@ -1,15 +1,16 @@
 //! How often models are asked for, and what of that is missed.
 
-use citronrill_base::{Map, Millis, ModelKey, Set};
+use citronrill_base::{Map, ModelKey, Set, rendezvous_score};
+use citronrill_wire::Usage;
 
-use super::{PoolEntry, RequestId, placement::HORIZON_S, wants::WAITER_MS};
+use super::{EntryEffect, PoolEntry, RequestId, placement::HORIZON_S, wants::WAITER_MS};
 use crate::{endpoint::Endpoint, rate::Rate};
 
 /// Requests a second from which a model counts as busy: its loss is felt within half a second.
 pub(super) const BUSY_RATE: f64 = 2.0;
 /// Requests a second at this entry from which its own arrivals tell something of all entries': four
 /// within the ten seconds of the slow average.
-const OWN_RATE: f64 = 0.4;
+pub(super) const OWN_RATE: f64 = 0.4;
 /// Milliseconds that a refusal costs its caller: it comes back after one or two seconds, once.
 pub(super) const REFUSED_MS: f64 = 2_000.0;
 /// Misses a second below which a model is no longer fetched for them: less than one in ten seconds.
@@ -25,13 +26,6 @@
     missed: Map<ModelKey, Rate>,
 }
 
-impl Demand {
-    /// Requests a second that found no replica with room.
-    pub(super) fn missed(&self, key: ModelKey, now: Millis) -> f64 {
-        self.missed.get(&key).map_or(0.0, |rate| rate.per_s(now))
-    }
-}
-
 impl PoolEntry {
     /// Counts a request that came.
     pub(super) fn note_asked(&mut self, base: ModelKey) {
@@ -46,9 +40,43 @@
     pub(super) fn miss(&mut self, id: RequestId, base: ModelKey) {
         let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        if !std::mem::replace(&mut request.missed, true) {
-            self.demand.missed.entry(base).or_default().add(now);
+        if std::mem::replace(&mut request.missed, true) {
+            return;
         }
+        let service = request.service.clone();
+        self.demand.missed.entry(base).or_default().add(now);
+        self.tell_missed(&service, base);
+    }
+
+    /// Tells the side that counts for all entries how often a model is missed.
+    fn tell_missed(&mut self, service: &str, base: ModelKey) {
+        let model = self.names.name(base).to_owned();
+        let heard = self.pool.endpoints.values().filter(|one| {
+            one.member.service == service && one.fresh_side(self.now).is_some_and(|side| side.sound)
+        });
+        let counts = heard.max_by_key(|one| rendezvous_score(&model, &one.member.instance));
+        let Some(address) = counts.map(|one| one.member.address) else { return };
+        let missed = Usage { model, adapter: String::new(), missed: true };
+        self.effects.push(EntryEffect::Used(address, missed));
+    }
+
+    /// Requests a second for a model that find no replica with room, over all entries.
+    pub(super) fn missed(&self, key: ModelKey) -> f64 {
+        let own = self.demand.missed.get(&key).map_or(0.0, |rate| rate.per_s(self.now));
+        own.max(self.told_missed().filter(|(model, _)| *model == key).map(|(_, rate)| rate).sum())
+    }
+
+    /// What sides tell of requests that find no room. As endpoints come and go, two sides may each have
+    /// counted a part.
+    fn told_missed(&self) -> impl Iterator<Item = (ModelKey, f64)> {
+        let sides = self.pool.endpoints.values().filter_map(|one| one.fresh_side(self.now));
+        sides.flat_map(|side| side.missed.iter().copied())
+    }
+
+    /// The models of which requests find no room.
+    pub(super) fn missed_models(&self) -> Set<ModelKey> {
+        let own = self.demand.missed.keys().copied();
+        own.chain(self.told_missed().map(|(key, _)| key)).collect()
     }
 
     /// Requests a second for a model, over all entries.
@@ -74,14 +102,18 @@
         })
     }
 
-    /// Whether another model is missed that no endpoint has and that nobody brings in.
+    /// Whether another model is missed more often that no endpoint has and that nobody brings in.
+    ///
+    /// Each load of the model that is under way serves its part of those who miss it now.
     pub(super) fn others_away(&self, key: ModelKey) -> bool {
-        self.demand.missed.iter().any(|(other, rate)| {
-            *other != key
-                && rate.per_s(self.now) > MISS_FLOOR
-                && !self.wants.contains_key(other)
-                && self.coming(*other) == 0
-                && self.far(*other)
+        let own = self.missed(key) / (1.0 + self.coming(key) as f64);
+        let own = own.max(MISS_FLOOR);
+        self.missed_models().into_iter().any(|other| {
+            other != key
+                && self.missed(other) > own
+                && !self.wants.contains_key(&other)
+                && self.coming(other) == 0
+                && self.far(other)
         })
     }
 
@@ -138,20 +170,22 @@
         self.demand.missed.retain(|_, rate| rate.per_s(now) > MISS_FLOOR);
         let held = |key: &ModelKey| {
             self.wants.contains_key(key)
+                || self.coming(*key) > 0
                 || self.pool.endpoints.values().any(|one| one.holding.models.contains(key))
         };
-        let missed = self.demand.missed.iter().filter(|(key, _)| !held(key));
-        let most = missed.max_by(|a, b| a.1.per_s(now).total_cmp(&b.1.per_s(now)));
-        let Some((key, _)) = most else { return };
-        let key = *key;
+        // Only what was missed here: if every entry asked for what all of them miss, engines that load one
+        // model at a time would load the same ones twice.
+        let missed = self.demand.missed.keys().filter(|key| !held(key));
+        let missed = missed.map(|key| (self.missed(*key), *key));
+        let most = missed.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+        let Some((rate, key)) = most else { return };
         let name = self.names.name(key).to_owned();
         let Some(text) = self.text.clone() else { return };
         let mut services = text.services.iter();
         let service = services
             .find(|one| one.engine.as_ref().is_some_and(|engine| engine.model(&name).is_some()));
         let Some(service) = service else { return };
-        let missed = self.demand.missed(key, now);
-        let worth = (1.0 + missed * HORIZON_S) * WAITER_MS;
+        let worth = (1.0 + rate * HORIZON_S) * WAITER_MS;
         if let Some(place) = self.place(&service.name, &name, key, worth) {
             let ttl_ms = (2.0 * place.ready_ms) as u64;
             self.ask(key, &place.instance, place.victims, place.ready_ms as u64, ttl_ms);
--- a/crates/pool/src/entry/exchange.rs
+++ b/crates/pool/src/entry/exchange.rs
@@ -2,7 +2,7 @@
 
 use citronrill_base::hash_bytes;
 use citronrill_decide::LogEvent;
-use citronrill_wire::ModelName;
+use citronrill_wire::Usage;
 
 use super::{
     AnswerHead, EntryEffect, FailureKind, PoolEntry, Reason, Refusal, Request, RequestId, Resume,
@@ -64,7 +64,8 @@
             .with("list", self.pool.version)
             .with("sequence", endpoint.holding.sequence);
         if request.target.is_some() {
-            let used = ModelName { model: request.model.clone(), adapter: request.adapter.clone() };
+            let (model, adapter) = (request.model.clone(), request.adapter.clone());
+            let used = Usage { model, adapter, missed: false };
             self.effects.push(EntryEffect::Used(sending.address, used));
         }
         self.effects.push(EntryEffect::Send(id, sending));
--- a/crates/pool/src/entry/replicas.rs
+++ b/crates/pool/src/entry/replicas.rs
@@ -86,7 +86,7 @@
 
     /// Milliseconds that callers lose while a model has fewer replicas than its demand needs.
     fn demand_loss(&self, key: ModelKey, rate: f64) -> f64 {
-        let missed = self.demand.missed(key, self.now);
+        let missed = self.missed(key);
         MISS_MS * (2.0 + missed * HORIZON_S + rate * CRASH_SHARE)
     }
 
--- a/crates/pool/src/entry/stock.rs
+++ b/crates/pool/src/entry/stock.rs
@@ -108,7 +108,7 @@
     fn scarcest(&self, service: &str, engine: &EngineSpec) -> Option<(ModelKey, f64)> {
         let loads = self.store_loads();
         let limit = self.store.limit();
-        if loads >= limit {
+        if loads >= limit || !self.store_turn() {
             return None;
         }
         // The store's last place is kept for what many callers miss.
--- a/crates/pool/src/entry/store_limit.rs
+++ b/crates/pool/src/entry/store_limit.rs
@@ -1,29 +1,34 @@
 //! How many loads from the weight store may run at once.
 
-use citronrill_base::Map;
+use citronrill_base::{Map, Millis};
 
 /// Loads at once before anything is known of the store.
 const FIRST_LIMIT: u32 = 3;
 /// Loads at once at most; beyond that each only holds up its endpoint for longer.
 const LAST_LIMIT: u32 = 8;
 /// Time of a load, in thousandths of the usual one, above which the store had too many at once.
-const TOO_SLOW: u32 = 1_250;
+const TOO_SLOW: u32 = 1_200;
+/// Milliseconds after a slow load for which the limit is not raised: a store does not change its pace from
+/// one load to the next.
+const SLOW_MEMORY_MS: u64 = 60_000;
 
 /// Finds the number of loads that the weight store carries at full speed.
 ///
-/// Beyond that number every load takes longer in proportion, so that more at once bring nothing,
-/// and each holds its endpoint, which takes no other order meanwhile: with twelve at once and four
-/// at full speed, loads of 6 s were measured to take up to 19.5 s. The number is nowhere told, so
-/// it is raised by one after a load in usual time and lowered by one after a slow one.
+/// A load beyond that number takes longer in proportion to how many there are when it begins, so that more at
+/// once bring nothing, and each holds its endpoint, which takes no other order meanwhile. The number is
+/// nowhere told. It is doubled after as many as are allowed took their usual time. A load that is late tells
+/// it while it is under way: one that began beside two others and takes three times as long shows that one
+/// would have been at full speed.
 #[derive(Debug, Clone)]
 pub(super) struct StoreLimit {
     limit: u32,
-    heard: Map<String, u32>,
+    ended: Map<String, u32>,
+    slowed: Option<Millis>,
 }
 
 impl Default for StoreLimit {
     fn default() -> StoreLimit {
-        StoreLimit { limit: FIRST_LIMIT, heard: Map::default() }
+        StoreLimit { limit: FIRST_LIMIT, ended: Map::default(), slowed: None }
     }
 }
 
@@ -33,16 +38,29 @@
         self.limit
     }
 
-    /// Takes the time of an endpoint's last load, and how many are under way.
-    pub(super) fn hear(&mut self, instance: &str, slow: u32, loads: u32) {
-        if slow == 0 || self.heard.get(instance) == Some(&slow) {
+    /// Takes the time of an endpoint's last load, which began as one of `loads`.
+    pub(super) fn hear_ended(&mut self, instance: &str, slow: u32, loads: u32, now: Millis) {
+        if slow == 0 || self.ended.get(instance) == Some(&slow) {
             return;
         }
-        self.heard.insert(instance.to_owned(), slow);
-        if slow > TOO_SLOW {
-            self.limit = (self.limit - 1).max(1);
-        } else if loads + 1 >= self.limit {
-            self.limit = (self.limit + 1).min(LAST_LIMIT);
+        self.ended.insert(instance.to_owned(), slow);
+        let known = self.slowed.is_some_and(|at| now.since(at) < SLOW_MEMORY_MS);
+        if slow >= TOO_SLOW {
+            self.lower(slow, loads, now);
+        } else if loads >= self.limit && !known {
+            self.limit = (self.limit * 2).min(LAST_LIMIT);
         }
     }
+
+    /// Takes how late a load under way is, which began as one of `loads`.
+    pub(super) fn hear_late(&mut self, slow: u32, loads: u32, now: Millis) {
+        if slow >= TOO_SLOW {
+            self.lower(slow, loads, now);
+        }
+    }
+
+    fn lower(&mut self, slow: u32, loads: u32, now: Millis) {
+        self.slowed = Some(now);
+        self.limit = self.limit.min(loads * 1_000 / slow).max(1);
+    }
 }
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use citronrill_decide::LogEvent;
-use citronrill_wire::{ModelName, SideState, Want};
+use citronrill_wire::{ModelName, SideState, Usage, Want};
 
 use crate::{member::MemberChange, text::ServingText};
 
@@ -16,6 +16,8 @@
 pub struct EntryProfile {
     /// The entry's availability zone.
     pub zone: String,
+    /// A number of its own, by which entries take turns.
+    pub seed: u64,
     /// Second sends allowed, as a share of requests.
     pub retry_ratio: f64,
     /// Second sends allowed besides, over all entries.
@@ -228,7 +230,7 @@
     /// Ask the side beside the endpoint at this address for a model.
     Want(SocketAddr, Want),
     /// Tell the side beside the endpoint at this address of a request.
-    Used(SocketAddr, ModelName),
+    Used(SocketAddr, Usage),
     /// Keep connections to the sides beside these endpoints, and to no others.
     Sides(Vec<SocketAddr>),
     /// Write a log line.
--- a/crates/pool/src/entry/wants.rs
+++ b/crates/pool/src/entry/wants.rs
@@ -220,6 +220,7 @@
         let address = endpoint.member.address;
         let service = &endpoint.member.service;
         let fleet = self.pool.endpoints.values().filter(|one| one.member.service == *service);
+        let far = adapter.is_empty() && !endpoint.holding.has_copy(key);
         let waiting = self.requests.values().filter(|one| {
             one.stage == Stage::Waiting && (one.target == Some(key) || one.base == Some(key))
         });
@@ -232,6 +233,7 @@
             ttl_ms,
             waiting: waiting.count() as u32,
             started: endpoint.started().map(|start| start.0),
+            store_loads: if far { self.store_loads() + 1 } else { 0 },
         };
         let rates = victims.iter().map(|key| format!("{:.2}", self.rate(*key))).collect::<Vec<_>>();
         let event = LogEvent::new("want")
@@ -249,7 +251,7 @@
             until: self.now + ttl_ms,
             ready: self.now + ready_ms,
             seen: false,
-            far: adapter.is_empty() && !endpoint.holding.has_copy(key),
+            far,
             declined: false,
         };
         self.wants.insert(key, open);
--- a/crates/pool/src/entry/weights.rs
+++ b/crates/pool/src/entry/weights.rs
@@ -1,10 +1,22 @@
 //! When the weight store may be asked for a model.
 
 use citronrill_base::ModelKey;
+use citronrill_decide::LogEvent;
 
-use super::{PoolEntry, demand::BUSY_RATE, replicas::CROWDED};
+use super::{
+    PoolEntry,
+    demand::{BUSY_RATE, OWN_RATE},
+    replicas::CROWDED,
+};
 use crate::endpoint::Endpoint;
 
+/// Requests a second from which a model that nobody has a copy of is brought in before it was missed.
+const IN_DEMAND_RATE: f64 = 8.0;
+/// Milliseconds of one entry's turn to ask the weight store: a side's word of what it has planned is heard
+/// by all entries within a few, and each entry looks every twenty.
+const TURN_MS: u64 = 40;
+/// Entries up to which they need no turns: few act in the same millisecond.
+const FEW_ENTRIES: u64 = 8;
 /// Engines for each load from the weight store that serves a rarely used model: with three at once
 /// on nine engines, a third of them took no other order for six seconds.
 const RARE_STORE_SHARE: u32 = 8;
@@ -16,16 +28,15 @@
     /// what most requests miss: one more replica of a busy model serves more callers than any rare
     /// one.
     pub(super) fn store_open(&self, model: ModelKey) -> bool {
-        // What is missed and what is asked for: right after all copies are lost nothing was missed
-        // yet, and six rare models were asked for in the same millisecond before the busy one.
-        let need = |key: &ModelKey| {
-            let asked = self.demand.asked.get(key).map_or(0.0, |rate| rate.per_s(self.now));
-            let busy = if asked < BUSY_RATE { 0.0 } else { asked };
-            busy.max(self.demand.missed(*key, self.now))
-        };
-        let own = need(&model);
-        let before = self.demand.asked.keys().filter(|key| {
-            **key != model && !self.wants.contains_key(key) && need(key) > own && self.far(**key)
+        let own = if self.far(model) { self.need(model) } else { self.missed(model) };
+        let mut others = self.missed_models();
+        others.extend(self.demand.asked.keys().copied());
+        let before = others.into_iter().filter(|key| {
+            *key != model
+                && !self.wants.contains_key(key)
+                && self.need(*key) > own
+                && self.far(*key)
+                && self.coming(*key) == 0
         });
         // A load of six seconds for one caller holds up an eighth of the endpoints at most, and never
         // takes the last place: a model that many wait for would stand behind it.
@@ -33,7 +44,28 @@
         let engines = self.pool.endpoints.values().filter(|one| one.side.is_some()).count() as u32;
         let rare = (limit - 1).min(engines / RARE_STORE_SHARE).max(1);
         let limit = if own < BUSY_RATE { rare } else { limit };
-        self.store_loads() + (before.count() as u32) < limit
+        self.store_turn() && self.store_loads() + (before.count() as u32) < limit
+    }
+
+    /// Whether it is this entry's turn to ask the weight store for a model.
+    ///
+    /// All entries hear at the same moment that the store has room. 68 of them asked for eight models within
+    /// a millisecond, before one could hear of another, and each load then took eight times as long.
+    pub(super) fn store_turn(&self) -> bool {
+        let entries = u64::from(self.entries());
+        let turn = (self.now.0 + self.profile.seed % (entries * TURN_MS)) / TURN_MS;
+        entries <= FEW_ENTRIES || turn.is_multiple_of(entries)
+    }
+
+    /// Requests a second that go unserved, over all entries, while no endpoint has a copy of a model.
+    ///
+    /// What is missed and what is asked for: right after all copies are lost nothing was missed
+    /// yet, and six rare models were asked for in the same millisecond before the busy one.
+    fn need(&self, model: ModelKey) -> f64 {
+        let own = self.demand.asked.get(&model).map_or(0.0, |rate| rate.per_s(self.now));
+        let asked = if own < OWN_RATE { 0.0 } else { own * f64::from(self.entries()) };
+        let in_demand = if asked < IN_DEMAND_RATE { 0.0 } else { asked };
+        in_demand.max(self.missed(model))
     }
 
     /// Whether no endpoint has a copy of a model or holds it with room.
@@ -56,12 +88,21 @@
 
     /// Takes what a finished load from the weight store says of how many the store bears.
     pub(super) fn learn_store(&mut self) {
-        let loads = self.store_loads();
+        let before = self.store.limit();
         let sides =
             self.pool.endpoints.iter().filter_map(|(id, one)| Some((id, one.side.as_ref()?)));
-        let sides = sides.map(|(id, side)| (id.clone(), side.store_slow)).collect::<Vec<_>>();
-        for (id, slow) in sides {
-            self.store.hear(&id, slow, loads);
+        for (id, side) in sides {
+            if side.store_overdue > 0 {
+                self.store.hear_late(side.store_overdue, side.store_concurrent, self.now);
+            } else {
+                self.store.hear_ended(id, side.store_slow, side.store_concurrent, self.now);
+            }
+        }
+        let limit = self.store.limit();
+        if limit != before {
+            let loads = self.store_loads();
+            let event = LogEvent::new("store_limit").with("limit", limit).with("before", before);
+            self.log(event.with("loads", loads));
         }
     }
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -290,6 +290,10 @@
             .iter()
             .map(|model| (names.intern(&model.name), f64::from(model.rate_milli) / 1_000.0));
         let rates = rates.collect();
+        let missed = state.missed.iter();
+        let missed = missed
+            .map(|model| (names.intern(&model.name), f64::from(model.rate_milli) / 1_000.0))
+            .collect();
         let fixed = state.models.iter().filter(|model| model.fixed);
         let fixed = fixed.map(|model| names.intern(&model.name)).collect();
         endpoint.side = Some(SideBelief {
@@ -302,6 +306,9 @@
             order_ms: state.order_ms,
             store_loads: state.store_loads,
             store_slow: state.store_slow,
+            store_overdue: state.store_overdue,
+            store_concurrent: state.store_concurrent,
+            missed,
             fixed,
             rates,
         });
--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -4,6 +4,7 @@
 //! others. Each order names the instance and the number of orders that the endpoint has accepted:
 //! one that is delayed and arrives after another was accepted, or after a restart, does nothing.
 
+mod missed;
 mod orders;
 mod plan;
 mod report;
@@ -14,12 +15,13 @@
 
 use citronrill_base::{Map, Millis};
 use citronrill_decide::LogEvent;
-use citronrill_wire::{ModelName, ModelState, SideState, Want};
+use citronrill_wire::{ModelState, SideState, Usage, Want};
 
 pub use self::types::{
     EngineReport, EntryLink, Order, OrderKind, OrderOutcome, SideEffect, SideEvent,
 };
 use self::{
+    missed::Missed,
     report::{holds, outcome_of, same_news},
     start_name::StartName,
 };
@@ -44,6 +46,11 @@
 /// Milliseconds without a look that succeeded after which the endpoint counts as unsound.
 const UNSOUND_MS: u64 = 1_000;
 
+/// Time of a load from the weight store, in thousandths of its usual one, from which it is late.
+const OVERDUE: u32 = 1_200;
+/// Steps in which a late load's time is told, so that not every millisecond is news.
+const OVERDUE_STEP: u32 = 200;
+
 /// An order that was given.
 #[derive(Debug, Clone)]
 struct Given {
@@ -52,6 +59,8 @@
     outcome: Option<OrderOutcome>,
     /// Whether it is a load from the weight store.
     far: bool,
+    /// Loads from the weight store when it was asked for, itself with them.
+    concurrent: u32,
 }
 
 /// A want that will be met, with what makes way for it.
@@ -66,7 +75,7 @@
 }
 
 #[derive(Debug, Clone, Copy, Default)]
-struct Usage {
+struct UsageRate {
     rate: Rate,
     last: Millis,
 }
@@ -91,11 +100,14 @@
     model_order: Option<Given>,
     adapter_order: Option<Given>,
     numbers: u64,
-    usage: Map<String, Usage>,
+    usage: Map<String, UsageRate>,
+    missed: Missed,
     arrived: Map<String, Millis>,
     store_load: Option<Millis>,
     /// The last store load's time against its usual one, in thousandths.
     store_slow: u32,
+    /// How many loads there were when that one was asked for.
+    store_concurrent: u32,
     entries: u32,
     told: Option<(Millis, SideState)>,
     effects: Vec<SideEffect>,
@@ -121,9 +133,11 @@
             adapter_order: None,
             numbers: 0,
             usage: Map::default(),
+            missed: Missed::default(),
             arrived: Map::default(),
             store_load: None,
             store_slow: 0,
+            store_concurrent: 0,
             entries: 0,
             told: None,
             effects: Vec::new(),
@@ -258,6 +272,7 @@
             let usual = self.engine().and_then(|engine| engine.model(&given.order.model));
             let usual = usual.map_or(1, |spec| spec.store_ms.max(1));
             self.store_slow = (self.now.since(given.at) * 1_000 / usual) as u32;
+            self.store_concurrent = given.concurrent;
         }
         let Some(report) = &self.report else { return };
         for planned in &mut self.plan {
@@ -269,7 +284,11 @@
         self.text.as_ref()?.service(&self.service)?.engine.as_ref()
     }
 
-    fn take_used(&mut self, used: &ModelName) {
+    fn take_used(&mut self, used: &Usage) {
+        if used.missed {
+            self.missed.add(&used.model, self.now);
+            return;
+        }
         for name in [used.model.clone(), full_name(&used.model, &used.adapter)] {
             let usage = self.usage.entry(name).or_default();
             usage.rate.add(self.now);
@@ -370,6 +389,8 @@
             rate_milli: (usage(&model.name).rate.per_s(self.now) * 1_000.0) as u32,
             fixed: self.stays(&model.name),
         });
+        let store_overdue = self.store_overdue();
+        let late = self.model_order.as_ref().filter(|_| store_overdue > 0);
         let wants = self.plan.iter().map(|one| full_name(&one.want.model, &one.want.adapter));
         Some(SideState {
             sequence: report.sequence,
@@ -391,6 +412,9 @@
             instance: self.start.known().unwrap_or_default().to_owned(),
             service: self.service.clone(),
             started: self.start_time.time().map(|start| start.0),
+            missed: self.missed.rates(self.now),
+            store_overdue,
+            store_concurrent: late.map_or(self.store_concurrent, |given| given.concurrent),
         })
     }
 
@@ -413,6 +437,16 @@
         whole.saturating_sub(self.now.since(given.at))
     }
 
+    /// How long the load from the weight store under way has taken, in thousandths of its usual time and in
+    /// steps of [`OVERDUE_STEP`]; 0 while it is not late.
+    fn store_overdue(&self) -> u32 {
+        let Some(given) = self.model_order.as_ref().filter(|given| given.far) else { return 0 };
+        let spec = self.engine().and_then(|engine| engine.model(&given.order.model));
+        let usual = spec.map_or(1, |spec| spec.store_ms.max(1));
+        let slow = (self.now.since(given.at) * 1_000 / usual) as u32;
+        if slow < OVERDUE { 0 } else { slow - slow % OVERDUE_STEP }
+    }
+
     /// Milliseconds that what is wanted takes here.
     fn load_ms(&self, report: &EngineReport, want: &Want) -> u64 {
         if want.adapter.is_empty() { self.model_ms(report, &want.model) } else { ADAPTER_USUAL_MS }
--- a/crates/pool/src/side/orders.rs
+++ b/crates/pool/src/side/orders.rs
@@ -176,7 +176,9 @@
                 .with("age_ms", self.now.since(self.seen)),
         );
         let far = kind == OrderKind::Load && adapter.is_empty() && !report.has_copy(model);
-        let given = Some(Given { order: order.clone(), at: self.now, outcome: None, far });
+        let concurrent = want.store_loads;
+        let given =
+            Some(Given { order: order.clone(), at: self.now, outcome: None, far, concurrent });
         if adapter.is_empty() {
             self.model_order = given;
         } else {
--- a/crates/pool/src/side/report.rs
+++ b/crates/pool/src/side/report.rs
@@ -22,6 +22,7 @@
         && a.sound == b.sound
         && a.store_loads == b.store_loads
         && a.store_slow == b.store_slow
+        && a.store_overdue == b.store_overdue
         && a.instance == b.instance
         && a.started == b.started
         && a.text == b.text
--- a/crates/pool/src/side/types.rs
+++ b/crates/pool/src/side/types.rs
@@ -3,7 +3,7 @@
 use std::{fmt, sync::Arc};
 
 use citronrill_decide::LogEvent;
-use citronrill_wire::{ModelName, SideState, Want};
+use citronrill_wire::{ModelName, SideState, Usage, Want};
 
 use crate::{member::HeldModel, start::StartTime, text::ServingText};
 
@@ -101,7 +101,7 @@
     /// An entry asks for a model.
     Want(EntryLink, Want),
     /// An entry has sent a request to the endpoint.
-    Used(ModelName),
+    Used(Usage),
     /// The endpoint answered an order; with its name if the order meant another start of it.
     Ordered(u64, OrderOutcome, Option<String>),
     /// The endpoint has told the name of its present start.
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod copies;
 mod entry;
 mod load;
+mod missed;
 mod placement;
 mod resume;
 mod side;
--- a/crates/pool/tests/all/side.rs
+++ b/crates/pool/tests/all/side.rs
@@ -4,7 +4,7 @@
 use citronrill_pool::{
     EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
 };
-use citronrill_wire::{ModelName, SideState, Want};
+use citronrill_wire::{SideState, Usage, Want};
 
 use crate::support::{ENGINE, report, text, want};
 
@@ -208,7 +208,11 @@
     full.models[0].adapters = vec!["a1".to_owned(), "a2".to_owned()];
     bench.report(full.clone());
     let used = |adapter: &str| {
-        SideEvent::Used(ModelName { model: "m0".to_owned(), adapter: adapter.to_owned() })
+        SideEvent::Used(Usage {
+            model: "m0".to_owned(),
+            adapter: adapter.to_owned(),
+            missed: false,
+        })
     };
     bench.step(used("a1"));
     bench.now += 500;
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -177,6 +177,7 @@
     pub(crate) fn blank() -> Bench {
         let profile = EntryProfile {
             zone: "a".to_owned(),
+            seed: 0,
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_ms: 10_000,
--- a/crates/pool/tests/all/world/mod.rs
+++ b/crates/pool/tests/all/world/mod.rs
@@ -174,6 +174,7 @@
         };
         let profile = EntryProfile {
             zone: "a".to_owned(),
+            seed: 0,
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_ms: 10_000,
@@ -182,7 +183,10 @@
             now: 0,
             faults,
             text: Arc::new(whole),
-            entries: (0..entries).map(|_| PoolEntry::new(profile.clone())).collect(),
+            entries: (0..entries)
+                .map(|entry| EntryProfile { seed: entry as u64 * 7_919, ..profile.clone() })
+                .map(PoolEntry::new)
+                .collect(),
             sides: (0..engines).map(|_| PoolSide::new(ENGINE)).collect(),
             engines: (0..engines).map(|index| engine(index, &mut rng)).collect(),
             callers: BTreeMap::new(),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,7 +18,7 @@
     },
     handshake::{Handshake, Identity, Peer, PeerRole},
     pool::{
-        MemberRow, ModelName, ModelState, PoolFrame, PoolKind, SideState, Snapshot, TextAsk,
-        TextCopy, TextPart, TextVersion, Want,
+        MemberRow, ModelName, ModelRate, ModelState, PoolFrame, PoolKind, SideState, Snapshot,
+        TextAsk, TextCopy, TextPart, TextVersion, Usage, Want,
     },
 };
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -16,9 +16,9 @@
     /// An entry asks for a model or adapter.
     #[prost(message, tag = "2")]
     Want(Want),
-    /// An entry has sent a request to the endpoint.
+    /// An entry tells of a request that it has sent to the endpoint, or that found no room anywhere.
     #[prost(message, tag = "3")]
-    Used(ModelName),
+    Used(Usage),
     /// A side tells what its endpoint holds and does.
     #[prost(message, tag = "4")]
     State(SideState),
@@ -136,6 +136,9 @@
     /// When the start that is meant began, in Unix milliseconds by the endpoint's clock, if known.
     #[prost(uint64, optional, tag = "8")]
     pub started: Option<u64>,
+    /// Loads from the weight store, this one with them, if it is one.
+    #[prost(uint32, tag = "9")]
+    pub store_loads: u32,
 }
 
 /// Names a model, or an adapter of one.
@@ -149,6 +152,32 @@
     pub adapter: String,
 }
 
+/// A request for a model, or for an adapter of one.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Usage {
+    /// The model's name.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The adapter's own name, or empty.
+    #[prost(string, tag = "2")]
+    pub adapter: String,
+    /// Whether it was not sent to the endpoint but found no replica with room: one side counts all such
+    /// requests for a model, whichever entry they came to.
+    #[prost(bool, tag = "3")]
+    pub missed: bool,
+}
+
+/// How often a model is asked for.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ModelRate {
+    /// The model's name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Requests a second lately, in thousandths.
+    #[prost(uint32, tag = "2")]
+    pub rate_milli: u32,
+}
+
 /// What an endpoint holds and does, as its side knows it.
 #[derive(Clone, PartialEq, Message)]
 pub struct SideState {
@@ -210,6 +239,17 @@
     /// When the present start began, in Unix milliseconds by the endpoint's clock, if it says.
     #[prost(uint64, optional, tag = "19")]
     pub started: Option<u64>,
+    /// The models whose requests find no room anywhere, of those that this side counts.
+    #[prost(message, repeated, tag = "20")]
+    pub missed: Vec<ModelRate>,
+    /// How long the load from the weight store under way has taken, in thousandths of its usual time; 0 while
+    /// it may still end in that.
+    #[prost(uint32, tag = "21")]
+    pub store_overdue: u32,
+    /// How many loads from the weight store there were when that one was asked for, itself with them: the late
+    /// one under way, or else the last one.
+    #[prost(uint32, tag = "22")]
+    pub store_concurrent: u32,
 }
 
 /// One model that an endpoint holds.
