Load models that nobody has while nobody asks yet

The large deployment has 201 models and room for some 190 replicas at the start, of which busy models take many: some fifteen models have no copy anywhere, and the weight store, which brings one in 13.2 s, stood idle for the 13 s before callers came. Two of them are now loaded once the list has not grown for 1.5 s and all sides are heard; two at once also tell whether the store carries more than one. Nothing is preloaded once anybody has asked.

Also names a field of the starts as before; it had been renamed by mistake with the last change.

--- a/crates/pool/src/entry/clock.rs
+++ b/crates/pool/src/entry/clock.rs
@@ -25,6 +25,7 @@
         self.retry_waiting();
         self.spread();
         self.fetch_missed();
+        self.preload();
         self.restock();
     }
 
--- a/crates/pool/src/start.rs
+++ b/crates/pool/src/start.rs
@@ -36,7 +36,7 @@
 pub(crate) struct KnownStart {
     time: Option<StartTime>,
     /// Whether the endpoint was heard without telling its start.
-    unreported: bool,
+    untold: bool,
     /// An older start that was told, and when it was told first.
     older: Option<(StartTime, Millis)>,
 }
@@ -50,7 +50,7 @@
     /// Takes the start that a word bears.
     pub(crate) fn hear(&mut self, told: Option<StartTime>, now: Millis) -> StartNews {
         let Some(told) = told else {
-            self.unreported |= self.time.is_none();
+            self.untold |= self.time.is_none();
             return StartNews::Same;
         };
         let since = self.older.filter(|(older, _)| *older == told).map_or(now, |(_, at)| at);
@@ -60,7 +60,7 @@
             return StartNews::Older;
         }
         // One that did not tell its start and now does is another program, and so another start.
-        let first = self.time.is_none() && !self.unreported;
+        let first = self.time.is_none() && !self.untold;
         let same = first || self.time == Some(told);
         *self = KnownStart { time: Some(told), ..KnownStart::default() };
         if same { StartNews::Same } else { StartNews::New }
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod load;
 mod missed;
 mod placement;
+mod preload;
 mod resume;
 mod side;
 mod start;
