Serve those first who can still be answered in time

Of one rank those who can still be answered within their objective now go first, at the entry and by the urgency that the endpoint is told; who is late has a slot that is free, and is sent back after four objectives as before, also while others have the slots.

Ruled out: more replicas in time. The store needs 13.2 s for one, and the demand rose within ten.

--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -46,6 +46,9 @@
 /// Fill at which an engine takes no more: its batch and a few that wait. What waits at the entry
 /// can still go to a replica that is being fetched; what waits at the engine cannot.
 const ENGINE_FULL: f64 = 1.25;
+/// Fill at which an engine takes no more of what is late already: it gets a slot that is free, and does not
+/// stand in the engine's queue before those who can be answered in time.
+const LATE_FULL: f64 = 1.0;
 
 impl PoolEntry {
     /// The best endpoint that can run `request` now, or what else is to be done.
@@ -54,7 +57,11 @@
         let runs = self.runs_of(&request.service);
         let costs = able.map(|endpoint| (self.cost(endpoint, request, runs), endpoint));
         let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
-        let full = if request.target.is_some() { ENGINE_FULL } else { PLAIN_FULL };
+        let full = match request.target {
+            Some(_) if request.late(self.now) => LATE_FULL,
+            Some(_) => ENGINE_FULL,
+            None => PLAIN_FULL,
+        };
         match best {
             Some((_, endpoint)) if self.dark_for(endpoint, request) => Choice::Fetch,
             Some((_, endpoint)) if endpoint.fill() < full => {
--- a/crates/pool/src/entry/clock.rs
+++ b/crates/pool/src/entry/clock.rs
@@ -3,7 +3,7 @@
 use citronrill_base::Set;
 use citronrill_decide::LogEvent;
 
-use super::{EntryEffect, LAST_CALL_MS, PoolEntry, Reason, RequestId, Stage};
+use super::{Choice, EntryEffect, LAST_CALL_MS, PoolEntry, Reason, Request, RequestId, Stage};
 
 /// Latency objectives without a first byte after which a request is moved: at two, what another
 /// endpoint answers in its usual time still comes within three.
@@ -16,6 +16,7 @@
     pub(super) fn tick(&mut self) {
         self.end_overdue();
         self.end_impatient();
+        self.end_overlong();
         self.end_stopped();
         self.note_stalls();
         self.move_silent();
@@ -117,6 +118,18 @@
         }
     }
 
+    /// Refuses what has waited for a slot for too long, while those who are not late yet have the slots.
+    fn end_overlong(&mut self) {
+        let overlong = self.requests.iter().filter(|(_, one)| {
+            one.stage == Stage::Waiting && one.runs == 0 && one.overlong(self.now)
+        });
+        let crowded = |one: &Request| matches!(self.choose(one), Choice::Crowded);
+        let crowded = overlong.filter(|(_, one)| crowded(one));
+        for id in crowded.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.refuse(id, Reason::Full);
+        }
+    }
+
     /// In a planned stop, answers what would otherwise be cut off when the process ends.
     ///
     /// The failure it prevents: a request waits for its model at an entry that is being stopped, the
@@ -139,11 +152,15 @@
 
     /// Looks again at what waits, the most urgent first.
     ///
+    /// Answers a model that is asked for more often than its replicas can serve. In the order of arrival
+    /// everybody waits for longer than the objective and nobody is answered in time; so who is late already
+    /// has what is left over by those who are not.
+    ///
     /// Of those that need the same, the rest is passed over once one found no place: the queue may
     /// hold hundreds, and an entry has a fifth of a core.
     pub(super) fn retry_waiting(&mut self) {
         let waiting = self.requests.iter().filter(|(_, one)| one.stage == Stage::Waiting);
-        let mut order = waiting.map(|(id, one)| (one.rank, *id)).collect::<Vec<_>>();
+        let mut order = waiting.map(|(id, one)| (one.turn(self.now), *id)).collect::<Vec<_>>();
         order.sort_unstable();
         let mut blocked = Set::default();
         for (_, id) in order {
--- a/crates/pool/src/entry/exchange.rs
+++ b/crates/pool/src/entry/exchange.rs
@@ -46,7 +46,7 @@
             address: endpoint.member.address,
             instance: instance.to_owned(),
             remaining_ms: request.ends.since(now),
-            rank: request.rank,
+            urgency: request.urgency(now),
             backup: backup_at,
             resume: (request.begun || copy).then_some(resume),
         };
@@ -56,6 +56,7 @@
             .with("model", &request.model)
             .with("adapter", &request.adapter)
             .with("waited_ms", now.since(request.arrived))
+            .with("urgency", sending.urgency)
             .with("able", able)
             .with("load", endpoint.load)
             .with("fleet_load", fleet_load)
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -129,6 +129,28 @@
         self.patient.since(now).saturating_sub(first)
     }
 
+    /// Whether it can no longer be answered within its latency objective.
+    fn late(&self, now: Millis) -> bool {
+        now.since(self.arrived) >= self.target_ms
+    }
+
+    /// The order in which requests that need the same are served: by rank, and of one rank those first that
+    /// can still be answered within their objective.
+    fn turn(&self, now: Millis) -> (u8, bool) {
+        (self.rank, self.late(now))
+    }
+
+    /// Whether it has waited for a slot for as long as is of use.
+    fn overlong(&self, now: Millis) -> bool {
+        now.since(self.arrived) > (CROWD_TARGETS * self.target_ms).max(CROWD_MIN_MS)
+    }
+
+    /// Its place in an endpoint's queue, 0 first: two for each rank.
+    fn urgency(&self, now: Millis) -> u8 {
+        let (rank, late) = self.turn(now);
+        rank.saturating_mul(2).saturating_add(u8::from(late))
+    }
+
     /// Why it is refused when it may wait no longer: its time is up, or what it needs comes too late
     /// for its caller's patience and may be there when the caller comes back.
     fn late_reason(&self, now: Millis) -> Reason {
@@ -438,11 +460,12 @@
             self.miss(id, base);
         }
         let Some(request) = self.requests.get(&id) else { return };
+        let turn = request.turn(self.now);
         let same = |one: &&Request| {
             one.stage == Stage::Waiting
                 && one.service == request.service
                 && one.base == request.base
-                && one.rank <= request.rank
+                && one.turn(self.now) <= turn
         };
         let ahead = self.requests.range(..id).map(|(_, one)| one).filter(same).count();
         let holders = self.pool.endpoints.values().filter(|one| {
@@ -454,9 +477,8 @@
         let entries = self.entries();
         let rounds = (ahead + 1) as f64 * f64::from(entries) / f64::from(slots.max(1));
         let left = request.wait_ms(self.now) as f64;
-        let waited = self.now.since(request.arrived);
-        let tired = waited > (CROWD_TARGETS * request.target_ms).max(CROWD_MIN_MS);
-        if rounds * WAVE_MS > left - WAVE_MS || tired {
+        let overlong = request.overlong(self.now);
+        if rounds * WAVE_MS > left - WAVE_MS || overlong {
             self.refuse(id, Reason::Full);
         }
     }
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -130,8 +130,8 @@
     pub instance: String,
     /// Milliseconds that are left to it.
     pub remaining_ms: u64,
-    /// The urgency, 0 first.
-    pub rank: u8,
+    /// Its place in the endpoint's queue, 0 first.
+    pub urgency: u8,
     /// Where the endpoint is to copy the run's memory.
     pub backup: Option<SocketAddr>,
     /// Set where an answer that has begun, or a run that broke off, goes on.
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod entry;
 mod load;
 mod missed;
+mod overload;
 mod placement;
 mod preload;
 mod resume;
