Send what has waited for a model to its engine a share at a time

What has waited now goes there an entry's share of the room at a time, until the engine's load is told again; who has just come is not held up.

--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -123,6 +123,8 @@
     pub(crate) own: u32,
     /// Requests that run there by all accounts, with own sends since.
     pub(crate) load: u32,
+    /// Own sends since its load was last told.
+    pub(crate) unreported: u32,
     pub(crate) avoid_until: Millis,
     /// Until when its side is not asked for models again: it has just declined.
     pub(crate) declined_until: Millis,
@@ -153,6 +155,7 @@
             side: None,
             own: 0,
             load: 0,
+            unreported: 0,
             avoid_until: Millis(0),
             declined_until: Millis(0),
             failing: 0.0,
@@ -194,6 +197,12 @@
         self.load.max(self.own)
     }
 
+    /// Takes the word of the endpoint or its side of what runs and waits there.
+    pub(crate) fn take_load(&mut self, load: u32) {
+        self.load = load;
+        self.unreported = 0;
+    }
+
     /// The load as a share of the slots.
     pub(crate) fn fill(&self) -> f64 {
         f64::from(self.load()) / f64::from(self.member.slots.max(1))
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -13,6 +13,8 @@
     Fetch,
     /// What can run it is full.
     Crowded,
+    /// What can run it has just had this entry's share of its room.
+    Hold,
     /// Nothing can run it in time.
     Refuse(Reason),
 }
@@ -64,6 +66,9 @@
         };
         match best {
             Some((_, endpoint)) if self.dark_for(endpoint, request) => Choice::Fetch,
+            Some((_, endpoint)) if endpoint.fill() < full && self.held_back(endpoint, request) => {
+                Choice::Hold
+            }
             Some((_, endpoint)) if endpoint.fill() < full => {
                 Choice::Send(endpoint.member.instance.clone())
             }
@@ -98,6 +103,18 @@
             && !request.tried.contains(instance)
     }
 
+    /// Whether a request that has waited must wait for the engine's next word of its load.
+    ///
+    /// When a model that many callers wait for has come, all entries hear of it in the same moment, and each
+    /// sees an engine with no load. Together they sent ten times what it takes, and most was refused. So what
+    /// has waited goes there an entry's share of the room at a time.
+    fn held_back(&self, endpoint: &Endpoint, request: &Request) -> bool {
+        let room = f64::from(endpoint.member.slots) * ENGINE_FULL;
+        let share = (room / f64::from(self.entries())).ceil() as u32;
+        let waited = request.target.is_some() && self.now > request.arrived;
+        waited && endpoint.unreported >= share.max(1)
+    }
+
     /// Whether an engine holds a model or adapter by a word that can be relied on.
     ///
     /// Right after all instances have lost power the list still names what engines held before. Requests that
--- a/crates/pool/src/entry/clock.rs
+++ b/crates/pool/src/entry/clock.rs
@@ -123,7 +123,7 @@
         let overlong = self.requests.iter().filter(|(_, one)| {
             one.stage == Stage::Waiting && one.runs == 0 && one.overlong(self.now)
         });
-        let crowded = |one: &Request| matches!(self.choose(one), Choice::Crowded);
+        let crowded = |one: &Request| matches!(self.choose(one), Choice::Crowded | Choice::Hold);
         let crowded = overlong.filter(|(_, one)| crowded(one));
         for id in crowded.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.refuse(id, Reason::Full);
--- a/crates/pool/src/entry/exchange.rs
+++ b/crates/pool/src/entry/exchange.rs
@@ -37,6 +37,7 @@
         let resume = Resume { after: request.after, copy };
         endpoint.own += 1;
         endpoint.load += 1;
+        endpoint.unreported += 1;
         request.stage = Stage::Sent;
         request.sent = now;
         request.at = Some(instance.to_owned());
@@ -100,7 +101,9 @@
         let verdict = if spoils { Verdict::Failed } else { verdict };
         let endpoint = request.at.as_ref().and_then(|at| self.pool.endpoints.get_mut(at));
         if let Some(endpoint) = endpoint {
-            endpoint.load = head.load.unwrap_or(endpoint.load);
+            if let Some(load) = head.load {
+                endpoint.take_load(load);
+            }
             if verdict == Verdict::Pass {
                 request.head_ms = now.since(request.sent);
                 endpoint.note_lag(request.head_ms, now);
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -447,6 +447,7 @@
             Choice::Send(instance) => self.send(id, &instance, false),
             Choice::Fetch => self.want(id),
             Choice::Crowded => self.crowd(id),
+            Choice::Hold => {}
             Choice::Refuse(reason) => self.refuse(id, reason),
         }
     }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -284,7 +284,7 @@
         if state.sound {
             endpoint.holding = Holding::told(state, names);
         }
-        endpoint.load = state.active + state.queued;
+        endpoint.take_load(state.active + state.queued);
         let rates = state
             .models
             .iter()
--- a/crates/pool/tests/all/overload.rs
+++ b/crates/pool/tests/all/overload.rs
@@ -62,3 +62,27 @@
     assert!((2_900..3_200).contains(&at), "after four objectives: {at}");
     assert!(retry_ms.is_some());
 }
+
+/// Guards against a burst when a model has come that many callers wait for: each of 68 entries sees an idle
+/// engine, and together they send ten times what it takes.
+#[test]
+fn what_has_waited_is_sent_a_share_at_a_time() {
+    let mut bench = Bench::new(vec![member(1, ENGINE, &["m0"])]);
+    let told = |models: &[&str], load| SideState {
+        entries: 68,
+        active: load,
+        loading: if models.len() < 2 { vec!["m5".to_owned()] } else { Vec::new() },
+        ..state(1, models)
+    };
+    bench.step(EntryEvent::Side(address(1), told(&["m0"], 0)));
+    for _ in 0..6 {
+        bench.ask("/draft/x", "m5");
+    }
+    bench.now += 300;
+    let first = sent(&bench.step(EntryEvent::Side(address(1), told(&["m0", "m5"], 0))));
+    assert_eq!(first.len(), 1);
+    assert_eq!(sent(&bench.wait(100)).len(), 0, "nothing is known of what the others have sent");
+    assert_eq!(sent(&bench.ask("/draft/x", "m5").1).len(), 1, "who has just come is not held up");
+    let word = bench.step(EntryEvent::Side(address(1), told(&["m0", "m5"], 12)));
+    assert_eq!(sent(&word).len(), 1);
+}
