Revert "Load models that nobody has while nobody asks yet"

An entry at rest has no ticks: its control thread is woken by events only, and between the last endpoint's registration and the first request there is hardly any.

Left for the next try: wake an entry when the list has settled, and preload what has one copy, too.

--- a/crates/pool/src/entry/clock.rs
+++ b/crates/pool/src/entry/clock.rs
@@ -26,7 +26,6 @@
         self.retry_waiting();
         self.spread();
         self.fetch_missed();
-        self.preload();
         self.restock();
     }
 
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -5,7 +5,6 @@
 mod demand;
 mod exchange;
 mod placement;
-mod preload;
 mod replicas;
 mod resume;
 mod rules;
@@ -273,12 +272,8 @@
     }
 
     fn take_members(&mut self, change: MemberChange) {
-        let known = self.pool.endpoints.len();
         let listed = self.pool.apply(change, &mut self.names, self.now);
         self.stock.note_list(self.now);
-        if self.pool.endpoints.len() > known {
-            self.stock.note_growth(self.now);
-        }
         self.note_listed(listed);
         self.retry_waiting();
     }
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -59,24 +59,12 @@
         name: &str,
         model: ModelKey,
         worth: f64,
-    ) -> Option<Place> {
-        let store = self.store_open(model) && !self.copy_unheard(service, model);
-        self.place_from(service, name, model, worth, store)
-    }
-
-    /// The same; `store` says whether the weight store may bring the model.
-    pub(super) fn place_from(
-        &self,
-        service: &str,
-        name: &str,
-        model: ModelKey,
-        worth: f64,
-        store: bool,
     ) -> Option<Place> {
         let engine = self.text.as_ref()?.service(service)?.engine.as_ref()?;
         let spec = engine.model(name)?;
         let members = self.pool.endpoints.values();
         let fit = members.filter(|one| one.open() && one.member.service == service);
+        let store = self.store_open(model) && !self.copy_unheard(service, model);
         let places = fit.filter_map(|one| self.place_at(one, engine, spec, model, store));
         let places = places.filter(|place| place.price <= worth);
         places.min_by(|a, b| a.cost.total_cmp(&b.cost))
--- a/crates/pool/src/entry/stock.rs
+++ b/crates/pool/src/entry/stock.rs
@@ -47,8 +47,6 @@
     began: Option<Millis>,
     /// When the first list was read.
     listed: Option<Millis>,
-    /// When the list last named an endpoint more than before.
-    grown: Option<Millis>,
 }
 
 impl Stock {
@@ -63,16 +61,6 @@
         self.listed.get_or_insert(now);
     }
 
-    /// Notes that the list names more endpoints than before.
-    pub(super) fn note_growth(&mut self, now: Millis) {
-        self.grown = Some(now);
-    }
-
-    /// Milliseconds since the list last named another endpoint.
-    pub(super) fn settled_ms(&self, now: Millis) -> Option<u64> {
-        self.grown.map(|grown| now.since(grown))
-    }
-
     /// Counts an endpoint of `service` that leaves.
     pub(super) fn note_departure(&mut self, service: &str, now: Millis) {
         self.departures.entry(service.to_owned()).or_default().add(WAVE_MS, now);
@@ -157,7 +145,7 @@
     }
 
     /// Endpoints of a service that have each model or a copy of it, or soon will.
-    pub(super) fn copies(&self, service: &str) -> Map<ModelKey, u32> {
+    fn copies(&self, service: &str) -> Map<ModelKey, u32> {
         let mut copies = Map::default();
         let open = self.pool.endpoints.values();
         for endpoint in open.filter(|one| one.open() && one.member.service == service) {
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -9,7 +9,6 @@
 mod missed;
 mod overload;
 mod placement;
-mod preload;
 mod resume;
 mod side;
 mod start;
