Log each failed call to the store, and how long the answered one took

The log named the first failed call of an outage only: calls that are waited for too long and a store that answers late looked the same. No logic is changed.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -33,6 +33,8 @@
 const LIST_PAUSE_MS: u64 = 900;
 /// Milliseconds before another try when the store does not answer.
 const FAILED_PAUSE_MS: u64 = 250;
+/// Failed calls of one outage that are logged at most.
+const LOGGED_TRIES: u32 = 16;
 
 /// Rows of the list that cannot be read and are named in the log, at most: whoever writes them may
 /// write thousands.
@@ -215,29 +217,48 @@
     board: Board,
 ) {
     let mut watch = Watch { store, table, dialect, board, control: Control::new(store), at: None };
-    let mut lost = false;
+    let mut outage = None;
     loop {
+        let asked = Instant::now();
         match watch.turn().await {
             Ok(()) => {
-                if lost {
-                    log::info!("event=store_regained table={table:?}");
+                if let Some(outage) = outage.take() {
+                    note_regained(table, &outage, asked);
                 }
-                lost = false;
                 if table == Table::Members {
                     sleep(Duration::from_millis(LIST_PAUSE_MS)).await;
                 }
             }
             Err(error) => {
-                if !lost {
-                    log::warn!("event=store_lost table={table:?} error=\"{error}\"");
+                let known = outage.get_or_insert(Outage { since: Instant::now(), tries: 0 });
+                known.tries += 1;
+                if known.tries <= LOGGED_TRIES {
+                    let (waited_ms, tries) = (asked.elapsed().as_millis(), known.tries);
+                    log::warn!(
+                        "event=store_lost table={table:?} error=\"{error}\" waited_ms={waited_ms} try={tries}"
+                    );
                 }
-                lost = true;
                 sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
             }
         }
     }
 }
 
+/// Calls for one table that failed in a row.
+struct Outage {
+    /// When the first of them failed.
+    since: Instant,
+    tries: u32,
+}
+
+fn note_regained(table: Table, outage: &Outage, asked: Instant) {
+    let (away_ms, tries) = (outage.since.elapsed().as_millis(), outage.tries);
+    let answered_ms = asked.elapsed().as_millis();
+    log::info!(
+        "event=store_regained table={table:?} away_ms={away_ms} tries={tries} answered_ms={answered_ms}"
+    );
+}
+
 struct Watch {
     store: SocketAddr,
     table: Table,
