--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use citronrill_pool::{CopyEvent, EntryEvent, Member, MemberChange};
+use citronrill_pool::{CopyEvent, EntryEvent, Follow, Member, MemberChange, StoreAsk};
 use citronrill_wire::{MemberRow, Snapshot, TextAsk, TextCopy, TextPart};
 use hyper::StatusCode;
 use tokio::{sync::watch, time::sleep};
@@ -21,18 +21,10 @@
     error::GatewayError,
 };
 
-/// Milliseconds that the store holds a call for changes. Each call has its price, so it is held long;
-/// a connection that has gone silent without a reset is noticed after this and [`ANSWER_MS`], which
-/// leaves two seconds of the five within which a new text is to be in force after such a cut.
-const WATCH_MS: u64 = 2_400;
-/// Milliseconds for an answer beyond that, with a store 50 times slower than usual (4 ms).
-const ANSWER_MS: u64 = 600;
 /// Milliseconds between two calls for the list: some endpoint writes several times a second, and a
 /// call that waits would return at once each time. A leaving endpoint is to be left alone within two
 /// seconds; this and the store's answer are half of that.
 const LIST_PAUSE_MS: u64 = 900;
-/// Milliseconds before another try when the store does not answer.
-const FAILED_PAUSE_MS: u64 = 250;
 /// Failed calls of one outage that are logged at most.
 const LOGGED_TRIES: u32 = 16;
 
@@ -216,18 +208,21 @@
     dialect: Arc<dyn Dialect>,
     board: Board,
 ) {
-    let mut watch = Watch { store, table, dialect, board, control: Control::new(store), at: None };
+    let pace_ms = match table {
+        Table::Text => 0,
+        Table::Members => LIST_PAUSE_MS,
+    };
+    let (control, follow) = (Control::new(store), Follow::new(pace_ms));
+    let mut watch = Watch { store, table, dialect, board, control, follow };
     let mut outage = None;
     loop {
         let asked = Instant::now();
-        match watch.turn().await {
-            Ok(()) => {
+        let pause_ms = match watch.turn().await {
+            Ok(pause_ms) => {
                 if let Some(outage) = outage.take() {
                     note_regained(table, &outage, asked);
                 }
-                if table == Table::Members {
-                    sleep(Duration::from_millis(LIST_PAUSE_MS)).await;
-                }
+                pause_ms
             }
             Err(error) => {
                 let known = outage.get_or_insert(Outage { since: Instant::now(), tries: 0 });
@@ -238,9 +233,10 @@
                         "event=store_lost table={table:?} error=\"{error}\" waited_ms={waited_ms} try={tries}"
                     );
                 }
-                sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
+                watch.follow.failed()
             }
-        }
+        };
+        sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
@@ -265,24 +261,27 @@
     dialect: Arc<dyn Dialect>,
     board: Board,
     control: Control,
-    /// The version up to which everything is known.
-    at: Option<u64>,
+    follow: Follow,
 }
 
 impl Watch {
-    async fn turn(&mut self) -> Result<(), GatewayError> {
-        match self.at {
-            None => self.read().await,
-            Some(at) => self.changes(at).await,
+    /// Makes the next call; gives the milliseconds until the one after it.
+    async fn turn(&mut self) -> Result<u64, GatewayError> {
+        let call = self.follow.call();
+        match call.ask {
+            StoreAsk::Whole => self.read(call.limit_ms).await,
+            StoreAsk::Changes { after, hold_ms } => {
+                self.changes(after, hold_ms, call.limit_ms).await
+            }
         }
     }
 
-    async fn read(&mut self) -> Result<(), GatewayError> {
+    async fn read(&mut self, limit_ms: u64) -> Result<u64, GatewayError> {
         let mut from = None;
         let mut all = RowPage::default();
         loop {
             let path = self.dialect.read_path(self.table, from.as_deref());
-            let (status, body) = self.call(&path, 2 * ANSWER_MS).await?;
+            let (status, body) = self.call(&path, limit_ms).await?;
             if status != StatusCode::OK {
                 return Err(GatewayError::Status(status.as_u16()));
             }
@@ -296,29 +295,33 @@
                 break;
             }
         }
-        self.at = Some(all.version);
+        let pause_ms = self.follow.answered(all.version);
         self.take(all, true);
-        Ok(())
+        Ok(pause_ms)
     }
 
-    async fn changes(&mut self, at: u64) -> Result<(), GatewayError> {
-        let path = self.dialect.watch_path(self.table, at, WATCH_MS);
-        let (status, body) = self.call(&path, WATCH_MS + ANSWER_MS).await?;
+    async fn changes(
+        &mut self,
+        after: u64,
+        hold_ms: u64,
+        limit_ms: u64,
+    ) -> Result<u64, GatewayError> {
+        let path = self.dialect.watch_path(self.table, after, hold_ms);
+        let (status, body) = self.call(&path, limit_ms).await?;
         if status == StatusCode::GONE {
             // The history is gone: what changed meanwhile can only be seen in the whole.
-            log::info!("event=history_gone table={:?} version={at}", self.table);
-            self.at = None;
-            return Ok(());
+            log::info!("event=history_gone table={:?} version={after}", self.table);
+            return Ok(self.follow.history_gone());
         }
         if status != StatusCode::OK {
             return Err(GatewayError::Status(status.as_u16()));
         }
         let page = self.dialect.rows(&body)?;
-        self.at = Some(at.max(page.version));
+        let pause_ms = self.follow.answered(page.version);
         if !page.rows.is_empty() {
             self.take(page, false);
         }
-        Ok(())
+        Ok(pause_ms)
     }
 
     /// Makes a call; the head of its answer has to come within `head_ms`.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`PoolEntry`] decides for callers' requests: route, endpoint, wait, refuse, try again, ask for a
 //! model. [`PoolSide`] decides for one endpoint: which order to give next. Both take events and give
 //! effects; they read no clock and draw no random number. [`CopyFetch`] and [`CopyServer`] decide in the same
-//! way how copies of the text cross between both. The crate stands apart from `decide` as
+//! way how copies of the text cross between both, and [`Follow`] how the store is read. The crate stands apart from `decide` as
 //! nothing here is agreed through the platform's table: a side is the only holder of orders for its
 //! endpoint, and entries act on beliefs that each carry a sequence.
 
@@ -11,6 +11,7 @@
 mod copies;
 mod endpoint;
 mod entry;
+mod follow;
 mod member;
 mod pool;
 mod rate;
@@ -26,6 +27,7 @@
         AnswerHead, Arrival, EntryEffect, EntryEvent, EntryProfile, FailureKind, PoolEntry, Reason,
         Refusal, RequestId, Resume, Sending, TokenCount, Verdict, judge,
     },
+    follow::{Follow, StoreAsk, StoreCall},
     member::{HeldModel, Member, MemberChange},
     side::{
         EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod copies;
 mod entry;
+mod follow;
 mod load;
 mod missed;
 mod overload;
