Give up a call that an outage of the store swallowed before the outage stops excusing it

Callers got 404 for routes that operators had added and the store had confirmed: for up to 0.25 s after the moment from which an outage excuses nothing, at all entries of a deployment at once.

Cause: fixed times that add up to more than the deployment allows. A call that is made while the store answers nobody is never answered; an entry waited for it as long as for a healthy store that holds a call (2,400 + 600 ms) and 250 ms more, whatever the settings say (contact_ms is 3,000 here). All entries waited in step, so that none had the text to give to others.

Now recover_ms in the settings says how long an outage excuses: a held call and the one after it fit into that (1,800 + 600 + 600 of 3,000), after a failed call nothing is held until the store answers, an answer is given 600 to 1,000 ms, and processes vary their times by up to a quarter. The list is followed the same way and had the same fault.

--- a/crates/config/src/pool.rs
+++ b/crates/config/src/pool.rs
@@ -8,6 +8,10 @@
     settings::Reader,
 };
 
+/// Milliseconds after an outage of the store within which all that changed is known again, when the
+/// settings do not say.
+const DEFAULT_RECOVER_MS: u64 = 3_000;
+
 /// Where one process of the pool stands and listens, and what it keeps to.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PoolSettings {
@@ -29,6 +33,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Milliseconds after an outage of the store within which all that changed is known again.
+    pub recover_ms: u64,
     /// The endpoint beside a side.
     pub endpoint: Option<SocketAddr>,
     /// The service of that endpoint.
@@ -100,6 +106,7 @@
         fields.finish();
         let mut fields = reader.fields("platform");
         let store = fields.required::<SocketAddr>("store");
+        let recover_ms = maybe(&mut fields, "recover_ms").unwrap_or(DEFAULT_RECOVER_MS);
         fields.finish();
         let mut fields = reader.fields("endpoint");
         let endpoint = maybe(&mut fields, "address");
@@ -121,6 +128,7 @@
                 snapshots,
                 seeds: seeds.0,
                 store: store?,
+                recover_ms,
                 endpoint,
                 service: service.unwrap_or_default(),
                 retry_ratio: ratio?,
--- /dev/null
+++ b/crates/config/tests/pool.rs
@@ -0,0 +1,31 @@
+//! Settings of the pool's processes.
+
+#![allow(clippy::unwrap_used, reason = "a test that cannot go on must fail")]
+
+use citronrill_config::PoolSettings;
+use rstest::rstest;
+
+fn settings(recover: &str) -> String {
+    format!(
+        "[process]\nname = entry-a\nzone = a\nstop_s = 4\n[platform]\nstore = 127.0.0.1:1\n{recover}\
+         [endpoint]\n[retry]\nratio = 0.2\nslack = 50\nwindow_s = 10\n\
+         [listen]\npeers = 127.0.0.1:2\nmetrics = 127.0.0.1:3\n"
+    )
+}
+
+/// Guards against a process that does not start where the template has nothing to fill in.
+#[rstest]
+#[case::named("recover_ms = 5000\n", 5_000)]
+#[case::left_empty("recover_ms =\n", 3_000)]
+#[case::left_out("", 3_000)]
+fn the_time_to_recover_has_a_default(#[case] line: &str, #[case] expected: u64) {
+    let read = PoolSettings::parse("entry.ini", &settings(line)).unwrap();
+    assert_eq!(read.recover_ms, expected);
+}
+
+/// Guards against a number that cannot be read and is passed over in silence.
+#[test]
+fn a_time_to_recover_that_is_no_number_is_named() {
+    let errors = PoolSettings::parse("entry.ini", &settings("recover_ms = soon\n")).unwrap_err();
+    assert!(errors.to_string().contains("recover_ms"), "{errors}");
+}
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -138,9 +138,9 @@
     let result = runtime.block_on(async {
         let (copies, copy_events) = Copies::new();
         let board = Board::new(dialect.clone(), events.clone(), copies.clone());
-        let store = settings.store;
-        tokio::spawn(watch_table(store, Table::Text, dialect.clone(), board.clone()));
-        tokio::spawn(watch_table(store, Table::Members, dialect.clone(), board.clone()));
+        for table in [Table::Text, Table::Members] {
+            tokio::spawn(watch_table(settings, table, dialect.clone(), board.clone()));
+        }
         let port = settings.peers.port();
         if let Some(address) = settings.snapshots {
             tokio::spawn(serve_seeds(listen(address).await?, board.clone()));
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -8,7 +8,11 @@
 };
 
 use bytes::Bytes;
-use citronrill_pool::{CopyEvent, EntryEvent, Follow, Member, MemberChange, StoreAsk};
+use citronrill_base::hash_bytes;
+use citronrill_config::PoolSettings;
+use citronrill_pool::{
+    CopyEvent, EntryEvent, Follow, FollowProfile, Member, MemberChange, StoreAsk,
+};
 use citronrill_wire::{MemberRow, Snapshot, TextAsk, TextCopy, TextPart};
 use hyper::StatusCode;
 use tokio::{sync::watch, time::sleep};
@@ -201,45 +205,28 @@
     }
 }
 
-/// Follows one table for good.
-pub(crate) async fn watch_table(
-    store: SocketAddr,
-    table: Table,
-    dialect: Arc<dyn Dialect>,
-    board: Board,
-) {
+/// How this process follows a table.
+fn profile(settings: &PoolSettings, table: Table) -> FollowProfile {
     let pace_ms = match table {
         Table::Text => 0,
         Table::Members => LIST_PAUSE_MS,
     };
-    let (control, follow) = (Control::new(store), Follow::new(pace_ms));
-    let mut watch = Watch { store, table, dialect, board, control, follow };
-    let mut outage = None;
-    loop {
-        let asked = Instant::now();
-        let pause_ms = match watch.turn().await {
-            Ok(pause_ms) => {
-                if let Some(outage) = outage.take() {
-                    note_regained(table, &outage, asked);
-                }
-                pause_ms
-            }
-            Err(error) => {
-                let known = outage.get_or_insert(Outage { since: Instant::now(), tries: 0 });
-                known.tries += 1;
-                if known.tries <= LOGGED_TRIES {
-                    let (waited_ms, tries) = (asked.elapsed().as_millis(), known.tries);
-                    log::warn!(
-                        "event=store_lost table={table:?} error=\"{error}\" waited_ms={waited_ms} try={tries}"
-                    );
-                }
-                watch.follow.failed()
-            }
-        };
-        sleep(Duration::from_millis(pause_ms)).await;
-    }
+    let seed = hash_bytes(format!("{} {table:?}", settings.name).as_bytes());
+    FollowProfile { seed, recover_ms: settings.recover_ms, pace_ms }
 }
 
+/// Follows one table for good.
+pub(crate) fn watch_table(
+    settings: &PoolSettings,
+    table: Table,
+    dialect: Arc<dyn Dialect>,
+    board: Board,
+) -> impl Future<Output = ()> + use<> {
+    let store = settings.store;
+    let (control, follow) = (Control::new(store), Follow::new(profile(settings, table)));
+    let watch = Watch { store, table, dialect, board, control, follow };
+    watch.keep()
+}
 /// Calls for one table that failed in a row.
 struct Outage {
     /// When the first of them failed.
@@ -247,6 +234,15 @@
     tries: u32,
 }
 
+fn note_lost(table: Table, outage: &Outage, error: &GatewayError, waited_ms: u64) {
+    let tries = outage.tries;
+    if tries <= LOGGED_TRIES {
+        log::warn!(
+            "event=store_lost table={table:?} error=\"{error}\" waited_ms={waited_ms} try={tries}"
+        );
+    }
+}
+
 fn note_regained(table: Table, outage: &Outage, asked: Instant) {
     let (away_ms, tries) = (outage.since.elapsed().as_millis(), outage.tries);
     let answered_ms = asked.elapsed().as_millis();
@@ -265,6 +261,29 @@
 }
 
 impl Watch {
+    async fn keep(mut self) {
+        let mut outage = None;
+        loop {
+            let asked = Instant::now();
+            let pause_ms = match self.turn().await {
+                Ok(pause_ms) => {
+                    if let Some(outage) = outage.take() {
+                        note_regained(self.table, &outage, asked);
+                    }
+                    pause_ms
+                }
+                Err(error) => {
+                    let waited_ms = asked.elapsed().as_millis() as u64;
+                    let known = outage.get_or_insert(Outage { since: Instant::now(), tries: 0 });
+                    known.tries += 1;
+                    note_lost(self.table, known, &error, waited_ms);
+                    self.follow.failed(waited_ms)
+                }
+            };
+            sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
     /// Makes the next call; gives the milliseconds until the one after it.
     async fn turn(&mut self) -> Result<u64, GatewayError> {
         let call = self.follow.call();
--- a/crates/pool/src/follow.rs
+++ b/crates/pool/src/follow.rs
@@ -3,12 +3,19 @@
 //! Load pattern: the store answers nobody for seconds and then everybody at once. A call that was made
 //! meanwhile is never answered, also not when the store is back.
 
-/// Milliseconds that the store holds a call for changes. Each call has its price, so it is held long.
-const HOLD_MS: u64 = 2_400;
-/// Milliseconds for an answer beyond that, with a store 50 times slower than usual (4 ms).
+use citronrill_base::hash_bytes;
+
+/// Milliseconds for an answer, with a store 50 times slower than usual (4 ms).
 const ANSWER_MS: u64 = 600;
-/// Milliseconds before another try when the store does not answer.
+/// Milliseconds that the store holds a call for changes, at least and at most.
+const HOLD_MS: (u64, u64) = (200, 5_000);
+/// Milliseconds from a call that fails at once to the next one.
 const FAILED_PAUSE_MS: u64 = 250;
+/// Part of a time by which processes vary it, so that their calls are not made, and lost, at the same
+/// moment: whoever reads a text first gives it to the others.
+const SPREAD: u64 = 4;
+/// Calls made in vain, one after the other, while an outage is no longer excused, at most.
+const TRIES: u64 = 3;
 
 /// What to ask of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,48 +41,88 @@
     pub limit_ms: u64,
 }
 
+/// Who follows a table, and what is asked of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FollowProfile {
+    /// Tells processes apart.
+    pub seed: u64,
+    /// Milliseconds after an outage of the store, or of the way to it, within which everything is known.
+    pub recover_ms: u64,
+    /// Milliseconds from an answer to the next call.
+    pub pace_ms: u64,
+}
+
 /// How a table is followed.
 #[derive(Debug)]
 pub struct Follow {
-    /// Milliseconds from an answer to the next call.
-    pace_ms: u64,
+    profile: FollowProfile,
     /// The version up to which everything is known; `None` if the whole is to be read.
     known: Option<u64>,
+    /// Calls that failed since the last answer.
+    failures: u64,
+    /// Calls made.
+    calls: u64,
 }
 
 impl Follow {
-    /// Knows nothing yet; leaves `pace_ms` milliseconds between an answer and the next call.
-    pub fn new(pace_ms: u64) -> Follow {
-        Follow { pace_ms, known: None }
+    /// Knows nothing yet.
+    pub fn new(profile: FollowProfile) -> Follow {
+        Follow { profile, known: None, failures: 0, calls: 0 }
     }
 
     /// The call to make now.
-    pub fn call(&self) -> StoreCall {
-        match self.known {
-            None => StoreCall { ask: StoreAsk::Whole, limit_ms: 2 * ANSWER_MS },
-            Some(after) => {
-                let ask = StoreAsk::Changes { after, hold_ms: HOLD_MS };
-                StoreCall { ask, limit_ms: HOLD_MS + ANSWER_MS }
-            }
-        }
+    pub fn call(&mut self) -> StoreCall {
+        self.calls += 1;
+        let Some(after) = self.known else {
+            return StoreCall { ask: StoreAsk::Whole, limit_ms: 2 * ANSWER_MS };
+        };
+        let hold_ms = if self.failures == 0 { self.hold_ms() } else { 0 };
+        let ask = StoreAsk::Changes { after, hold_ms };
+        StoreCall { ask, limit_ms: hold_ms + self.answer_ms() }
     }
 
     /// The call was answered, and everything up to `version` is known. Gives the milliseconds until the
     /// next one.
     pub fn answered(&mut self, version: u64) -> u64 {
+        self.failures = 0;
         self.known = self.known.max(Some(version));
-        self.pace_ms
+        self.profile.pace_ms
     }
 
     /// The store no longer has what changed after the known version: the whole is to be read. Gives the
     /// milliseconds until the next call.
     pub fn history_gone(&mut self) -> u64 {
+        self.failures = 0;
         self.known = None;
         0
     }
 
-    /// The call failed. Gives the milliseconds until the next one.
-    pub fn failed(&mut self) -> u64 {
-        FAILED_PAUSE_MS
+    /// The call failed after so many milliseconds. Gives those until the next one.
+    pub fn failed(&mut self, waited_ms: u64) -> u64 {
+        self.failures += 1;
+        self.varied(FAILED_PAUSE_MS).saturating_sub(waited_ms)
+    }
+
+    /// How long the store may hold a call.
+    ///
+    /// A call that is lost on a connection without a reset is noticed after this and [`ANSWER_MS`]; the
+    /// next one then has [`ANSWER_MS`] left of the time that an outage excuses.
+    fn hold_ms(&self) -> u64 {
+        let (least, most) = HOLD_MS;
+        let longest = self.profile.recover_ms.saturating_sub(2 * ANSWER_MS);
+        self.varied(longest.clamp(least, most))
+    }
+
+    /// How long an answer is waited for, beyond the time for which the call is held. An answer that takes
+    /// longer than the last one was waited for is given longer, or a slow store would never be read.
+    fn answer_ms(&self) -> u64 {
+        let most = self.profile.recover_ms / TRIES;
+        (self.failures.max(1) * ANSWER_MS).min(most.max(ANSWER_MS))
+    }
+
+    /// A time between `longest_ms` and a quarter less, another one for each process and call.
+    fn varied(&self, longest_ms: u64) -> u64 {
+        let lot = hash_bytes(format!("{} {}", self.profile.seed, self.calls).as_bytes());
+        longest_ms - lot % (longest_ms / SPREAD + 1)
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -27,7 +27,7 @@
         AnswerHead, Arrival, EntryEffect, EntryEvent, EntryProfile, FailureKind, PoolEntry, Reason,
         Refusal, RequestId, Resume, Sending, TokenCount, Verdict, judge,
     },
-    follow::{Follow, StoreAsk, StoreCall},
+    follow::{Follow, FollowProfile, StoreAsk, StoreCall},
     member::{HeldModel, Member, MemberChange},
     side::{
         EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
--- a/crates/pool/tests/all/follow.rs
+++ b/crates/pool/tests/all/follow.rs
@@ -1,6 +1,6 @@
 //! Following a table of a store that falls silent and comes back.
 
-use citronrill_pool::{Follow, StoreAsk};
+use citronrill_pool::{Follow, FollowProfile, StoreAsk};
 use rstest::rstest;
 
 /// A store that answers nobody from `lost` to `back`, in milliseconds; what is asked or held meanwhile is
@@ -24,7 +24,7 @@
             let answered = now + hold_ms + self.answer_ms;
             let swallowed = now < self.back && answered > self.lost;
             if swallowed || answered > now + call.limit_ms {
-                now += call.limit_ms + follow.failed();
+                now += call.limit_ms + follow.failed(call.limit_ms);
                 continue;
             }
             if now >= self.back {
@@ -50,7 +50,8 @@
     for lost in (5_000..9_000).step_by(50) {
         for length in (50..12_000).step_by(50) {
             let store = SilentStore { lost, back: lost + length, answer_ms };
-            let took = store.regained_ms(&mut Follow::new(0));
+            let profile = FollowProfile { seed: lost + length, recover_ms, pace_ms: 0 };
+            let took = store.regained_ms(&mut Follow::new(profile));
             assert!(took <= recover_ms, "{took} ms after {length} ms of silence from {lost} on");
         }
     }
