Be ready only once the list is known, too

What callers saw: 503 for a first request at an entry that had said that it is ready and knew the text, but no instance.

Cause: readiness asked for the text alone. The window was there before, for as long as the list takes longer than the text.

--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -206,9 +206,9 @@
         }
     }
 
-    /// Whether requests can be served: a text is known.
+    /// Whether requests can be served: text and list are known.
     pub fn ready(&self) -> bool {
-        self.text.is_some()
+        self.text.is_some() && self.pool.version > 0
     }
 
     /// The version of the text in force; 0 if none is known.
--- a/crates/pool/tests/all/entry.rs
+++ b/crates/pool/tests/all/entry.rs
@@ -20,6 +20,24 @@
     assert!(retry_ms.is_some());
 }
 
+/// Guards against a balancer that sends callers to a process that has read the text but not yet the list.
+#[test]
+fn an_entry_is_ready_once_it_knows_text_and_list() {
+    let mut bench = Bench::blank();
+    bench.step(EntryEvent::Text(text(1)));
+    assert!(!bench.entry.ready());
+    bench.list(1, vec![member(1, PLAIN, &[])]);
+    assert!(bench.entry.ready());
+}
+
+/// Guards against the same where the list comes first.
+#[test]
+fn an_entry_with_a_list_and_no_text_is_not_ready() {
+    let mut bench = Bench::blank();
+    bench.list(1, vec![member(1, PLAIN, &[])]);
+    assert!(!bench.entry.ready());
+}
+
 /// An operator removes a route in version 2. A peer that lagged behind then passes on version 1;
 /// a request on the removed route must not be served again.
 #[test]
