Say of nothing that it does not exist while the store does not answer for the text

What callers saw: a final 404 for a route that operators had added while the store was away, from an entry that could not know of it. A caller does not come back after a 404.

Cause: a text that may be old was taken for the newest. The entry now knows whether the store's last call was answered; while it was not, and while its only text is a peer's, what the text does not know is refused with 503, reason old_text and a Retry-After of a second; it has not run. Known routes are served as before, also one that was dropped meanwhile: serving goes first there.

Evidence: both new tests fail with the guard taken out. Not held against: callers of a path that never existed are told to come back in an outage, too.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -263,6 +263,7 @@
 impl Watch {
     async fn keep(mut self) {
         let mut outage = None;
+        let mut told = false;
         loop {
             let asked = Instant::now();
             let pause_ms = match self.turn().await {
@@ -280,10 +281,20 @@
                     self.follow.failed(waited_ms)
                 }
             };
+            self.tell_current(&mut told);
             sleep(Duration::from_millis(pause_ms)).await;
         }
     }
 
+    /// Says whether the text is known to be the newest, where that has changed.
+    fn tell_current(&self, told: &mut bool) {
+        let current = self.follow.current();
+        if self.table == Table::Text && current != *told {
+            *told = current;
+            self.board.events.send(EntryEvent::TextCurrent(current));
+        }
+    }
+
     /// Makes the next call; gives the milliseconds until the one after it.
     async fn turn(&mut self) -> Result<u64, GatewayError> {
         let call = self.follow.call();
--- a/crates/insight/src/story.rs
+++ b/crates/insight/src/story.rs
@@ -122,6 +122,9 @@
     let reason = match last.get("reason") {
         "no_text" => "the entry knew no text yet".to_owned(),
         "no_route" => format!("text {} has no route for it", last.get("text")),
+        "old_text" => {
+            format!("text {} has no route or model for it, and may be old", last.get("text"))
+        }
         "no_model" => "its service has no such model".to_owned(),
         "no_endpoint" => format!(
             "no endpoint could take {model} in ({} held it, {} had a copy, it was on its way to {})",
--- a/crates/pool/src/entry/exchange.rs
+++ b/crates/pool/src/entry/exchange.rs
@@ -13,8 +13,9 @@
 pub(super) const SEND_LIMIT: u32 = 4;
 /// The status that promises that a request has not run and never will.
 const NOT_RUN_STATUS: u16 = 503;
-/// Milliseconds after which a caller may come back to an entry that knows no text yet: one second
-/// is what a process takes from its start to its first text.
+/// Milliseconds after which a caller may come back to an entry that waits for a text: one second is what
+/// a process takes from its start to its first text, and about what passes between two calls to a store
+/// that does not answer.
 pub(super) const NO_TEXT_RETRY_MS: u64 = 1_000;
 /// Milliseconds after which a caller may come back when its entry is stopping: just enough not to
 /// come in one wave.
@@ -276,7 +277,7 @@
                 let ms = self.ready_ms(request).unwrap_or(0).max(soon);
                 Some(ms + spread((request.target_ms / 4).max(ms / RETURN_SPREAD)))
             }
-            Reason::NoText => Some(NO_TEXT_RETRY_MS),
+            Reason::NoText | Reason::OldText => Some(NO_TEXT_RETRY_MS),
             // Any other entry takes it at once.
             Reason::Stopping => Some(STOPPING_RETRY_MS),
             Reason::Expired
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -172,6 +172,8 @@
     profile: EntryProfile,
     now: Millis,
     text: Option<Arc<ServingText>>,
+    /// Whether the store answers for that text.
+    current: bool,
     pool: Pool,
     names: Names<ModelKey>,
     requests: BTreeMap<RequestId, Request>,
@@ -192,6 +194,7 @@
             profile,
             now: Millis(0),
             text: None,
+            current: false,
             pool: Pool::default(),
             names: Names::default(),
             requests: BTreeMap::new(),
@@ -231,6 +234,7 @@
         self.now = now;
         match event {
             EntryEvent::Text(text) => self.take_text(text),
+            EntryEvent::TextCurrent(current) => self.current = current,
             EntryEvent::Members(change) => self.take_members(change),
             EntryEvent::Side(address, state) => self.take_side(address, &state),
             EntryEvent::Declined(address, name) => self.declined(address, &name),
@@ -368,18 +372,28 @@
                 self.dispatch(id);
             }
             Err(reason) => {
+                let reason = self.doubted(reason);
                 self.log(
                     LogEvent::new("refused")
                         .with("id", arrival.caller)
                         .with("reason", reason.word())
                         .with("text", self.text_version()),
                 );
-                let retry_ms = (reason == Reason::NoText).then_some(NO_TEXT_RETRY_MS);
+                let waits = matches!(reason, Reason::NoText | Reason::OldText);
+                let retry_ms = waits.then_some(NO_TEXT_RETRY_MS);
                 self.effects.push(EntryEffect::Refuse(id, Refusal { reason, retry_ms }));
             }
         }
     }
 
+    /// What a text that may be old does not know may have been added: that it does not exist is not said.
+    fn doubted(&self, reason: Reason) -> Reason {
+        match reason {
+            Reason::NoRoute | Reason::NoModel if !self.current => Reason::OldText,
+            reason => reason,
+        }
+    }
+
     fn admit(&mut self, arrival: &Arrival) -> Result<Request, Reason> {
         let text = self.text.clone().ok_or(Reason::NoText)?;
         let route = text.route(&arrival.host, &arrival.path).ok_or(Reason::NoRoute)?;
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -94,6 +94,8 @@
 pub enum EntryEvent {
     /// A text was read, from the platform or a peer.
     Text(Arc<ServingText>),
+    /// Whether the store answers for its text, so that the one in force is known to be the newest.
+    TextCurrent(bool),
     /// The list of instances has changed.
     Members(MemberChange),
     /// A side spoke; the address is its endpoint's.
@@ -156,6 +158,8 @@
     NoRoute,
     /// The model is not one of the service's.
     NoModel,
+    /// No route leads there, or no such model, by a text that may be old.
+    OldText,
     /// No endpoint can run it.
     NoEndpoint,
     /// Every endpoint that could run it is full.
@@ -179,6 +183,7 @@
             Reason::NoText => "no_text",
             Reason::NoRoute => "no_route",
             Reason::NoModel => "no_model",
+            Reason::OldText => "old_text",
             Reason::NoEndpoint => "no_endpoint",
             Reason::Full => "full",
             Reason::TooFar => "too_far",
@@ -196,6 +201,7 @@
         match self {
             Reason::NoRoute | Reason::NoModel => 404,
             Reason::NoText
+            | Reason::OldText
             | Reason::NoEndpoint
             | Reason::Full
             | Reason::TooFar
--- a/crates/pool/src/follow.rs
+++ b/crates/pool/src/follow.rs
@@ -103,6 +103,11 @@
         self.varied(FAILED_PAUSE_MS).saturating_sub(waited_ms)
     }
 
+    /// Whether everything is known, as far as the store's last answer can tell.
+    pub fn current(&self) -> bool {
+        self.known.is_some() && self.failures == 0
+    }
+
     /// How long the store may hold a call.
     ///
     /// A call that is lost on a connection without a reset is noticed after this and [`ANSWER_MS`]; the
--- a/crates/pool/tests/all/entry.rs
+++ b/crates/pool/tests/all/entry.rs
@@ -38,6 +38,32 @@
     assert!(!bench.entry.ready());
 }
 
+/// Guards against a caller who is told, in an outage of the store, that a route or model does not exist
+/// which was added meanwhile: it would not come back. What the old text knows is served.
+#[test]
+fn in_an_outage_nothing_is_said_not_to_exist() {
+    let mut bench = Bench::new(vec![member(1, PLAIN, &[])]);
+    bench.step(EntryEvent::TextCurrent(false));
+    for (path, model) in [("/added/x", ""), ("/chat/x", "added")] {
+        let (_, effects) = bench.ask(path, model);
+        let (reason, retry_ms) = refusal(&effects).unwrap();
+        assert_eq!((reason, reason.status()), (Reason::OldText, 503));
+        assert!(retry_ms.is_some());
+    }
+    assert!(sending(&bench.ask("/status/x", "").1).is_some());
+    bench.step(EntryEvent::TextCurrent(true));
+    assert_eq!(refusal(&bench.ask("/added/x", "").1).unwrap().0, Reason::NoRoute);
+}
+
+/// Guards against the same where a process starts in the outage and has its text from a peer.
+#[test]
+fn a_text_of_a_peer_says_of_nothing_that_it_does_not_exist() {
+    let mut bench = Bench::blank();
+    bench.step(EntryEvent::Text(text(1)));
+    bench.list(1, vec![member(1, PLAIN, &[])]);
+    assert_eq!(refusal(&bench.ask("/added/x", "").1).unwrap().0, Reason::OldText);
+}
+
 /// An operator removes a route in version 2. A peer that lagged behind then passes on version 1;
 /// a request on the removed route must not be served again.
 #[test]
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -169,6 +169,7 @@
     pub(crate) fn new(members: Vec<Member>) -> Bench {
         let mut bench = Bench::blank();
         bench.step(EntryEvent::Text(text(1)));
+        bench.step(EntryEvent::TextCurrent(true));
         bench.list(1, members);
         bench
     }
