Give up what an outage swallowed as soon as the store answers another call

What callers saw: a text, or the leaving of an instance, that an entry learnt up to 2.4 s after a short outage although the same process had already had an answer of the store for the other table.

Cause: each table is followed by itself. Now the list, which is asked for every 0.9 s anyway, is not held by the store: a call that is lost is noticed after 0.6 s and not after 2.4. When the store answers for a table again, calls of before that for others are given up and made anew (event=store_overtaken), unless their answer has begun.

--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -40,6 +40,9 @@
     /// No answer came in time.
     #[error("no answer within {0} ms")]
     Timeout(u64),
+    /// The other end answers calls again that failed before, and this one is older.
+    #[error("given up for a new call")]
+    Overtaken,
     /// An answer that had begun stopped coming.
     #[error("the answer stopped after {0} bytes")]
     Stalled(usize),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -26,7 +26,7 @@
 };
 
 /// Milliseconds between two calls for the list: some endpoint writes several times a second, and a
-/// call that waits would return at once each time. A leaving endpoint is to be left alone within two
+/// call that is held would return at once each time. A leaving endpoint is to be left alone within two
 /// seconds; this and the store's answer are half of that.
 const LIST_PAUSE_MS: u64 = 900;
 /// Failed calls of one outage that are logged at most.
@@ -45,6 +45,8 @@
     events: Events,
     copies: Copies<SocketAddr>,
     sender: Arc<watch::Sender<Option<ReadText>>>,
+    /// Marked when the store answers for a table again for which it did not.
+    regained: Arc<watch::Sender<()>>,
     list: Arc<Mutex<List>>,
 }
 
@@ -76,7 +78,8 @@
         copies: Copies<SocketAddr>,
     ) -> Board {
         let sender = Arc::new(watch::Sender::new(None));
-        Board { dialect, events, copies, sender, list: Arc::default() }
+        let regained = Arc::new(watch::Sender::new(()));
+        Board { dialect, events, copies, sender, regained, list: Arc::default() }
     }
 
     /// Takes the bytes of a text, from the store or a peer; an older one changes nothing.
@@ -270,9 +273,18 @@
                 Ok(pause_ms) => {
                     if let Some(outage) = outage.take() {
                         note_regained(self.table, &outage, asked);
+                        self.board.regained.send_replace(());
                     }
                     pause_ms
                 }
+                Err(GatewayError::Overtaken) => {
+                    let waited_ms = asked.elapsed().as_millis();
+                    log::info!(
+                        "event=store_overtaken table={:?} waited_ms={waited_ms}",
+                        self.table
+                    );
+                    self.follow.overtaken()
+                }
                 Err(error) => {
                     let waited_ms = asked.elapsed().as_millis() as u64;
                     let known = outage.get_or_insert(Outage { since: Instant::now(), tries: 0 });
@@ -366,7 +378,14 @@
                 self.board.text_arrives();
             }
         };
-        let response = self.control.fetch(get(self.store, path)?, head_ms, progress).await?;
+        let mut regained = self.board.regained.subscribe();
+        let overtaken = async move {
+            if regained.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        let request = get(self.store, path)?;
+        let response = self.control.fetch(request, head_ms, overtaken, progress).await?;
         Ok((response.status(), response.into_body()))
     }
 
--- a/crates/pool/src/follow.rs
+++ b/crates/pool/src/follow.rs
@@ -48,7 +48,7 @@
     pub seed: u64,
     /// Milliseconds after an outage of the store, or of the way to it, within which everything is known.
     pub recover_ms: u64,
-    /// Milliseconds from an answer to the next call.
+    /// Milliseconds from an answer to the next call; 0 where the store is to hold calls instead.
     pub pace_ms: u64,
 }
 
@@ -76,7 +76,7 @@
         let Some(after) = self.known else {
             return StoreCall { ask: StoreAsk::Whole, limit_ms: 2 * ANSWER_MS };
         };
-        let hold_ms = if self.failures == 0 { self.hold_ms() } else { 0 };
+        let hold_ms = if self.holds() { self.hold_ms() } else { 0 };
         let ask = StoreAsk::Changes { after, hold_ms };
         StoreCall { ask, limit_ms: hold_ms + self.answer_ms() }
     }
@@ -97,6 +97,12 @@
         0
     }
 
+    /// The call was given up, as the store has answered a later one for another table after it had not.
+    /// Gives the milliseconds until the next one.
+    pub fn overtaken(&mut self) -> u64 {
+        0
+    }
+
     /// The call failed after so many milliseconds. Gives those until the next one.
     pub fn failed(&mut self, waited_ms: u64) -> u64 {
         self.failures += 1;
@@ -108,6 +114,12 @@
         self.known.is_some() && self.failures == 0
     }
 
+    /// Whether the store is to hold the next call. One that it holds is given up late if it is lost, so that
+    /// none is held in an outage, nor where the next call would come soon by itself.
+    fn holds(&self) -> bool {
+        self.failures == 0 && self.profile.pace_ms == 0
+    }
+
     /// How long the store may hold a call.
     ///
     /// A call that is lost on a connection without a reset is noticed after this and [`ANSWER_MS`]; the
--- a/tests/pool/life.rs
+++ b/tests/pool/life.rs
@@ -6,6 +6,8 @@
     time::Duration,
 };
 
+use citronrill_platform_standin::Harm;
+
 use crate::support::{Answer, Ask, Deployment, PATIENCE, Process, text, until};
 
 const SIGHUP: i32 = 1;
@@ -57,6 +59,30 @@
     pool.until("its return is in the log", || pool.entry.logged(&["event=store_regained"]));
 }
 
+/// Guards against an entry that knows by one table that the store answers again, and waits for a call of the
+/// outage for another one all the same.
+#[test]
+fn a_call_of_the_outage_is_given_up_when_the_store_answers_another() {
+    let pool = Deployment::start(&[("e1", &["m0"])]);
+    let (cut, path) = pool.entry_behind_proxy();
+    let overtaken = || cut.logged(&["event=store_overtaken", "table=Text"]);
+    for version in 2..40 {
+        pool.store.put("op", "config", Some(text(version, &["/added/"])));
+        let written = format!("version={version} ");
+        pool.until("the text is known", || cut.logged(&["event=text ", &written]));
+        let count = |event: &str| cut.count(&[event, "table=Members"]);
+        let (lost, regained) = (count("event=store_lost"), count("event=store_regained"));
+        path.set(Harm::OneWay);
+        pool.until("the list is lost", || count("event=store_lost") > lost);
+        path.set(Harm::None);
+        pool.until("the list is back", || count("event=store_regained") > regained);
+        if overtaken() {
+            return;
+        }
+    }
+    panic!("the call for the text is waited for");
+}
+
 /// The store forgets its history while a text is written. The entry reads the whole again and misses
 /// nothing.
 #[test]
--- a/tests/pool/support/process.rs
+++ b/tests/pool/support/process.rs
@@ -70,8 +70,13 @@
 
     /// Whether a line of its log has all of these parts.
     pub(crate) fn logged(&self, parts: &[&str]) -> bool {
+        self.count(parts) > 0
+    }
+
+    /// How many lines of its log have all of these parts.
+    pub(crate) fn count(&self, parts: &[&str]) -> usize {
         let lines = self.lines.lock().unwrap();
-        lines.iter().any(|line| parts.iter().all(|part| line.contains(part)))
+        lines.iter().filter(|line| parts.iter().all(|part| line.contains(part))).count()
     }
 
     /// A count of its metrics.
