Publish that an entry is ready before the log says why

What was seen: life::an_entry_without_a_text_is_not_ready failed in 1 of 40 runs at its first line: the log had the text, and the readiness address still answered 503.

Cause: the control thread carried out a step's effects, the log line among them, and published readiness after it.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -253,9 +253,10 @@
     fn step(&mut self, event: EntryEvent) {
         let now = Millis(self.start.elapsed().as_millis() as u64);
         let effects = self.reducer.step(now, event);
-        effects.into_iter().for_each(|effect| self.carry_out(effect));
+        // Before the effects: whoever reads of a text in the log finds the process ready.
         self.shared.ready.store(self.reducer.ready(), Ordering::Relaxed);
         self.shared.in_hand.store(self.reducer.in_hand() as u64, Ordering::Relaxed);
+        effects.into_iter().for_each(|effect| self.carry_out(effect));
     }
 
     fn carry_out(&mut self, effect: EntryEffect) {
