--- a/tests/pool/life.rs
+++ b/tests/pool/life.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use citronrill_platform_standin::Harm;
+use citronrill_platform_standin::{Harm, Outage};
 
 use crate::support::{Answer, Ask, Deployment, PATIENCE, Process, text, until};
 
@@ -49,16 +49,34 @@
 #[test]
 fn an_outage_of_the_store_stops_nothing() {
     let pool = Deployment::start(&[("e1", &["m0"])]);
-    pool.store.set_down(true);
+    pool.store.set_outage(Some(Outage::Refuse));
     pool.until("the loss is in the log", || pool.entry.logged(&["event=store_lost"]));
     assert_eq!(pool.ask(&Ask::call("/book/x", "id-1")).status, 200);
     assert_eq!(pool.ask(&Ask::stream("/draft/x", "id-2", "m3")).status, 200);
     pool.store.put("op", "config", Some(text(5, &["/added/"])));
-    pool.store.set_down(false);
+    pool.store.set_outage(None);
     pool.until("the text is known", || pool.entry.logged(&["event=text ", "version=5"]));
     pool.until("its return is in the log", || pool.entry.logged(&["event=store_regained"]));
 }
 
+/// Guards against a caller who is told in an outage that an added route does not exist, and against a text
+/// that stays unread as the store never answers the calls of the outage.
+#[test]
+fn an_outage_that_swallows_calls_hides_no_text() {
+    let pool = Deployment::start(&[("e1", &["m0"])]);
+    assert_eq!(pool.ask(&Ask::call("/added/x", "id-1")).status, 404);
+    pool.store.set_outage(Some(Outage::Silent));
+    pool.until("the loss is known", || pool.entry.logged(&["event=store_lost", "table=Text"]));
+    pool.store.put("op", "config", Some(text(5, &["/added/"])));
+    let answer = pool.ask(&Ask::call("/added/x", "id-2"));
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(pool.ask(&Ask::call("/book/x", "id-3")).status, 200);
+    pool.store.set_outage(None);
+    pool.until("the text is known", || pool.entry.logged(&["event=text ", "version=5"]));
+    assert_eq!(pool.ask(&Ask::call("/added/x", "id-4")).status, 200);
+}
+
 /// Guards against an entry that knows by one table that the store answers again, and waits for a call of the
 /// outage for another one all the same.
 #[test]
@@ -99,13 +117,13 @@
 fn an_entry_without_a_text_is_not_ready() {
     let mut pool = Deployment::start(&[("e1", &["m0"])]);
     assert!(pool.ready());
-    pool.store.set_down(true);
+    pool.store.set_outage(Some(Outage::Refuse));
     pool.restart_entry();
     assert!(!pool.ready());
     let answer = pool.ask(&Ask::call("/book/x", "id-1"));
     assert_eq!(answer.status, 503);
     assert!(answer.header("retry-after").is_some());
-    pool.store.set_down(false);
+    pool.store.set_outage(None);
     until("the entry is ready", || pool.ready());
     assert_eq!(pool.ask(&Ask::call("/book/x", "id-2")).status, 200);
 }
@@ -116,7 +134,7 @@
 #[test]
 fn an_entry_that_starts_in_an_outage_asks_its_peers() {
     let pool = Deployment::start(&[("e1", &["m0"])]);
-    pool.store.set_down(true);
+    pool.store.set_outage(Some(Outage::Refuse));
     pool.until("the loss is in the log", || pool.entry.logged(&["event=store_lost"]));
     let more = pool.entry_that_asks(&format!("127.0.0.1:9,{}", pool.snapshots));
     pool.until("it knows both", || {
@@ -125,7 +143,7 @@
     });
     pool.until("it reaches the side", || pool.sides[0].logged(&["entry_connected", "entries=2"]));
     pool.store.put("op", "config", Some(text(5, &["/added/"])));
-    pool.store.set_down(false);
+    pool.store.set_outage(None);
     pool.until("the text is known", || more.logged(&["event=text ", "version=5"]));
 }
 
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use citronrill_platform_standin::{Harm, Mode, Proxy};
+use citronrill_platform_standin::{Harm, Mode, Outage, Proxy};
 use rand::{Rng, rngs::SmallRng};
 
 use crate::support::{Deployment, LinkedEntry, PATIENCE, Process, large_text, text};
@@ -176,8 +176,10 @@
                 self.end_after(lasts, End::CurePath(side));
             }
             10 => {
-                self.tell(format!("store down for {lasts} ms"));
-                self.deployment.store.set_down(true);
+                // By what was drawn already, so that a seed goes on meaning the same.
+                let outage = if lasts % 2 == 0 { Outage::Refuse } else { Outage::Silent };
+                self.tell(format!("store down for {lasts} ms: {outage:?}"));
+                self.deployment.store.set_outage(Some(outage));
                 self.end_after(lasts, End::StoreUp);
             }
             11 => self.write_text("a new text", |version| text(version, &["/added/"])),
@@ -264,7 +266,7 @@
                 End::StartSide(side) => self.deployment.sides[side].start_again(),
                 End::CureWorker(side) => self.deployment.engines[side].set_mode(Mode::Sound),
                 End::CurePath(side) => self.proxies[side].set(Harm::None),
-                End::StoreUp => self.deployment.store.set_down(false),
+                End::StoreUp => self.deployment.store.set_outage(None),
             }
         }
     }
