--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::{
+    board::Board,
     copies::{Copies, fetch_copies},
     dialect::{Dialect, Table},
     error::GatewayError,
@@ -30,7 +31,7 @@
     metrics::{EntryMetrics, serve_metrics},
     seeds::{ask_seeds, serve_seeds},
     sides::{SideCommand, run_sides},
-    store::{Board, watch_table},
+    store::watch_table,
 };
 
 /// Milliseconds between looks at the clock while requests are in hand: a request's end is met
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! runtime. They talk over channels, and closing a channel ends its task. How the platform spells
 //! its calls is behind [`Dialect`], so this crate knows none of its words.
 
+mod board;
 mod call;
 mod copies;
 mod dialect;
--- a/crates/gateway/src/seeds.rs
+++ b/crates/gateway/src/seeds.rs
@@ -16,9 +16,9 @@
 };
 
 use crate::{
+    board::Board,
     call::{connect, tune},
     link::{Receiver, Sender, split},
-    store::Board,
 };
 
 /// Milliseconds that the store is given before peers are asked: it answers within a few.
--- a/crates/gateway/src/sides.rs
+++ b/crates/gateway/src/sides.rs
@@ -11,11 +11,11 @@
 };
 
 use crate::{
+    board::Board,
     call::connect,
     copies::Copies,
     entry::{Events, ReadText, side_address},
     link::split,
-    store::Board,
 };
 
 /// Milliseconds without a word after which a connection counts as lost: a side speaks every 500.
--- a/crates/pool/src/entry/store_limit.rs
+++ b/crates/pool/src/entry/store_limit.rs
@@ -2,12 +2,12 @@
 
 use citronrill_base::{Map, Millis};
 
+use crate::text::LATE_LOAD;
+
 /// Loads at once before anything is known of the store.
 const FIRST_LIMIT: u32 = 3;
 /// Loads at once at most; beyond that each only holds up its endpoint for longer.
 const LAST_LIMIT: u32 = 8;
-/// Time of a load, in thousandths of the usual one, above which the store had too many at once.
-const TOO_SLOW: u32 = 1_200;
 /// Milliseconds after a slow load for which the limit is not raised: a store does not change its pace from
 /// one load to the next.
 const SLOW_MEMORY_MS: u64 = 60_000;
@@ -45,7 +45,7 @@
         }
         self.ended.insert(instance.to_owned(), slow);
         let known = self.slowed.is_some_and(|at| now.since(at) < SLOW_MEMORY_MS);
-        if slow >= TOO_SLOW {
+        if slow >= LATE_LOAD {
             self.lower(slow, loads, now);
         } else if loads >= self.limit && !known {
             self.limit = (self.limit * 2).min(LAST_LIMIT);
@@ -54,7 +54,7 @@
 
     /// Takes how late a load under way is, which began as one of `loads`.
     pub(super) fn hear_late(&mut self, slow: u32, loads: u32, now: Millis) {
-        if slow >= TOO_SLOW {
+        if slow >= LATE_LOAD {
             self.lower(slow, loads, now);
         }
     }
--- a/crates/pool/src/entry/weights.rs
+++ b/crates/pool/src/entry/weights.rs
@@ -28,6 +28,9 @@
     /// what most requests miss: one more replica of a busy model serves more callers than any rare
     /// one.
     pub(super) fn store_open(&self, model: ModelKey) -> bool {
+        if !self.store_turn() {
+            return false;
+        }
         let own = if self.far(model) { self.need(model) } else { self.missed(model) };
         let mut others = self.missed_models();
         others.extend(self.demand.asked.keys().copied());
@@ -44,7 +47,7 @@
         let engines = self.pool.endpoints.values().filter(|one| one.side.is_some()).count() as u32;
         let rare = (limit - 1).min(engines / RARE_STORE_SHARE).max(1);
         let limit = if own < BUSY_RATE { rare } else { limit };
-        self.store_turn() && self.store_loads() + (before.count() as u32) < limit
+        self.store_loads() + (before.count() as u32) < limit
     }
 
     /// Whether it is this entry's turn to ask the weight store for a model.
--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -29,7 +29,7 @@
     member::full_name,
     rate::Rate,
     start::{KnownStart, StartNews},
-    text::{EngineSpec, ServingText},
+    text::{EngineSpec, LATE_LOAD, ServingText},
 };
 
 /// Milliseconds between looks at the endpoint while an order is under way: a load takes 440 or
@@ -46,8 +46,6 @@
 /// Milliseconds without a look that succeeded after which the endpoint counts as unsound.
 const UNSOUND_MS: u64 = 1_000;
 
-/// Time of a load from the weight store, in thousandths of its usual one, from which it is late.
-const OVERDUE: u32 = 1_200;
 /// Steps in which a late load's time is told, so that not every millisecond is news.
 const OVERDUE_STEP: u32 = 200;
 
@@ -269,9 +267,7 @@
         }
         ended.into_iter().for_each(|event| self.log(event));
         if let (Some(given), None) = (far, &self.model_order) {
-            let usual = self.engine().and_then(|engine| engine.model(&given.order.model));
-            let usual = usual.map_or(1, |spec| spec.store_ms.max(1));
-            self.store_slow = (self.now.since(given.at) * 1_000 / usual) as u32;
+            self.store_slow = self.slowness(&given);
             self.store_concurrent = given.concurrent;
         }
         let Some(report) = &self.report else { return };
@@ -441,10 +437,15 @@
     /// steps of [`OVERDUE_STEP`]; 0 while it is not late.
     fn store_overdue(&self) -> u32 {
         let Some(given) = self.model_order.as_ref().filter(|given| given.far) else { return 0 };
+        let slow = self.slowness(given);
+        if slow < LATE_LOAD { 0 } else { slow - slow % OVERDUE_STEP }
+    }
+
+    /// How long a load from the weight store has taken by now, in thousandths of its usual time.
+    fn slowness(&self, given: &Given) -> u32 {
         let spec = self.engine().and_then(|engine| engine.model(&given.order.model));
         let usual = spec.map_or(1, |spec| spec.store_ms.max(1));
-        let slow = (self.now.since(given.at) * 1_000 / usual) as u32;
-        if slow < OVERDUE { 0 } else { slow - slow % OVERDUE_STEP }
+        (self.now.since(given.at) * 1_000 / usual) as u32
     }
 
     /// Milliseconds that what is wanted takes here.
--- a/crates/pool/src/text.rs
+++ b/crates/pool/src/text.rs
@@ -143,6 +143,10 @@
     }
 }
 
+/// Time of a load from the weight store, in thousandths of its usual one, from which it is late, as the store
+/// had too many at once.
+pub(crate) const LATE_LOAD: u32 = 1_200;
+
 /// One model.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct ModelSpec {
