Wait for a slow store as long as its last answer suggests

The list is asked for with calls that the store does not hold since it was made to notice a lost call soon, and each was waited for 600 ms: before, an answer could take 3,000. A store that takes longer than 600 ms for each answer would have given the list to some of the calls only.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -27,6 +27,10 @@
 /// Failed calls of one outage that are logged at most.
 const LOGGED_TRIES: u32 = 16;
 
+fn millis_since(moment: Instant) -> u64 {
+    moment.elapsed().as_millis() as u64
+}
+
 /// How this process follows a table.
 fn profile(settings: &PoolSettings, table: Table) -> FollowProfile {
     let pace_ms = match table {
@@ -106,7 +110,7 @@
                     self.follow.overtaken()
                 }
                 Err(error) => {
-                    let waited_ms = asked.elapsed().as_millis() as u64;
+                    let waited_ms = millis_since(asked);
                     let known = outage.get_or_insert(Outage { since: Instant::now(), tries: 0 });
                     known.tries += 1;
                     note_lost(self.table, known, &error, waited_ms);
@@ -139,6 +143,7 @@
     }
 
     async fn read(&mut self, limit_ms: u64) -> Result<u64, GatewayError> {
+        let asked = Instant::now();
         let mut from = None;
         let mut all = RowPage::default();
         loop {
@@ -157,7 +162,7 @@
                 break;
             }
         }
-        let pause_ms = self.follow.answered(all.version);
+        let pause_ms = self.follow.answered(all.version, millis_since(asked));
         self.board.take(self.table, all, true);
         Ok(pause_ms)
     }
@@ -168,6 +173,7 @@
         hold_ms: u64,
         limit_ms: u64,
     ) -> Result<u64, GatewayError> {
+        let asked = Instant::now();
         let path = self.dialect.watch_path(self.table, after, hold_ms);
         let (status, body) = self.call(&path, limit_ms).await?;
         if status == StatusCode::GONE {
@@ -179,7 +185,7 @@
             return Err(GatewayError::Status(status.as_u16()));
         }
         let page = self.dialect.rows(&body)?;
-        let pause_ms = self.follow.answered(page.version);
+        let pause_ms = self.follow.answered(page.version, millis_since(asked));
         if !page.rows.is_empty() {
             self.board.take(self.table, page, false);
         }
--- a/crates/pool/src/follow.rs
+++ b/crates/pool/src/follow.rs
@@ -5,7 +5,7 @@
 
 use citronrill_base::hash_bytes;
 
-/// Milliseconds for an answer, with a store 50 times slower than usual (4 ms).
+/// Milliseconds for an answer at least, with a store 50 times slower than usual (4 ms).
 const ANSWER_MS: u64 = 600;
 /// Milliseconds that the store holds a call for changes, at least and at most.
 const HOLD_MS: (u64, u64) = (200, 5_000);
@@ -14,7 +14,7 @@
 /// Part of a time by which processes vary it, so that their calls are not made, and lost, at the same
 /// moment: whoever reads a text first gives it to the others.
 const SPREAD: u64 = 4;
-/// Calls made in vain, one after the other, while an outage is no longer excused, at most.
+/// Calls for which the time that an outage excuses is enough, one after the other.
 const TRIES: u64 = 3;
 
 /// What to ask of the store.
@@ -58,8 +58,12 @@
     profile: FollowProfile,
     /// The version up to which everything is known; `None` if the whole is to be read.
     known: Option<u64>,
-    /// Calls that failed since the last answer.
-    failures: u64,
+    /// Whether the last call failed.
+    failing: bool,
+    /// Milliseconds for which an answer is waited for, beyond the time for which a call is held.
+    patience_ms: u64,
+    /// Milliseconds for which the last call is held at most.
+    held_ms: u64,
     /// Calls made.
     calls: u64,
 }
@@ -67,24 +71,33 @@
 impl Follow {
     /// Knows nothing yet.
     pub fn new(profile: FollowProfile) -> Follow {
-        Follow { profile, known: None, failures: 0, calls: 0 }
+        Follow {
+            profile,
+            known: None,
+            failing: false,
+            patience_ms: ANSWER_MS,
+            held_ms: 0,
+            calls: 0,
+        }
     }
 
     /// The call to make now.
     pub fn call(&mut self) -> StoreCall {
         self.calls += 1;
         let Some(after) = self.known else {
-            return StoreCall { ask: StoreAsk::Whole, limit_ms: 2 * ANSWER_MS };
+            return StoreCall { ask: StoreAsk::Whole, limit_ms: 2 * self.patience_ms };
         };
-        let hold_ms = if self.holds() { self.hold_ms() } else { 0 };
-        let ask = StoreAsk::Changes { after, hold_ms };
-        StoreCall { ask, limit_ms: hold_ms + self.answer_ms() }
+        self.held_ms = if self.holds() { self.hold_ms() } else { 0 };
+        let ask = StoreAsk::Changes { after, hold_ms: self.held_ms };
+        StoreCall { ask, limit_ms: self.held_ms + self.patience_ms }
     }
 
-    /// The call was answered, and everything up to `version` is known. Gives the milliseconds until the
-    /// next one.
-    pub fn answered(&mut self, version: u64) -> u64 {
-        self.failures = 0;
+    /// The call was answered after so many milliseconds, and everything up to `version` is known. Gives the
+    /// milliseconds until the next one.
+    pub fn answered(&mut self, version: u64, waited_ms: u64) -> u64 {
+        let took_ms = waited_ms.saturating_sub(self.held_ms);
+        self.patience_ms = (2 * took_ms).clamp(ANSWER_MS, self.longest_ms());
+        self.failing = false;
         self.known = self.known.max(Some(version));
         self.profile.pace_ms
     }
@@ -92,7 +105,7 @@
     /// The store no longer has what changed after the known version: the whole is to be read. Gives the
     /// milliseconds until the next call.
     pub fn history_gone(&mut self) -> u64 {
-        self.failures = 0;
+        self.failing = false;
         self.known = None;
         0
     }
@@ -104,37 +117,38 @@
     }
 
     /// The call failed after so many milliseconds. Gives those until the next one.
+    ///
+    /// The next answer is waited for longer, or a store that is slow enough would never be read.
     pub fn failed(&mut self, waited_ms: u64) -> u64 {
-        self.failures += 1;
+        self.failing = true;
+        self.patience_ms = (self.patience_ms + ANSWER_MS).min(self.longest_ms());
         self.varied(FAILED_PAUSE_MS).saturating_sub(waited_ms)
     }
 
     /// Whether everything is known, as far as the store's last answer can tell.
     pub fn current(&self) -> bool {
-        self.known.is_some() && self.failures == 0
+        self.known.is_some() && !self.failing
     }
 
     /// Whether the store is to hold the next call. One that it holds is given up late if it is lost, so that
     /// none is held in an outage, nor where the next call would come soon by itself.
     fn holds(&self) -> bool {
-        self.failures == 0 && self.profile.pace_ms == 0
+        !self.failing && self.profile.pace_ms == 0
     }
 
     /// How long the store may hold a call.
     ///
-    /// A call that is lost on a connection without a reset is noticed after this and [`ANSWER_MS`]; the
-    /// next one then has [`ANSWER_MS`] left of the time that an outage excuses.
+    /// A call that is lost on a connection without a reset is noticed after this and the time for an
+    /// answer; the next one then has as much left of the time that an outage excuses.
     fn hold_ms(&self) -> u64 {
         let (least, most) = HOLD_MS;
-        let longest = self.profile.recover_ms.saturating_sub(2 * ANSWER_MS);
+        let longest = self.profile.recover_ms.saturating_sub(2 * self.patience_ms);
         self.varied(longest.clamp(least, most))
     }
 
-    /// How long an answer is waited for, beyond the time for which the call is held. An answer that takes
-    /// longer than the last one was waited for is given longer, or a slow store would never be read.
-    fn answer_ms(&self) -> u64 {
-        let most = self.profile.recover_ms / TRIES;
-        (self.failures.max(1) * ANSWER_MS).min(most.max(ANSWER_MS))
+    /// How long an answer is waited for at most.
+    fn longest_ms(&self) -> u64 {
+        (self.profile.recover_ms / TRIES).max(ANSWER_MS)
     }
 
     /// A time between `longest_ms` and a quarter less, another one for each process and call.
--- a/crates/pool/tests/all/follow.rs
+++ b/crates/pool/tests/all/follow.rs
@@ -31,7 +31,8 @@
                 return answered - self.back;
             }
             version += 1;
-            now = answered + follow.answered(version);
+            let waited_ms = answered - now;
+            now = answered + follow.answered(version, waited_ms);
         }
     }
 }
@@ -56,3 +57,26 @@
         }
     }
 }
+
+/// Guards against a list that is never read, or only each third time, while each answer takes longer than is
+/// usually waited for.
+#[test]
+fn a_slow_store_is_waited_for_longer() {
+    let profile = FollowProfile { seed: 1, recover_ms: 3_000, pace_ms: 900 };
+    let mut follow = Follow::new(profile);
+    follow.answered(1, 5);
+    let failed = |follow: &mut Follow| {
+        let call = follow.call();
+        let late = call.limit_ms < 900;
+        if late {
+            follow.failed(call.limit_ms)
+        } else {
+            follow.answered(2, 900)
+        };
+        late
+    };
+    let failures = (0..20).filter(|_| failed(&mut follow)).count();
+    assert_eq!(failures, 1);
+    follow.answered(3, 5);
+    assert_eq!(follow.call().limit_ms, 600);
+}
