--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -128,10 +128,10 @@
 
     /// Makes one call whose answer may be large; gives the whole answer.
     ///
-    /// Its head has to come within `head_ms`, and before `give_up`. After that each part has to follow the
-    /// last one within [`PART_MS`], and `progress` is told of it. Guards against an answer that takes
-    /// longer on its way than any fixed time: with one for the whole, a text of 0.7 MB on a link of 10 Mbit/s was given up
-    /// before its end and asked for again, for good.
+    /// Its head has to come within `head_ms`, and before `give_up` ends. After that each part has to follow
+    /// the last one within [`PART_MS`], and `progress` is told of it. Guards against an answer that takes
+    /// longer on its way than any fixed time: with one for the whole, a text of 0.7 MB on a link of
+    /// 10 Mbit/s was given up before its end and asked for again, for good.
     pub(crate) async fn fetch(
         &mut self,
         request: Request<Full<Bytes>>,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -41,7 +41,7 @@
     FollowProfile { seed, recover_ms: settings.recover_ms, pace_ms }
 }
 
-/// Follows one table for good.
+/// Follows one table for good: says what has changed to `board`.
 pub(crate) fn watch_table(
     settings: &PoolSettings,
     table: Table,
@@ -107,7 +107,7 @@
                         "event=store_overtaken table={:?} waited_ms={waited_ms}",
                         self.table
                     );
-                    self.follow.overtaken()
+                    0
                 }
                 Err(error) => {
                     let waited_ms = millis_since(asked);
--- a/crates/pool/src/follow.rs
+++ b/crates/pool/src/follow.rs
@@ -110,12 +110,6 @@
         0
     }
 
-    /// The call was given up, as the store has answered a later one for another table after it had not.
-    /// Gives the milliseconds until the next one.
-    pub fn overtaken(&mut self) -> u64 {
-        0
-    }
-
     /// The call failed after so many milliseconds. Gives those until the next one.
     ///
     /// The next answer is waited for longer, or a store that is slow enough would never be read.
