--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -71,8 +71,8 @@
 }
 
 fn note_regained(table: Table, outage: &Outage, asked: Instant) {
-    let (away_ms, tries) = (outage.since.elapsed().as_millis(), outage.tries);
-    let answered_ms = asked.elapsed().as_millis();
+    let (away_ms, tries) = (millis_since(outage.since), outage.tries);
+    let answered_ms = millis_since(asked);
     log::info!(
         "event=store_regained table={table:?} away_ms={away_ms} tries={tries} answered_ms={answered_ms}"
     );
@@ -102,7 +102,7 @@
                     pause_ms
                 }
                 Err(GatewayError::Overtaken) => {
-                    let waited_ms = asked.elapsed().as_millis();
+                    let waited_ms = millis_since(asked);
                     log::info!(
                         "event=store_overtaken table={:?} waited_ms={waited_ms}",
                         self.table
--- a/crates/pool/src/follow.rs
+++ b/crates/pool/src/follow.rs
@@ -7,8 +7,10 @@
 
 /// Milliseconds for an answer at least, with a store 50 times slower than usual (4 ms).
 const ANSWER_MS: u64 = 600;
-/// Milliseconds that the store holds a call for changes, at least and at most.
-const HOLD_MS: (u64, u64) = (200, 5_000);
+/// Milliseconds that the store holds a call for changes at least, however short an outage is excused.
+const MIN_HOLD_MS: u64 = 200;
+/// Milliseconds that it holds one at most.
+const MAX_HOLD_MS: u64 = 5_000;
 /// Milliseconds from a call that fails at once to the next one.
 const FAILED_PAUSE_MS: u64 = 250;
 /// Part of a time by which processes vary it, so that their calls are not made, and lost, at the same
@@ -135,9 +137,8 @@
     /// A call that is lost on a connection without a reset is noticed after this and the time for an
     /// answer; the next one then has as much left of the time that an outage excuses.
     fn hold_ms(&self) -> u64 {
-        let (least, most) = HOLD_MS;
         let longest = self.profile.recover_ms.saturating_sub(2 * self.patience_ms);
-        self.varied(longest.clamp(least, most))
+        self.varied(longest.clamp(MIN_HOLD_MS, MAX_HOLD_MS))
     }
 
     /// How long an answer is waited for at most.
