Find out in 300 ms that an instance stands still, and have its streams go on elsewhere

What callers saw: an instance stood still for seconds, entries went on sending there (until 2.7 s after it had stopped, where it alone held the model), and streams that may be resumed hung there until their callers left.

Cause: an entry knew of a standstill by the side's silence alone, 1.1 s after its last word, and that was a cost and no bar; the events that streams give every few tens of milliseconds were not looked at. A holder that was silent counted as one for 2 s, so that no replica was asked for.

Now what passes from an instance is its sign of life. Where its streams give nothing for 100 ms, its side is probed, and an instance that does not answer for 200 ms gets nothing more, is no holder and no place for a replica; resumable streams leave it, and what may run again and has no answer is sent again, within the retry budget. A side that closes its connection has ended, and its endpoint serves on; an entry that stood still itself blames nobody. A holder that may only pause is waited for, not replaced from the weight store. The control thread looks at its clock every 20 ms also under input that never pauses (its test: pace).

Evidence: standstill::few_hang_where_an_instance_stands_still, over pools on virtual time, fails without the guards at each of three sizes (runs that went on: 23 of 64, 26 of 125 with sends until 5.5 s after, 68 of 238; now 9 of 59, 13 of 107, 35 of 212), as do the reducer's two.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -14,10 +14,10 @@
 use citronrill_base::{Millis, hash_bytes};
 use citronrill_config::PoolSettings;
 use citronrill_pool::{
-    Arrival, CallerLimits, CopyEvent, CopyPatience, EntryEffect, EntryEvent, EntryProfile,
+    Arrival, CallerLimits, CopyEvent, CopyPatience, EntryEffect, EntryEvent, EntryProfile, Pace,
     PoolEntry, Refusal, RequestId, Sending, ServingText,
 };
-use citronrill_wire::{PoolKind, TextCopy};
+use citronrill_wire::{PoolKind, Probe, TextCopy};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use tokio::sync::{mpsc, watch};
 
@@ -56,14 +56,54 @@
     Refuse(Refusal),
     /// Break the answer off.
     Cut,
+    /// Leave the endpoint as if it had broken the stream off.
+    Abandon,
+}
+
+/// Counts the pieces of an answer that were passed on.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Pulse(Arc<AtomicU64>);
+
+impl Pulse {
+    /// Counts one.
+    pub(crate) fn beat(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn count(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// A request in hand, as the control thread reaches it.
+pub(crate) struct Open {
+    /// Where its task listens.
+    pub(crate) commands: mpsc::UnboundedSender<Command>,
+    /// Counts what its caller gets.
+    pub(crate) pulse: Pulse,
+    /// Its count at the last look.
+    seen: u64,
+}
+
+impl Open {
+    /// A request whose task listens at the other end of `commands`.
+    pub(crate) fn new(commands: mpsc::UnboundedSender<Command>, pulse: Pulse) -> Open {
+        Open { commands, pulse, seen: 0 }
+    }
+
+    /// Whether anything was passed on since the last look.
+    fn take_progress(&mut self) -> bool {
+        let count = self.pulse.count();
+        std::mem::replace(&mut self.seen, count) != count
+    }
 }
 
 /// What reaches the control thread.
 pub(crate) enum Input {
     /// An event of the reducer.
     Event(EntryEvent),
-    /// A request, and where its task listens.
-    Arrive(Arrival, mpsc::UnboundedSender<Command>),
+    /// A request, and how it is reached.
+    Arrive(Arrival, Open),
 }
 
 /// The way to the control thread.
@@ -77,8 +117,8 @@
     }
 
     /// Hands over a request.
-    pub(crate) fn arrive(&self, arrival: Arrival, commands: mpsc::UnboundedSender<Command>) {
-        self.put(Input::Arrive(arrival, commands));
+    pub(crate) fn arrive(&self, arrival: Arrival, open: Open) {
+        self.put(Input::Arrive(arrival, open));
     }
 
     fn put(&self, input: Input) {
@@ -128,6 +168,7 @@
         start: Instant::now(),
         inputs,
         requests: BTreeMap::new(),
+        pace: Pace::default(),
         sides: side_sender,
         limits: limits_sender,
         shared: shared.clone(),
@@ -212,7 +253,8 @@
     reducer: PoolEntry,
     start: Instant,
     inputs: Receiver<Input>,
-    requests: BTreeMap<RequestId, mpsc::UnboundedSender<Command>>,
+    requests: BTreeMap<RequestId, Open>,
+    pace: Pace,
     sides: mpsc::UnboundedSender<SideCommand>,
     limits: watch::Sender<CallerLimits>,
     shared: Arc<Shared>,
@@ -224,13 +266,31 @@
     fn run(mut self) {
         loop {
             let busy = !self.requests.is_empty();
-            let wait = if busy { BUSY_TICK_MS } else { IDLE_TICK_MS };
-            match self.inputs.recv_timeout(Duration::from_millis(wait)) {
+            let every_ms = if busy { BUSY_TICK_MS } else { IDLE_TICK_MS };
+            let left_ms = self.pace.left_ms(every_ms, self.now());
+            match self.inputs.recv_timeout(Duration::from_millis(left_ms)) {
                 Ok(input) => self.take(input),
-                Err(RecvTimeoutError::Timeout) => self.step(EntryEvent::Tick),
+                Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
+            if self.pace.take(every_ms, self.now()) {
+                self.tick();
+            }
+        }
+    }
+
+    fn now(&self) -> Millis {
+        Millis(self.start.elapsed().as_millis() as u64)
+    }
+
+    fn tick(&mut self) {
+        let moved =
+            self.requests.iter_mut().filter_map(|(id, open)| open.take_progress().then_some(*id));
+        let moved = moved.collect::<Vec<_>>();
+        if !moved.is_empty() {
+            self.step(EntryEvent::Progress(moved));
         }
+        self.step(EntryEvent::Tick);
     }
 
     fn take(&mut self, input: Input) {
@@ -244,16 +304,15 @@
                 }
                 self.step(event);
             }
-            Input::Arrive(arrival, commands) => {
-                self.requests.insert(arrival.id, commands);
+            Input::Arrive(arrival, open) => {
+                self.requests.insert(arrival.id, open);
                 self.step(EntryEvent::Arrive(arrival));
             }
         }
     }
 
     fn step(&mut self, event: EntryEvent) {
-        let now = Millis(self.start.elapsed().as_millis() as u64);
-        let effects = self.reducer.step(now, event);
+        let effects = self.reducer.step(self.now(), event);
         // Before the effects: whoever reads of a text in the log finds the process ready.
         self.shared.ready.store(self.reducer.ready(), Ordering::Relaxed);
         self.shared.in_hand.store(self.reducer.in_hand() as u64, Ordering::Relaxed);
@@ -269,6 +328,10 @@
                 self.tell(id, Command::Refuse(refusal), true);
             }
             EntryEffect::Cut(id) => self.tell(id, Command::Cut, true),
+            EntryEffect::Abandon(id) => self.tell(id, Command::Abandon, false),
+            EntryEffect::Probe(address) => {
+                self.side(SideCommand::Say(address, Box::new(PoolKind::Probe(Probe {}))));
+            }
             EntryEffect::Want(address, want) => {
                 self.metrics.wants.add();
                 self.side(SideCommand::Say(address, Box::new(PoolKind::Want(want))));
@@ -278,8 +341,7 @@
             }
             EntryEffect::Sides(addresses) => self.side(SideCommand::Keep(addresses)),
             EntryEffect::Log(event) => {
-                let now_ms = self.start.elapsed().as_millis() as u64;
-                if self.budget.take(event.event, now_ms) {
+                if self.budget.take(event.event, self.now().0) {
                     log::info!("{event}");
                 }
             }
@@ -287,9 +349,13 @@
     }
 
     fn tell(&mut self, id: RequestId, command: Command, last: bool) {
-        let known = if last { self.requests.remove(&id) } else { self.requests.get(&id).cloned() };
+        let Some(open) = self.requests.get(&id) else { return };
+        let gone = open.commands.send(command).is_err();
+        if last {
+            self.requests.remove(&id);
+        }
         // A task that is gone has its leaving on the way.
-        if known.is_some_and(|commands| commands.send(command).is_err()) {
+        if gone {
             log::debug!("event=request_gone request={}", id.0);
         }
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,7 +20,7 @@
 use crate::{
     call::{Channel, Guard},
     dialect::Dialect,
-    entry::{Command, Events},
+    entry::{Command, Events, Pulse},
     error::GatewayError,
     metrics::EntryMetrics,
 };
@@ -50,28 +50,19 @@
 
 /// A request, and where the control thread tells what is to be done with it.
 pub(crate) struct Exchange {
-    id: RequestId,
-    outgoing: Outgoing,
-    commands: UnboundedReceiver<Command>,
-    dialect: Arc<dyn Dialect>,
-    events: Events,
-    metrics: Arc<EntryMetrics>,
-    read: Instant,
+    pub(crate) id: RequestId,
+    pub(crate) outgoing: Outgoing,
+    pub(crate) commands: UnboundedReceiver<Command>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) events: Events,
+    pub(crate) metrics: Arc<EntryMetrics>,
+    /// When the request had been read.
+    pub(crate) read: Instant,
+    /// Counts what its caller gets.
+    pub(crate) pulse: Pulse,
 }
 
 impl Exchange {
-    /// The dealings of the request `id`, which was read just now.
-    pub(crate) fn new(
-        id: RequestId,
-        outgoing: Outgoing,
-        commands: UnboundedReceiver<Command>,
-        dialect: Arc<dyn Dialect>,
-        events: Events,
-        metrics: Arc<EntryMetrics>,
-    ) -> Exchange {
-        Exchange { id, outgoing, commands, dialect, events, metrics, read: Instant::now() }
-    }
-
     /// The request's name in this process.
     pub(crate) fn id(&self) -> RequestId {
         self.id
@@ -109,6 +100,8 @@
                     let outcome = passed.map(|(response, guard)| Outcome::Pass(response, guard));
                     return (self, outcome.unwrap_or(Outcome::Cut));
                 }
+                // The endpoint broke the stream off before it could be left.
+                Some(Command::Abandon) => next = self.commands.recv().await,
                 Some(Command::Refuse(refusal)) => return (self, Outcome::Refuse(refusal)),
                 Some(Command::Cut) | None => return (self, Outcome::Cut),
             }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -8,7 +8,7 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -32,7 +32,7 @@
 use crate::{
     call::{Guard, tune},
     dialect::Dialect,
-    entry::{Events, Shared, StopPlan},
+    entry::{Events, Open, Pulse, Shared, StopPlan},
     error::GatewayError,
     exchange::{Exchange, Outcome, Outgoing, strip},
     metrics::EntryMetrics,
@@ -265,10 +265,19 @@
             caller: meta.caller,
         };
         let (sender, commands) = unbounded_channel();
-        self.events.arrive(arrival, sender);
-        let (dialect, events) = (self.dialect.clone(), self.events.clone());
-        let metrics = self.metrics.clone();
-        self.follow(Exchange::new(id, outgoing, commands, dialect, events, metrics)).await
+        let pulse = Pulse::default();
+        self.events.arrive(arrival, Open::new(sender, pulse.clone()));
+        let exchange = Exchange {
+            id,
+            outgoing,
+            commands,
+            dialect: self.dialect.clone(),
+            events: self.events.clone(),
+            metrics: self.metrics.clone(),
+            read: Instant::now(),
+            pulse,
+        };
+        self.follow(exchange).await
     }
 
     /// Follows a request until it has an answer.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -94,6 +94,9 @@
                 None
             }
             Some(Ok(frame)) => {
+                if let Source::Endpoint(_, exchange, _) = &self.source {
+                    exchange.pulse.beat();
+                }
                 let frame = match &mut self.cutter {
                     Some(cutter) => frame.map_data(|bytes| cutter.take(bytes)),
                     None => frame,
@@ -129,13 +132,21 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        let stream = self.cutter.is_some();
         loop {
             match &mut self.source {
                 Source::Ended => return Poll::Ready(None),
                 Source::Endpoint(body, exchange, _) => {
-                    if let Poll::Ready(Some(Command::Cut)) = exchange.poll_command(context) {
-                        self.source = Source::Ended;
-                        return Poll::Ready(Some(Err(RelayError::Cut)));
+                    match exchange.poll_command(context) {
+                        Poll::Ready(Some(Command::Cut)) => {
+                            self.source = Source::Ended;
+                            return Poll::Ready(Some(Err(RelayError::Cut)));
+                        }
+                        Poll::Ready(Some(Command::Abandon)) if stream => {
+                            self.search();
+                            continue;
+                        }
+                        _ => {}
                     }
                     let Poll::Ready(frame) = Pin::new(body).poll_frame(context) else {
                         return Poll::Pending;
--- a/crates/gateway/src/side/entries.rs
+++ b/crates/gateway/src/side/entries.rs
@@ -10,7 +10,7 @@
 };
 
 use citronrill_pool::{CopyEvent, CopyPatience, EntryLink, SideEvent};
-use citronrill_wire::{PoolKind, SideState, TextCopy, WireError};
+use citronrill_wire::{Alive, PoolKind, SideState, TextCopy, WireError};
 use crossbeam::channel::Sender;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -136,12 +136,16 @@
             shared.copies.tell(CopyEvent::Part(link, part));
             return Ok(());
         }
+        PoolKind::Probe(_) => {
+            shared.links.say(link, PoolKind::Alive(Alive {}));
+            return Ok(());
+        }
         PoolKind::TextAsk(ask) => {
             let part = shared.copies.answer(link, &ask, shared.texts.borrow().as_ref());
             shared.links.say(link, PoolKind::TextPart(part));
             return Ok(());
         }
-        PoolKind::State(_) | PoolKind::Declined(_) | PoolKind::Snapshot(_) => {
+        PoolKind::State(_) | PoolKind::Declined(_) | PoolKind::Alive(_) | PoolKind::Snapshot(_) => {
             return Err(WireError::OutOfTurn);
         }
     };
--- a/crates/gateway/src/sides.rs
+++ b/crates/gateway/src/sides.rs
@@ -1,9 +1,15 @@
 //! An entry's connections to the sides.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    io::{self, ErrorKind},
+    net::SocketAddr,
+    time::Duration,
+};
 
-use citronrill_pool::{CopyEvent, EntryEvent};
+use citronrill_pool::{CopyEvent, EntryEvent, SideLoss};
 use citronrill_wire::{PoolKind, TextVersion, WireError};
+use thiserror::Error;
 use tokio::{
     sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
     task::JoinHandle,
@@ -15,6 +21,7 @@
     call::connect,
     copies::Copies,
     entry::{Events, ReadText, side_address},
+    error::GatewayError,
     link::split,
 };
 
@@ -27,6 +34,42 @@
 /// Milliseconds before another try.
 const AGAIN_MS: u64 = 100;
 
+/// Why the connection to a side was lost.
+#[derive(Debug, Error)]
+enum LinkError {
+    /// No connection was made.
+    #[error(transparent)]
+    Connect(#[from] GatewayError),
+    /// It broke, or the other end spoke out of turn.
+    #[error(transparent)]
+    Wire(#[from] WireError),
+    /// Nothing came for so many milliseconds.
+    #[error("no word within {0} ms")]
+    Silent(u64),
+}
+
+impl LinkError {
+    /// Whether the other end said nothing at all: whoever refuses or resets a connection moves.
+    fn is_silence(&self) -> bool {
+        let answered = |error: &io::Error| {
+            matches!(
+                error.kind(),
+                ErrorKind::ConnectionRefused
+                    | ErrorKind::ConnectionReset
+                    | ErrorKind::ConnectionAborted
+                    | ErrorKind::BrokenPipe
+                    | ErrorKind::UnexpectedEof
+            )
+        };
+        match self {
+            LinkError::Silent(_) | LinkError::Connect(GatewayError::Timeout(_)) => true,
+            LinkError::Connect(GatewayError::Connect { source, .. }) => !answered(source),
+            LinkError::Wire(WireError::Io(error)) => !answered(error),
+            LinkError::Connect(_) | LinkError::Wire(_) => false,
+        }
+    }
+}
+
 /// What the control thread wants of the connections.
 #[derive(Debug)]
 pub(crate) enum SideCommand {
@@ -107,6 +150,7 @@
                 Err(error) => error,
             };
             self.copies.gone(endpoint);
+            self.tell_lost(&error);
             if known {
                 log::info!("event=side_lost endpoint={endpoint} error=\"{error}\"");
             }
@@ -117,15 +161,19 @@
         }
     }
 
+    /// Tells the control thread how the connection was lost.
+    fn tell_lost(&self, error: &LinkError) {
+        let loss = if error.is_silence() { SideLoss::Silent } else { SideLoss::Closed };
+        self.events.send(EntryEvent::SideLost(self.endpoint, loss));
+    }
+
     async fn talk(
         &self,
         says: &mut UnboundedReceiver<PoolKind>,
         known: &mut bool,
-    ) -> Result<(), WireError> {
+    ) -> Result<(), LinkError> {
         let endpoint = self.endpoint;
-        let stream = connect(side_address(endpoint, self.port), CONNECT_MS)
-            .await
-            .map_err(|error| WireError::Io(std::io::Error::other(error.to_string())))?;
+        let stream = connect(side_address(endpoint, self.port), CONNECT_MS).await?;
         let (mut receiver, mut sender) = split(stream);
         let mut texts = self.board.follow();
         texts.mark_changed();
@@ -142,7 +190,7 @@
                     let version = version_of(&texts.borrow_and_update());
                     sender.send(PoolKind::Version(TextVersion { version })).await?;
                 }
-                () = sleep_until(heard_at + silence) => return Err(WireError::Closed),
+                () = sleep_until(heard_at + silence) => return Err(LinkError::Silent(SILENT_MS)),
                 kind = receiver.next() => {
                     let kind = kind?;
                     heard_at = Instant::now();
@@ -171,7 +219,9 @@
                 return Ok(Some(PoolKind::TextPart(self.board.answer(endpoint, &ask))));
             }
             PoolKind::Declined(name) => self.events.send(EntryEvent::Declined(endpoint, name)),
+            PoolKind::Alive(_) => self.events.send(EntryEvent::Alive(endpoint)),
             PoolKind::Want(_)
+            | PoolKind::Probe(_)
             | PoolKind::Used(_)
             | PoolKind::Version(_)
             | PoolKind::Snapshot(_) => return Err(WireError::OutOfTurn),
--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -4,6 +4,7 @@
 use citronrill_wire::SideState;
 
 use crate::{
+    liveness::Liveness,
     member::{Member, full_name},
     start::{KnownStart, StartTime},
 };
@@ -15,7 +16,7 @@
 const AVOID_MS: u64 = 1_000;
 /// Milliseconds of a side's silence after which its endpoint comes after all that are heard: two
 /// periods of 500 ms and a little.
-const DARK_MS: u64 = 1_100;
+pub(crate) const DARK_MS: u64 = 1_100;
 /// Milliseconds from an endpoint's first listing within which its side is heard, if it is up: a lost
 /// connection and another try take 250.
 const FIRST_WORD_MS: u64 = 1_200;
@@ -119,6 +120,8 @@
     pub(crate) member: Member,
     pub(crate) holding: Holding,
     pub(crate) side: Option<SideBelief>,
+    /// Whether its instance moves.
+    pub(crate) life: Liveness,
     /// Own requests that run there.
     pub(crate) own: u32,
     /// Requests that run there by all accounts, with own sends since.
@@ -153,6 +156,7 @@
             member,
             holding: Holding::default(),
             side: None,
+            life: Liveness::default(),
             own: 0,
             load: 0,
             unreported: 0,
@@ -177,9 +181,9 @@
 
     /// Forgets all that was believed of the last start; requests that run there are still counted.
     pub(crate) fn begin_anew(&mut self, now: Millis) {
-        let (own, start) = (self.own, self.start);
+        let (own, start, life) = (self.own, self.start, self.life);
         let fresh = Endpoint::new(self.member.clone(), now);
-        *self = Endpoint { own, start, first_listed: None, ..fresh };
+        *self = Endpoint { own, start, life, first_listed: None, ..fresh };
     }
 
     /// When the start began that the beliefs here are of, if it says.
--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -88,6 +88,8 @@
             begun: false,
             after: None,
             backup: None,
+            moving: false,
+            paid: false,
         })
     }
 }
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -99,7 +99,7 @@
         let instance = &endpoint.member.instance;
         endpoint.open()
             && endpoint.member.service == request.service
-            && request.target.is_none_or(|target| self.holds_now(endpoint, target))
+            && request.target.is_none_or(|target| self.runs_now(endpoint, target))
             && !request.tried.contains(instance)
     }
 
@@ -115,6 +115,11 @@
         waited && endpoint.unreported >= share.max(1)
     }
 
+    /// Whether an engine can run what needs a model or adapter: it holds it, and its instance moves.
+    fn runs_now(&self, endpoint: &Endpoint, target: ModelKey) -> bool {
+        self.holds_now(endpoint, target) && !endpoint.life.silent(self.now)
+    }
+
     /// Whether an engine holds a model or adapter by a word that can be relied on.
     ///
     /// Right after all instances have lost power the list still names what engines held before. Requests that
@@ -150,7 +155,7 @@
         cost += endpoint.lag(self.now) / request.target_ms.max(1) as f64;
         if request.target.is_some() {
             cost += self.exposure(endpoint, runs);
-            if endpoint.dark(self.now) {
+            if endpoint.dark(self.now) || endpoint.life.suspect(self.now) {
                 cost += DARK_COST;
             }
         }
--- a/crates/pool/src/entry/clock.rs
+++ b/crates/pool/src/entry/clock.rs
@@ -14,11 +14,15 @@
 impl PoolEntry {
     /// Ends what has run out of time, and looks again at what waits.
     pub(super) fn tick(&mut self) {
+        self.excuse_pause();
+        self.ticked = self.now;
         self.end_overdue();
         self.end_impatient();
         self.end_overlong();
         self.end_stopped();
         self.note_stalls();
+        self.watch();
+        self.leave_silent();
         self.move_silent();
         self.expire_wants();
         let listed = self.pool.settle_starts(&mut self.names, self.now);
@@ -85,14 +89,7 @@
         });
         for id in silent.map(|(id, _)| *id).collect::<Vec<_>>() {
             let Some(request) = self.requests.get(&id) else { continue };
-            let elsewhere = self.pool.endpoints.values().any(|endpoint| {
-                Some(&endpoint.member.instance) != request.at.as_ref()
-                    && self.able(endpoint, request)
-                    && endpoint.fill() < 1.0
-            });
-            let service = request.service.clone();
-            let now = self.now;
-            if elsewhere && self.budget(&service).take(now) {
+            if self.has_room_elsewhere(request) && self.pay(id) {
                 let event = LogEvent::new("moved");
                 self.log(event.with("id", self.requests[&id].caller.clone()));
                 self.give_up_on(id);
@@ -102,7 +99,7 @@
     }
 
     /// Takes a request back from an endpoint that does not answer it.
-    fn give_up_on(&mut self, id: RequestId) {
+    pub(super) fn give_up_on(&mut self, id: RequestId) {
         let now = self.now;
         self.release(id);
         let Some(request) = self.requests.get_mut(&id) else { return };
--- a/crates/pool/src/entry/demand.rs
+++ b/crates/pool/src/entry/demand.rs
@@ -99,6 +99,7 @@
             one.open()
                 && one.holding.models.contains(&key)
                 && one.fresh_side(self.now).is_some_and(|side| side.sound)
+                && !one.life.silent(self.now)
         })
     }
 
--- a/crates/pool/src/entry/exchange.rs
+++ b/crates/pool/src/entry/exchange.rs
@@ -40,6 +40,8 @@
         endpoint.load += 1;
         endpoint.unreported += 1;
         request.stage = Stage::Sent;
+        request.moving = false;
+        request.paid = false;
         request.sent = now;
         request.at = Some(instance.to_owned());
         request.sends += 1;
@@ -102,6 +104,7 @@
         let verdict = if spoils { Verdict::Failed } else { verdict };
         let endpoint = request.at.as_ref().and_then(|at| self.pool.endpoints.get_mut(at));
         if let Some(endpoint) = endpoint {
+            endpoint.life.hear(now);
             if let Some(load) = head.load {
                 endpoint.take_load(load);
             }
@@ -152,10 +155,9 @@
     /// Tries a request again, or ends it; `passable` says that the endpoint's own failure is held
     /// and can be given to the caller.
     fn again(&mut self, id: RequestId, ran: bool, status: u16, passable: bool) {
-        let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.runs += u32::from(ran);
-        let (runs, service) = (request.runs, request.service.clone());
+        let runs = request.runs;
         let exhausted = request.sends >= SEND_LIMIT || runs >= request.attempts;
         let barred = exhausted || runs > 0 && !request.repeat.may_rerun();
         let event = LogEvent::new("failed")
@@ -169,7 +171,7 @@
         if ran && status == 0 && self.go_on_from_copy(id) {
             return;
         }
-        let retry = !barred && self.budget(&service).take(now);
+        let retry = !barred && self.pay(id);
         if !retry && passable {
             self.pass(id);
             return;
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod replicas;
 mod resume;
 mod rules;
+mod silence;
 mod stock;
 mod store_limit;
 mod types;
@@ -24,7 +25,7 @@
 pub use self::rules::judge;
 pub use self::types::{
     AnswerHead, Arrival, EntryEffect, EntryEvent, EntryProfile, FailureKind, Reason, Refusal,
-    RequestId, Resume, Sending, TokenCount, Verdict,
+    RequestId, Resume, Sending, SideLoss, TokenCount, Verdict,
 };
 use self::{
     choose::Choice, demand::Demand, exchange::SEND_LIMIT, resume::Losses, stock::Stock,
@@ -112,6 +113,10 @@
     after: Option<u64>,
     /// The instance to which the memory of its last run was copied.
     backup: Option<String>,
+    /// Whether its present answer has given bytes.
+    moving: bool,
+    /// Whether the retry budget has paid for its next sending.
+    paid: bool,
 }
 
 impl Request {
@@ -166,6 +171,8 @@
 pub struct PoolEntry {
     profile: EntryProfile,
     now: Millis,
+    /// When the clock was last looked at.
+    ticked: Millis,
     text: Option<Arc<ServingText>>,
     /// Whether the store answers for that text.
     current: bool,
@@ -188,6 +195,7 @@
         PoolEntry {
             profile,
             now: Millis(0),
+            ticked: Millis(0),
             text: None,
             current: false,
             pool: Pool::default(),
@@ -232,6 +240,8 @@
             EntryEvent::TextCurrent(current) => self.current = current,
             EntryEvent::Members(change) => self.take_members(change),
             EntryEvent::Side(address, state) => self.take_side(address, &state),
+            EntryEvent::Alive(address) => self.alive(address),
+            EntryEvent::SideLost(address, loss) => self.side_lost(address, loss),
             EntryEvent::Declined(address, name) => self.declined(address, &name),
             EntryEvent::Arrive(arrival) => self.arrive(arrival),
             EntryEvent::Answer(id, sending, head) => {
@@ -244,6 +254,7 @@
                     self.fail(id, kind);
                 }
             }
+            EntryEvent::Progress(ids) => self.progress(&ids),
             EntryEvent::Finish(id, complete) => self.finish(id, complete),
             EntryEvent::Broke(id, after) => self.broke(id, after),
             EntryEvent::Leave(id) => self.leave(id),
@@ -341,6 +352,22 @@
         }
     }
 
+    fn alive(&mut self, address: SocketAddr) {
+        let now = self.now;
+        if let Some(endpoint) = self.pool.at(address) {
+            endpoint.life.hear(now);
+        }
+    }
+
+    fn side_lost(&mut self, address: SocketAddr, loss: SideLoss) {
+        let now = self.now;
+        let Some(endpoint) = self.pool.at(address) else { return };
+        match loss {
+            SideLoss::Closed => endpoint.life.unlink(),
+            SideLoss::Silent => endpoint.life.lose(now),
+        }
+    }
+
     fn declined(&mut self, address: SocketAddr, name: &ModelName) {
         let now = self.now;
         let Some(endpoint) = self.pool.at(address) else { return };
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -93,7 +93,9 @@
         store_open: bool,
     ) -> Option<Place> {
         let side = endpoint.fresh_side(self.now).filter(|side| side.sound)?;
-        let shut = endpoint.avoided(self.now) || self.now < endpoint.declined_until;
+        let shut = endpoint.avoided(self.now)
+            || endpoint.life.silent(self.now)
+            || self.now < endpoint.declined_until;
         if shut || endpoint.holding.models.contains(&model) {
             return None;
         }
--- a/crates/pool/src/entry/resume.rs
+++ b/crates/pool/src/entry/resume.rs
@@ -15,6 +15,7 @@
     TokenCount,
 };
 use crate::{
+    endpoint::Endpoint,
     tally::Tally,
     text::{EngineSpec, Repeat},
 };
@@ -85,6 +86,7 @@
             one.member.instance != at
                 && self.able(one, request)
                 && !one.dark(self.now)
+                && !one.life.suspect(self.now)
                 && !one.avoided(self.now)
         });
         let runs = self.runs_of(&request.service);
@@ -123,15 +125,10 @@
     /// copy of a run that has just begun from that of one whose answer was made and lost, and two of a
     /// thousand requests ran twice.
     pub(super) fn go_on_from_copy(&mut self, id: RequestId) -> bool {
-        let now = self.now;
         let Some(request) = self.requests.get(&id) else { return false };
         let due = request.after.is_some() && request.sends < SEND_LIMIT;
         let Some(backup) = request.backup.clone().filter(|_| due) else { return false };
-        let live = self.pool.endpoints.get(&backup).is_some_and(|one| {
-            one.member.service == request.service && !one.dark(now) && one.open()
-        });
-        let service = request.service.clone();
-        if !live || !self.budget(&service).take(now) {
+        if !self.has_live_copy(request) || !self.pay(id) {
             return false;
         }
         self.leave_endpoint(id);
@@ -139,15 +136,35 @@
         true
     }
 
+    /// Whether the memory of a run was copied to an endpoint that can go on with it.
+    pub(super) fn has_live_copy(&self, request: &Request) -> bool {
+        let backup = request.backup.as_ref().and_then(|backup| self.pool.endpoints.get(backup));
+        let live = |one: &Endpoint| {
+            let life = one.open() && !one.dark(self.now) && !one.life.silent(self.now);
+            one.member.service == request.service && life
+        };
+        backup.is_some_and(live)
+    }
+
+    /// Takes a second sending out of the retry budget, unless that was done for it already.
+    pub(super) fn pay(&mut self, id: RequestId) -> bool {
+        let now = self.now;
+        let Some(request) = self.requests.get(&id) else { return false };
+        let (paid, service) = (request.paid, request.service.clone());
+        let paid = paid || self.budget(&service).take(now);
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.paid = paid;
+        }
+        paid
+    }
+
     /// Has a stream that may be resumed go on wherever its model is held; whether it may.
     fn go_on_anew(&mut self, id: RequestId) -> bool {
-        let now = self.now;
         let Some(request) = self.requests.get(&id) else { return false };
         let allowed = request.repeat == Repeat::ResumableStream
             && request.runs < request.attempts
             && request.sends < SEND_LIMIT;
-        let service = request.service.clone();
-        if !allowed || !self.budget(&service).take(now) {
+        if !allowed || !self.pay(id) {
             return false;
         }
         self.leave_endpoint(id);
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -89,6 +89,15 @@
     Broken,
 }
 
+/// How the connection to a side was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SideLoss {
+    /// The other end closed it, or takes none: the side has ended, and its instance runs.
+    Closed,
+    /// Nothing came for too long.
+    Silent,
+}
+
 /// What happens at an entry.
 #[derive(Debug, Clone)]
 pub enum EntryEvent {
@@ -100,6 +109,10 @@
     Members(MemberChange),
     /// A side spoke; the address is its endpoint's.
     Side(SocketAddr, SideState),
+    /// The side beside the endpoint at this address answered a probe.
+    Alive(SocketAddr),
+    /// The connection to the side beside the endpoint at this address is lost.
+    SideLost(SocketAddr, SideLoss),
     /// The side beside the endpoint at this address will not fetch what was asked for.
     Declined(SocketAddr, ModelName),
     /// A request was read.
@@ -108,6 +121,8 @@
     Answer(RequestId, u32, AnswerHead),
     /// The sending of this number failed before an answer.
     Fail(RequestId, u32, FailureKind),
+    /// The answers of these requests have gone on.
+    Progress(Vec<RequestId>),
     /// The answer has ended; whether it was complete.
     Finish(RequestId, bool),
     /// The endpoint broke a stream off; the last event that its caller had, if any.
@@ -233,6 +248,10 @@
     Refuse(RequestId, Refusal),
     /// Break off an answer that is being given: its time is up.
     Cut(RequestId),
+    /// Leave the endpoint that gives an answer, as if it had broken the stream off.
+    Abandon(RequestId),
+    /// Ask the side beside the endpoint at this address for a sign of life.
+    Probe(SocketAddr),
     /// Ask the side beside the endpoint at this address for a model.
     Want(SocketAddr, Want),
     /// Tell the side beside the endpoint at this address of a request.
--- a/crates/pool/src/entry/wants.rs
+++ b/crates/pool/src/entry/wants.rs
@@ -82,11 +82,13 @@
         }
         let adapter = request.adapter.clone();
         let left = request.wait_ms(self.now);
+        let pauses = self.holder_pauses(request);
         let held = |endpoint: &&Endpoint| {
             endpoint.open()
                 && endpoint.holding.keys.contains(&base)
                 && endpoint.member.service == request.service
                 && !endpoint.dark(self.now)
+                && !endpoint.life.silent(self.now)
                 && endpoint.fresh_side(self.now).is_some_and(|side| !side.leaving.contains(&base))
         };
         if !adapter.is_empty() {
@@ -104,12 +106,12 @@
         }
         let worth = self.waiting_for(base) * WAITER_MS;
         let place = self.place(&request.service, &request.model, base, worth);
+        let place = place.filter(|place| !(pauses && place.far));
         if let Some(coming_ms) = self.coming_ms(base) {
             let sooner = place.as_ref().is_some_and(|one| one.ready_ms + AGAIN_MS < coming_ms);
             if !sooner {
                 if coming_ms > left as f64 {
-                    self.miss(id, base);
-                    self.refuse(id, Reason::TooFar);
+                    self.refuse_far(id, base);
                 }
                 return;
             }
@@ -120,15 +122,23 @@
         };
         if place.ready_ms > left as f64 {
             // Too late for this one; but others will ask, and without a load it stays too late.
-            self.miss(id, base);
             let ttl_ms = (2.0 * place.ready_ms) as u64;
             self.ask(base, &place.instance, place.victims, place.ready_ms as u64, ttl_ms);
-            self.refuse(id, Reason::TooFar);
+            self.refuse_far(id, base);
             return;
         }
         self.ask(base, &place.instance, place.victims, place.ready_ms as u64, left);
     }
 
+    /// Refuses a request whose model comes too late, unless a holder may only pause.
+    fn refuse_far(&mut self, id: RequestId, base: ModelKey) {
+        self.miss(id, base);
+        let pauses = self.requests.get(&id).is_some_and(|one| self.holder_pauses(one));
+        if !pauses {
+            self.refuse(id, Reason::TooFar);
+        }
+    }
+
     /// Whether an endpoint is listed as a holder of a model, and its side is about to tell whether it still is.
     fn holder_unheard(&self, model: ModelKey) -> bool {
         let mut holders = self.pool.endpoints.values().filter(|one| one.open());
@@ -143,7 +153,8 @@
         let side = self.pool.endpoints.get(&want.instance).and_then(|one| one.side.as_ref());
         let Some(side) = side else { return };
         let known_ms = side.left_ms(self.now);
-        if want.seen && known_ms > request.wait_ms(self.now) {
+        let late = want.seen && known_ms > request.wait_ms(self.now);
+        if late && !self.holder_pauses(request) {
             self.refuse(id, Reason::TooFar);
         }
     }
@@ -153,6 +164,9 @@
         let now = self.now;
         self.miss(id, base);
         let Some(request) = self.requests.get(&id) else { return };
+        if self.holder_pauses(request) {
+            return;
+        }
         let engine = self.text.as_ref().and_then(|text| text.service(&request.service));
         let engine = engine.and_then(|service| service.engine.as_ref());
         let spec = engine.and_then(|engine| engine.model(&request.model));
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -12,7 +12,9 @@
 mod endpoint;
 mod entry;
 mod follow;
+mod liveness;
 mod member;
+mod pace;
 mod pool;
 mod rate;
 mod side;
@@ -25,10 +27,11 @@
     copies::{CopyEffect, CopyEvent, CopyFetch, CopyPatience, CopyServer, is_last},
     entry::{
         AnswerHead, Arrival, EntryEffect, EntryEvent, EntryProfile, FailureKind, PoolEntry, Reason,
-        Refusal, RequestId, Resume, Sending, TokenCount, Verdict, judge,
+        Refusal, RequestId, Resume, Sending, SideLoss, TokenCount, Verdict, judge,
     },
     follow::{Follow, FollowProfile, StoreAsk, StoreCall},
     member::{HeldModel, Member, MemberChange},
+    pace::Pace,
     side::{
         EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
     },
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -284,6 +284,8 @@
         if state.sound {
             endpoint.holding = Holding::told(state, names);
         }
+        endpoint.life.link();
+        endpoint.life.hear(now);
         endpoint.take_load(state.active + state.queued);
         let rates = state
             .models
--- a/crates/pool/tests/all/world/engines.rs
+++ b/crates/pool/tests/all/world/engines.rs
@@ -13,7 +13,7 @@
 const QUEUE: usize = 72;
 const MEMORY_MB: f64 = 200_000.0;
 const FIRST_MS: u64 = 50;
-const RUN_MS: u64 = 400;
+pub(super) const RUN_MS: u64 = 400;
 /// Loads that the weight store carries at full speed.
 const STORE_AT_ONCE: usize = 4;
 
@@ -195,7 +195,7 @@
     fn fill_slots(&mut self, index: usize) {
         while self.engines[index].runs.len() < SLOTS && !self.engines[index].queue.is_empty() {
             let mut run = self.engines[index].queue.remove(0);
-            run.ends = self.now + RUN_MS;
+            run.ends = self.now + self.run_ms;
             let boot = self.engines[index].boot;
             self.at(self.now + FIRST_MS, Happening::First(index, boot, run.id, run.number));
             self.at(run.ends, Happening::End(index, boot, run.id, run.number));
--- a/crates/pool/tests/all/world/mod.rs
+++ b/crates/pool/tests/all/world/mod.rs
@@ -4,6 +4,7 @@
 //! weight store has too many. An oracle looks at every run, order and answer.
 
 mod engines;
+mod standstill;
 
 use std::{
     cmp::Reverse,
@@ -19,7 +20,11 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use self::engines::{Engine, Run};
+pub(crate) use self::standstill::{Hung, Standstill};
+use self::{
+    engines::{Engine, RUN_MS, Run},
+    standstill::Frozen,
+};
 use crate::support::{ENGINE, HOST, address, model, text};
 
 const SLOTS: usize = 24;
@@ -81,6 +86,8 @@
     pub(crate) copied: u32,
     /// Steps of reducers.
     pub(crate) steps: u64,
+    /// What hung at an instance that stood still.
+    pub(crate) hung: Hung,
     /// Promises that were broken.
     pub(crate) broken: Vec<String>,
 }
@@ -103,6 +110,8 @@
     runs: u32,
     first: Option<u64>,
     done: bool,
+    /// The engines to which it was sent.
+    sent_to: Vec<usize>,
 }
 
 #[derive(Debug, Clone)]
@@ -115,6 +124,10 @@
     End(usize, u32, RequestId, u32),
     Give(usize, Order, bool),
     Loaded(usize, u32, Order),
+    Probe(usize, usize),
+    Cancel(usize, usize, RequestId),
+    Leave(usize, RequestId),
+    Freeze(u64),
     Tick,
     List,
     Crash,
@@ -137,6 +150,10 @@
     next: u64,
     list: u64,
     figures: Figures,
+    /// Milliseconds that a run takes.
+    pub(crate) run_ms: u64,
+    standstill: Option<Standstill>,
+    frozen: Frozen,
 }
 
 fn rare(index: usize) -> String {
@@ -196,6 +213,9 @@
             next: 0,
             list: 0,
             figures: Figures::default(),
+            run_ms: RUN_MS,
+            standstill: None,
+            frozen: Frozen::new(),
             rng,
         }
     }
@@ -268,6 +288,10 @@
     }
 
     fn happen(&mut self, happening: Happening, load: &Load) {
+        if let Some(wakes) = happening.engine().and_then(|index| self.wakes(index)) {
+            self.at(wakes, happening);
+            return;
+        }
         match happening {
             Happening::Arrive(busy) => self.arrive(busy, load),
             Happening::Entry(entry, event) => self.entry(entry, event),
@@ -277,6 +301,13 @@
             Happening::End(engine, boot, id, number) => self.end(engine, boot, id, number),
             Happening::Give(engine, order, late) => self.give(engine, order, late),
             Happening::Loaded(engine, boot, order) => self.loaded(engine, boot, &order),
+            Happening::Probe(side, entry) => {
+                let alive = EntryEvent::Alive(address(side as u8));
+                self.soon(Happening::Entry(entry, alive));
+            }
+            Happening::Cancel(engine, entry, id) => self.cancel_at(engine, entry, id),
+            Happening::Leave(entry, id) => self.leave(entry, id),
+            Happening::Freeze(for_ms) => self.freeze(for_ms),
             Happening::Tick => self.tick(),
             Happening::List => self.tell_list(),
             Happening::Crash => self.crash(),
@@ -306,16 +337,8 @@
         } else {
             self.figures.rare_asked += 1;
         }
-        let caller = Caller {
-            busy,
-            once: !busy,
-            arrived: self.now,
-            ends: self.now + limit,
-            runs: 0,
-            first: None,
-            done: false,
-        };
-        self.callers.insert((entry, id), caller);
+        self.callers.insert((entry, id), Caller::new(busy, self.now, limit));
+        self.plan_leave(entry, id);
         self.models.insert((entry, id), model.clone());
         let arrival = Arrival {
             id,
@@ -346,6 +369,7 @@
             EntryEffect::Send(id, sending) => {
                 self.cancel(entry, id);
                 let engine = self.engine_at(sending.address);
+                self.note_sent(entry, id, engine);
                 let model = self.models[&(entry, id)].clone();
                 let number = sending.number;
                 let backup = sending.backup.map(|helper| self.engine_at(helper));
@@ -388,6 +412,14 @@
                 let side = self.engine_at(address);
                 self.soon(Happening::Side(side, SideEvent::Used(used)));
             }
+            EntryEffect::Probe(address) => {
+                let side = self.engine_at(address);
+                self.soon(Happening::Probe(side, entry));
+            }
+            EntryEffect::Abandon(id) => {
+                self.cancel(entry, id);
+                self.soon(Happening::Entry(entry, EntryEvent::Broke(id, Some(0))));
+            }
             EntryEffect::Pass(_) | EntryEffect::Sides(_) | EntryEffect::Log(_) => {}
         }
     }
@@ -398,13 +430,20 @@
 
     /// The entry has closed the connection of an earlier sending.
     fn cancel(&mut self, entry: usize, id: RequestId) {
-        for engine in &mut self.engines {
-            let other = |run: &Run| run.entry != entry || run.id != id;
-            engine.runs.retain(other);
-            engine.queue.retain(other);
+        for engine in 0..self.engines.len() {
+            match self.wakes(engine) {
+                Some(wakes) => self.at(wakes, Happening::Cancel(engine, entry, id)),
+                None => self.cancel_at(engine, entry, id),
+            }
         }
     }
 
+    fn cancel_at(&mut self, engine: usize, entry: usize, id: RequestId) {
+        let other = |run: &Run| run.entry != entry || run.id != id;
+        self.engines[engine].runs.retain(other);
+        self.engines[engine].queue.retain(other);
+    }
+
     fn side(&mut self, side: usize, event: SideEvent) {
         self.figures.steps += 1;
         let effects = self.sides[side].step(Millis(self.now), event);
@@ -456,9 +495,12 @@
 
     fn tick(&mut self) {
         for entry in 0..self.entries.len() {
+            self.pass_events(entry);
             self.entry(entry, EntryEvent::Tick);
         }
-        for side in 0..self.sides.len() {
+        for side in
+            (0..self.sides.len()).filter(|side| self.wakes(*side).is_none()).collect::<Vec<_>>()
+        {
             self.side(side, SideEvent::Tick);
         }
         self.at(self.now + 20, Happening::Tick);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,7 +18,7 @@
     },
     handshake::{Handshake, Identity, Peer, PeerRole},
     pool::{
-        MemberRow, ModelName, ModelRate, ModelState, PoolFrame, PoolKind, SideState, Snapshot,
-        TextAsk, TextCopy, TextPart, TextVersion, Usage, Want,
+        Alive, MemberRow, ModelName, ModelRate, ModelState, PoolFrame, PoolKind, Probe, SideState,
+        Snapshot, TextAsk, TextCopy, TextPart, TextVersion, Usage, Want,
     },
 };
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PoolFrame {
     /// What it says.
-    #[prost(oneof = "PoolKind", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "PoolKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub kind: Option<PoolKind>,
 }
 
@@ -37,8 +37,22 @@
     /// Answers it.
     #[prost(message, tag = "9")]
     TextPart(TextPart),
+    /// An entry asks a side for a sign of life.
+    #[prost(message, tag = "10")]
+    Probe(Probe),
+    /// A side gives it.
+    #[prost(message, tag = "11")]
+    Alive(Alive),
 }
 
+/// Asks for a sign of life.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Probe {}
+
+/// A sign of life: the process runs, and so does its instance.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Alive {}
+
 /// What an entry believes of the text and of the list of endpoints.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Snapshot {
