Leave a run that may happen once where its endpoint stands still, also if its memory was copied

The commit before let a stream whose memory is at another endpoint go on there when its own stood still. Now only what may run anew leaves, and a stream that breaks off later does not go on from its copy while its endpoint stands still.

standstill::a_stream_that_may_run_once_stays::case_2_with_a_copy fails on the commit before and passes now.

--- a/crates/pool/src/entry/resume.rs
+++ b/crates/pool/src/entry/resume.rs
@@ -123,12 +123,15 @@
     /// That counts as the same run, so it is right for streams that may run once: an endpoint without the
     /// copy says so and runs nothing. Only what has given an event goes on: before that, nothing tells the
     /// copy of a run that has just begun from that of one whose answer was made and lost, and two of a
-    /// thousand requests ran twice.
+    /// thousand requests ran twice. Nor does it go on while its last endpoint stands still, which goes on with
+    /// the run when it wakes.
     pub(super) fn go_on_from_copy(&mut self, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
         let due = request.after.is_some() && request.sends < SEND_LIMIT;
         let Some(backup) = request.backup.clone().filter(|_| due) else { return false };
-        if !self.has_live_copy(request) || !self.pay(id) {
+        let last = request.at.as_ref().and_then(|at| self.pool.endpoints.get(at));
+        let stands_still = last.is_some_and(|one| one.life.silent(self.now));
+        if stands_still || !self.has_live_copy(request) || !self.pay(id) {
             return false;
         }
         self.leave_endpoint(id);
--- a/crates/pool/src/entry/silence.rs
+++ b/crates/pool/src/entry/silence.rs
@@ -60,16 +60,15 @@
 
     /// Has what may go on elsewhere leave endpoints that stand still.
     ///
-    /// A stream that may be resumed goes on after its last event, one whose memory was copied from the copy,
-    /// and what has no answer yet and may run again is sent again. Anything else stays: the endpoint may
-    /// run it when it wakes.
+    /// A stream that may be resumed goes on after its last event, and what has no answer yet and may run again
+    /// is sent again. Anything else stays: the endpoint goes on with it when it wakes, and two would be at
+    /// work on one run, also where a copy of its memory is elsewhere.
     pub(super) fn leave_silent(&mut self) {
         let stuck = self.requests.iter().filter(|(_, one)| self.is_stuck(one));
         for id in stuck.map(|(id, _)| *id).collect::<Vec<_>>() {
             let Some(request) = self.requests.get(&id) else { continue };
             let passing = request.stage == Stage::Passing;
-            let goes_on = self.may_run_anew(request) || self.may_go_on(request);
-            if !goes_on || !self.pay(id) {
+            if !self.may_run_anew(request) || !self.pay(id) {
                 continue;
             }
             let request = &self.requests[&id];
@@ -102,12 +101,6 @@
         allowed && request.runs + 1 < request.attempts && self.has_room_elsewhere(request)
     }
 
-    /// Whether a stream that has given an event may go on from a copy.
-    fn may_go_on(&self, request: &Request) -> bool {
-        let begun = request.stage == Stage::Passing && request.moving;
-        begun && request.repeat.is_stream() && self.has_live_copy(request)
-    }
-
     /// Whether another endpoint that holds what a request needs has a free slot.
     pub(super) fn has_room_elsewhere(&self, request: &Request) -> bool {
         self.pool.endpoints.values().any(|endpoint| {
--- a/crates/pool/tests/all/standstill.rs
+++ b/crates/pool/tests/all/standstill.rs
@@ -130,11 +130,22 @@
     assert!(!effects.contains(&EntryEffect::Abandon(id)), "{effects:?}");
 }
 
-/// A stream that may run once has nowhere to go on without a copy: the instance may wake in time.
-#[test]
-fn a_stream_that_may_run_once_stays() {
+/// A run that may happen once went on from its copy while its endpoint stood still: when that woke, two were at
+/// work on it.
+#[rstest]
+#[case::without_a_copy(false)]
+#[case::with_a_copy(true)]
+fn a_stream_that_may_run_once_stays(#[case] copied: bool) {
     let mut bench = bench(3);
+    if copied {
+        let (id, _) = begun(&mut bench, "/draft/x");
+        bench.step(EntryEvent::Broke(id, Some(0)));
+        for index in 1..=3 {
+            bench.step(EntryEvent::Side(address(index), state(1, &["m0"])));
+        }
+    }
     let (id, sent) = begun(&mut bench, "/draft/x");
+    assert_eq!(sent.backup.is_some(), copied);
     let effects = wait_without(&mut bench, 3, Some(sent), 2 * FOUND_OUT_MS);
     assert!(!effects.contains(&EntryEffect::Abandon(id)), "{effects:?}");
     assert_eq!(bench.entry.in_hand(), 1);
