Fetch an adapter where less hangs with it

Cause: adapters lean to a holder of their model by name alone; engines take a hundred requests, so that fill tells nothing. What an endpoint has of all runs now counts for adapters as it does for streams.

standstill::an_adapter_goes_where_less_would_hang fails before and passes.

--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -140,7 +140,7 @@
     /// zone and prompt send nearly all callers of a model to one of its holders. Its instance stands still,
     /// and half of all streams hang on it until their callers leave. Beyond its free share an endpoint costs
     /// more than one in another zone, so that the other holders have the rest.
-    fn exposure(&self, endpoint: &Endpoint, runs: u32) -> f64 {
+    pub(super) fn exposure(&self, endpoint: &Endpoint, runs: u32) -> f64 {
         let share = f64::from(endpoint.load()) / f64::from(runs.max(EXPOSED_RUNS));
         EXPOSED_COST * (share - EXPOSED_FREE).max(0.0)
     }
--- a/crates/pool/src/entry/wants.rs
+++ b/crates/pool/src/entry/wants.rs
@@ -211,13 +211,16 @@
     /// What an adapter costs at a holder of its model, in shares of the slots.
     ///
     /// Each adapter leans to the same holder from every entry, so that the holders' few places are
-    /// not all taken by the same ones; a holder that waits for a load takes no adapter meanwhile.
+    /// not all taken by the same ones; a holder that waits for a load takes no adapter meanwhile. A holder
+    /// that has many of all runs takes it only where the others have as many: all callers of the adapter
+    /// would hang with them.
     fn adapter_cost(&self, endpoint: &Endpoint, model: &str, adapter: &str) -> f64 {
         let side = endpoint.fresh_side(self.now);
         let busy = side.map_or(0, |side| side.order_ms.saturating_sub(self.now.since(side.at)));
         let name = full_name(model, adapter);
         let order = rendezvous_score(&name, &endpoint.member.instance) as f64 / u64::MAX as f64;
-        endpoint.fill() + busy as f64 / BUSY_HOLDER_MS - order
+        let runs = self.runs_of(&endpoint.member.service);
+        endpoint.fill() + self.exposure(endpoint, runs) + busy as f64 / BUSY_HOLDER_MS - order
     }
 
     pub(super) fn ask(
--- a/crates/pool/tests/all/standstill.rs
+++ b/crates/pool/tests/all/standstill.rs
@@ -1,6 +1,7 @@
 //! An instance stands still under streams, and what goes on elsewhere.
 
-use citronrill_pool::{EntryEffect, EntryEvent, RequestId, Sending, SideLoss};
+use citronrill_pool::{EntryEffect, EntryEvent, Member, RequestId, Sending, SideLoss};
+use citronrill_wire::SideState;
 use rstest::rstest;
 
 use crate::{
@@ -172,3 +173,18 @@
     let (_, effects) = bench.ask("/chat/x", "m0");
     assert!(sending(&effects).is_some(), "{effects:?}");
 }
+
+/// Engines with 96 slots, half of whose models' callers need an adapter: all adapters went to one of two holders,
+/// which had most of the runs and stood still.
+#[test]
+fn an_adapter_goes_where_less_would_hang() {
+    let wide = |index| Member { slots: 96, ..member(index, ENGINE, &["m0"]) };
+    let asked = (0..8).map(|adapter| {
+        let mut bench = Bench::new(vec![wide(1), wide(2)]);
+        bench.step(EntryEvent::Side(address(1), SideState { active: 20, ..state(1, &["m0"]) }));
+        bench.step(EntryEvent::Side(address(2), SideState { active: 4, ..state(1, &["m0"]) }));
+        let (_, effects) = bench.ask("/draft/x", &format!("m0/a{adapter}"));
+        wanted(&effects).map(|(at, _)| at)
+    });
+    assert!(asked.into_iter().all(|at| at == Some(address(2))));
+}
