Test over processes that a stream leaves an instance that stands still

The reducer's tests do not see the way of a probe from entry to side and back, nor the relay that leaves its endpoint. The stand-in worker can fall silent in the middle of a stream now; its side is stopped by a signal.

--- a/tests/pool/resume.rs
+++ b/tests/pool/resume.rs
@@ -6,6 +6,9 @@
 
 use crate::support::{Answer, Ask, Deployment};
 
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
+
 /// A pool of two workers that both hold `m0` and treat requests as `mode` says; the entry has seen one
 /// break off, so that it has runs' memory copied. Which of them a request goes to is not decided here.
 fn pool_that_lost_one(mode: Mode) -> Deployment {
@@ -50,6 +53,25 @@
     assert_eq!(numbers(&answer), (0..20).collect::<Vec<_>>());
 }
 
+/// Guards against a caller who hangs at an instance that stands still, its side with it, until that wakes.
+#[test]
+fn a_resumable_stream_leaves_an_instance_that_stands_still() {
+    let pool = Deployment::start(&[("e1", &["m0"]), ("e2", &["m0"])]);
+    pool.engines.iter().for_each(|engine| engine.set_mode(Mode::StallAnew));
+    let mut stream = pool.open(&Ask::stream("/chat/x", "id-1", "m0"));
+    let running = || pool.engines.iter().position(|engine| engine.running() == 1);
+    pool.until("a worker has it", || running().is_some());
+    let side = &pool.sides[running().unwrap()];
+    side.signal(SIGSTOP);
+    let answer = Answer::read(&mut stream);
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    assert_eq!(numbers(&answer), (0..20).collect::<Vec<_>>());
+    let logged = |parts: &[&str]| pool.entry.logged(parts);
+    assert!(logged(&["event=stands_still"]) && logged(&["event=moved", "id=id-1", "begun=true"]));
+    side.signal(SIGCONT);
+    pool.until("it moves again", || logged(&["event=moves_again"]));
+}
+
 /// The worker that has the copy fails too. What it says of that does not come for the rest of the answer,
 /// which ends there and does not look whole.
 #[rstest]
