--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -14,8 +14,8 @@
 use citronrill_base::{Millis, hash_bytes};
 use citronrill_config::PoolSettings;
 use citronrill_pool::{
-    Arrival, CallerLimits, CopyEvent, CopyPatience, EntryEffect, EntryEvent, EntryProfile, Pace,
-    PoolEntry, Refusal, RequestId, Sending, ServingText,
+    Arrival, CallerLimits, CopyEvent, CopyPatience, Due, EntryEffect, EntryEvent, EntryProfile,
+    Pace, PoolEntry, Refusal, RequestId, Sending, ServingText,
 };
 use citronrill_wire::{PoolKind, Probe, TextCopy};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
@@ -269,12 +269,17 @@
             let every_ms = if busy { BUSY_TICK_MS } else { IDLE_TICK_MS };
             let left_ms = self.pace.left_ms(every_ms, self.now());
             match self.inputs.recv_timeout(Duration::from_millis(left_ms)) {
-                Ok(input) => self.take(input),
+                Ok(input) => {
+                    self.pace.note_event();
+                    self.take(input);
+                }
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
-            if self.pace.take(every_ms, self.now()) {
-                self.tick();
+            match self.pace.take(every_ms, self.now()) {
+                Due::Nothing => {}
+                Due::Look => self.tick(EntryEvent::Look),
+                Due::Whole => self.tick(EntryEvent::Tick),
             }
         }
     }
@@ -283,14 +288,14 @@
         Millis(self.start.elapsed().as_millis() as u64)
     }
 
-    fn tick(&mut self) {
+    fn tick(&mut self, event: EntryEvent) {
         let moved =
             self.requests.iter_mut().filter_map(|(id, open)| open.take_progress().then_some(*id));
         let moved = moved.collect::<Vec<_>>();
         if !moved.is_empty() {
             self.step(EntryEvent::Progress(moved));
         }
-        self.step(EntryEvent::Tick);
+        self.step(event);
     }
 
     fn take(&mut self, input: Input) {
--- a/crates/pool/src/entry/clock.rs
+++ b/crates/pool/src/entry/clock.rs
@@ -12,18 +12,23 @@
 const SILENT_MIN_MS: u64 = 400;
 
 impl PoolEntry {
-    /// Ends what has run out of time, and looks again at what waits.
-    pub(super) fn tick(&mut self) {
+    /// Ends what has run out of time, and has requests leave endpoints that are silent.
+    pub(super) fn look(&mut self) {
         self.excuse_pause();
         self.ticked = self.now;
         self.end_overdue();
         self.end_impatient();
-        self.end_overlong();
         self.end_stopped();
         self.note_stalls();
         self.watch();
         self.leave_silent();
         self.move_silent();
+    }
+
+    /// Does the same, and looks again at what waits and at what endpoints hold.
+    pub(super) fn tick(&mut self) {
+        self.look();
+        self.end_overlong();
         self.expire_wants();
         let listed = self.pool.settle_starts(&mut self.names, self.now);
         self.note_listed(listed);
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -261,6 +261,7 @@
             EntryEvent::Stop(wait_ms, end_ms) => {
                 self.stop = Some(Stop { wait: now + wait_ms, end: now + end_ms });
             }
+            EntryEvent::Look => self.look(),
             EntryEvent::Tick => self.tick(),
         }
         std::mem::take(&mut self.effects)
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -132,6 +132,8 @@
     /// A planned stop has begun: nothing waits longer than the first number of milliseconds from
     /// now, and nothing is unanswered after the second.
     Stop(u64, u64),
+    /// Time has passed, and other events have come meanwhile: only what cannot wait is looked at.
+    Look,
     /// Time has passed.
     Tick,
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -31,7 +31,7 @@
     },
     follow::{Follow, FollowProfile, StoreAsk, StoreCall},
     member::{HeldModel, Member, MemberChange},
-    pace::Pace,
+    pace::{Due, Pace},
     side::{
         EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
     },
--- a/crates/pool/src/liveness.rs
+++ b/crates/pool/src/liveness.rs
@@ -8,8 +8,8 @@
 
 /// Milliseconds without a word after which a side is probed while requests are at its endpoint.
 const PROBE_MS: u64 = 100;
-/// The same where none are: a side speaks every 500.
-const OVERDUE_MS: u64 = 600;
+/// The same where none are: a side speaks every 500 to 700.
+const OVERDUE_MS: u64 = 900;
 /// Milliseconds for which a probe may be unanswered before other endpoints are preferred.
 const SUSPECT_MS: u64 = 60;
 /// Milliseconds for which a probe may be unanswered before the instance counts as standing still: a process
