Have an idle entry know who stands still

Without requests an entry looks at the clock every 200 ms, and took each of these pauses for a standstill of its own, after which nobody is blamed. So it never found out, and sent its next caller to an instance that had long stood still. Found reading the change again. standstill::an_idle_entry_knows_who_stands_still fails before and passes.

--- a/crates/pool/src/entry/silence.rs
+++ b/crates/pool/src/entry/silence.rs
@@ -11,6 +11,8 @@
 /// Milliseconds between two looks at the clock above which this process itself stood still: what others
 /// said meanwhile has not been read yet.
 const OWN_PAUSE_MS: u64 = 60;
+/// The same without requests, when looks are rarer.
+const IDLE_PAUSE_MS: u64 = 260;
 
 impl PoolEntry {
     /// Takes word that answers of these requests have gone on.
@@ -31,7 +33,8 @@
     /// Leaves out of account what this process has not seen as it stood still itself.
     pub(super) fn excuse_pause(&mut self) {
         let paused = self.now.since(self.ticked);
-        if paused > OWN_PAUSE_MS {
+        let usual = if self.requests.is_empty() { IDLE_PAUSE_MS } else { OWN_PAUSE_MS };
+        if paused > usual {
             self.pool.endpoints.values_mut().for_each(|one| one.life.excuse(paused));
         }
     }
--- a/crates/pool/tests/all/standstill.rs
+++ b/crates/pool/tests/all/standstill.rs
@@ -163,6 +163,19 @@
     assert!(!effects.contains(&EntryEffect::Abandon(id)), "{effects:?}");
 }
 
+/// An entry without requests looks at the clock seldom: it took its own pauses for standstills of its own, and
+/// sent its next caller to an instance that had long stood still.
+#[test]
+fn an_idle_entry_knows_who_stands_still() {
+    let mut bench = bench(1);
+    for _ in 0..10 {
+        bench.now += 200;
+        bench.step(EntryEvent::Tick);
+    }
+    let (_, effects) = bench.ask("/chat/x", "m0");
+    assert!(sending(&effects).is_none(), "{effects:?}");
+}
+
 /// A side that is stopped closes its connection, and its endpoint goes on serving: it is not avoided.
 #[test]
 fn an_endpoint_whose_side_has_ended_serves_on() {
