--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -78,9 +78,9 @@
 /// A request in hand, as the control thread reaches it.
 pub(crate) struct Open {
     /// Where its task listens.
-    pub(crate) commands: mpsc::UnboundedSender<Command>,
+    commands: mpsc::UnboundedSender<Command>,
     /// Counts what its caller gets.
-    pub(crate) pulse: Pulse,
+    pulse: Pulse,
     /// Its count at the last look.
     seen: u64,
 }
--- a/crates/gateway/src/sides.rs
+++ b/crates/gateway/src/sides.rs
@@ -29,7 +29,7 @@
 const SILENT_MS: u64 = 1_700;
 /// Milliseconds for the answer to a probe, after which the connection is made anew: it may have gone silent by
 /// itself, which a new one shows at once.
-const PROBE_MS: u64 = 250;
+const PROBE_ANSWER_MS: u64 = 250;
 /// Milliseconds for a connection to a side. While its instance has no power the first packet is lost,
 /// and is sent again after a second: a new try is quicker. With 600, after a loss of power everywhere,
 /// entries reached most sides a second later than those were up.
@@ -199,7 +199,7 @@
                 said = says.recv() => match said {
                     Some(kind) => {
                         if matches!(kind, PoolKind::Probe(_)) {
-                            due = due.min(Instant::now() + Duration::from_millis(PROBE_MS));
+                            due = due.min(Instant::now() + Duration::from_millis(PROBE_ANSWER_MS));
                         }
                         sender.send(kind).await?;
                     }
--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -218,6 +218,11 @@
         self.side.as_ref().is_none_or(|side| !side.sound || now.since(side.at) > DARK_MS)
     }
 
+    /// Whether its side is heard and its instance moves.
+    pub(crate) fn moves(&self, now: Millis) -> bool {
+        !self.dark(now) && !self.life.silent(now)
+    }
+
     /// Whether its side is likely to be heard for the first time within moments.
     pub(crate) fn unheard_yet(&self, now: Millis) -> bool {
         self.side.is_none() && now.since(self.since) < FIRST_WORD_MS
--- a/crates/pool/src/entry/clock.rs
+++ b/crates/pool/src/entry/clock.rs
@@ -1,7 +1,6 @@
 //! What time brings: requests that are over, endpoints that are silent, and what waits.
 
 use citronrill_base::Set;
-use citronrill_decide::LogEvent;
 
 use super::{Choice, EntryEffect, LAST_CALL_MS, PoolEntry, Reason, Request, RequestId, Stage};
 
@@ -95,10 +94,7 @@
         for id in silent.map(|(id, _)| *id).collect::<Vec<_>>() {
             let Some(request) = self.requests.get(&id) else { continue };
             if self.has_room_elsewhere(request) && self.pay(id) {
-                let event = LogEvent::new("moved");
-                self.log(event.with("id", self.requests[&id].caller.clone()));
-                self.give_up_on(id);
-                self.dispatch(id);
+                self.send_elsewhere(id);
             }
         }
     }
--- a/crates/pool/src/entry/resume.rs
+++ b/crates/pool/src/entry/resume.rs
@@ -143,8 +143,7 @@
     pub(super) fn has_live_copy(&self, request: &Request) -> bool {
         let backup = request.backup.as_ref().and_then(|backup| self.pool.endpoints.get(backup));
         let live = |one: &Endpoint| {
-            let life = one.open() && !one.dark(self.now) && !one.life.silent(self.now);
-            one.member.service == request.service && life
+            one.member.service == request.service && one.open() && one.moves(self.now)
         };
         backup.is_some_and(live)
     }
--- a/crates/pool/src/entry/silence.rs
+++ b/crates/pool/src/entry/silence.rs
@@ -74,19 +74,29 @@
             if !self.may_run_anew(request) || !self.pay(id) {
                 continue;
             }
-            let request = &self.requests[&id];
-            let event = LogEvent::new("moved").with("id", &request.caller);
-            let event = event.with("from", request.at.as_deref().unwrap_or(""));
-            self.log(event.with("begun", passing));
             if passing {
+                self.log_moved(id, true);
                 self.effects.push(EntryEffect::Abandon(id));
             } else {
-                self.give_up_on(id);
-                self.dispatch(id);
+                self.send_elsewhere(id);
             }
         }
     }
 
+    /// Sends a request elsewhere that its endpoint has not begun to answer.
+    pub(super) fn send_elsewhere(&mut self, id: RequestId) {
+        self.log_moved(id, false);
+        self.give_up_on(id);
+        self.dispatch(id);
+    }
+
+    fn log_moved(&mut self, id: RequestId, begun: bool) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let event = LogEvent::new("moved").with("id", &request.caller);
+        let event = event.with("from", request.at.as_deref().unwrap_or(""));
+        self.log(event.with("begun", begun));
+    }
+
     /// Whether a request was sent to an endpoint that stands still, and nothing is done about it yet.
     fn is_stuck(&self, request: &Request) -> bool {
         let endpoint = request.at.as_ref().and_then(|at| self.pool.endpoints.get(at));
--- a/crates/pool/src/entry/wants.rs
+++ b/crates/pool/src/entry/wants.rs
@@ -87,8 +87,7 @@
             endpoint.open()
                 && endpoint.holding.keys.contains(&base)
                 && endpoint.member.service == request.service
-                && !endpoint.dark(self.now)
-                && !endpoint.life.silent(self.now)
+                && endpoint.moves(self.now)
                 && endpoint.fresh_side(self.now).is_some_and(|side| !side.leaving.contains(&base))
         };
         if !adapter.is_empty() {
