Hold a request until an instance that was silent answers a probe

An entry that has no stream there hears from its side every half second only and probed it after 0.9 s.

Cause: a request was dispatched on the last word of an instance, however old. Now, where nothing was heard for 150 ms, or a probe is unanswered for 20 ms, the side is probed first and the request goes with its answer, a millisecond or two later; where none comes, other holders are preferred after 60 ms and the instance counts as stalled after 200, as before. A side that is not connected is not waited for.

Two tests let seconds pass without a word from the other endpoint and then expect a dispatch there: it answers a probe in them now, and they also check that nothing goes before. What throttles requests that have waited no longer counts a wait for a probe.

--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -91,6 +91,7 @@
             backup: None,
             has_progress: false,
             retry_charged: false,
+            queued: false,
         })
     }
 }
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -9,6 +9,8 @@
 pub(super) enum Choice {
     /// Dispatch it to this instance.
     Dispatch(String),
+    /// Probe this instance first: nothing was received from it for a while.
+    Confirm(String),
     /// Load the required model or adapter first.
     Load,
     /// All endpoints that can run it are full.
@@ -73,6 +75,11 @@
             {
                 Choice::Throttle
             }
+            Some((_, endpoint))
+                if endpoint.load_ratio() < full && self.needs_confirmation(endpoint, request) =>
+            {
+                Choice::Confirm(endpoint.member.instance.clone())
+            }
             Some((_, endpoint)) if endpoint.load_ratio() < full => {
                 Choice::Dispatch(endpoint.member.instance.clone())
             }
@@ -99,6 +106,15 @@
             })
     }
 
+    /// Returns whether the instance must answer a probe before the request is dispatched there.
+    ///
+    /// A stalled instance accepts connections. Its silence is noticed only after some hundred
+    /// milliseconds, and by an entry without streams there after more than a second. Without this
+    /// check, the callers that arrive meanwhile hang there until they disconnect.
+    fn needs_confirmation(&self, endpoint: &Endpoint, request: &Request) -> bool {
+        request.required.is_some() && !endpoint.liveness.is_confirmed(self.now)
+    }
+
     pub(super) fn eligible(&self, endpoint: &Endpoint, request: &Request) -> bool {
         let instance = &endpoint.member.instance;
         endpoint.accepts_requests()
@@ -116,8 +132,7 @@
     fn throttled(&self, endpoint: &Endpoint, request: &Request) -> bool {
         let room = f64::from(endpoint.member.slots) * ENGINE_FULL;
         let share = (room / f64::from(self.entries())).ceil() as u32;
-        let waited = request.required.is_some() && self.now > request.arrived;
-        waited && endpoint.unreported >= share.max(1)
+        request.queued && endpoint.unreported >= share.max(1)
     }
 
     /// Returns whether an engine can run requests for a model or adapter: it is loaded there, and
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -104,6 +104,8 @@
     /// Number of dispatches that may have run the request.
     runs: u32,
     dispatches: u32,
+    /// Whether the request has waited for a model or a free slot, or was taken back from an endpoint.
+    queued: bool,
     /// Whether the request was counted as a miss: no replica had room.
     missed: bool,
     tokens: TokenCount,
@@ -365,6 +367,7 @@
         let now = self.now;
         if let Some(endpoint) = self.pool.endpoint_at(address) {
             endpoint.liveness.record_traffic(now);
+            self.schedule_waiting();
         }
     }
 
@@ -406,13 +409,26 @@
         }
         match self.choose(request) {
             Choice::Dispatch(instance) => self.dispatch(id, &instance, false),
-            Choice::Load => self.request_model(id),
-            Choice::Full => self.queue_or_refuse(id),
+            Choice::Confirm(instance) => self.confirm(&instance),
+            Choice::Load => {
+                self.mark_queued(id);
+                self.request_model(id);
+            }
+            Choice::Full => {
+                self.mark_queued(id);
+                self.queue_or_refuse(id);
+            }
             Choice::Throttle => {}
             Choice::Refuse(reason) => self.refuse(id, reason),
         }
     }
 
+    fn mark_queued(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.queued = request.required.is_some();
+        }
+    }
+
     /// Keeps a request waiting for a slot, unless it cannot get one in time.
     ///
     /// During a burst beyond the endpoints' capacity, this bounds the queue to what can be served
--- a/crates/pool/src/entry/stalls.rs
+++ b/crates/pool/src/entry/stalls.rs
@@ -68,6 +68,14 @@
         events.into_iter().for_each(|event| self.log(event));
     }
 
+    /// Probes the side of an instance that a request waits for; the reply lets the request go.
+    pub(super) fn confirm(&mut self, instance: &str) {
+        let Some(endpoint) = self.pool.endpoints.get_mut(instance) else { return };
+        if endpoint.liveness.take_confirmation(self.now) {
+            self.effects.push(EntryEffect::Probe(endpoint.member.address));
+        }
+    }
+
     /// Fails over requests from stalled endpoints where that is permitted.
     ///
     /// A resumable stream continues after its last event, and a request that has no response yet
--- a/crates/pool/src/liveness.rs
+++ b/crates/pool/src/liveness.rs
@@ -12,6 +12,11 @@
 /// side sends its state at least every 700 ms: the publish interval of 500 ms plus one idle poll
 /// interval of 200 ms.
 const IDLE_PROBE_MS: u64 = 900;
+/// Milliseconds without traffic after which an instance is probed before a request is dispatched to
+/// it. A probe takes about one millisecond, and a side without requests is silent for half a second.
+const CONFIRM_MS: u64 = 150;
+/// Milliseconds without a probe reply after which no request is dispatched before the reply.
+const REPLY_MS: u64 = 20;
 /// Milliseconds without a probe reply before other endpoints are preferred.
 const SUSPECT_MS: u64 = 60;
 /// Milliseconds without a probe reply before the instance counts as stalled: a process that has
@@ -69,6 +74,22 @@
         due
     }
 
+    /// Returns whether a request may be dispatched to the instance without waiting for a probe reply.
+    /// An instance whose side is not connected cannot be probed.
+    pub(crate) fn is_confirmed(&self, now: Millis) -> bool {
+        !self.connected || self.quiet_ms(now) < CONFIRM_MS && !self.unanswered(now, REPLY_MS)
+    }
+
+    /// Returns whether its side is to be probed because a request waits for it, and records the
+    /// probe.
+    pub(crate) fn take_confirmation(&mut self, now: Millis) -> bool {
+        let due = !self.is_confirmed(now) && self.probed_at.is_none();
+        if due {
+            self.probed_at = Some(now);
+        }
+        due
+    }
+
     /// Excludes `paused` milliseconds in which this process itself was stalled.
     pub(crate) fn exclude_pause(&mut self, paused: u64) {
         self.probed_at = self.probed_at.map(|at| at + paused);
--- a/crates/pool/tests/all/stalls.rs
+++ b/crates/pool/tests/all/stalls.rs
@@ -218,3 +218,31 @@
     });
     assert!(requested.into_iter().all(|at| at == Some(address(2))));
 }
+
+/// An entry has no request at an instance that stalls. Guards against dispatching the next one
+/// there, as its side is not due to report yet: its caller would hang until it disconnects.
+#[test]
+fn instance_without_recent_traffic_is_probed_before_a_dispatch() {
+    let mut bench = bench(1);
+    bench.now += 300;
+    let (_, effects) = bench.request("/draft/x", "m0");
+    assert!(dispatch(&effects).is_none(), "{effects:?}");
+    assert!(effects.contains(&EntryEffect::Probe(address(1))), "{effects:?}");
+    let (_, effects) = bench.request("/draft/x", "m0");
+    assert!(!effects.contains(&EntryEffect::Probe(address(1))), "one probe is enough");
+    let effects = bench.step(EntryEvent::ProbeReply(address(1)));
+    let dispatched =
+        effects.iter().filter(|effect| dispatch(std::slice::from_ref(effect)).is_some());
+    assert_eq!(dispatched.count(), 2, "both go as soon as the instance answers");
+}
+
+/// Guards against holding requests back where nothing can answer a probe: the side has ended, and
+/// its endpoint serves on.
+#[test]
+fn endpoint_without_a_side_needs_no_probe() {
+    let mut bench = bench(1);
+    bench.step(EntryEvent::SideLost(address(1), SideLoss::Closed));
+    bench.now += 300;
+    let (_, effects) = bench.request("/draft/x", "m0");
+    assert!(dispatch(&effects).is_some(), "{effects:?}");
+}
--- a/crates/pool/tests/all/waiting.rs
+++ b/crates/pool/tests/all/waiting.rs
@@ -146,9 +146,12 @@
     let (_, effects) = bench.request("/draft/x", "m0/a1");
     let (at, load_request) = requested_load(&effects).unwrap();
     assert_eq!((at, load_request.adapter.as_str()), (address(2), "a1"));
-    // Without another responsive holder, the request goes where the adapter is.
+    // Without another responsive holder, the request goes where the adapter is, once its instance
+    // answers.
     bench.now += 1_200;
     let (_, effects) = bench.request("/draft/x", "m0/a1");
+    assert!(dispatch(&effects).is_none());
+    let effects = bench.step(EntryEvent::ProbeReply(address(1)));
     assert_eq!(dispatch(&effects).map(|dispatch| dispatch.instance.as_str()), Some("i1"));
 }
 
