Publish a marked change of an endpoint's load at once

What callers saw: two holders of a model with 11 and 3, 10 and 3 or 8 and 2 of its streams.

The test fails without it.

--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -24,7 +24,7 @@
 use self::{
     incarnation_name::IncarnationName,
     missed::MissRates,
-    report::{holds, order_result, same_except_load},
+    report::{holds, load_moved, order_result, same_except_load},
 };
 use crate::{
     config::{EngineSpec, LATE_LOAD_MILLI, ServingConfig},
@@ -377,7 +377,9 @@
         let changed = match &self.published {
             None => true,
             Some((at, published)) => {
-                self.now.since(*at) >= PUBLISH_INTERVAL_MS || !same_except_load(published, &state)
+                self.now.since(*at) >= PUBLISH_INTERVAL_MS
+                    || !same_except_load(published, &state)
+                    || load_moved(published, &state)
             }
         };
         if changed {
--- a/crates/pool/src/side/report.rs
+++ b/crates/pool/src/side/report.rs
@@ -9,6 +9,12 @@
 /// Milliseconds that an unload may wait for running requests: longer than the timeout of any route.
 const UNLOAD_TIMEOUT_MS: u64 = 16_000;
 
+/// Change of the number of requests at an endpoint that is published at once: one request more or
+/// less changes no choice.
+const MIN_LOAD_CHANGE: u32 = 2;
+/// Part of a larger load by which it must change to be published at once.
+const LOAD_CHANGE_DIVISOR: u32 = 4;
+
 /// Returns whether two states differ only in fields that change all the time.
 pub(super) fn same_except_load(a: &SideState, b: &SideState) -> bool {
     let names = |state: &SideState| {
@@ -31,6 +37,14 @@
         && names(a) == names(b)
 }
 
+/// Returns whether the load has changed so much that entries would misjudge the endpoint: between
+/// two states, several entries that see the same idle endpoint dispatch their next streams there.
+pub(super) fn load_moved(published: &SideState, state: &SideState) -> bool {
+    let load = |state: &SideState| state.active + state.queued;
+    let (old, new) = (load(published), load(state));
+    old.abs_diff(new) >= MIN_LOAD_CHANGE.max(old / LOAD_CHANGE_DIVISOR)
+}
+
 /// Returns how an order has ended (`true` if it succeeded), or `None` if it has not ended.
 pub(super) fn order_result(
     issued: &IssuedOrder,
--- a/crates/pool/tests/all/side.rs
+++ b/crates/pool/tests/all/side.rs
@@ -5,6 +5,7 @@
     EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
 };
 use citronrill_wire::{LoadRequest, SideState, UsageReport};
+use rstest::rstest;
 
 use crate::support::{ENGINE, config, load_request, report};
 
@@ -334,3 +335,24 @@
     assert!((1..=800).contains(&state.order_eta_ms), "{}", state.order_eta_ms);
     assert!(state.load_eta_ms > 800, "{}", state.load_eta_ms);
 }
+
+/// Entries know of each other's requests only from the side. Guards against several of them
+/// dispatching to an endpoint that has filled up since its last state, and against a message for
+/// every single request.
+#[rstest]
+#[case::one_more(4, 5, false)]
+#[case::two_more(4, 6, true)]
+#[case::two_less(4, 2, true)]
+#[case::a_little_of_many(40, 44, false)]
+#[case::a_quarter_of_many(40, 50, true)]
+fn marked_change_of_load_is_published_at_once(
+    #[case] before: u32,
+    #[case] after: u32,
+    #[case] expected: bool,
+) {
+    let mut bench = Bench::new(&["m0"]);
+    bench.now += 500;
+    bench.report(EngineReport { active: before, ..report(1, &["m0"]) });
+    let effects = bench.report(EngineReport { active: after, ..report(1, &["m0"]) });
+    assert_eq!(published(&effects).is_some(), expected, "{effects:?}");
+}
