Probe no side whose connection was lost in silence

What callers would see: a stream is disconnected from an instance that works. After the connection to a side was given up in silence the entry still took it for connected; a pause of 100 ms in a stream there had it probed, the probe was dropped with the lost connection, and 200 ms later the instance counted as stalled.

Cause: mark_lost left the side connected. It can be probed again once it reports over a new connection. What has an unanswered probe stays unconfirmed, so that a lost side is not taken for one that needs no probe. The test fails before and passes.

--- a/crates/pool/src/liveness.rs
+++ b/crates/pool/src/liveness.rs
@@ -55,8 +55,10 @@
         self.probed_at = None;
     }
 
-    /// Records that the connection to its side was abandoned after a long silence.
+    /// Records that the connection to its side was abandoned after a long silence. It can be probed
+    /// again once its side has reported over a new one.
     pub(crate) fn mark_lost(&mut self, now: Millis) {
+        self.connected = false;
         if self.quiet_ms(now) >= STALLED_MS {
             self.probed_at.get_or_insert(Millis(now.0.saturating_sub(STALLED_MS)));
         }
@@ -77,7 +79,8 @@
     /// Returns whether a request may be dispatched to the instance without waiting for a probe reply.
     /// An instance whose side is not connected cannot be probed.
     pub(crate) fn is_confirmed(&self, now: Millis) -> bool {
-        !self.connected || self.quiet_ms(now) < CONFIRM_MS && !self.unanswered(now, REPLY_MS)
+        let recent = !self.connected || self.quiet_ms(now) < CONFIRM_MS;
+        recent && !self.unanswered(now, REPLY_MS)
     }
 
     /// Returns whether its side is to be probed because a request waits for it, and records the
--- a/crates/pool/tests/all/liveness.rs
+++ b/crates/pool/tests/all/liveness.rs
@@ -380,3 +380,18 @@
     assert!(dispatch(&effects).is_none(), "{effects:?}");
     assert!(effects.contains(&EntryEffect::Abort(id)), "{effects:?}");
 }
+
+/// The connection to a side was lost in silence, and a stream there goes on. Guards against probing
+/// over the lost connection when the stream pauses: no reply can come, and the stream would be
+/// disconnected from an instance that works.
+#[test]
+fn side_that_is_not_connected_is_not_probed() {
+    let mut bench = bench(&["m0", "m0"]);
+    let (id, sent) = start_stream(&mut bench, "/chat/x");
+    bench.step(EntryEvent::SideLost(sent.address, SideLoss::Silent));
+    bench.step(EntryEvent::Progress(vec![id]));
+    let other = if sent.address == address(1) { 2 } else { 1 };
+    let effects = advance(&mut bench, &[other], DETECTION_MS);
+    assert!(!effects.contains(&EntryEffect::Probe(sent.address)), "{effects:?}");
+    assert_eq!(disconnects(&effects, id), 0, "{effects:?}");
+}
