Load an adapter at another holder where its own has most of the streams

Cause: a request for an adapter went to whoever had loaded it, at any load; nothing brought the adapter to a second holder while the first answered, and half of the requests for the model want one. Now, where the endpoint with the adapter has a share of all runs that costs a tenth of them more than another holder's, the adapter is loaded there first (25 ms), unless that one has an order in progress or has kept the caller for 100 ms already. An endpoint that has the adapter is never asked to load it.

--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -252,6 +252,12 @@
         self.side.as_ref().filter(|side| now.since(side.received_at) < FRESH_MS)
     }
 
+    /// Returns the milliseconds until its current order is complete, as far as its side has told.
+    pub(crate) fn order_remaining_ms(&self, now: Millis) -> u64 {
+        let side = self.fresh_side(now);
+        side.map_or(0, |side| side.order_eta_ms.saturating_sub(now.since(side.received_at)))
+    }
+
     /// Updates the average time to first byte with one answer.
     pub(crate) fn record_ttfb(&mut self, ms: u64, now: Millis) {
         self.ttfb = self.ttfb_ms(now) + TTFB_WEIGHT * (ms as f64 - self.ttfb_ms(now));
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -36,13 +36,19 @@
 const SILENT_COST: f64 = 3.0;
 /// Share of a service's runs that an endpoint may have at no cost: a little more than the even
 /// share in a small pool.
-const CONCENTRATION_FREE_SHARE: f64 = 0.15;
-/// Cost of the share beyond that: a tenth of all runs weighs as much as another zone.
-const CONCENTRATION_COST: f64 = 4.0;
+const CONCENTRATION_FREE_SHARE: f64 = 0.12;
+/// Cost of the share beyond that: a twentieth of all runs weighs as much as another zone.
+const CONCENTRATION_COST: f64 = 8.0;
 /// Lower bound on a service's runs when computing shares: of two runs, one is already half.
 const CONCENTRATION_MIN_RUNS: u32 = 12;
 /// Benefit of an endpoint that likely has the prompt prefix cached, as a share of the slots.
 const PREFIX_GAIN: f64 = 0.2;
+/// Concentration cost that loading an adapter on another holder of its model must save: a tenth of
+/// all runs.
+const RELOAD_GAIN: f64 = 0.8;
+/// Milliseconds for which a request waits for its adapter at a less loaded holder, which loads it in
+/// about 25 ms.
+const RELOAD_WAIT_MS: u64 = 100;
 /// Fill level at which a plain endpoint takes no more requests: its slots plus twice as many queued
 /// requests. This keeps the slots busy, and keeps the endpoint's own queue, which holds four times
 /// its slots, from refusing requests that several entries dispatch at the same moment.
@@ -69,7 +75,7 @@
             None => PLAIN_FULL,
         };
         match best {
-            Some((_, endpoint)) if self.prefers_reload(endpoint, request) => Choice::Load,
+            Some((_, endpoint)) if self.prefers_reload(endpoint, request, runs) => Choice::Load,
             Some((_, endpoint))
                 if endpoint.load_ratio() < full && self.throttled(endpoint, request) =>
             {
@@ -89,21 +95,43 @@
         }
     }
 
-    /// Returns whether to load the adapter on another holder of the model because the endpoint that
-    /// has it is silent.
+    /// Returns whether to load the adapter on another holder of the model, because the endpoint that
+    /// has it is silent or runs too large a share of all requests.
     ///
-    /// An instance that stalls for six seconds may hold the only copy of an adapter. Without this
-    /// check, its callers are dispatched there and disconnect after three seconds, although another
-    /// holder of the model could load the adapter in 25 ms.
-    fn prefers_reload(&self, endpoint: &Endpoint, request: &Request) -> bool {
-        let Some(base) = request.base.filter(|_| !request.adapter.is_empty()) else { return false };
-        endpoint.side_silent(self.now)
-            && self.live_holders(base).any(|other| {
-                other.member.service == request.service
-                    && !other.side_silent(self.now)
-                    && !other.avoided(self.now)
-                    && !request.tried.contains(&other.member.instance)
-            })
+    /// An instance that stalls for six seconds may hold the only copy of an adapter, or most of a
+    /// model's adapters. Without this check, all their callers are dispatched there and disconnect
+    /// after three seconds, although another holder of the model could load the adapter in 25 ms.
+    fn prefers_reload(&self, endpoint: &Endpoint, request: &Request, runs: u32) -> bool {
+        if request.adapter.is_empty() {
+            return false;
+        }
+        let silent = endpoint.side_silent(self.now);
+        let cost = self.concentration_cost(endpoint, runs);
+        let crowded =
+            cost > RELOAD_GAIN && self.now.since(request.arrived) < RELOAD_WAIT_MS && !silent;
+        if !silent && !crowded {
+            return false;
+        }
+        let mut others = self.pool.endpoints.values().filter(|other| {
+            self.can_load_adapter(other, request)
+                && other.fresh_side(self.now).is_some_and(|side| side.healthy)
+                && !other.avoided(self.now)
+                && !request.tried.contains(&other.member.instance)
+        });
+        others.any(|other| {
+            silent
+                || !other.liveness.maybe_stalled(self.now)
+                    && other.order_remaining_ms(self.now) == 0
+                    && self.concentration_cost(other, runs) + RELOAD_GAIN < cost
+        })
+    }
+
+    pub(super) fn eligible(&self, endpoint: &Endpoint, request: &Request) -> bool {
+        let instance = &endpoint.member.instance;
+        endpoint.accepts_requests()
+            && endpoint.member.service == request.service
+            && request.required.is_none_or(|required| self.can_run(endpoint, required))
+            && !request.tried.contains(instance)
     }
 
     /// Returns whether the instance must answer a probe before the request is dispatched there.
@@ -115,14 +143,6 @@
         request.required.is_some() && !endpoint.liveness.is_confirmed(self.now)
     }
 
-    pub(super) fn eligible(&self, endpoint: &Endpoint, request: &Request) -> bool {
-        let instance = &endpoint.member.instance;
-        endpoint.accepts_requests()
-            && endpoint.member.service == request.service
-            && request.required.is_none_or(|required| self.can_run(endpoint, required))
-            && !request.tried.contains(instance)
-    }
-
     /// Returns whether a request that has waited must wait for the engine's next load report.
     ///
     /// When a model with many waiting callers becomes available, all entries learn of it at the
--- a/crates/pool/src/entry/load_requests.rs
+++ b/crates/pool/src/entry/load_requests.rs
@@ -88,15 +88,9 @@
         let adapter = request.adapter.clone();
         let wait_ms = request.wait_ms(self.now);
         let paused = self.holder_paused(request);
-        let can_load = |endpoint: &&Endpoint| {
-            endpoint.accepts_requests()
-                && endpoint.inventory.keys.contains(&base)
-                && endpoint.member.service == request.service
-                && endpoint.is_responsive(self.now)
-                && endpoint.fresh_side(self.now).is_some_and(|side| !side.evicting.contains(&base))
-        };
         if !adapter.is_empty() {
-            let holders = self.pool.endpoints.values().filter(can_load);
+            let endpoints = self.pool.endpoints.values();
+            let holders = endpoints.filter(|endpoint| self.can_load_adapter(endpoint, request));
             let cost = |endpoint: &&Endpoint| self.adapter_cost(endpoint, &request.model, &adapter);
             let best = holders.min_by(|a, b| cost(a).total_cmp(&cost(b)));
             if let Some(best) = best {
@@ -148,6 +142,17 @@
         );
     }
 
+    /// Returns whether an endpoint holds a request's model and can load its adapter.
+    pub(super) fn can_load_adapter(&self, endpoint: &Endpoint, request: &Request) -> bool {
+        let (Some(base), Some(required)) = (request.base, request.required) else { return false };
+        endpoint.accepts_requests()
+            && endpoint.inventory.keys.contains(&base)
+            && !endpoint.inventory.keys.contains(&required)
+            && endpoint.member.service == request.service
+            && endpoint.is_responsive(self.now)
+            && endpoint.fresh_side(self.now).is_some_and(|side| !side.evicting.contains(&base))
+    }
+
     /// Refuses a request whose model will be loaded too late, unless a holder may only be paused.
     fn refuse_too_late(&mut self, id: RequestId, base: ModelKey) {
         self.count_miss(id, base);
@@ -251,9 +256,7 @@
     /// until the load ends. A holder with a large share of the service's runs costs more: if it
     /// stalled, all callers of the adapter would hang with it.
     fn adapter_cost(&self, endpoint: &Endpoint, model: &str, adapter: &str) -> f64 {
-        let side = endpoint.fresh_side(self.now);
-        let busy = side
-            .map_or(0, |side| side.order_eta_ms.saturating_sub(self.now.since(side.received_at)));
+        let busy = endpoint.order_remaining_ms(self.now);
         let name = full_name(model, adapter);
         let affinity = rendezvous_score(&name, &endpoint.member.instance) as f64 / u64::MAX as f64;
         let runs = self.service_runs(&endpoint.member.service);
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod config_transfer;
 mod entry;
+mod exposure;
 mod incarnation;
 mod liveness;
 mod load_priority;
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -240,6 +240,17 @@
         self.arrive(Arrival { tokens, ..arrival })
     }
 
+    /// Sends a request whose prompt starts with the given prefix.
+    pub(crate) fn request_with_prefix(
+        &mut self,
+        path: &str,
+        model: &str,
+        prefix_hash: u64,
+    ) -> (RequestId, Vec<EntryEffect>) {
+        let arrival = self.arrival(path, model);
+        self.arrive(Arrival { prefix_hash, ..arrival })
+    }
+
     fn arrival(&mut self, path: &str, model: &str) -> Arrival {
         let id = RequestId(self.next_id);
         self.next_id += 1;
