Spread the streams of a model in demand while that is cheap

What hangs with one endpoint is not a rate but what runs there now.

Now a model whose holders have more than 0.12 of all runs each, and more than two, gets one more replica, if that is cheap: from cached weights, nothing in use makes way, at most 1,500 ms of others' waiting.

Tests: exposure::*, each guard taken out once and noticed.

--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -2,7 +2,7 @@
 
 use citronrill_base::{ModelKey, rendezvous_score};
 
-use super::{PoolEntry, demand::side_rate};
+use super::{PoolEntry, demand::side_rate, replicas::SPREAD_GAIN_MS};
 use crate::{
     config::{EngineSpec, ModelSpec},
     endpoint::Endpoint,
@@ -37,6 +37,10 @@
 /// order during the whole load, and the store is shared by all.
 const STORE_COST_MS: f64 = 3_000.0;
 
+/// Milliseconds that a place costs for each unit of its concentration cost: two models in demand on
+/// one instance hang together when it stalls.
+const CROWDING_MS: f64 = 500.0;
+
 /// A candidate endpoint for a model, with its costs in milliseconds.
 pub(super) struct Place {
     pub(super) instance: String,
@@ -50,9 +54,23 @@
     pub(super) ready_ms: f64,
     /// Whether the model has to be loaded from the weight store.
     pub(super) from_store: bool,
+    /// Whether a model with running requests makes way.
+    pub(super) drains: bool,
     pub(super) evictions: Vec<ModelKey>,
 }
 
+/// A model to be loaded, and what the costs of its places depend on.
+#[derive(Clone, Copy)]
+pub(super) struct ModelLoad<'a> {
+    pub(super) engine: &'a EngineSpec,
+    pub(super) spec: &'a ModelSpec,
+    pub(super) model: ModelKey,
+    /// Whether it may be loaded from the weight store.
+    pub(super) store_open: bool,
+    /// Runs of its service.
+    pub(super) runs: u32,
+}
+
 impl PoolEntry {
     /// Returns the cheapest endpoint to load `model` on, with an eviction loss of at most
     /// `max_loss`.
@@ -68,9 +86,10 @@
         let members = self.pool.endpoints.values();
         let candidates = members
             .filter(|endpoint| endpoint.accepts_requests() && endpoint.member.service == service);
-        let store = self.store_open(model) && !self.copy_unconfirmed(service, model);
-        let places =
-            candidates.filter_map(|endpoint| self.place_at(endpoint, engine, spec, model, store));
+        let store_open = self.store_open(model) && !self.copy_unconfirmed(service, model);
+        let runs = self.service_runs(service);
+        let load = ModelLoad { engine, spec, model, store_open, runs };
+        let places = candidates.filter_map(|endpoint| self.place_at(endpoint, load));
         let places = places.filter(|place| place.eviction_loss <= max_loss);
         places.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
@@ -90,14 +109,9 @@
         })
     }
 
-    pub(super) fn place_at(
-        &self,
-        endpoint: &Endpoint,
-        engine: &EngineSpec,
-        spec: &ModelSpec,
-        model: ModelKey,
-        store_open: bool,
-    ) -> Option<Place> {
+    /// Returns the costs of loading a model at an endpoint, if there is a place for it.
+    pub(super) fn place_at(&self, endpoint: &Endpoint, load: ModelLoad<'_>) -> Option<Place> {
+        let ModelLoad { spec, model, .. } = load;
         let side = endpoint.fresh_side(self.now).filter(|side| side.healthy)?;
         let unavailable = endpoint.avoided(self.now)
             || endpoint.liveness.is_stalled(self.now)
@@ -106,7 +120,7 @@
             return None;
         }
         let from_store = !endpoint.inventory.has_cached_weights(model);
-        if from_store && !store_open {
+        if from_store && !load.store_open {
             return None;
         }
         let mut cost = if from_store { STORE_COST_MS } else { 0.0 };
@@ -118,9 +132,9 @@
             spec.disk_ms
         };
         let mut ready_ms = (load_ms + side.load_eta_ms) as f64;
-        let (evictions, eviction_loss) = self.select_evictions(endpoint, engine, spec)?;
-        let busy = evictions.iter().any(|key| side_rate(endpoint, *key) * RUN_S > 0.5);
-        if busy {
+        let (evictions, eviction_loss) = self.select_evictions(endpoint, load)?;
+        let drains = evictions.iter().any(|key| side_rate(endpoint, *key) * RUN_S > 0.5);
+        if drains {
             ready_ms += BUSY_EVICTION_MS;
         }
         // An endpoint loads no adapter while it loads a model. The higher its request rate, the more
@@ -131,8 +145,9 @@
         let instance = endpoint.member.instance.clone();
         // Waiting requests lose the time until the model is loaded. Without waiting requests, only
         // the endpoint's other callers are delayed for that time.
-        let background_cost = cost + delay * ready_ms / 1_000.0 + eviction_loss;
-        cost += delay + ready_ms + eviction_loss + tie_break;
+        let crowding = CROWDING_MS * self.concentration_cost(endpoint, load.runs);
+        let background_cost = cost + delay * ready_ms / 1_000.0 + eviction_loss + crowding;
+        cost += delay + ready_ms + eviction_loss + crowding + tie_break;
         Some(Place {
             instance,
             cost,
@@ -141,6 +156,7 @@
             delay,
             ready_ms,
             from_store,
+            drains,
             evictions,
         })
     }
@@ -150,9 +166,9 @@
     fn select_evictions(
         &self,
         endpoint: &Endpoint,
-        engine: &EngineSpec,
-        spec: &ModelSpec,
+        load: ModelLoad<'_>,
     ) -> Option<(Vec<ModelKey>, f64)> {
+        let ModelLoad { engine, spec, runs, .. } = load;
         let side = endpoint.fresh_side(self.now)?;
         let size = |key: &ModelKey| {
             engine.model(self.names.name(*key)).map_or(0.0, |model| model.weights_mb)
@@ -164,8 +180,9 @@
         let adapters = f64::from(engine.adapter_limit) * spec.adapter_mb;
         let mut free = engine.weights_mb - used - adapters;
         let evictable = endpoint.inventory.models.iter().filter(|key| !side.pinned.contains(key));
-        let mut order =
-            evictable.map(|key| (self.eviction_loss(*key, endpoint), *key)).collect::<Vec<_>>();
+        let mut order = evictable
+            .map(|key| (self.eviction_loss(*key, endpoint, runs), *key))
+            .collect::<Vec<_>>();
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
         let (mut evictions, mut eviction_loss) = (Vec::new(), 0.0);
         let mut order = order.into_iter();
@@ -185,17 +202,20 @@
     /// little while the others can carry the load. Only replicas with a fresh side report count: a
     /// crashed endpoint stays listed for seconds, and such an endpoint was taken for the second
     /// replica of a busy model whose last one was then unloaded.
-    fn eviction_loss(&self, key: ModelKey, endpoint: &Endpoint) -> f64 {
+    fn eviction_loss(&self, key: ModelKey, endpoint: &Endpoint, runs: u32) -> f64 {
         let others = self
             .live_holders(key)
             .filter(|other| other.member.instance != endpoint.member.instance);
-        let others = others.count() as f64;
+        let holders = others.count();
+        let others = holders as f64;
         let rate = self.rate(key);
         let waiting_loss = self.waiting_count(key) * MISS_COST_MS;
         if others > 0.0 && rate <= others * MAX_REMAINING_RATE {
             let in_use = side_rate(endpoint, key) * RUN_S > 0.5;
             let drain = if in_use { DRAIN_MS } else { 0.0 };
-            return REDUNDANT_BASE_MS + side_rate(endpoint, key) * REDUNDANT_GAIN_MS + drain;
+            let spread = if self.is_exposed(key, holders, runs) { SPREAD_GAIN_MS } else { 0.0 };
+            let waiting = side_rate(endpoint, key) * REDUNDANT_GAIN_MS;
+            return REDUNDANT_BASE_MS + waiting + drain + spread;
         }
         let next_use = 1.0 - (-rate * HORIZON_S).exp();
         waiting_loss + MISS_COST_MS * (next_use + rate)
--- a/crates/pool/src/entry/preload.rs
+++ b/crates/pool/src/entry/preload.rs
@@ -11,7 +11,7 @@
 use super::{
     PoolEntry,
     demand::{BUSY_RATE, REFUSAL_COST_MS},
-    placement::Place,
+    placement::{ModelLoad, Place},
 };
 use crate::{
     config::{EngineSpec, ModelSpec},
@@ -191,7 +191,9 @@
                 && !endpoint.inventory.has_cached_weights(key)
         };
         let places = self.pool.endpoints.values().filter(is_candidate);
-        let places = places.filter_map(|endpoint| self.place_at(endpoint, engine, spec, key, true));
+        let runs = self.service_runs(service);
+        let load = ModelLoad { engine, spec, model: key, store_open: true, runs };
+        let places = places.filter_map(|endpoint| self.place_at(endpoint, load));
         let places =
             places.filter(|place| place.evictions.is_empty() && place.delay * load_s < gain);
         places.min_by(|a, b| a.cost.total_cmp(&b.cost))
--- a/crates/pool/src/entry/replicas.rs
+++ b/crates/pool/src/entry/replicas.rs
@@ -41,6 +41,16 @@
 /// Seconds for which the callers of a stalled endpoint get no response: the side's silence is
 /// detected after one second, and callers that had an event disconnect after three.
 const STALL_S: f64 = 3.0;
+/// Share of a service's runs at each holder of a model, on average, above which another holder is
+/// requested from cached weights.
+const EXPOSED_SHARE: f64 = 0.12;
+/// Runs at each holder, on average, up to which no other one is requested for their sake.
+const EXPOSED_RUNS: f64 = 2.0;
+/// Milliseconds that callers of other models may lose so that fewer streams depend on one instance.
+const EXPOSURE_GAIN_MS: f64 = 1_500.0;
+/// Milliseconds that a redundant replica is worth without which the remaining holders would have too
+/// large a share.
+pub(super) const SPREAD_GAIN_MS: f64 = 1_000.0;
 /// Milliseconds for which another replica is still useful: a load from the weight store takes at
 /// least six seconds.
 const REPLICA_TTL_MS: u64 = 8_000;
@@ -81,6 +91,12 @@
         let held = self.live_holders(key).count();
         let overloaded = loading == 0 && self.overloaded(key);
         let few = ((held + loading) as f64) < desired_replicas(rate, engine.slots) || overloaded;
+        if loading == 0 && !few && self.is_exposed(key, held, self.service_runs(service)) {
+            let place = self.spread_place(service, name, key);
+            if place.is_some() {
+                return place;
+            }
+        }
         let gain =
             if few { self.demand_loss(key, rate) } else { redundancy_gain(rate, held, loading)? };
         let gain = gain + self.sole_copy_loss(key, rate, spec);
@@ -93,6 +109,26 @@
         place.filter(|place| !place.from_store || self.replica_due(key, loading))
     }
 
+    /// Returns whether each of a model's `holders` has, on average, too large a share of its service's
+    /// `runs`, so that no choice among them can spread the runs well.
+    ///
+    /// The runs under way tell this at once, while request rates follow demand that moves to another
+    /// model only after seconds. Streams that may run once cannot leave an instance that stalls.
+    pub(super) fn is_exposed(&self, key: ModelKey, holders: usize, runs: u32) -> bool {
+        let held = self.live_holders(key).map(|endpoint| f64::from(endpoint.load())).sum::<f64>();
+        let mean = held / holders.max(1) as f64;
+        holders > 0 && mean > EXPOSED_RUNS.max(EXPOSED_SHARE * f64::from(runs))
+    }
+
+    /// Returns the place for one more replica that only spreads the runs of a model.
+    ///
+    /// It must cost other callers little, so it is never loaded from the weight store. Nothing in use
+    /// makes way: an unload waits for seconds until the runs of a model have ended.
+    fn spread_place(&self, service: &str, name: &str, key: ModelKey) -> Option<Place> {
+        let place = self.place(service, name, key, EXPOSURE_GAIN_MS)?;
+        (!place.drains && place.background_cost < EXPOSURE_GAIN_MS).then_some(place)
+    }
+
     /// Returns the milliseconds that callers lose while a model has fewer replicas than its demand
     /// needs.
     fn demand_loss(&self, key: ModelKey, rate: f64) -> f64 {
--- a/crates/pool/tests/all/exposure.rs
+++ b/crates/pool/tests/all/exposure.rs
@@ -5,7 +5,7 @@
 use citronrill_wire::{ModelState, SideState};
 use rstest::rstest;
 
-use crate::support::{Bench, ENGINE, address, dispatch, member, requested_load, state};
+use crate::support::{Bench, ENGINE, address, bare, dispatch, member, requested_load, state};
 
 /// Largest permitted share of the streams at one endpoint, as a divisor: if its instance stalls, at
 /// most a quarter of the runs whose callers leave may continue.
@@ -30,12 +30,31 @@
     SideState { models: vec![model], active, entries: 4, ..state(1, &[]) }
 }
 
+/// State of a side with the given models and request rates in thousandths a second, and the number
+/// of running requests.
+fn serving(active: u32, models: &[(&str, u32)]) -> SideState {
+    let model = |(name, rate_milli): &(&str, u32)| ModelState {
+        name: (*name).to_owned(),
+        rate_milli: *rate_milli,
+        ..ModelState::default()
+    };
+    let models = models.iter().map(model).collect();
+    SideState { models, active, entries: 4, ..state(1, &[]) }
+}
+
 /// Returns the index of the endpoint that the effects dispatch a request to.
 fn target(effects: &[EntryEffect]) -> Option<usize> {
     let at = dispatch(effects)?.address;
     (1..=u8::MAX).find(|index| address(*index) == at).map(usize::from)
 }
 
+/// Returns the endpoints that the effects ask to load `model`.
+fn places(effects: &[EntryEffect], model: &str) -> Vec<u8> {
+    let requests = effects.iter().filter_map(|effect| requested_load(std::slice::from_ref(effect)));
+    let wanted = requests.filter(|(_, load_request)| load_request.model == model);
+    wanted.filter_map(|(at, _)| (1..=u8::MAX).find(|index| address(*index) == at)).collect()
+}
+
 /// Asserts that the endpoint with most streams has at most [`FEW`] or the permitted share.
 #[track_caller]
 fn assert_spread(streams: &[usize]) {
@@ -119,3 +138,126 @@
     let (_, effects) = bench.request("/draft/x", "m0/a1");
     assert_eq!(target(&effects), Some(1), "{effects:?}");
 }
+
+/// A pool of six: the first `holders` run `m0`, with `active` streams each and three requests a
+/// second in all; the others have rare models loaded.
+fn pool_with_holders(holders: u8, active: u32, cached: bool) -> Bench {
+    let mut members = Vec::new();
+    let mut states = Vec::new();
+    for index in 1..=6 {
+        let rare = [5, 4].map(|offset| format!("m{}", (2 * index as usize).saturating_sub(offset)));
+        let (names, mut state) = if index <= holders {
+            (vec!["m0"], serving(active, &[("m0", 3_000 / u32::from(holders))]))
+        } else {
+            let names = rare.iter().map(String::as_str).collect::<Vec<_>>();
+            (names.clone(), serving(1, &[(names[0], 50), (names[1], 50)]))
+        };
+        if !cached && index > holders {
+            state.on_disk = names.iter().map(|name| (*name).to_owned()).collect();
+        }
+        let member = if cached { member(index, ENGINE, &names) } else { bare(index, &names) };
+        members.push(Member { slots: 96, ..member });
+        states.push(state);
+    }
+    let mut bench = Bench::new(members);
+    for (index, state) in (1..).zip(states) {
+        bench.step(EntryEvent::SideReport(address(index), state));
+    }
+    bench
+}
+
+/// Demand has just moved to a model: few requests a second are known, but its holders run most
+/// streams. Guards against asking for another replica, which a disk has, only seconds later.
+#[rstest]
+#[case::second(1, 5)]
+#[case::third(2, 4)]
+fn replica_is_requested_where_most_streams_depend_on_few_holders(
+    #[case] holders: u8,
+    #[case] active: u32,
+) {
+    let mut bench = pool_with_holders(holders, active, true);
+    let at = places(&bench.advance(100), "m0");
+    assert_eq!(at.len(), 1, "one more replica is requested at {at:?}");
+    assert!(at[0] > holders);
+}
+
+/// Guards against replicas for a model whose holders each have few streams: every one evicts others.
+#[test]
+fn no_replica_is_requested_where_few_streams_run() {
+    let mut bench = pool_with_holders(1, 2, true);
+    assert_eq!(places(&bench.advance(100), "m0"), Vec::<u8>::new());
+}
+
+/// Guards against taking the weight store, and an endpoint for six seconds, only to spread streams.
+#[test]
+fn weight_store_is_not_used_to_spread_streams() {
+    let mut bench = pool_with_holders(1, 5, false);
+    assert_eq!(places(&bench.advance(100), "m0"), Vec::<u8>::new());
+}
+
+/// All other endpoints hold the same two models in demand. Guards against evicting one of these,
+/// although two replicas are left, to spread the streams of another: the unload waits for seconds
+/// until its runs have ended.
+#[test]
+fn model_in_use_is_not_evicted_to_spread_streams() {
+    let models = [["m0", "m9"], ["m1", "m2"], ["m1", "m2"], ["m1", "m2"]];
+    let members = (1..)
+        .zip(models)
+        .map(|(index, models)| Member { slots: 96, ..member(index, ENGINE, &models) });
+    let mut bench = Bench::new(members.collect());
+    for (index, models) in (1..).zip(models) {
+        let active = if index == 1 { 5 } else { 1 };
+        let rates = models.map(|name| (name, if name == "m9" { 50 } else { 3_000 }));
+        bench.step(EntryEvent::SideReport(address(index), serving(active, &rates)));
+    }
+    assert_eq!(places(&bench.advance(100), "m0"), Vec::<u8>::new());
+}
+
+/// Two models have most streams, and one holder each. Every endpoint could hold a second replica of
+/// either. Guards against putting it beside the only replica of the other model, where evicting a
+/// rare model costs least: that endpoint then has most of all streams.
+#[test]
+fn busy_models_are_not_placed_on_one_endpoint() {
+    let pool = [
+        serving(9, &[("m1", 3_000), ("m2", 50)]),
+        serving(1, &[("m3", 80), ("m4", 80)]),
+        serving(1, &[("m5", 80), ("m6", 80)]),
+        serving(1, &[("m7", 80), ("m8", 80)]),
+        serving(9, &[("m0", 3_000), ("m9", 50)]),
+    ];
+    let names =
+        |state: &SideState| state.models.iter().map(|model| model.name.clone()).collect::<Vec<_>>();
+    let members = (1..).zip(&pool).map(|(index, state)| {
+        let names = names(state);
+        let names = names.iter().map(String::as_str).collect::<Vec<_>>();
+        Member { slots: 96, ..member(index, ENGINE, &names) }
+    });
+    let mut bench = Bench::new(members.collect());
+    for (index, state) in (1..).zip(pool) {
+        bench.step(EntryEvent::SideReport(address(index), state));
+    }
+    let effects = bench.advance(100);
+    let (first, second) = (places(&effects, "m0"), places(&effects, "m1"));
+    assert!(!first.is_empty() && !second.is_empty(), "second replicas are requested");
+    assert!(!first.contains(&1) && !second.contains(&5), "{first:?} {second:?}");
+}
+
+/// Three holders of a model run most streams, and a caller waits for a rare model that any endpoint
+/// could load. Guards against evicting one of the replicas for it: the streams of its model then run
+/// at two endpoints.
+#[test]
+fn replica_that_spreads_streams_is_not_evicted_for_a_rare_model() {
+    let models = [["m0", "m1"], ["m0", "m2"], ["m0", "m3"], ["m4", "m5"]];
+    let members = (1..)
+        .zip(models)
+        .map(|(index, models)| Member { slots: 96, ..member(index, ENGINE, &models) });
+    let mut bench = Bench::new(members.collect());
+    for (index, models) in (1..).zip(models) {
+        let active = if index == 4 { 1 } else { 4 };
+        let rates = models.map(|name| (name, if name == "m0" { 1_000 } else { 400 }));
+        bench.step(EntryEvent::SideReport(address(index), serving(active, &rates)));
+    }
+    let (_, effects) = bench.request("/draft/x", "m9");
+    let (at, load_request) = requested_load(&effects).expect("the rare model is requested");
+    assert_eq!(at, address(4), "{load_request:?}");
+}
