--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -40,6 +40,8 @@
 const IDLE_POLL_MS: u64 = 200;
 /// Milliseconds between published states that contain no change.
 const PUBLISH_INTERVAL_MS: u64 = 500;
+/// Minimum milliseconds between two states that are published because of the load alone.
+const LOAD_INTERVAL_MS: u64 = 100;
 /// Typical milliseconds of an unload: 20 to 70 ms without running requests, 400 ms with them.
 const TYPICAL_UNLOAD_MS: u64 = 150;
 /// Typical milliseconds of an adapter load, including the poll that shows it.
@@ -379,7 +381,7 @@
             Some((at, published)) => {
                 self.now.since(*at) >= PUBLISH_INTERVAL_MS
                     || !same_except_load(published, &state)
-                    || load_moved(published, &state)
+                    || self.now.since(*at) >= LOAD_INTERVAL_MS && load_moved(published, &state)
             }
         };
         if changed {
--- a/crates/pool/tests/all/side.rs
+++ b/crates/pool/tests/all/side.rs
@@ -338,21 +338,25 @@
 
 /// Entries know of each other's requests only from the side. Guards against several of them
 /// dispatching to an endpoint that has filled up since its last state, and against a message for
-/// every single request.
+/// every single request or every 20 ms.
 #[rstest]
-#[case::one_more(4, 5, false)]
-#[case::two_more(4, 6, true)]
-#[case::two_less(4, 2, true)]
-#[case::a_little_of_many(40, 44, false)]
-#[case::a_quarter_of_many(40, 50, true)]
+#[case::one_more(4, 5, 100, false)]
+#[case::two_more(4, 6, 100, true)]
+#[case::two_less(4, 2, 100, true)]
+#[case::a_little_of_many(40, 44, 100, false)]
+#[case::a_quarter_of_many(40, 50, 100, true)]
+#[case::too_soon(4, 8, 40, false)]
 fn marked_change_of_load_is_published_at_once(
     #[case] before: u32,
     #[case] after: u32,
+    #[case] later_ms: u64,
     #[case] expected: bool,
 ) {
     let mut bench = Bench::new(&["m0"]);
     bench.now += 500;
     bench.report(EngineReport { active: before, ..report(1, &["m0"]) });
+    // A report comes 25 ms later.
+    bench.now += later_ms - 25;
     let effects = bench.report(EngineReport { active: after, ..report(1, &["m0"]) });
     assert_eq!(published(&effects).is_some(), expected, "{effects:?}");
 }
