Have nobody wait for an adapter that is late, nor be throttled for one that comes

A request that waits only for the second holder is not throttled now, and none waits for a load that was declined or takes longer than expected. Both tests fail before and pass.

--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -13,6 +13,8 @@
     Confirm(String),
     /// Load the required model or adapter first.
     Load,
+    /// Load the adapter on another holder first, although an endpoint can run the request.
+    Reload,
     /// All endpoints that can run it are full.
     Full,
     /// Wait: the best endpoint has already received this entry's share of its free slots.
@@ -36,7 +38,7 @@
 const SILENT_COST: f64 = 3.0;
 /// Share of a service's runs that an endpoint may have at no cost: a little more than the even
 /// share in a small pool.
-const CONCENTRATION_FREE_SHARE: f64 = 0.12;
+pub(super) const CONCENTRATION_FREE_SHARE: f64 = 0.12;
 /// Cost of the share beyond that: a twentieth of all runs weighs as much as another zone.
 const CONCENTRATION_COST: f64 = 8.0;
 /// Lower bound on a service's runs when computing shares: of two runs, one is already half.
@@ -75,7 +77,7 @@
             None => PLAIN_FULL,
         };
         match best {
-            Some((_, endpoint)) if self.prefers_reload(endpoint, request, runs) => Choice::Load,
+            Some((_, endpoint)) if self.prefers_reload(endpoint, request, runs) => Choice::Reload,
             Some((_, endpoint))
                 if endpoint.load_ratio() < full && self.throttled(endpoint, request) =>
             {
@@ -107,8 +109,10 @@
         }
         let silent = endpoint.side_silent(self.now);
         let cost = self.concentration_cost(endpoint, runs);
-        let crowded =
-            cost > RELOAD_GAIN && self.now.since(request.arrived) < RELOAD_WAIT_MS && !silent;
+        let load_request = request.required.and_then(|key| self.load_requests.get(&key));
+        let overdue = load_request.is_some_and(|load_request| load_request.is_overdue(self.now));
+        let waited = self.now.since(request.arrived) >= RELOAD_WAIT_MS;
+        let crowded = cost > RELOAD_GAIN && !silent && !overdue && !waited;
         if !silent && !crowded {
             return false;
         }
--- a/crates/pool/src/entry/load_requests.rs
+++ b/crates/pool/src/entry/load_requests.rs
@@ -58,6 +58,11 @@
         self.address == address
     }
 
+    /// Returns whether the side has declined, or the load takes longer than expected.
+    pub(super) fn is_overdue(&self, now: Millis) -> bool {
+        self.declined || now > self.expected
+    }
+
     /// Records that the side of the endpoint at `address` has declined.
     ///
     /// The load request is kept as a backoff: new ones on every event made thousands of messages a
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -410,6 +410,7 @@
         match self.choose(request) {
             Choice::Dispatch(instance) => self.dispatch(id, &instance, false),
             Choice::Confirm(instance) => self.confirm(&instance),
+            Choice::Reload => self.request_model(id),
             Choice::Load => {
                 self.mark_queued(id);
                 self.request_model(id);
--- a/crates/pool/tests/all/exposure.rs
+++ b/crates/pool/tests/all/exposure.rs
@@ -2,7 +2,7 @@
 //! may run once can go nowhere else.
 
 use citronrill_pool::{EntryEffect, EntryEvent, Member};
-use citronrill_wire::{ModelState, SideState};
+use citronrill_wire::{ModelName, ModelState, SideState};
 use rstest::rstest;
 
 use crate::support::{Bench, ENGINE, address, bare, dispatch, member, requested_load, state};
@@ -261,3 +261,43 @@
     let (at, load_request) = requested_load(&effects).expect("the rare model is requested");
     assert_eq!(at, address(4), "{load_request:?}");
 }
+
+/// An adapter is loaded at a second holder for four callers at once, in a pool of 68 entries. Guards
+/// against the pace of requests that had to wait for a model: the first holder could run them all.
+#[test]
+fn callers_of_a_reloaded_adapter_are_not_throttled() {
+    let members = (1..=5).map(|index| member(index, ENGINE, &["m0"])).collect();
+    let mut bench = Bench::new(members);
+    let side = |active, adapters: &[&str]| SideState { entries: 68, ..running(active, adapters) };
+    bench.step(EntryEvent::SideReport(address(1), side(12, &["a1"])));
+    for index in 2..=5 {
+        bench.step(EntryEvent::SideReport(address(index), side(2, &[])));
+    }
+    let mut effects = Vec::new();
+    for _ in 0..4 {
+        effects.extend(bench.request("/draft/x", "m0/a1").1);
+    }
+    let loads = places(&effects, "m0");
+    assert_eq!(loads.len(), 1, "{effects:?}");
+    bench.now += 25;
+    let effects = bench.step(EntryEvent::SideReport(address(loads[0]), side(2, &["a1"])));
+    let sent = effects.iter().filter(|effect| matches!(effect, EntryEffect::Dispatch(..)));
+    assert_eq!(sent.count(), 4, "{effects:?}");
+}
+
+/// The other holder declines to load an adapter. Guards against making each further caller wait for
+/// it, although the endpoint that has the adapter could run them at once.
+#[test]
+fn callers_do_not_wait_for_a_declined_adapter() {
+    let mut bench = Bench::new(wide(&["a"; 5]));
+    bench.step(EntryEvent::SideReport(address(1), running(20, &["a1"])));
+    for index in 2..=5 {
+        bench.step(EntryEvent::SideReport(address(index), running(2, &[])));
+    }
+    let (_, effects) = bench.request("/draft/x", "m0/a1");
+    let (at, _) = requested_load(&effects).expect("the adapter is requested elsewhere");
+    let declined = ModelName { model: "m0".to_owned(), adapter: "a1".to_owned() };
+    bench.step(EntryEvent::LoadDeclined(at, declined));
+    let (_, effects) = bench.request("/draft/x", "m0/a1");
+    assert_eq!(target(&effects), Some(1), "{effects:?}");
+}
