Keep replicas that spread streams from evicting each other, and small pools from having none

It is worth the same to keep and to get now, and a place is charged only for what runs there beyond the least crowded one. Both tests fail before and pass. The shares from which spreading is worth something are one constant.

--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -47,6 +47,8 @@
     pub(super) cost: f64,
     /// Cost while live replicas serve the model's callers, so that no request waits for this load.
     pub(super) background_cost: f64,
+    /// Cost of what already runs at the endpoint.
+    crowding: f64,
     /// Loss caused by the evictions.
     eviction_loss: f64,
     /// Loss of the callers of the endpoint's other models during the load.
@@ -91,7 +93,9 @@
         let load = ModelLoad { engine, spec, model, store_open, runs };
         let places = candidates.filter_map(|endpoint| self.place_at(endpoint, load));
         let places = places.filter(|place| place.eviction_loss <= max_loss);
-        places.min_by(|a, b| a.cost.total_cmp(&b.cost))
+        let mut places = places.collect::<Vec<_>>();
+        charge_crowding(&mut places);
+        places.into_iter().min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
     /// Returns whether an endpoint that has cached weights of a model is listed, but its side is
@@ -146,12 +150,13 @@
         // Waiting requests lose the time until the model is loaded. Without waiting requests, only
         // the endpoint's other callers are delayed for that time.
         let crowding = CROWDING_MS * self.concentration_cost(endpoint, load.runs);
-        let background_cost = cost + delay * ready_ms / 1_000.0 + eviction_loss + crowding;
-        cost += delay + ready_ms + eviction_loss + crowding + tie_break;
+        let background_cost = cost + delay * ready_ms / 1_000.0 + eviction_loss;
+        cost += delay + ready_ms + eviction_loss + tie_break;
         Some(Place {
             instance,
             cost,
             background_cost,
+            crowding,
             eviction_loss,
             delay,
             ready_ms,
@@ -221,3 +226,13 @@
         waiting_loss + MISS_COST_MS * (next_use + rate)
     }
 }
+
+/// Charges each place for what runs there beyond the least crowded one: in a small pool every place
+/// has a large share of the runs, and must not look too expensive for that.
+fn charge_crowding(places: &mut [Place]) {
+    let least = places.iter().map(|place| place.crowding).fold(f64::INFINITY, f64::min);
+    for place in places {
+        place.cost += place.crowding - least;
+        place.background_cost += place.crowding - least;
+    }
+}
--- a/crates/pool/src/entry/replicas.rs
+++ b/crates/pool/src/entry/replicas.rs
@@ -4,6 +4,7 @@
 
 use super::{
     PoolEntry,
+    choose::CONCENTRATION_FREE_SHARE,
     demand::REFUSAL_COST_MS,
     placement::{HORIZON_S, MISS_COST_MS, Place},
 };
@@ -43,14 +44,12 @@
 const STALL_S: f64 = 3.0;
 /// Share of a service's runs at each holder of a model, on average, above which another holder is
 /// requested from cached weights.
-const EXPOSED_SHARE: f64 = 0.12;
+const EXPOSED_SHARE: f64 = CONCENTRATION_FREE_SHARE;
 /// Runs at each holder, on average, up to which no other one is requested for their sake.
 const EXPOSED_RUNS: f64 = 2.0;
 /// Milliseconds that callers of other models may lose so that fewer streams depend on one instance.
-const EXPOSURE_GAIN_MS: f64 = 1_500.0;
-/// Milliseconds that a redundant replica is worth without which the remaining holders would have too
-/// large a share.
-pub(super) const SPREAD_GAIN_MS: f64 = 1_000.0;
+/// Evicting such a replica costs as much: otherwise two models take the same place in turn.
+pub(super) const SPREAD_GAIN_MS: f64 = 1_500.0;
 /// Milliseconds for which another replica is still useful: a load from the weight store takes at
 /// least six seconds.
 const REPLICA_TTL_MS: u64 = 8_000;
@@ -125,8 +124,8 @@
     /// It must cost other callers little, so it is never loaded from the weight store. Nothing in use
     /// makes way: an unload waits for seconds until the runs of a model have ended.
     fn spread_place(&self, service: &str, name: &str, key: ModelKey) -> Option<Place> {
-        let place = self.place(service, name, key, EXPOSURE_GAIN_MS)?;
-        (!place.drains && place.background_cost < EXPOSURE_GAIN_MS).then_some(place)
+        let place = self.place(service, name, key, SPREAD_GAIN_MS)?;
+        (!place.drains && place.background_cost < SPREAD_GAIN_MS).then_some(place)
     }
 
     /// Returns the milliseconds that callers lose while a model has fewer replicas than its demand
--- a/crates/pool/tests/all/exposure.rs
+++ b/crates/pool/tests/all/exposure.rs
@@ -262,6 +262,45 @@
     assert_eq!(at, address(4), "{load_request:?}");
 }
 
+/// Two endpoints run two models in demand each, and a third has one cheap place. Guards against
+/// replicas that only spread streams and evict each other in turn.
+#[test]
+fn replicas_that_spread_streams_do_not_evict_each_other() {
+    let mut place = "m9";
+    let mut loads = Vec::new();
+    let held = |place| vec![["m0", "m2"], ["m1", "m3"], ["m4", place]];
+    let members = (1..).zip(held(place)).map(|(index, names)| member(index, ENGINE, &names));
+    let mut bench = Bench::new(members.collect());
+    for _ in 0..8 {
+        for (index, names) in (1..).zip(held(place)) {
+            let active = if index == 3 { 2 } else { 8 };
+            let rates = names.map(|name| (name, if name == place { 300 } else { 3_000 }));
+            let side = SideState { entries: 1, ..serving(active, &rates) };
+            bench.step(EntryEvent::SideReport(address(index), side));
+        }
+        let effects = bench.advance(40);
+        let wanted = ["m0", "m1", "m2", "m3"];
+        if let Some(model) = wanted.into_iter().find(|model| places(&effects, model).contains(&3)) {
+            place = model;
+            loads.push(model);
+        }
+        bench.now += 700;
+    }
+    assert_eq!(loads.len(), 1, "{loads:?}");
+}
+
+/// Two endpoints have half of the streams each, as there are no more. Guards against a cost of what
+/// runs there that keeps either from taking a second replica.
+#[test]
+fn small_pool_still_gets_second_replicas() {
+    let mut bench = Bench::new(vec![member(1, ENGINE, &["m0"]), member(2, ENGINE, &["m1"])]);
+    for (index, name) in [(1, "m0"), (2, "m1")] {
+        bench.step(EntryEvent::SideReport(address(index), serving(6, &[(name, 2_500)])));
+    }
+    let effects = bench.advance(20);
+    assert_eq!((places(&effects, "m0"), places(&effects, "m1")), (vec![2], vec![1]));
+}
+
 /// An adapter is loaded at a second holder for four callers at once, in a pool of 68 entries. Guards
 /// against the pace of requests that had to wait for a model: the first holder could run them all.
 #[test]
