--- a/crates/pool/tests/all/liveness.rs
+++ b/crates/pool/tests/all/liveness.rs
@@ -1,11 +1,11 @@
 //! Probes of the sides: which instance counts as stalled, and what follows from it.
 
-use citronrill_pool::{Dispatch, EntryEffect, EntryEvent, Member, RequestId, SideLoss};
+use citronrill_pool::{EntryEffect, EntryEvent, Member, RequestId, SideLoss};
 use citronrill_wire::SideState;
 use rstest::rstest;
 
 use crate::support::{
-    Bench, ENGINE, address, bare, dispatch, member, ok, refusal, requested_load, state,
+    Bench, ENGINE, address, bare, dispatch, member, refusal, requested_load, state,
     state_with_rates,
 };
 
@@ -33,15 +33,6 @@
     bench
 }
 
-/// Starts a stream on `path`; its endpoint has sent the response head and an event.
-fn start_stream(bench: &mut Bench, path: &str) -> (RequestId, Dispatch) {
-    let (id, effects) = bench.request(path, "m0");
-    let sent = dispatch(&effects).unwrap().clone();
-    bench.step(EntryEvent::ResponseHead(id, sent.number, ok()));
-    bench.step(EntryEvent::Progress(vec![id]));
-    (id, sent)
-}
-
 /// Advances the clock by `ms` while the sides of the endpoints `replying` reply to probes.
 fn advance(bench: &mut Bench, replying: &[u8], ms: u64) -> Vec<EntryEffect> {
     let mut effects = Vec::new();
@@ -85,7 +76,7 @@
 #[test]
 fn stream_fails_over_when_a_reconnection_to_the_side_stays_silent() {
     let mut bench = bench(&["m0", "m0", "m0"]);
-    let (id, sent) = start_stream(&mut bench, "/chat/x");
+    let (id, sent) = bench.start_stream("/chat/x");
     bench.step(EntryEvent::SideLost(sent.address, SideLoss::Closed));
     let others = [1, 2, 3].into_iter().filter(|index| address(*index) != sent.address);
     let effects = advance(&mut bench, &others.collect::<Vec<_>>(), DETECTION_MS);
@@ -100,7 +91,7 @@
 #[test]
 fn stream_with_progress_stays_when_the_side_is_lost_in_silence() {
     let mut bench = bench(&["m0", "m0", "m0"]);
-    let (id, sent) = start_stream(&mut bench, "/chat/x");
+    let (id, sent) = bench.start_stream("/chat/x");
     bench.advance(60);
     bench.step(EntryEvent::SideLost(sent.address, SideLoss::Silent));
     let effects = tick_after(&mut bench, 20);
@@ -113,7 +104,7 @@
 #[test]
 fn short_own_pause_does_not_count_as_an_unanswered_probe() {
     let mut bench = bench(&["m0", "m0", "m0"]);
-    let (id, _) = start_stream(&mut bench, "/chat/x");
+    let (id, _) = bench.start_stream("/chat/x");
     bench.advance(260);
     let effects = tick_after(&mut bench, 61);
     assert_eq!(disconnects(&effects, id), 0, "{effects:?}");
@@ -125,7 +116,7 @@
 #[test]
 fn stall_is_detected_although_checks_are_late() {
     let mut bench = bench(&["m0", "m0", "m0"]);
-    let (id, _) = start_stream(&mut bench, "/chat/x");
+    let (id, _) = bench.start_stream("/chat/x");
     let effects = (0..8).flat_map(|_| tick_after(&mut bench, 60)).collect::<Vec<_>>();
     assert_eq!(disconnects(&effects, id), 1, "{effects:?}");
 }
@@ -161,7 +152,7 @@
 #[test]
 fn probe_of_a_stopped_side_is_dropped() {
     let mut bench = bench(&["m0", "m0", "m0"]);
-    let (id, sent) = start_stream(&mut bench, "/chat/x");
+    let (id, sent) = bench.start_stream("/chat/x");
     let others = [1, 2, 3].into_iter().filter(|index| address(*index) != sent.address);
     let others = others.collect::<Vec<_>>();
     let effects = advance(&mut bench, &others, 160);
@@ -183,7 +174,7 @@
     for index in [1, 2] {
         bench.step(EntryEvent::SideReport(address(index), state(1, &["m0"])));
     }
-    let (_, sent) = start_stream(&mut bench, "/chat/x");
+    let (_, sent) = bench.start_stream("/chat/x");
     assert_eq!(sent.address, address(1), "the holder in the entry's zone is preferred otherwise");
     advance(&mut bench, &[2], 180);
     let (_, effects) = bench.request("/chat/x", "m0");
@@ -195,15 +186,15 @@
 #[test]
 fn kv_cache_is_not_copied_to_an_instance_that_may_be_stalled() {
     let mut bench = bench(&["m0", "m0"]);
-    let (id, _) = start_stream(&mut bench, "/draft/x");
+    let (id, _) = bench.start_stream("/draft/x");
     bench.step(EntryEvent::StreamBroken(id, Some(0)));
     advance(&mut bench, &[1], 980);
-    let (_, sent) = start_stream(&mut bench, "/draft/x");
+    let (_, sent) = bench.start_stream("/draft/x");
     assert_eq!((sent.address, sent.backup), (address(1), None));
     for index in [1, 2] {
         bench.step(EntryEvent::ProbeReply(address(index)));
     }
-    let (_, sent) = start_stream(&mut bench, "/draft/x");
+    let (_, sent) = bench.start_stream("/draft/x");
     assert!(sent.backup.is_some(), "both respond again");
 }
 
@@ -211,7 +202,7 @@
 #[test]
 fn stream_is_disconnected_from_a_stalled_instance_once() {
     let mut bench = bench(&["m0", "m0"]);
-    let (id, sent) = start_stream(&mut bench, "/chat/x");
+    let (id, sent) = bench.start_stream("/chat/x");
     let other = if sent.address == address(1) { 2 } else { 1 };
     let effects = advance(&mut bench, &[other], 2 * DETECTION_MS);
     assert_eq!(disconnects(&effects, id), 1, "{effects:?}");
@@ -225,7 +216,7 @@
     let report =
         |active| EntryEvent::SideReport(address(2), SideState { active, ..state(1, &["m0"]) });
     bench.step(report(24));
-    let streams = (0..9).map(|_| start_stream(&mut bench, "/chat/x")).collect::<Vec<_>>();
+    let streams = (0..9).map(|_| bench.start_stream("/chat/x")).collect::<Vec<_>>();
     assert!(streams.iter().all(|(_, sent)| sent.address == address(1)), "{streams:?}");
     bench.step(report(0));
     let effects = advance(&mut bench, &[2], DETECTION_MS);
@@ -243,7 +234,7 @@
 #[case::no_time_for_any_load(600, 100)]
 fn paused_sole_holder_is_waited_for(#[case] deadline_ms: u64, #[case] wait_ms: u64) {
     let mut bench = sole_copy_bench();
-    start_stream(&mut bench, "/chat/x");
+    bench.start_stream("/chat/x");
     advance(&mut bench, &[2], DETECTION_MS);
     let (_, mut effects) = bench.request_with_deadline("/chat/x", "m0", deadline_ms);
     effects.extend(advance(&mut bench, &[2], wait_ms));
@@ -257,7 +248,7 @@
 #[test]
 fn sole_holder_that_stays_silent_is_replaced_from_the_weight_store() {
     let mut bench = sole_copy_bench();
-    start_stream(&mut bench, "/chat/x");
+    bench.start_stream("/chat/x");
     advance(&mut bench, &[2], DETECTION_MS);
     let (_, mut effects) = bench.request("/chat/x", "m0");
     effects.extend(advance(&mut bench, &[2], 800));
@@ -270,7 +261,7 @@
 #[test]
 fn paused_sole_holder_is_waited_for_during_a_load_for_another_entry() {
     let mut bench = sole_copy_bench();
-    start_stream(&mut bench, "/chat/x");
+    bench.start_stream("/chat/x");
     let loading = SideState {
         loading: vec!["m0".to_owned()],
         load_eta_ms: 6_000,
@@ -299,7 +290,7 @@
         ..state_with_rates(&[("m1", 0)])
     };
     bench.step(EntryEvent::SideReport(address(2), loading));
-    start_stream(&mut bench, "/chat/x");
+    bench.start_stream("/chat/x");
     advance(&mut bench, &[2], DETECTION_MS);
     let (_, effects) = bench.request("/chat/x", "m0");
     assert!(refusal(&effects).is_none() && dispatch(&effects).is_none(), "{effects:?}");
@@ -312,7 +303,7 @@
 #[test]
 fn adapter_request_waits_for_the_load_that_replaces_a_stalled_holder() {
     let mut bench = bench(&["m0", "m1", "m2"]);
-    start_stream(&mut bench, "/chat/x");
+    bench.start_stream("/chat/x");
     advance(&mut bench, &[2, 3], DETECTION_MS);
     let (_, effects) = bench.request("/chat/x", "m0");
     assert!(requested_load(&effects).is_some(), "{effects:?}");
@@ -340,7 +331,7 @@
 #[test]
 fn adapters_are_not_loaded_at_a_stalled_holder() {
     let mut bench = bench(&["m0", "m0"]);
-    let (_, sent) = start_stream(&mut bench, "/chat/x");
+    let (_, sent) = bench.start_stream("/chat/x");
     let other = if sent.address == address(1) { 2 } else { 1 };
     advance(&mut bench, &[other], DETECTION_MS);
     for adapter in 0..8 {
@@ -353,10 +344,10 @@
 #[test]
 fn run_is_not_resumed_at_a_stalled_instance() {
     let mut bench = bench(&["m0", "m0"]);
-    let (id, _) = start_stream(&mut bench, "/draft/x");
+    let (id, _) = bench.start_stream("/draft/x");
     bench.step(EntryEvent::StreamBroken(id, Some(0)));
-    let (id, sent) = start_stream(&mut bench, "/draft/x");
-    let others = (0..8).map(|_| start_stream(&mut bench, "/draft/x").1).collect::<Vec<_>>();
+    let (id, sent) = bench.start_stream("/draft/x");
+    let others = (0..8).map(|_| bench.start_stream("/draft/x").1).collect::<Vec<_>>();
     assert!(others.iter().any(|other| Some(other.address) == sent.backup), "both have streams");
     let responsive = if sent.address == address(1) { 1 } else { 2 };
     advance(&mut bench, &[responsive], DETECTION_MS);
@@ -370,9 +361,9 @@
 #[test]
 fn run_at_a_stalled_instance_is_not_resumed_from_its_copy() {
     let mut bench = bench(&["m0", "m0", "m0"]);
-    let (id, _) = start_stream(&mut bench, "/draft/x");
+    let (id, _) = bench.start_stream("/draft/x");
     bench.step(EntryEvent::StreamBroken(id, Some(0)));
-    let (id, sent) = start_stream(&mut bench, "/draft/x");
+    let (id, sent) = bench.start_stream("/draft/x");
     assert!(sent.backup.is_some());
     let others = [1, 2, 3].into_iter().filter(|index| address(*index) != sent.address);
     advance(&mut bench, &others.collect::<Vec<_>>(), DETECTION_MS);
@@ -387,7 +378,7 @@
 #[test]
 fn side_that_is_not_connected_is_not_probed() {
     let mut bench = bench(&["m0", "m0"]);
-    let (id, sent) = start_stream(&mut bench, "/chat/x");
+    let (id, sent) = bench.start_stream("/chat/x");
     bench.step(EntryEvent::SideLost(sent.address, SideLoss::Silent));
     bench.step(EntryEvent::Progress(vec![id]));
     let other = if sent.address == address(1) { 2 } else { 1 };
@@ -427,7 +418,7 @@
 #[test]
 fn nothing_is_dispatched_on_an_old_word_after_a_silent_loss() {
     let mut bench = bench(&["m0"]);
-    let (id, sent) = start_stream(&mut bench, "/draft/x");
+    let (id, sent) = bench.start_stream("/draft/x");
     bench.step(EntryEvent::SideLost(sent.address, SideLoss::Silent));
     for _ in 0..40 {
         bench.now += 20;
--- a/crates/pool/tests/all/stalls.rs
+++ b/crates/pool/tests/all/stalls.rs
@@ -1,12 +1,12 @@
 //! Stalled instances, and failover of the streams on them.
 
-use citronrill_pool::{Dispatch, EntryEffect, EntryEvent, Member, RequestId, SideLoss};
+use citronrill_pool::{Dispatch, EntryEffect, EntryEvent, Member, SideLoss};
 use citronrill_wire::SideState;
 use rstest::rstest;
 
 use crate::{
     simulation::{Faults, Load, Simulation, Stall, StallStats},
-    support::{Bench, ENGINE, address, dispatch, member, ok, refusal, requested_load, state},
+    support::{Bench, ENGINE, address, dispatch, member, refusal, requested_load, state},
 };
 
 /// Milliseconds after which no entry may dispatch a request to a stalled instance.
@@ -23,15 +23,6 @@
     bench
 }
 
-/// Starts a stream on `path`; its endpoint has sent the response head and an event.
-fn start_stream(bench: &mut Bench, path: &str) -> (RequestId, Dispatch) {
-    let (id, effects) = bench.request(path, "m0");
-    let sent = dispatch(&effects).unwrap().clone();
-    bench.step(EntryEvent::ResponseHead(id, sent.number, ok()));
-    bench.step(EntryEvent::Progress(vec![id]));
-    (id, sent)
-}
-
 /// Advances the clock by `ms` while the sides of all endpoints but `stalled` reply to probes.
 fn advance_except(
     bench: &mut Bench,
@@ -101,7 +92,7 @@
     for (index, model) in [(1, "m0"), (2, "m1"), (3, "m2")] {
         bench.step(EntryEvent::SideReport(address(index), state(1, &[model])));
     }
-    let (_, sent) = start_stream(&mut bench, "/chat/x");
+    let (_, sent) = bench.start_stream("/chat/x");
     advance_except(&mut bench, 3, Some(sent), DETECTION_MS);
     let (_, effects) = bench.request("/chat/x", "m0");
     assert!(dispatch(&effects).is_none() && refusal(&effects).is_none(), "{effects:?}");
@@ -121,7 +112,7 @@
 #[test]
 fn resumable_stream_fails_over_from_a_stalled_instance() {
     let mut bench = bench(3);
-    let (id, sent) = start_stream(&mut bench, "/chat/x");
+    let (id, sent) = bench.start_stream("/chat/x");
     let effects = advance_except(&mut bench, 3, Some(sent.clone()), DETECTION_MS);
     assert!(effects.contains(&EntryEffect::Disconnect(id)), "{effects:?}");
     let again = advance_except(&mut bench, 3, Some(sent.clone()), DETECTION_MS);
@@ -137,7 +128,7 @@
 #[test]
 fn stream_stays_while_the_side_responds() {
     let mut bench = bench(3);
-    let (id, _) = start_stream(&mut bench, "/chat/x");
+    let (id, _) = bench.start_stream("/chat/x");
     let effects = advance_except(&mut bench, 3, None, 2 * DETECTION_MS);
     assert!(!effects.contains(&EntryEffect::Disconnect(id)), "{effects:?}");
 }
@@ -150,13 +141,13 @@
 fn stream_that_may_run_once_stays_on_a_stalled_instance(#[case] copied: bool) {
     let mut bench = bench(3);
     if copied {
-        let (id, _) = start_stream(&mut bench, "/draft/x");
+        let (id, _) = bench.start_stream("/draft/x");
         bench.step(EntryEvent::StreamBroken(id, Some(0)));
         for index in 1..=3 {
             bench.step(EntryEvent::SideReport(address(index), state(1, &["m0"])));
         }
     }
-    let (id, sent) = start_stream(&mut bench, "/draft/x");
+    let (id, sent) = bench.start_stream("/draft/x");
     assert_eq!(sent.backup.is_some(), copied);
     let effects = advance_except(&mut bench, 3, Some(sent), 2 * DETECTION_MS);
     assert!(!effects.contains(&EntryEffect::Disconnect(id)), "{effects:?}");
@@ -168,7 +159,7 @@
 #[test]
 fn stalled_entry_does_not_suspect_instances() {
     let mut bench = bench(3);
-    let (id, _) = start_stream(&mut bench, "/chat/x");
+    let (id, _) = bench.start_stream("/chat/x");
     bench.advance(200);
     bench.now += 4_000;
     let effects = bench.step(EntryEvent::Tick);
@@ -194,7 +185,7 @@
 #[test]
 fn endpoint_of_a_stopped_side_is_still_used() {
     let mut bench = bench(1);
-    let (_, sent) = start_stream(&mut bench, "/chat/x");
+    let (_, sent) = bench.start_stream("/chat/x");
     bench.step(EntryEvent::SideLost(sent.address, SideLoss::Closed));
     bench.advance(DETECTION_MS);
     let (_, effects) = bench.request("/chat/x", "m0");
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -240,6 +240,15 @@
         self.arrive(Arrival { tokens, ..arrival })
     }
 
+    /// Starts a stream for `m0` on `path`; its endpoint has sent the response head and an event.
+    pub(crate) fn start_stream(&mut self, path: &str) -> (RequestId, Dispatch) {
+        let (id, effects) = self.request(path, "m0");
+        let sent = dispatch(&effects).unwrap().clone();
+        self.step(EntryEvent::ResponseHead(id, sent.number, ok()));
+        self.step(EntryEvent::Progress(vec![id]));
+        (id, sent)
+    }
+
     /// Sends a request whose prompt starts with the given prefix.
     pub(crate) fn request_with_prefix(
         &mut self,
