--- a/crates/pool/tests/all/incarnation.rs
+++ b/crates/pool/tests/all/incarnation.rs
@@ -1,8 +1,8 @@
 //! Endpoints that restart under the same name, and member list rows of other writers.
 
 use citronrill_pool::{
-    EngineReport, EntryEffect, EntryEvent, Member, MemberChange, Order, OrderOutcome, PoolSide,
-    SideEffect, SideEvent, StartTime,
+    EngineReport, EntryEffect, EntryEvent, Member, Order, OrderOutcome, PoolSide, SideEffect,
+    SideEvent, StartTime,
 };
 use citronrill_wire::{LoadRequest, SideState};
 use rstest::rstest;
@@ -32,17 +32,6 @@
     EngineReport { started: Some(StartTime(at)), ..report }
 }
 
-/// Applies a change of one row of the member list.
-fn update_row(
-    bench: &mut Bench,
-    version: u64,
-    name: &str,
-    member: Option<Member>,
-) -> Vec<EntryEffect> {
-    let rows = vec![(name.to_owned(), member)];
-    bench.step(EntryEvent::Members(MemberChange { complete: false, version, rows }))
-}
-
 fn dispatched_to(bench: &mut Bench, path: &str, model: &str) -> Option<String> {
     let (_, effects) = bench.request(path, model);
     dispatch(&effects).map(|dispatch| dispatch.instance.clone())
@@ -168,7 +157,7 @@
     let mut bench = Bench::new(vec![member_started(member(1, ENGINE, &["m0"]), FIRST_START)]);
     bench.step(EntryEvent::SideReport(address(1), state_started(state(3, &["m0"]), FIRST_START)));
     assert_eq!(dispatched_to(&mut bench, "/chat/x", "m0"), Some("i1".to_owned()));
-    update_row(&mut bench, 2, "i1", Some(member_started(member(1, ENGINE, &["m1"]), SECOND_START)));
+    bench.update_row(2, "i1", Some(member_started(member(1, ENGINE, &["m1"]), SECOND_START)));
     assert_eq!(dispatched_to(&mut bench, "/chat/x", "m1"), Some("i1".to_owned()));
     assert_eq!(dispatched_to(&mut bench, "/chat/x", "m0"), None);
     // The side has not polled again yet and still reports the previous incarnation.
@@ -186,7 +175,7 @@
     // Long enough for the side's report to be no longer recent.
     bench.advance(2_100);
     bench.step(EntryEvent::ProbeReply(address(1)));
-    update_row(&mut bench, 2, "i1", Some(member_started(member(1, ENGINE, &["m0"]), FIRST_START)));
+    bench.update_row(2, "i1", Some(member_started(member(1, ENGINE, &["m0"]), FIRST_START)));
     assert_eq!(dispatched_to(&mut bench, "/chat/x", "m0"), None);
     assert_eq!(dispatched_to(&mut bench, "/chat/x", "m1"), Some("i1".to_owned()));
 }
@@ -198,7 +187,7 @@
     let moved =
         Member { address: address(9), ..member_started(member(1, PLAIN, &[]), FIRST_START) };
     let mut bench = Bench::new(vec![member_started(member(1, PLAIN, &[]), SECOND_START)]);
-    update_row(&mut bench, 2, "i1", Some(moved));
+    bench.update_row(2, "i1", Some(moved));
     let (_, effects) = bench.request("/book/x", "");
     assert_eq!(dispatch(&effects).unwrap().address, address(1));
     bench.advance(2_600);
@@ -212,9 +201,9 @@
 fn leaving_flag_of_an_older_incarnation_is_applied_at_once() {
     let leaving = Member { leaving: true, ..member_started(member(1, PLAIN, &[]), FIRST_START) };
     let mut bench = Bench::new(vec![member_started(member(1, PLAIN, &[]), SECOND_START)]);
-    update_row(&mut bench, 2, "i1", Some(leaving));
+    bench.update_row(2, "i1", Some(leaving));
     assert_eq!(dispatched_to(&mut bench, "/book/x", ""), None);
-    update_row(&mut bench, 3, "i1", Some(member_started(member(1, PLAIN, &[]), SECOND_START)));
+    bench.update_row(3, "i1", Some(member_started(member(1, PLAIN, &[]), SECOND_START)));
     assert_eq!(dispatched_to(&mut bench, "/book/x", ""), Some("i1".to_owned()));
 }
 
@@ -231,7 +220,7 @@
         }
     }
     assert_eq!(dispatched_to(&mut bench, "/book/x", ""), Some("i2".to_owned()));
-    update_row(&mut bench, 2, "i1", Some(member_started(member(1, PLAIN, &[]), SECOND_START)));
+    bench.update_row(2, "i1", Some(member_started(member(1, PLAIN, &[]), SECOND_START)));
     assert_eq!(dispatched_to(&mut bench, "/book/x", ""), Some("i1".to_owned()));
 }
 
@@ -256,11 +245,11 @@
     let foreign = Member { service: "elsewhere".to_owned(), ..member(1, PLAIN, &[]) };
     let foreign = Member { instance: "x1".to_owned(), ..foreign };
     let mut bench = Bench::new(vec![member(1, PLAIN, &[])]);
-    let effects = update_row(&mut bench, 2, "x1", Some(foreign.clone()));
+    let effects = bench.update_row(2, "x1", Some(foreign.clone()));
     let logged = |effect: &EntryEffect| matches!(effect, EntryEffect::Log(event) if event.event == "unknown_service");
     assert!(effects.iter().any(logged));
     assert_eq!(dispatched_to(&mut bench, "/book/x", ""), Some("i1".to_owned()));
-    update_row(&mut bench, 3, "i1", None);
+    bench.update_row(3, "i1", None);
     assert_eq!(dispatched_to(&mut bench, "/book/x", ""), None);
     // A row that arrives before any configuration is known does not replace the endpoint either.
     let mut bench = Bench::unconfigured();
--- a/crates/pool/tests/all/preload.rs
+++ b/crates/pool/tests/all/preload.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use citronrill_pool::{EntryEffect, EntryEvent, Member, MemberChange};
+use citronrill_pool::{EntryEffect, EntryEvent, Member};
 use citronrill_wire::{LoadRequest, SideState};
 
 use crate::support::{Bench, address, bare, config, requested_load, state_with_rates};
@@ -17,16 +17,6 @@
     found
 }
 
-fn update_row(
-    bench: &mut Bench,
-    version: u64,
-    name: &str,
-    member: Option<Member>,
-) -> Vec<EntryEffect> {
-    let rows = vec![(name.to_owned(), member)];
-    bench.step(EntryEvent::Members(MemberChange { complete: false, version, rows }))
-}
-
 /// Six endpoints: `m0` is loaded at endpoints 1 to 3, `m1` at 4 and 5, and endpoint 6 is empty. Each
 /// model receives one request in 1.5 s.
 fn pool() -> Bench {
@@ -61,7 +51,7 @@
     let mut bench = pool();
     for (version, index) in [(2, 4u8), (3, 5)] {
         let leaving = Member { leaving: true, ..bare(index, &["m1"]) };
-        update_row(&mut bench, version, &format!("i{index}"), Some(leaving));
+        bench.update_row(version, &format!("i{index}"), Some(leaving));
     }
     report_all(&mut bench);
     let effects = bench.advance(300);
@@ -89,7 +79,7 @@
     let mut bench = pool();
     bench.now += 400_000;
     for (version, index) in [(2, 4u8), (3, 5)] {
-        update_row(&mut bench, version, &format!("i{index}"), None);
+        bench.update_row(version, &format!("i{index}"), None);
     }
     report_all(&mut bench);
     assert!(load_requests(&bench.advance(300)).is_empty());
@@ -104,7 +94,7 @@
     bench.step(EntryEvent::SideReport(address(1), state_with_rates(&[("m0", 1)])));
     bench.step(EntryEvent::SideReport(address(2), state_with_rates(&[])));
     bench.request("/draft/x", "m0");
-    update_row(&mut bench, 2, "i1", Some(Member { leaving: true, ..bare(1, &["m0"]) }));
+    bench.update_row(2, "i1", Some(Member { leaving: true, ..bare(1, &["m0"]) }));
     assert!(load_requests(&bench.advance(1_000)).is_empty());
 }
 
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -240,6 +240,17 @@
         self.arrive(Arrival { tokens, ..arrival })
     }
 
+    /// Applies a change of one row of the member list.
+    pub(crate) fn update_row(
+        &mut self,
+        version: u64,
+        name: &str,
+        member: Option<Member>,
+    ) -> Vec<EntryEffect> {
+        let rows = vec![(name.to_owned(), member)];
+        self.step(EntryEvent::Members(MemberChange { complete: false, version, rows }))
+    }
+
     /// Starts a stream for `m0` on `path`; its endpoint has sent the response head and an event.
     pub(crate) fn start_stream(&mut self, path: &str) -> (RequestId, Dispatch) {
         let (id, effects) = self.request(path, "m0");
