--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -133,6 +133,12 @@
         self.idle_deadline.since(now).saturating_sub(first_event_ms)
     }
 
+    /// Records that the request has waited, if an engine is to run it: requests of plain services are
+    /// never throttled.
+    fn mark_queued(&mut self) {
+        self.queued = self.required.is_some();
+    }
+
     /// Returns whether the latency objective has already passed.
     fn is_late(&self, now: Millis) -> bool {
         now.since(self.arrived) >= self.target_ms
@@ -426,7 +432,7 @@
 
     fn mark_queued(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(&id) {
-            request.queued = request.required.is_some();
+            request.mark_queued();
         }
     }
 
--- a/crates/pool/src/entry/resume.rs
+++ b/crates/pool/src/entry/resume.rs
@@ -190,7 +190,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.tried.extend(request.instance.take());
         request.stage = Stage::Waiting;
-        request.queued = request.required.is_some();
+        request.mark_queued();
     }
 
     /// Ends a response that has started and cannot continue: the caller sees that it is incomplete.
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -116,7 +116,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.runs += 1;
         request.stage = Stage::Waiting;
-        request.queued = request.required.is_some();
+        request.mark_queued();
         if let Some(instance) = request.instance.take() {
             if let Some(endpoint) = self.pool.endpoints.get_mut(&instance) {
                 endpoint.record_result(true);
