Log a run whose connection broke with what identifies its request

Cause: at the end of an endpoint the log says cut, sent again or failed for each of up to 64 requests, each under an ID that no other attempt has. The hypotheses on the incident (an unknown request that comes again, its failover, or an engine that ends by itself) cannot be told apart.

No decision changes.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -3,7 +3,7 @@
 use std::{
     convert::Infallible,
     io::ErrorKind,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -31,6 +31,7 @@
 
 use crate::{
     dialect::Dialect,
+    digest::request_digest,
     entry::{EntryStatus, EventSender, ProgressCounter, RequestHandle, StopPlan},
     error::GatewayError,
     exchange::{Exchange, Outcome, OutgoingRequest, strip_connection_headers},
@@ -176,12 +177,13 @@
     mut closed: watch::Receiver<bool>,
 ) {
     set_socket_options(&stream);
+    let caller = stream.peer_addr().ok().map(|address| address.ip());
     let limits = *server.limits.borrow();
     let first_request = Notify::new();
     let service = service_fn(|request| {
         first_request.notify_one();
         let server = server.clone();
-        async move { Ok::<_, Infallible>(server.handle(request).await) }
+        async move { Ok::<_, Infallible>(server.handle(request, caller).await) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -228,9 +230,13 @@
 }
 
 impl CallerServer {
-    async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        caller: Option<IpAddr>,
+    ) -> Response<ResponseBody> {
         let http_1_0 = request.version() < Version::HTTP_11;
-        let mut response = self.respond(request).await;
+        let mut response = self.respond(request, caller).await;
         if self.status.stopping.load(Ordering::Relaxed) && !http_1_0 {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
@@ -238,7 +244,11 @@
         response
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        caller: Option<IpAddr>,
+    ) -> Response<ResponseBody> {
         self.metrics.requests.increment();
         let (parts, body) = request.into_parts();
         let meta = self.dialect.request_meta(&parts.headers);
@@ -255,11 +265,15 @@
             Err(_) => return problem_response(StatusCode::REQUEST_TIMEOUT, "body_too_slow", None),
         };
         let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
+        let host = host.split(':').next().unwrap_or("");
+        let digest = request_digest(&parts.method, host, &parts.uri, &body);
         let id = RequestId(next_id());
         let arrival = Arrival {
             id,
             caller_id: meta.caller_id.clone(),
-            host: host.split(':').next().unwrap_or("").to_owned(),
+            caller,
+            digest,
+            host: host.to_owned(),
             path: parts.uri.path().to_owned(),
             deadline_ms: meta.deadline_ms,
             model: meta.model,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller_server;
 mod config_transfer;
 mod dialect;
+mod digest;
 mod entry;
 mod error;
 mod event_splitter;
--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -63,6 +63,9 @@
         let idle_timeout = idle_timeout_ms(route).unwrap_or(allowed);
         Ok(Request {
             caller_id: arrival.caller_id.clone(),
+            caller: arrival.caller,
+            digest: arrival.digest,
+            path: arrival.path.clone(),
             service: service.to_owned(),
             retry_policy: route.retry_policy,
             priority: route.rank,
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -25,6 +25,8 @@
 /// fraction of that time. An endpoint accepts a whole batch at once, and processes the prompts of
 /// one batch while the next batch arrives.
 const RETRY_SPREAD: u64 = 8;
+/// Characters of a path that are logged.
+const LOGGED_PATH: usize = 80;
 
 impl PoolEntry {
     /// Dispatches a request to `instance`; `copy` means that its run resumes there from a copy of
@@ -155,6 +157,9 @@
         let now = self.now;
         let Some(request) = self.requests.get(&id) else { return };
         let instance = request.instance.clone().unwrap_or_default();
+        if kind == FailureKind::Broken {
+            self.log_lost_run(id);
+        }
         if let Some(endpoint) = self.pool.endpoints.get_mut(&instance) {
             endpoint.record_result(true);
             if kind == FailureKind::Unreachable {
@@ -164,6 +169,26 @@
         self.retry_or_end(id, kind == FailureKind::Broken, 0, false);
     }
 
+    /// Logs a run whose connection broke, with what identifies the request in other attempts.
+    pub(super) fn log_lost_run(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let instance = request.instance.as_deref().unwrap_or("");
+        let own = self.pool.endpoints.get(instance).map_or(0, |endpoint| endpoint.own_requests);
+        let caller = request.caller.map(|caller| caller.to_string()).unwrap_or_default();
+        let event = LogEvent::new("run_lost")
+            .with("id", &request.caller_id)
+            .with("from", instance)
+            .with("digest", request.digest)
+            .with("caller", caller)
+            .with("path", request.path.chars().take(LOGGED_PATH).collect::<String>())
+            .with("model", &request.model)
+            .with("tokens", request.tokens.prompt)
+            .with("ran_ms", self.now.since(request.sent_at))
+            .with("begun", request.stage == Stage::Responding)
+            .with("own", own);
+        self.log(event);
+    }
+
     /// Retries a request or ends it; `forwardable` means that the endpoint's own error response is
     /// held and can be forwarded to the caller.
     fn retry_or_end(&mut self, id: RequestId, ran: bool, status: u16, forwardable: bool) {
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -16,7 +16,11 @@
 mod timers;
 mod types;
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+};
 
 use citronrill_base::{Interner, Map, Millis, ModelKey};
 use citronrill_decide::LogEvent;
@@ -34,6 +38,7 @@
 use crate::{
     budget::RetryBudget,
     config::{RetryPolicy, ServingConfig},
+    digest::RequestDigest,
     member::{MemberChange, full_name},
     pool::{ListOutcome, Pool},
 };
@@ -75,6 +80,10 @@
 #[derive(Debug, Clone)]
 struct Request {
     caller_id: String,
+    caller: Option<IpAddr>,
+    digest: RequestDigest,
+    /// The path, for logs.
+    path: String,
     service: String,
     retry_policy: RetryPolicy,
     priority: u8,
@@ -268,7 +277,12 @@
                 }
             }
             EntryEvent::Progress(ids) => self.progress(&ids),
-            EntryEvent::ResponseEnded(id, complete) => self.response_ended(id, complete),
+            EntryEvent::ResponseEnded(id, complete) => {
+                if !complete {
+                    self.log_lost_run(id);
+                }
+                self.response_ended(id, complete);
+            }
             EntryEvent::StreamBroken(id, last_event) => self.stream_broken(id, last_event),
             EntryEvent::CallerLeft(id) => self.caller_left(id),
             EntryEvent::Stop(wait_ms, end_ms) => {
--- a/crates/pool/src/entry/resume.rs
+++ b/crates/pool/src/entry/resume.rs
@@ -106,6 +106,7 @@
             return;
         }
         let instance = request.instance.clone().unwrap_or_default();
+        self.log_lost_run(id);
         self.record_loss(&instance);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.head_sent = true;
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -1,11 +1,14 @@
 //! Events, effects and basic types of the entry's state machine.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+};
 
 use citronrill_decide::LogEvent;
 use citronrill_wire::{LoadRequest, ModelName, SideState, UsageReport};
 
-use crate::{config::ServingConfig, member::MemberChange};
+use crate::{config::ServingConfig, digest::RequestDigest, member::MemberChange};
 
 /// Identifies a request within one process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -33,6 +36,10 @@
     pub id: RequestId,
     /// The ID assigned by the caller, for logs.
     pub caller_id: String,
+    /// The IP address that the request came from, if known.
+    pub caller: Option<IpAddr>,
+    /// Identifies the request when the caller sends it again.
+    pub digest: RequestDigest,
     /// The requested host.
     pub host: String,
     /// The path, without the query.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -13,6 +13,7 @@
 mod config;
 mod config_transfer;
 mod decaying_count;
+mod digest;
 mod endpoint;
 mod entry;
 mod incarnation;
@@ -31,6 +32,7 @@
         ConfigFetch, ConfigFetchEffect, ConfigFetchEvent, ConfigServer, ConfigSources,
         is_last_chunk,
     },
+    digest::RequestDigest,
     entry::{
         Arrival, Dispatch, EntryEffect, EntryEvent, EntryProfile, FailureKind, PoolEntry, Reason,
         Refusal, RequestId, ResponseHead, Resume, SideLoss, TokenCount, Verdict, classify_response,
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -16,7 +16,8 @@
 use citronrill_base::Millis;
 use citronrill_pool::{
     Arrival, EntryEffect, EntryEvent, EntryLink, EntryProfile, HeldModel, Member, MemberChange,
-    Order, PoolEntry, PoolSide, RequestId, ServingConfig, SideEffect, SideEvent, TokenCount,
+    Order, PoolEntry, PoolSide, RequestDigest, RequestId, ServingConfig, SideEffect, SideEvent,
+    TokenCount,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -351,6 +352,8 @@
         let arrival = Arrival {
             id,
             caller_id: format!("c{}", id.0),
+            caller: None,
+            digest: RequestDigest(u128::from(id.0)),
             host: HOST.to_owned(),
             path: path.to_owned(),
             deadline_ms: Some(limit),
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -5,8 +5,8 @@
 use citronrill_base::Millis;
 use citronrill_pool::{
     Arrival, CallerLimits, Dispatch, EngineReport, EngineSpec, EntryEffect, EntryEvent,
-    EntryProfile, HeldModel, Member, MemberChange, ModelSpec, PoolEntry, Reason, RequestId,
-    ResponseHead, RetryPolicy, Route, Service, ServingConfig, TokenCount,
+    EntryProfile, HeldModel, Member, MemberChange, ModelSpec, PoolEntry, Reason, RequestDigest,
+    RequestId, ResponseHead, RetryPolicy, Route, Service, ServingConfig, TokenCount,
 };
 use citronrill_wire::{LoadRequest, ModelState, SideState};
 
@@ -277,6 +277,8 @@
         Arrival {
             id,
             caller_id: format!("c{}", id.0),
+            caller: None,
+            digest: RequestDigest(u128::from(id.0)),
             host: HOST.to_owned(),
             path: path.to_owned(),
             deadline_ms: Some(5_000),
