Show that a request which crashes its engines goes on crashing them

What callers see: streams at engine after engine break off. Asked for is three crashes at most, three later runs at most, and no other request refused as one that crashes engines. Streams that may run once crash more than one engine an attempt, as they go on from the copy of their KV cache.

--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod member_list;
 mod overload;
 mod placement;
+mod poison;
 mod preload;
 mod resume;
 mod side;
--- a/crates/pool/tests/all/simulation/engines.rs
+++ b/crates/pool/tests/all/simulation/engines.rs
@@ -200,6 +200,7 @@
             return;
         }
         self.stats.resumed_from_copy += u32::from(run.copy);
+        self.record_received(entry, id);
         self.engines[index].queue.push(run);
         self.fill_slots(index);
     }
@@ -236,6 +237,7 @@
         if let Some(helper) = backup.filter(|helper| self.engines[*helper].up) {
             self.engines[helper].copies.insert((entry, id));
         }
+        self.schedule_poisoning(index, entry, id);
         let Some(caller) = self.callers.get_mut(&(entry, id)) else { return };
         caller.runs += u32::from(!copy);
         let twice = caller.run_once && caller.runs > 1;
@@ -276,6 +278,7 @@
     }
 
     pub(super) fn stop(&mut self, index: usize) {
+        self.stats.poison.all_crashes += 1;
         let engine = &mut self.engines[index];
         engine.up = false;
         engine.models.clear();
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -4,6 +4,7 @@
 //! when the weight store serves too many. An oracle checks every run, order and response.
 
 mod engines;
+mod poison;
 mod stall;
 
 use std::{
@@ -21,11 +22,15 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-pub(crate) use self::stall::{Stall, StallStats};
 use self::{
     engines::{Engine, RUN_MS, Run},
+    poison::Poisons,
     stall::Stalls,
 };
+pub(crate) use self::{
+    poison::{Poison, PoisonStats},
+    stall::{Stall, StallStats},
+};
 use crate::support::{ENGINE, HOST, address, config, model};
 
 const SLOTS: usize = 24;
@@ -89,6 +94,8 @@
     pub(crate) steps: u64,
     /// Effects of a stalled instance.
     pub(crate) stalled: StallStats,
+    /// Effects of poison requests.
+    pub(crate) poison: PoisonStats,
     /// Violated invariants.
     pub(crate) violations: Vec<String>,
 }
@@ -118,6 +125,9 @@
 #[derive(Debug, Clone)]
 enum SimEvent {
     RequestArrives(bool),
+    RequestRepeats(RequestDigest, String, bool),
+    PoisonArrives(usize),
+    Poisoned(usize, u32, RequestDigest),
     EntryInput(usize, EntryEvent),
     SideInput(usize, SideEvent),
     RequestReceived(usize, Run, String),
@@ -155,6 +165,7 @@
     pub(crate) run_ms: u64,
     stall: Option<Stall>,
     stalls: Stalls,
+    poisons: Poisons,
 }
 
 fn rare(index: usize) -> String {
@@ -217,6 +228,7 @@
             run_ms: RUN_MS,
             stall: None,
             stalls: Stalls::new(),
+            poisons: Poisons::default(),
             rng,
         }
     }
@@ -295,6 +307,13 @@
         }
         match event {
             SimEvent::RequestArrives(busy) => self.arrive(busy, load),
+            SimEvent::RequestRepeats(digest, model, busy) => {
+                self.request_repeats(digest, &model, busy)
+            }
+            SimEvent::PoisonArrives(index) => self.poison_arrives(index),
+            SimEvent::Poisoned(engine, incarnation, digest) => {
+                self.poison_engine(engine, incarnation, digest)
+            }
             SimEvent::EntryInput(entry, event) => self.step_entry(entry, event),
             SimEvent::SideInput(side, event) => self.step_side(side, event),
             SimEvent::RequestReceived(engine, run, instance) => {
@@ -340,24 +359,39 @@
         let id = RequestId(self.next_id);
         let model =
             if busy { "busy".to_owned() } else { rare(self.rng.random_range(0..load.rare_models)) };
-        let (path, limit) = if busy { ("/chat/x", 5_000) } else { ("/draft/x", 15_000) };
+        let path = if busy { "/chat/x" } else { "/draft/x" };
         if busy {
             self.stats.busy_requests += 1;
         } else {
             self.stats.rare_requests += 1;
         }
+        self.send_request(entry, id, RequestDigest(u128::from(id.0)), path, &model);
+    }
+
+    /// Sends a request to an entry.
+    fn send_request(
+        &mut self,
+        entry: usize,
+        id: RequestId,
+        digest: RequestDigest,
+        path: &str,
+        model: &str,
+    ) {
+        let busy = path == "/chat/x";
+        let limit = if busy { 5_000 } else { 15_000 };
+        self.record_digest(entry, id, digest);
         self.callers.insert((entry, id), Caller::new(busy, self.now, limit));
         self.schedule_leave(entry, id);
-        self.models.insert((entry, id), model.clone());
+        self.models.insert((entry, id), model.to_owned());
         let arrival = Arrival {
             id,
             caller_id: format!("c{}", id.0),
             caller: None,
-            digest: RequestDigest(u128::from(id.0)),
+            digest,
             host: HOST.to_owned(),
             path: path.to_owned(),
             deadline_ms: Some(limit),
-            model,
+            model: model.to_owned(),
             prefix_hash: 0,
             tokens: TokenCount::default(),
         };
@@ -393,6 +427,7 @@
             EntryEffect::Refuse(id, refusal) => {
                 self.cancel(entry, id);
                 let status = refusal.reason.status();
+                self.repeat_failed(entry, id, refusal.reason.as_str() == "quarantined");
                 let Some(caller) = self.callers.get_mut(&(entry, id)) else { return };
                 let (twice, runs) = (caller.done, caller.runs);
                 caller.done = true;
@@ -410,6 +445,7 @@
             }
             EntryEffect::Abort(id) => {
                 self.cancel(entry, id);
+                self.repeat_failed(entry, id, false);
                 self.stats.cut += 1;
                 if let Some(caller) = self.callers.get_mut(&(entry, id)) {
                     caller.done = true;
--- a/crates/pool/tests/all/simulation/stall.rs
+++ b/crates/pool/tests/all/simulation/stall.rs
@@ -129,6 +129,9 @@
             | SimEvent::ProbeReceived(index, _)
             | SimEvent::RunCancelled(index, ..) => Some(*index),
             SimEvent::RequestArrives(_)
+            | SimEvent::RequestRepeats(..)
+            | SimEvent::PoisonArrives(_)
+            | SimEvent::Poisoned(..)
             | SimEvent::EntryInput(..)
             | SimEvent::CallerLeaves(..)
             | SimEvent::Stall(_)
