--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -25,6 +25,7 @@
     caller_server::{CallerServer, listen, serve},
     config_transfer::{ConfigTransfer, run_config_fetch},
     dialect::{Dialect, Table},
+    endpoint_check::run_endpoint_checks,
     error::GatewayError,
     logs::{LogRateLimit, LogStats},
     metrics::{EntryMetrics, serve_metrics},
@@ -155,6 +156,7 @@
     let status = Arc::new(EntryStatus::default());
     let metrics = Arc::new(EntryMetrics::new(logs));
     let (side_sender, side_receiver) = mpsc::unbounded_channel();
+    let (check_sender, checks) = mpsc::unbounded_channel();
     // A weak sender: the connections to sides end when the control thread drops the strong one.
     let chunk_requests = side_sender.downgrade();
     let (limits_sender, limits) = watch::channel(CallerLimits::default());
@@ -172,6 +174,7 @@
         requests: BTreeMap::new(),
         timer: CheckTimer::default(),
         side_commands: side_sender,
+        endpoint_checks: check_sender,
         limits: limits_sender,
         status: status.clone(),
         metrics: metrics.clone(),
@@ -196,6 +199,7 @@
         ));
         tokio::spawn(fetch_config(&settings.name, transfer_events, chunk_requests, view.clone()));
         tokio::spawn(run_sides(port, side_receiver, view, transfer, events.clone()));
+        tokio::spawn(run_endpoint_checks(checks, events.clone()));
         tokio::spawn(serve_metrics(settings.metrics, metrics.clone()));
         let server = CallerServer { dialect, events, status, metrics, limits };
         serve(callers, readiness, server, stop_plan(stop, settings.stop_ms)).await
@@ -269,6 +273,8 @@
     requests: BTreeMap<RequestId, RequestHandle>,
     timer: CheckTimer,
     side_commands: mpsc::UnboundedSender<SideCommand>,
+    /// Endpoints whose process is to be checked.
+    endpoint_checks: mpsc::UnboundedSender<SocketAddr>,
     limits: watch::Sender<CallerLimits>,
     status: Arc<EntryStatus>,
     metrics: Arc<EntryMetrics>,
@@ -365,6 +371,17 @@
             EntryEffect::ReportUsage(address, usage) => {
                 self.send_to_sides(SideCommand::Send(address, Box::new(PoolKind::Usage(usage))));
             }
+            EntryEffect::Suspects(address, message) => {
+                self.send_to_sides(SideCommand::Send(
+                    address,
+                    Box::new(PoolKind::Suspects(message)),
+                ));
+            }
+            EntryEffect::CheckEndpoint(address) => {
+                if self.endpoint_checks.send(address).is_err() {
+                    log::debug!("event=traffic_gone");
+                }
+            }
             EntryEffect::ConnectSides(addresses) => {
                 self.send_to_sides(SideCommand::ConnectOnly(addresses))
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod config_transfer;
 mod dialect;
 mod digest;
+mod endpoint_check;
 mod entry;
 mod error;
 mod event_splitter;
--- a/crates/gateway/src/side/entries.rs
+++ b/crates/gateway/src/side/entries.rs
@@ -89,6 +89,9 @@
         log::info!("event=entry_lost from={from} error=\"{error}\"");
     }
     context.transfer.disconnect(link);
+    if context.events.send(SideEvent::EntryLost(link)).is_err() {
+        log::debug!("event=control_gone");
+    }
     let entries = context.connections.with_senders(|senders| {
         senders.remove(&link);
         senders.len()
@@ -134,6 +137,7 @@
     let event = match message {
         PoolKind::LoadRequest(load_request) => SideEvent::LoadRequest(link, load_request),
         PoolKind::Usage(usage) => SideEvent::Usage(usage),
+        PoolKind::Suspects(message) => SideEvent::Suspects(link, message),
         PoolKind::ConfigVersion(config) => {
             context.transfer.send_event(ConfigFetchEvent::Offered(link, config.version));
             return Ok(());
--- a/crates/gateway/src/side/mod.rs
+++ b/crates/gateway/src/side/mod.rs
@@ -170,6 +170,10 @@
                 self.connections.send(link, PoolKind::LoadDeclined(name));
                 return;
             }
+            SideEffect::Suspects(link, message) => {
+                self.connections.send(link, PoolKind::Suspects(message));
+                return;
+            }
             SideEffect::Log(event) => {
                 let now_ms = self.start.elapsed().as_millis() as u64;
                 if self.log_limit.allow(event.event, now_ms) {
--- a/crates/gateway/src/sides.rs
+++ b/crates/gateway/src/sides.rs
@@ -238,6 +238,9 @@
             PoolKind::LoadDeclined(name) => {
                 self.events.send(EntryEvent::LoadDeclined(endpoint, name))
             }
+            PoolKind::Suspects(message) => {
+                self.events.send(EntryEvent::Suspects(endpoint, message))
+            }
             PoolKind::ProbeReply(_) => self.events.send(EntryEvent::ProbeReply(endpoint)),
             PoolKind::LoadRequest(_)
             | PoolKind::Probe(_)
--- a/crates/pool/src/digest.rs
+++ b/crates/pool/src/digest.rs
@@ -7,6 +7,18 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestDigest(pub u128);
 
+impl RequestDigest {
+    /// Returns the digest as in messages between processes.
+    pub(crate) fn to_bytes(self) -> Vec<u8> {
+        self.0.to_be_bytes().to_vec()
+    }
+
+    /// Reads the digest of a message; `None` if it does not have 16 bytes.
+    pub(crate) fn from_bytes(bytes: &[u8]) -> Option<RequestDigest> {
+        bytes.try_into().ok().map(|bytes| RequestDigest(u128::from_be_bytes(bytes)))
+    }
+}
+
 impl fmt::Display for RequestDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -106,6 +106,8 @@
     /// Concurrent loads from the weight store when the late one was requested, or otherwise the
     /// last one.
     pub(crate) store_concurrent: u32,
+    /// Whether the side collects the records of suspects.
+    pub(crate) tracks_suspects: bool,
     /// Requests a second that find no replica with room, for the models that this side counts.
     pub(crate) missed: Vec<(ModelKey, f64)>,
     /// Models that must not be evicted now.
--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -95,6 +95,9 @@
             has_progress: false,
             retry_charged: false,
             queued: false,
+            lost_runs: 0,
+            trial: None,
+            from_copy: false,
         })
     }
 }
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -3,7 +3,7 @@
 use citronrill_base::{ModelKey, hash_bytes};
 
 use super::{PoolEntry, Reason, Request};
-use crate::endpoint::Endpoint;
+use crate::{digest::RequestDigest, endpoint::Endpoint};
 
 /// Decision for a waiting request.
 pub(super) enum Choice {
@@ -43,6 +43,10 @@
 const CONCENTRATION_COST: f64 = 8.0;
 /// Lower bound on a service's runs when computing shares: of two runs, one is already half.
 const CONCENTRATION_MIN_RUNS: u32 = 12;
+/// Weight of a suspect's own order of the endpoints, which is the same at all entries. The requests
+/// that were lost with an endpoint are retried at different ones, so that a poison request among them
+/// does not crash another endpoint under all of them; its own retries from several entries meet.
+const SUSPECT_SPREAD: f64 = 1.5;
 /// Benefit of an endpoint that likely has the prompt prefix cached, as a share of the slots.
 const PREFIX_GAIN: f64 = 0.2;
 /// Concentration cost that loading an adapter on another holder of its model must save: a tenth of
@@ -130,6 +134,26 @@
         })
     }
 
+    /// Returns the instances at which a suspect could run as a trial, first those with the fewest
+    /// requests: they all fail if it crashes the endpoint.
+    pub(super) fn trial_places(&self, request: &Request) -> Vec<String> {
+        if request.from_copy {
+            let live = self.has_live_copy(request);
+            return request.backup.clone().into_iter().filter(|_| live).collect();
+        }
+        let places = self.pool.endpoints.values().filter(|endpoint| {
+            self.eligible(endpoint, request)
+                && endpoint.load_ratio() < LATE_FULL
+                && !endpoint.avoided(self.now)
+                && !self.needs_confirmation(endpoint, request)
+        });
+        let mut places = places
+            .map(|endpoint| (endpoint.load(), endpoint.member.instance.clone()))
+            .collect::<Vec<_>>();
+        places.sort_unstable();
+        places.into_iter().map(|(_, instance)| instance).collect()
+    }
+
     pub(super) fn eligible(&self, endpoint: &Endpoint, request: &Request) -> bool {
         let instance = &endpoint.member.instance;
         endpoint.accepts_requests()
@@ -210,6 +234,9 @@
         if endpoint.avoided(self.now) {
             cost += UNREACHABLE_COST;
         }
+        if request.lost_runs > 0 {
+            cost += SUSPECT_SPREAD * affinity(request.digest, endpoint);
+        }
         if request.prefix_hash != 0 {
             // Requests with the same prompt prefix prefer the same endpoints. Each entry computes
             // the same order from the instance names, without communication.
@@ -220,3 +247,9 @@
         cost
     }
 }
+
+/// Returns the place of an endpoint in a suspect's order, from 0 to 1.
+fn affinity(digest: RequestDigest, endpoint: &Endpoint) -> f64 {
+    let mixed = hash_bytes(endpoint.member.instance.as_bytes()) ^ digest.0 as u64;
+    hash_bytes(&mixed.to_le_bytes()) as f64 / u64::MAX as f64
+}
--- /dev/null
+++ b/crates/pool/src/entry/crashes.rs
@@ -0,0 +1,264 @@
+//! Crashes of endpoints: which requests were running, and whether the endpoint has crashed at all.
+//!
+//! A connection that breaks may have been reset while its endpoint goes on. An endpoint has crashed if
+//! its address refuses connections, or if it restarts soon after.
+
+use std::net::SocketAddr;
+
+use citronrill_base::{Millis, hash_bytes};
+use citronrill_decide::LogEvent;
+use citronrill_wire::{CrashRecord, SuspectKind, SuspectUpdate};
+
+use super::{EntryEffect, PoolEntry, RequestId, suspects::caller_hash, trials::Trial};
+use crate::{
+    digest::RequestDigest,
+    endpoint::Endpoint,
+    suspects::{TRIAL_CRASHES, TrialCrash},
+};
+
+/// Milliseconds after a connection broke within which its endpoint is shown to have crashed, if it
+/// has.
+const PROOF_MS: u64 = 3_000;
+/// Milliseconds until an endpoint that accepted a connection after it broke others is checked again:
+/// the listener of a crashing process may be closed last.
+const RECHECK_MS: u64 = 100;
+/// Milliseconds after the crash of an endpoint in a trial until its cause is decided: by then, crashes
+/// of other endpoints and what else was running are known.
+const DECIDE_MS: u64 = 200;
+
+/// Result of checking whether an endpoint's process accepts connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointCheck {
+    /// The connection was refused: no process listens there.
+    Refused,
+    /// The connection was accepted.
+    Accepted,
+    /// Nothing was heard.
+    Silent,
+}
+
+/// A request that was running at an endpoint when its connection broke.
+#[derive(Debug, Clone, Copy)]
+struct LostRun {
+    digest: RequestDigest,
+    caller: u64,
+    /// Milliseconds for which it had run.
+    ran_ms: u64,
+    /// Its trial, which ends when the cause of the broken connection is known.
+    trial: Option<Trial>,
+}
+
+/// An endpoint whose connections broke.
+#[derive(Debug)]
+struct PossibleCrash {
+    instance: String,
+    address: SocketAddr,
+    incarnation: u64,
+    at: Millis,
+    /// When the endpoint is to be checked again.
+    recheck_at: Option<Millis>,
+    /// Whether the endpoint is known to have crashed.
+    proven: bool,
+    /// The requests that were running there and have not been reported.
+    lost: Vec<LostRun>,
+}
+
+/// The crash of an endpoint in a trial whose cause is not decided.
+#[derive(Debug)]
+struct Undecided {
+    run: LostRun,
+    incarnation: u64,
+    instance: String,
+    at: Millis,
+}
+
+/// Crashes that an entry has seen of late.
+#[derive(Debug, Default)]
+pub(super) struct Crashes {
+    possible: Vec<PossibleCrash>,
+    undecided: Vec<Undecided>,
+}
+
+impl Crashes {
+    /// Returns the number of possible crashes of a request that are not proven.
+    pub(super) fn unproven(&self, digest: RequestDigest) -> usize {
+        let unproven = self.possible.iter().filter(|crash| !crash.proven);
+        unproven.filter(|crash| crash.lost.iter().any(|run| run.digest == digest)).count()
+    }
+
+    fn find(&mut self, incarnation: u64) -> Option<&mut PossibleCrash> {
+        self.possible.iter_mut().find(|crash| crash.incarnation == incarnation)
+    }
+}
+
+impl PoolEntry {
+    /// Records a request whose connection broke, and checks whether its endpoint has crashed.
+    pub(super) fn record_lost_run(&mut self, id: RequestId) {
+        self.log_lost_run(id);
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(instance) = request.instance.clone() else { return };
+        let Some(endpoint) = self.pool.endpoints.get(&instance) else { return };
+        // A stream that was taken away from a stalled instance breaks off as well.
+        if endpoint.liveness.is_stalled(now) {
+            return;
+        }
+        request.lost_runs += 1;
+        let run = LostRun {
+            digest: request.digest,
+            caller: caller_hash(request),
+            ran_ms: now.since(request.sent_at),
+            trial: request.trial.take(),
+        };
+        let (incarnation, address) = (incarnation_hash(endpoint), endpoint.member.address);
+        if let Some(crash) = self.crashes.find(incarnation) {
+            crash.lost.push(run);
+            if crash.proven {
+                self.report_crash(incarnation);
+            }
+            return;
+        }
+        self.crashes.possible.push(PossibleCrash {
+            instance,
+            address,
+            incarnation,
+            at: now,
+            recheck_at: None,
+            proven: false,
+            lost: vec![run],
+        });
+        self.effects.push(EntryEffect::CheckEndpoint(address));
+    }
+
+    /// Handles the result of checking an endpoint.
+    pub(super) fn endpoint_checked(&mut self, address: SocketAddr, check: EndpointCheck) {
+        let now = self.now;
+        let mut possible = self.crashes.possible.iter_mut();
+        let unproven = possible.find(|crash| crash.address == address && !crash.proven);
+        let Some(crash) = unproven else { return };
+        if check != EndpointCheck::Refused {
+            let again = check == EndpointCheck::Silent || now.since(crash.at) < RECHECK_MS;
+            crash.recheck_at = again.then_some(now + RECHECK_MS);
+            return;
+        }
+        let instance = crash.instance.clone();
+        if let Some(endpoint) = self.pool.endpoints.get_mut(&instance) {
+            endpoint.avoid(now);
+        }
+        self.prove_crash(&instance, "refused");
+    }
+
+    /// Handles the proof that an instance has crashed: its process is gone, or it has restarted.
+    pub(super) fn prove_crash(&mut self, instance: &str, proof: &'static str) {
+        let now = self.now;
+        let mut possible = self.crashes.possible.iter_mut();
+        let crash = possible.find(|crash| crash.instance == instance && !crash.proven);
+        let Some(crash) = crash else { return };
+        crash.proven = true;
+        let incarnation = crash.incarnation;
+        let event = LogEvent::new("crashed").with("instance", instance).with("proof", proof);
+        let event = event.with("after_ms", now.since(crash.at)).with("lost", crash.lost.len());
+        self.log(event);
+        self.report_crash(incarnation);
+    }
+
+    /// Records the requests that were running at a crashed endpoint, and reports them.
+    fn report_crash(&mut self, incarnation: u64) {
+        let now = self.now;
+        let Some(crash) = self.crashes.find(incarnation) else { return };
+        let instance = crash.instance.clone();
+        let mut suspects = Vec::new();
+        for run in std::mem::take(&mut crash.lost) {
+            let trial = run.trial.is_some_and(Trial::is_running);
+            let record = CrashRecord { incarnation, caller: run.caller, trial, conclusive: false };
+            self.suspects.table.merge(run.digest, &[record], now);
+            suspects.push(self.suspects.table.record(run.digest, now));
+            self.log_suspect(&run, &instance, false);
+            if trial {
+                let instance = instance.clone();
+                self.crashes.undecided.push(Undecided { run, incarnation, instance, at: now });
+            }
+        }
+        if !suspects.is_empty() {
+            self.send_to_collectors(&SuspectKind::Update(SuspectUpdate { suspects }));
+        }
+    }
+
+    /// Decides whether the request in a trial was the cause of a crash. Its trial ends after that, so
+    /// that nobody runs it meanwhile.
+    fn decide_cause(&mut self, undecided: &Undecided) {
+        let (now, run) = (self.now, &undecided.run);
+        let service = self.pool.endpoints.get(&undecided.instance);
+        let service = service.map(|endpoint| endpoint.member.service.clone());
+        let fleet = self.pool.endpoints.values();
+        let endpoints = fleet.filter(|endpoint| Some(&endpoint.member.service) == service.as_ref());
+        let crash = TrialCrash {
+            digest: run.digest,
+            incarnation: undecided.incarnation,
+            at: undecided.at,
+            ran_ms: run.ran_ms,
+            endpoints: endpoints.count(),
+        };
+        if self.suspects.table.is_conclusive(&crash, now) {
+            let (incarnation, caller) = (undecided.incarnation, run.caller);
+            let record = CrashRecord { incarnation, caller, trial: true, conclusive: true };
+            self.suspects.table.merge(run.digest, &[record], now);
+            let suspects = vec![self.suspects.table.record(run.digest, now)];
+            self.send_to_collectors(&SuspectKind::Update(SuspectUpdate { suspects }));
+        }
+        self.log_suspect(run, &undecided.instance, true);
+        self.end_lost_trial(run);
+    }
+
+    /// Logs a request that runs only as a trial from now on, or no more.
+    fn log_suspect(&mut self, run: &LostRun, instance: &str, decided: bool) {
+        let table = &self.suspects.table;
+        let crashes = table.crashes(run.digest, self.now);
+        if crashes < TRIAL_CRASHES {
+            return;
+        }
+        let quarantined = table.is_quarantined(run.digest, run.caller, self.now);
+        let event = LogEvent::new("suspect").with("digest", run.digest).with("at", instance);
+        let event = event.with("crashes", crashes).with("trial", run.trial.is_some());
+        self.log(event.with("decided", decided).with("quarantined", quarantined));
+    }
+
+    fn end_lost_trial(&mut self, run: &LostRun) {
+        if let Some(side) = run.trial.and_then(Trial::granted_by) {
+            self.send_trial_ended(run.digest, side, false);
+        }
+    }
+
+    /// Forgets that a request which has completed was running at possible crashes.
+    pub(super) fn forget_lost_runs(&mut self, digest: RequestDigest, caller: u64) {
+        let completed = |run: &mut LostRun| run.digest == digest && run.caller == caller;
+        let possible = self.crashes.possible.iter_mut();
+        let lost = possible.flat_map(|crash| crash.lost.extract_if(.., completed));
+        lost.collect::<Vec<_>>().iter().for_each(|run| self.end_lost_trial(run));
+    }
+
+    /// Checks endpoints again, decides the causes of crashes, and forgets what was not proven.
+    pub(super) fn check_crashes(&mut self) {
+        let now = self.now;
+        let mut checks = Vec::new();
+        for crash in &mut self.crashes.possible {
+            if crash.recheck_at.take_if(|at| now >= *at).is_some() && !crash.proven {
+                checks.push(EntryEffect::CheckEndpoint(crash.address));
+            }
+        }
+        self.effects.extend(checks);
+        let due = |undecided: &mut Undecided| now.since(undecided.at) >= DECIDE_MS;
+        let due = self.crashes.undecided.extract_if(.., due).collect::<Vec<_>>();
+        due.iter().for_each(|undecided| self.decide_cause(undecided));
+        let old = |crash: &mut PossibleCrash| now.since(crash.at) >= PROOF_MS;
+        let expired = self.crashes.possible.extract_if(.., old);
+        let lost = expired.flat_map(|crash| crash.lost).collect::<Vec<_>>();
+        lost.iter().for_each(|run| self.end_lost_trial(run));
+    }
+}
+
+/// Returns a hash of the name and start time of an endpoint's incarnation.
+fn incarnation_hash(endpoint: &Endpoint) -> u64 {
+    let started = endpoint.started().map_or(0, |started| started.0);
+    hash_bytes(format!("{} {started}", endpoint.member.instance).as_bytes())
+}
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -158,7 +158,7 @@
         let Some(request) = self.requests.get(&id) else { return };
         let instance = request.instance.clone().unwrap_or_default();
         if kind == FailureKind::Broken {
-            self.log_lost_run(id);
+            self.record_lost_run(id);
         }
         if let Some(endpoint) = self.pool.endpoints.get_mut(&instance) {
             endpoint.record_result(true);
@@ -236,6 +236,9 @@
         }
         self.release(id);
         if let Some(request) = self.requests.remove(&id) {
+            if complete {
+                self.clear_suspect(&request);
+            }
             self.log(
                 LogEvent::new("finished")
                     .with("id", &request.caller_id)
@@ -266,6 +269,7 @@
 
     /// Removes a request from the load counts of its endpoint.
     pub(super) fn release(&mut self, id: RequestId) {
+        self.end_trial(id);
         let Some(request) = self.requests.get(&id) else { return };
         if request.stage == Stage::Waiting {
             return;
@@ -326,6 +330,7 @@
                 Some(ms + spread((request.target_ms / 4).max(ms / RETRY_SPREAD)))
             }
             Reason::NoConfig | Reason::StaleConfig => Some(NO_CONFIG_RETRY_MS),
+            Reason::Quarantined => Some(self.quarantine_ms(request)),
             // Any other entry can serve it at once.
             Reason::Stopping => Some(STOPPING_RETRY_MS),
             Reason::Expired
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod choose;
+mod crashes;
 mod demand;
 mod dispatch;
 mod load_requests;
@@ -13,7 +14,9 @@
 mod stalls;
 mod store_limit;
 mod store_loads;
+mod suspects;
 mod timers;
+mod trials;
 mod types;
 
 use std::{
@@ -26,14 +29,16 @@
 use citronrill_decide::LogEvent;
 use citronrill_wire::{ModelName, SideState};
 
+pub use self::crashes::EndpointCheck;
 pub use self::rules::classify_response;
 pub use self::types::{
     Arrival, Dispatch, EntryEffect, EntryEvent, EntryProfile, FailureKind, Reason, Refusal,
     RequestId, ResponseHead, Resume, SideLoss, TokenCount, Verdict,
 };
 use self::{
-    choose::Choice, demand::Demand, dispatch::MAX_DISPATCHES, load_requests::SentLoadRequest,
-    preload::PreloadState, resume::Losses, store_limit::StoreLimit,
+    choose::Choice, crashes::Crashes, demand::Demand, dispatch::MAX_DISPATCHES,
+    load_requests::SentLoadRequest, preload::PreloadState, resume::Losses, store_limit::StoreLimit,
+    suspects::Suspects, trials::Trial,
 };
 use crate::{
     budget::RetryBudget,
@@ -131,6 +136,12 @@
     has_progress: bool,
     /// Whether the next dispatch has already been charged to the retry budget.
     retry_charged: bool,
+    /// Number of runs whose connection broke.
+    lost_runs: u32,
+    /// Progress of its trial, if it may run only as one.
+    trial: Option<Trial>,
+    /// Whether it waits for a trial at the endpoint that has the copy of its KV cache.
+    from_copy: bool,
 }
 
 impl Request {
@@ -207,6 +218,8 @@
     preload: PreloadState,
     losses: Losses,
     store_limit: StoreLimit,
+    crashes: Crashes,
+    suspects: Suspects,
     stop: Option<Stop>,
     effects: Vec<EntryEffect>,
 }
@@ -229,6 +242,8 @@
             preload: PreloadState::default(),
             losses: Losses::default(),
             store_limit: StoreLimit::default(),
+            crashes: Crashes::default(),
+            suspects: Suspects::default(),
             stop: None,
             effects: Vec::new(),
         }
@@ -264,6 +279,8 @@
             EntryEvent::SideReport(address, state) => self.apply_side_state(address, &state),
             EntryEvent::ProbeReply(address) => self.record_probe_reply(address),
             EntryEvent::SideLost(address, loss) => self.side_lost(address, loss),
+            EntryEvent::Suspects(address, message) => self.handle_suspects(address, message),
+            EntryEvent::EndpointChecked(address, check) => self.endpoint_checked(address, check),
             EntryEvent::LoadDeclined(address, name) => self.record_decline(address, &name),
             EntryEvent::RequestArrived(arrival) => self.request_arrived(arrival),
             EntryEvent::ResponseHead(id, dispatch, head) => {
@@ -279,7 +296,7 @@
             EntryEvent::Progress(ids) => self.progress(&ids),
             EntryEvent::ResponseEnded(id, complete) => {
                 if !complete {
-                    self.log_lost_run(id);
+                    self.record_lost_run(id);
                 }
                 self.response_ended(id, complete);
             }
@@ -349,6 +366,7 @@
         let address = endpoint.member.address;
         let started = endpoint.started().map_or(0, |start| start.0);
         self.record_loss(instance);
+        self.prove_crash(instance, "restarted");
         self.load_requests.retain(|_, load_request| !load_request.sent_to(address));
         let event = LogEvent::new("restarted").with("instance", instance);
         self.log(event.with("started", started).with("source", source));
@@ -373,10 +391,12 @@
                 self.handle_restart(&instance, "side");
             }
             if let Some(ended) = outcome.ended {
-                let event = LogEvent::new("superseded").with("instance", ended);
+                let event = LogEvent::new("superseded").with("instance", &ended);
+                self.prove_crash(&ended, "superseded");
                 self.log(event.with("by", &state.instance).with("sequence", state.sequence));
                 self.record_loss(&state.instance);
             }
+            self.add_collector();
             self.update_store_limit();
             self.resolve_load_requests(address);
             self.schedule_waiting();
@@ -393,6 +413,7 @@
 
     fn side_lost(&mut self, address: SocketAddr, loss: SideLoss) {
         let now = self.now;
+        self.desync_suspects(address);
         let Some(endpoint) = self.pool.endpoint_at(address) else { return };
         match loss {
             SideLoss::Closed => endpoint.liveness.mark_disconnected(),
@@ -423,11 +444,23 @@
         if request.stage != Stage::Waiting {
             return;
         }
+        if self.is_quarantined(request) {
+            self.refuse(id, Reason::Quarantined);
+            return;
+        }
         if request.wait_ms(self.now) < MIN_REMAINING_MS {
             self.refuse(id, request.late_reason(self.now));
             return;
         }
+        if self.awaits_suspects() {
+            return;
+        }
+        if request.from_copy {
+            self.request_trial(id);
+            return;
+        }
         match self.choose(request) {
+            Choice::Dispatch(_) if self.needs_trial(request) => self.request_trial(id),
             Choice::Dispatch(instance) => self.dispatch(id, &instance, false),
             Choice::Confirm(instance) => self.confirm(&instance),
             Choice::Reload => self.request_model(id),
--- a/crates/pool/src/entry/resume.rs
+++ b/crates/pool/src/entry/resume.rs
@@ -78,7 +78,7 @@
 
     /// Returns the instance to which the KV cache of a run at `instance` is to be copied.
     pub(super) fn backup_for(&self, request: &Request, instance: &str) -> Option<String> {
-        if !request.retry_policy.is_stream() {
+        if !request.retry_policy.is_stream() || self.needs_trial(request) {
             return None;
         }
         let engine = self.config.as_ref()?.service(&request.service)?.engine.as_ref()?;
@@ -106,7 +106,7 @@
             return;
         }
         let instance = request.instance.clone().unwrap_or_default();
-        self.log_lost_run(id);
+        self.record_lost_run(id);
         self.record_loss(&instance);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.head_sent = true;
@@ -141,8 +141,15 @@
         if stalled || !self.has_live_copy(request) || !self.charge_retry(id) {
             return false;
         }
+        let Some(request) = self.requests.get(&id) else { return false };
+        let needs_trial = self.needs_trial(request);
         self.detach(id);
-        self.dispatch(id, &backup, true);
+        if !needs_trial {
+            self.dispatch(id, &backup, true);
+        } else if let Some(request) = self.requests.get_mut(&id) {
+            request.from_copy = true;
+            self.request_trial(id);
+        }
         true
     }
 
--- a/crates/pool/src/entry/stalls.rs
+++ b/crates/pool/src/entry/stalls.rs
@@ -123,6 +123,7 @@
         stalled
             && request.stage != Stage::Waiting
             && !request.retry_charged
+            && request.trial.is_none()
             && request.dispatches < MAX_DISPATCHES
     }
 
--- /dev/null
+++ b/crates/pool/src/entry/suspects.rs
@@ -0,0 +1,171 @@
+//! Requests that may crash the endpoints that run them.
+//!
+//! When an endpoint crashes, every request that it was running may be the cause. Its entry records
+//! them and reports them to the sides that collect the records of all entries, which pass them on. From
+//! its second crash on, a request runs only as a trial, which one side grants. A third crash in a
+//! trial shows that the request is the cause. A request that completes is cleared.
+
+use std::net::{IpAddr, SocketAddr};
+
+use citronrill_base::{Map, Millis, hash_bytes};
+use citronrill_decide::LogEvent;
+use citronrill_wire::{SuspectCleared, SuspectKind, SuspectMessage, SuspectUpdate};
+
+use super::{EntryEffect, PoolEntry, Request};
+use crate::{
+    digest::RequestDigest,
+    endpoint::Endpoint,
+    suspects::{SuspectTable, TRIAL_CRASHES},
+};
+
+/// Sides that collect the records: the second one takes over when the first one is lost.
+const COLLECTORS: usize = 2;
+/// Milliseconds for which requests wait for the collected records after a collector was found.
+const SYNC_MS: u64 = 300;
+
+/// What an entry knows about suspects.
+#[derive(Debug, Default)]
+pub(super) struct Suspects {
+    pub(super) table: SuspectTable,
+    /// The sides that collect the records, the one that grants trials first.
+    pub(super) collectors: Vec<SocketAddr>,
+    /// Collectors that were sent this entry's records, when, and whether they have replied.
+    synced: Map<SocketAddr, (Millis, bool)>,
+}
+
+impl PoolEntry {
+    /// Returns whether a request is quarantined.
+    pub(super) fn is_quarantined(&self, request: &Request) -> bool {
+        let caller = caller_hash(request);
+        self.suspects.table.is_quarantined(request.digest, caller, self.now)
+    }
+
+    /// Returns the milliseconds until the quarantine of a request ends.
+    pub(super) fn quarantine_ms(&self, request: &Request) -> u64 {
+        self.suspects.table.quarantine_ms(request.digest, self.now)
+    }
+
+    /// Clears a request that has completed.
+    pub(super) fn clear_suspect(&mut self, request: &Request) {
+        let (digest, caller) = (request.digest, caller_hash(request));
+        self.forget_lost_runs(digest, caller);
+        if !self.suspects.table.clear(digest, caller) {
+            return;
+        }
+        let event = LogEvent::new("cleared").with("id", &request.caller_id);
+        self.log(event.with("digest", digest));
+        let cleared = SuspectCleared { digest: digest.to_bytes(), caller };
+        self.send_to_collectors(&SuspectKind::Cleared(cleared));
+    }
+
+    /// Handles a message about suspects from a side.
+    pub(super) fn handle_suspects(&mut self, side: SocketAddr, message: SuspectMessage) {
+        match message.kind {
+            Some(SuspectKind::Update(update)) => self.merge_suspects(side, &update),
+            Some(SuspectKind::Cleared(cleared)) => {
+                if let Some(digest) = RequestDigest::from_bytes(&cleared.digest) {
+                    self.suspects.table.clear(digest, cleared.caller);
+                }
+            }
+            Some(SuspectKind::TrialReply(reply)) => self.trial_answered(side, &reply),
+            Some(SuspectKind::TrialRequest(_) | SuspectKind::TrialEnded(_)) | None => {
+                self.log(LogEvent::new("suspect_unreadable").with("from", side));
+            }
+        }
+        self.schedule_waiting();
+    }
+
+    fn merge_suspects(&mut self, side: SocketAddr, update: &SuspectUpdate) {
+        let now = self.now;
+        if let Some((_, replied)) = self.suspects.synced.get_mut(&side) {
+            *replied = true;
+        }
+        for record in &update.suspects {
+            let Some(digest) = RequestDigest::from_bytes(&record.digest) else { continue };
+            let table = &mut self.suspects.table;
+            let new = table.merge(digest, &record.crashes, now);
+            let crashes = table.crashes(digest, now);
+            if new && crashes >= TRIAL_CRASHES {
+                let event = LogEvent::new("suspect_told").with("digest", digest);
+                self.log(event.with("crashes", crashes).with("from", side));
+            }
+        }
+    }
+
+    /// Keeps in touch with the collectors.
+    pub(super) fn check_suspects(&mut self) {
+        self.check_crashes();
+        self.share_endpoints();
+        self.update_collectors();
+    }
+
+    /// Updates the collectors when a side has reported and there are too few of them.
+    pub(super) fn add_collector(&mut self) {
+        if self.suspects.collectors.len() < COLLECTORS {
+            self.update_collectors();
+        }
+    }
+
+    /// Selects the sides that collect the records, and sends this entry's records to those that are
+    /// new. All entries rank the sides alike.
+    fn update_collectors(&mut self) {
+        let now = self.now;
+        let collects = |endpoint: &&Endpoint| {
+            let tracks = endpoint.fresh_side(now).is_some_and(|side| side.tracks_suspects);
+            tracks && endpoint.liveness.is_connected() && !endpoint.liveness.is_stalled(now)
+        };
+        let sides = self.pool.endpoints.values().filter(collects);
+        let mut ranked =
+            sides.map(|endpoint| ranked_address(endpoint.member.address)).collect::<Vec<_>>();
+        ranked.sort_unstable();
+        ranked.dedup();
+        let collectors = ranked.into_iter().take(COLLECTORS).map(|(_, address)| address);
+        self.suspects.collectors = collectors.collect();
+        let new = self.suspects.collectors.iter().copied();
+        let new = new.filter(|address| !self.suspects.synced.contains_key(address));
+        for address in new.collect::<Vec<_>>() {
+            self.suspects.synced.insert(address, (now, false));
+            let known = self.suspects.table.update(now);
+            self.send_suspects(address, SuspectKind::Update(known));
+        }
+    }
+
+    /// Handles the loss of the connection to a side: what was sent to it may be lost.
+    pub(super) fn desync_suspects(&mut self, side: SocketAddr) {
+        self.suspects.synced.remove(&side);
+    }
+
+    /// Returns whether the records of the other entries are about to arrive: requests wait for them.
+    pub(super) fn awaits_suspects(&self) -> bool {
+        let mut synced = self.suspects.synced.values();
+        !self.suspects.synced.is_empty()
+            && synced.all(|(at, replied)| !replied && self.now.since(*at) < SYNC_MS)
+    }
+
+    pub(super) fn send_to_collectors(&mut self, kind: &SuspectKind) {
+        for side in self.suspects.collectors.clone() {
+            self.send_suspects(side, kind.clone());
+        }
+    }
+
+    pub(super) fn send_suspects(&mut self, side: SocketAddr, kind: SuspectKind) {
+        self.effects.push(EntryEffect::Suspects(side, kind.into()));
+    }
+}
+
+/// Returns a hash of the address of a request's caller; 0 if it is unknown.
+pub(super) fn caller_hash(request: &Request) -> u64 {
+    request.caller.map_or(0, address_hash)
+}
+
+fn address_hash(address: IpAddr) -> u64 {
+    match address {
+        IpAddr::V4(ip) => hash_bytes(&ip.octets()),
+        IpAddr::V6(ip) => hash_bytes(&ip.octets()),
+    }
+}
+
+/// Returns the address of a side with its rank as a collector.
+fn ranked_address(address: SocketAddr) -> (u64, SocketAddr) {
+    (address_hash(address.ip()), address)
+}
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -33,6 +33,7 @@
         self.expire_load_requests();
         let outcome = self.pool.apply_deferred(&mut self.names, self.now);
         self.handle_membership(outcome);
+        self.check_suspects();
         self.schedule_waiting();
         self.add_replicas();
         self.load_missed();
@@ -97,6 +98,7 @@
         let unanswered = self.requests.iter().filter(|(_, request)| {
             let limit_ms = (UNANSWERED_TARGETS * request.target_ms).max(UNANSWERED_MIN_MS);
             request.stage == Stage::Sent
+                && request.trial.is_none()
                 && request.retry_policy.may_retry()
                 && request.runs + 1 < request.max_attempts
                 && self.now.since(request.sent_at) > limit_ms
@@ -184,8 +186,10 @@
                 continue;
             }
             self.schedule(id);
-            let waits =
-                self.requests.get(&id).is_some_and(|request| request.stage == Stage::Waiting);
+            let waits = self
+                .requests
+                .get(&id)
+                .is_some_and(|request| request.stage == Stage::Waiting && request.trial.is_none());
             if waits {
                 blocked.insert(requirement);
             }
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -6,8 +6,9 @@
 };
 
 use citronrill_decide::LogEvent;
-use citronrill_wire::{LoadRequest, ModelName, SideState, UsageReport};
+use citronrill_wire::{LoadRequest, ModelName, SideState, SuspectMessage, UsageReport};
 
+use super::crashes::EndpointCheck;
 use crate::{config::ServingConfig, digest::RequestDigest, member::MemberChange};
 
 /// Identifies a request within one process.
@@ -122,6 +123,10 @@
     SideLost(SocketAddr, SideLoss),
     /// The side of the endpoint at this address declined a load request.
     LoadDeclined(SocketAddr, ModelName),
+    /// The side of the endpoint at this address sent a message about suspects.
+    Suspects(SocketAddr, SuspectMessage),
+    /// The endpoint at this address was checked.
+    EndpointChecked(SocketAddr, EndpointCheck),
     /// A request was received.
     RequestArrived(Arrival),
     /// An endpoint started to respond to the dispatch with this number.
@@ -200,6 +205,8 @@
     TimedOut,
     /// The endpoint failed it, and it may have run.
     Broken,
+    /// It crashes the endpoints that run it.
+    Quarantined,
 }
 
 impl Reason {
@@ -217,6 +224,7 @@
             Reason::Stopping => "stopping",
             Reason::TimedOut => "timed_out",
             Reason::Broken => "broken",
+            Reason::Quarantined => "quarantined",
         }
     }
 
@@ -232,6 +240,7 @@
             | Reason::Full
             | Reason::TooLate
             | Reason::Stopping
+            | Reason::Quarantined
             | Reason::Expired => 503,
             Reason::TimedOut => 504,
             Reason::Broken => 502,
@@ -267,6 +276,10 @@
     LoadRequest(SocketAddr, LoadRequest),
     /// Report the use or miss of a model to the side of the endpoint at this address.
     ReportUsage(SocketAddr, UsageReport),
+    /// Send a message about suspects to the side of the endpoint at this address.
+    Suspects(SocketAddr, SuspectMessage),
+    /// Check whether the process of the endpoint at this address accepts connections.
+    CheckEndpoint(SocketAddr),
     /// Keep connections to the sides of these endpoints, and to no others.
     ConnectSides(Vec<SocketAddr>),
     /// Write a log line.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -22,6 +22,7 @@
 mod pool;
 mod rate;
 mod side;
+mod suspects;
 mod table_follower;
 
 pub use crate::{
@@ -34,8 +35,9 @@
     },
     digest::RequestDigest,
     entry::{
-        Arrival, Dispatch, EntryEffect, EntryEvent, EntryProfile, FailureKind, PoolEntry, Reason,
-        Refusal, RequestId, ResponseHead, Resume, SideLoss, TokenCount, Verdict, classify_response,
+        Arrival, Dispatch, EndpointCheck, EntryEffect, EntryEvent, EntryProfile, FailureKind,
+        PoolEntry, Reason, Refusal, RequestId, ResponseHead, Resume, SideLoss, TokenCount, Verdict,
+        classify_response,
     },
     incarnation::StartTime,
     member::{HeldModel, Member, MemberChange},
--- a/crates/pool/src/liveness.rs
+++ b/crates/pool/src/liveness.rs
@@ -45,6 +45,11 @@
         self.probed_at = None;
     }
 
+    /// Returns whether its side is connected.
+    pub(crate) fn is_connected(&self) -> bool {
+        self.connected
+    }
+
     /// Records that the connection to its side is established.
     pub(crate) fn mark_connected(&mut self) {
         self.connected = true;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -329,6 +329,7 @@
             store_slowdown: state.store_slowdown,
             store_overdue: state.store_overdue,
             store_concurrent: state.store_concurrent,
+            tracks_suspects: state.tracks_suspects,
             missed,
             pinned,
             rates,
--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -10,6 +10,7 @@
 mod orders;
 mod plan;
 mod report;
+mod suspects;
 mod types;
 
 use std::{collections::VecDeque, sync::Arc};
@@ -25,6 +26,7 @@
     incarnation_name::IncarnationName,
     missed::MissRates,
     report::{holds, load_moved, order_result, same_except_load},
+    suspects::SuspectRegistry,
 };
 use crate::{
     config::{EngineSpec, LATE_LOAD_MILLI, ServingConfig},
@@ -112,6 +114,7 @@
     store_concurrent: u32,
     entries: u32,
     published: Option<(Millis, SideState)>,
+    suspects: SuspectRegistry,
     effects: Vec<SideEffect>,
 }
 
@@ -142,6 +145,7 @@
             store_concurrent: 0,
             entries: 0,
             published: None,
+            suspects: SuspectRegistry::default(),
             effects: Vec::new(),
         }
     }
@@ -167,6 +171,8 @@
             }
             SideEvent::NameReported(instance) => self.set_name(&instance),
             SideEvent::EntryCount(count) => self.entries = count,
+            SideEvent::EntryLost(link) => self.forget_entry(link),
+            SideEvent::Suspects(link, message) => self.handle_suspects(link, message),
             SideEvent::Tick => {}
         }
         self.issue_orders();
@@ -429,6 +435,7 @@
             missed: self.misses.rates(self.now),
             store_overdue,
             store_concurrent: late.map_or(self.store_concurrent, |issued| issued.concurrent),
+            tracks_suspects: true,
         })
     }
 
--- a/crates/pool/src/side/types.rs
+++ b/crates/pool/src/side/types.rs
@@ -3,7 +3,7 @@
 use std::{fmt, sync::Arc};
 
 use citronrill_decide::LogEvent;
-use citronrill_wire::{LoadRequest, ModelName, SideState, UsageReport};
+use citronrill_wire::{LoadRequest, ModelName, SideState, SuspectMessage, UsageReport};
 
 use crate::{config::ServingConfig, incarnation::StartTime, member::HeldModel};
 
@@ -109,6 +109,10 @@
     NameReported(String),
     /// The number of connected entries has changed to this.
     EntryCount(u32),
+    /// The connection of an entry has ended.
+    EntryLost(EntryLink),
+    /// An entry sent a message about suspects.
+    Suspects(EntryLink, SuspectMessage),
     /// Time has passed.
     Tick,
 }
@@ -126,6 +130,8 @@
     Publish(SideState),
     /// Tell one entry that its load request is declined.
     Decline(EntryLink, ModelName),
+    /// Send one entry a message about suspects.
+    Suspects(EntryLink, SuspectMessage),
     /// Write a log line.
     Log(LogEvent),
 }
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -16,9 +16,9 @@
 
 use citronrill_base::Millis;
 use citronrill_pool::{
-    Arrival, EntryEffect, EntryEvent, EntryLink, EntryProfile, HeldModel, Member, MemberChange,
-    Order, PoolEntry, PoolSide, RequestDigest, RequestId, ServingConfig, SideEffect, SideEvent,
-    TokenCount,
+    Arrival, EndpointCheck, EntryEffect, EntryEvent, EntryLink, EntryProfile, HeldModel, Member,
+    MemberChange, Order, PoolEntry, PoolSide, RequestDigest, RequestId, ServingConfig, SideEffect,
+    SideEvent, TokenCount,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -28,7 +28,7 @@
     stall::Stalls,
 };
 pub(crate) use self::{
-    poison::{Poison, PoisonStats},
+    poison::{Poison, PoisonStats, Process},
     stall::{Stall, StallStats},
 };
 use crate::support::{ENGINE, HOST, address, config, model};
@@ -128,6 +128,7 @@
     RequestRepeats(RequestDigest, String, bool),
     PoisonArrives(usize),
     Poisoned(usize, u32, RequestDigest),
+    RestartProcess(Process),
     EntryInput(usize, EntryEvent),
     SideInput(usize, SideEvent),
     RequestReceived(usize, Run, String),
@@ -136,6 +137,7 @@
     OrderReceived(usize, Order, bool),
     OrderDone(usize, u32, Order),
     ProbeReceived(usize, usize),
+    EndpointCheck(usize, usize),
     RunCancelled(usize, usize, RequestId),
     CallerLeaves(usize, RequestId),
     Stall(u64),
@@ -151,6 +153,9 @@
     rng: SmallRng,
     faults: Faults,
     config: Arc<ServingConfig>,
+    profile: EntryProfile,
+    /// When the last request of the load arrives.
+    load_ends: u64,
     entries: Vec<PoolEntry>,
     sides: Vec<PoolSide>,
     engines: Vec<Engine>,
@@ -216,6 +221,8 @@
                 .map(|entry| EntryProfile { seed: entry as u64 * 7_919, ..profile.clone() })
                 .map(PoolEntry::new)
                 .collect(),
+            profile,
+            load_ends: 0,
             sides: (0..engines).map(|_| PoolSide::new(ENGINE)).collect(),
             engines: (0..engines).map(|index| engine(index, &mut rng)).collect(),
             callers: BTreeMap::new(),
@@ -246,6 +253,7 @@
     /// Runs `load`, and 16 seconds more for requests in progress.
     pub(crate) fn run(mut self, load: &Load) -> Stats {
         let start = 2_000;
+        self.load_ends = start + load.seconds * 1_000;
         for entry in 0..self.entries.len() {
             self.schedule(0, SimEvent::EntryInput(entry, EntryEvent::Config(self.config.clone())));
         }
@@ -310,6 +318,7 @@
             SimEvent::RequestRepeats(digest, model, busy) => {
                 self.request_repeats(digest, &model, busy)
             }
+            SimEvent::RestartProcess(process) => self.restart_process(process),
             SimEvent::PoisonArrives(index) => self.poison_arrives(index),
             SimEvent::Poisoned(engine, incarnation, digest) => {
                 self.poison_engine(engine, incarnation, digest)
@@ -333,6 +342,12 @@
                 let reply = EntryEvent::ProbeReply(address(side as u8));
                 self.after_hop(SimEvent::EntryInput(entry, reply));
             }
+            SimEvent::EndpointCheck(engine, entry) => {
+                let up = self.engines[engine].up;
+                let check = if up { EndpointCheck::Accepted } else { EndpointCheck::Refused };
+                let event = EntryEvent::EndpointChecked(address(engine as u8), check);
+                self.after_hop(SimEvent::EntryInput(entry, event));
+            }
             SimEvent::RunCancelled(engine, entry, id) => self.cancel_run(engine, entry, id),
             SimEvent::CallerLeaves(entry, id) => self.caller_leaves(entry, id),
             SimEvent::Stall(duration_ms) => self.stall_engine(duration_ms),
@@ -467,6 +482,15 @@
                 let side = self.engine_at(address);
                 self.after_hop(SimEvent::ProbeReceived(side, entry));
             }
+            EntryEffect::Suspects(address, message) => {
+                let side = self.engine_at(address);
+                let event = SideEvent::Suspects(EntryLink(entry as u64), message);
+                self.after_hop(SimEvent::SideInput(side, event));
+            }
+            EntryEffect::CheckEndpoint(address) => {
+                let engine = self.engine_at(address);
+                self.after_hop(SimEvent::EndpointCheck(engine, entry));
+            }
             EntryEffect::Disconnect(id) => {
                 self.cancel(entry, id);
                 self.after_hop(SimEvent::EntryInput(entry, EntryEvent::StreamBroken(id, Some(0))));
@@ -525,6 +549,10 @@
                     let event = EntryEvent::LoadDeclined(address(side as u8), name);
                     self.after_hop(SimEvent::EntryInput(link.0 as usize, event));
                 }
+                SideEffect::Suspects(link, message) => {
+                    let event = EntryEvent::Suspects(address(side as u8), message);
+                    self.after_hop(SimEvent::EntryInput(link.0 as usize, event));
+                }
                 SideEffect::Log(_) => {}
             }
         }
--- a/crates/pool/tests/all/simulation/poison.rs
+++ b/crates/pool/tests/all/simulation/poison.rs
@@ -2,10 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use citronrill_pool::{RequestDigest, RequestId};
+use citronrill_pool::{
+    EntryEvent, EntryLink, EntryProfile, PoolEntry, PoolSide, RequestDigest, RequestId, SideEvent,
+    SideLoss,
+};
 use rand::Rng;
 
 use super::{SimEvent, Simulation};
+use crate::support::{ENGINE, address};
 
 /// Milliseconds from the first token of a poison request to the crash of its engine.
 const CRASH_AFTER_MS: u64 = 60;
@@ -20,6 +24,13 @@
 /// Offset of the digests of poison requests, above all request IDs.
 const POISON_DIGEST: u128 = 1 << 64;
 
+/// A process that restarts.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Process {
+    Entry(usize),
+    Side(usize),
+}
+
 /// A request that crashes every engine that runs it, and how its caller repeats it.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Poison {
@@ -76,12 +87,15 @@
     digests: BTreeMap<(usize, RequestId), RequestDigest>,
     /// Requests that their callers have repeated.
     repeated: BTreeSet<RequestDigest>,
+    /// Whether callers repeat a request that failed.
+    pub(super) callers_repeat: bool,
 }
 
 impl Simulation {
     /// Adds a poison request.
     pub(crate) fn add_poison(&mut self, poison: Poison) {
         let index = self.poisons.requests.len();
+        self.poisons.callers_repeat = true;
         self.poisons.requests.push(poison);
         for attempt in 0..poison.attempts {
             let at = poison.first_ms + attempt * poison.every_ms;
@@ -135,16 +149,61 @@
         self.schedule(self.now + DOWN_MS, SimEvent::Restart(index));
     }
 
-    /// Has the caller of a request that failed repeat it once at any entry, and counts the request if
-    /// it was refused as poison. Only in simulations with poison requests.
+    /// Has callers repeat each request that failed once, at any entry.
+    pub(crate) fn repeat_failures(&mut self) {
+        self.poisons.callers_repeat = true;
+    }
+
+    /// Restarts an entry, or the side beside an engine, at `ms`: it knows nothing any more.
+    pub(crate) fn restart_at(&mut self, ms: u64, process: Process) {
+        self.schedule(ms, SimEvent::RestartProcess(process));
+    }
+
+    pub(super) fn restart_process(&mut self, process: Process) {
+        match process {
+            Process::Entry(entry) => self.restart_entry(entry),
+            Process::Side(side) => {
+                self.sides[side] = PoolSide::new(ENGINE);
+                for entry in 0..self.entries.len() {
+                    let lost = EntryEvent::SideLost(address(side as u8), SideLoss::Closed);
+                    self.after_hop(SimEvent::EntryInput(entry, lost));
+                }
+                let entries = self.entries.len() as u32;
+                self.after_hop(SimEvent::SideInput(side, SideEvent::Config(self.config.clone())));
+                self.after_hop(SimEvent::SideInput(side, SideEvent::EntryCount(entries)));
+            }
+        }
+    }
+
+    fn restart_entry(&mut self, entry: usize) {
+        let open = self.callers.iter_mut().filter(|((at, _), _)| *at == entry);
+        let open = open.map(|((_, id), caller)| {
+            caller.done = true;
+            *id
+        });
+        for id in open.collect::<Vec<_>>() {
+            self.cancel(entry, id);
+        }
+        let profile = EntryProfile { seed: entry as u64 * 7_919, ..self.profile.clone() };
+        self.entries[entry] = PoolEntry::new(profile);
+        let config = EntryEvent::Config(self.config.clone());
+        self.after_hop(SimEvent::EntryInput(entry, config));
+        for side in 0..self.sides.len() {
+            let lost = SideEvent::EntryLost(EntryLink(entry as u64));
+            self.after_hop(SimEvent::SideInput(side, lost));
+        }
+    }
+
+    /// Has the caller of a request that failed repeat it, and counts the request if it was refused as
+    /// poison.
     pub(super) fn repeat_failed(&mut self, entry: usize, id: RequestId, quarantined: bool) {
         let digest = self.poisons.digests[&(entry, id)];
-        if self.poisons.requests.is_empty() || is_poison(digest) {
+        if !self.poisons.callers_repeat || is_poison(digest) {
             return;
         }
         self.stats.poison.innocent += u32::from(quarantined);
         let busy = self.callers.get(&(entry, id)).is_none_or(|caller| caller.busy);
-        if self.poisons.repeated.insert(digest) {
+        if self.now < self.load_ends && self.poisons.repeated.insert(digest) {
             let model = self.models[&(entry, id)].clone();
             let pause = self.rng.random_range(1..REPEAT_WITHIN_MS);
             self.schedule(self.now + pause, SimEvent::RequestRepeats(digest, model, busy));
--- a/crates/pool/tests/all/simulation/stall.rs
+++ b/crates/pool/tests/all/simulation/stall.rs
@@ -127,11 +127,13 @@
             | SimEvent::OrderReceived(index, ..)
             | SimEvent::OrderDone(index, ..)
             | SimEvent::ProbeReceived(index, _)
+            | SimEvent::EndpointCheck(index, _)
             | SimEvent::RunCancelled(index, ..) => Some(*index),
             SimEvent::RequestArrives(_)
             | SimEvent::RequestRepeats(..)
             | SimEvent::PoisonArrives(_)
             | SimEvent::Poisoned(..)
+            | SimEvent::RestartProcess(_)
             | SimEvent::EntryInput(..)
             | SimEvent::CallerLeaves(..)
             | SimEvent::Stall(_)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod frames;
 mod handshake;
 mod pool;
+mod suspects;
 
 pub use crate::{
     codec::{FRAME_LIMIT, FrameReader, WireError, encode},
@@ -23,4 +24,8 @@
         ModelName, ModelRate, ModelState, PoolFrame, PoolKind, Probe, ProbeReply, SideState,
         Snapshot, UsageReport,
     },
+    suspects::{
+        CrashRecord, SuspectCleared, SuspectKind, SuspectMessage, SuspectRecord, SuspectUpdate,
+        TrialEnded, TrialReply, TrialRequest,
+    },
 };
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -2,11 +2,13 @@
 
 use prost::{Message, Oneof};
 
+use crate::suspects::SuspectMessage;
+
 /// One message on a connection between an entry and a side, or between two entries.
 #[derive(Clone, PartialEq, Message)]
 pub struct PoolFrame {
     /// The message.
-    #[prost(oneof = "PoolKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "PoolKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub kind: Option<PoolKind>,
 }
 
@@ -43,6 +45,10 @@
     /// A side's reply to the probe.
     #[prost(message, tag = "11")]
     ProbeReply(ProbeReply),
+    /// A message about requests that may crash endpoints, in either direction. Only for a side whose
+    /// state says that it tracks them, and for an entry that has sent one.
+    #[prost(message, tag = "12")]
+    Suspects(SuspectMessage),
 }
 
 /// A liveness probe.
@@ -265,6 +271,9 @@
     /// overdue load, the same for the last load.
     #[prost(uint32, tag = "22")]
     pub store_concurrent: u32,
+    /// Whether the side understands [`PoolKind::Suspects`].
+    #[prost(bool, tag = "23")]
+    pub tracks_suspects: bool,
 }
 
 /// One loaded model of an endpoint.
