Have an entry learn of quarantined requests before it serves

Cause: it asked the first side that was connected, which collects nothing while the two that do were still to be connected. Requests now wait for 300 ms at most after the first list of sides, until one of the two sides that rank first over the whole list has replied.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -40,6 +40,9 @@
 const BUSY_TICK_MS: u64 = 20;
 /// Milliseconds between deadline checks while no request is in flight.
 const IDLE_TICK_MS: u64 = 200;
+/// Maximum milliseconds for which requests wait after a start for what the sides know of requests that
+/// crash endpoints: connecting to the sides takes some tens of milliseconds.
+const LEARN_MS: u64 = 300;
 /// Milliseconds of a planned stop during which new connections are still accepted: the load balancer
 /// needs two failed readiness checks, a second apart, before it stops routing to this entry.
 const ACCEPT_MS: u64 = 2_600;
@@ -166,6 +169,7 @@
         retry_ratio: settings.retry_ratio,
         retry_slack: settings.retry_slack,
         retry_window_ms: settings.retry_window_ms,
+        learn_ms: LEARN_MS,
     };
     let control = ControlThread {
         reducer: PoolEntry::new(profile),
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -372,16 +372,26 @@
         self.log(event.with("started", started).with("source", source));
     }
 
-    /// Updates the set of sides to connect to: those of services with models.
+    /// Updates the set of sides to connect to.
     fn update_sides(&mut self) {
-        let Some(config) = &self.config else { return };
-        let engine =
-            |name: &str| config.service(name).is_some_and(|service| service.engine.is_some());
-        let members = self.pool.endpoints.values().map(|endpoint| &endpoint.member);
-        let sides = members.filter(|member| engine(&member.service)).map(|member| member.address);
-        let mut sides = sides.collect::<Vec<_>>();
+        let mut sides = self.sides().collect::<Vec<_>>();
         sides.sort_unstable();
-        self.effects.push(EntryEffect::ConnectSides(sides));
+        if !sides.is_empty() {
+            self.expect_suspects();
+        }
+        if self.config.is_some() {
+            self.effects.push(EntryEffect::ConnectSides(sides));
+        }
+    }
+
+    /// Returns the addresses of the endpoints that have a side: those of services with models.
+    fn sides(&self) -> impl Iterator<Item = SocketAddr> {
+        let engine = |name: &str| {
+            let service = self.config.as_ref().and_then(|config| config.service(name));
+            service.is_some_and(|service| service.engine.is_some())
+        };
+        let members = self.pool.endpoints.values().map(|endpoint| &endpoint.member);
+        members.filter(move |member| engine(&member.service)).map(|member| member.address)
     }
 
     fn apply_side_state(&mut self, address: SocketAddr, state: &SideState) {
--- a/crates/pool/src/entry/suspects.rs
+++ b/crates/pool/src/entry/suspects.rs
@@ -7,7 +7,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 
-use citronrill_base::{Map, Millis, hash_bytes};
+use citronrill_base::{Millis, Set, hash_bytes};
 use citronrill_decide::LogEvent;
 use citronrill_wire::{SuspectCleared, SuspectKind, SuspectMessage, SuspectUpdate};
 
@@ -20,8 +20,6 @@
 
 /// Sides that collect the records: the second one takes over when the first one is lost.
 const COLLECTORS: usize = 2;
-/// Milliseconds for which requests wait for the collected records after a collector was found.
-const SYNC_MS: u64 = 300;
 
 /// What an entry knows about suspects.
 #[derive(Debug, Default)]
@@ -29,8 +27,12 @@
     pub(super) table: SuspectTable,
     /// The sides that collect the records, the one that grants trials first.
     pub(super) collectors: Vec<SocketAddr>,
-    /// Collectors that were sent this entry's records, when, and whether they have replied.
-    synced: Map<SocketAddr, (Millis, bool)>,
+    /// Collectors that were sent this entry's records.
+    synced: Set<SocketAddr>,
+    /// Until when requests wait for the records of the other entries; `None` while no side is known.
+    learn_until: Option<Millis>,
+    /// Whether these records have arrived.
+    learned: bool,
 }
 
 impl PoolEntry {
@@ -77,9 +79,10 @@
 
     fn merge_suspects(&mut self, side: SocketAddr, update: &SuspectUpdate) {
         let now = self.now;
-        if let Some((_, replied)) = self.suspects.synced.get_mut(&side) {
-            *replied = true;
-        }
+        // Until all sides are connected, another one may be taken for a collector; it knows nothing.
+        let rank = ranked_address(side);
+        let ahead = self.sides().filter(|other| ranked_address(*other) < rank).count();
+        self.suspects.learned |= ahead < COLLECTORS;
         for record in &update.suspects {
             let Some(digest) = RequestDigest::from_bytes(&record.digest) else { continue };
             let table = &mut self.suspects.table;
@@ -122,9 +125,9 @@
         let collectors = ranked.into_iter().take(COLLECTORS).map(|(_, address)| address);
         self.suspects.collectors = collectors.collect();
         let new = self.suspects.collectors.iter().copied();
-        let new = new.filter(|address| !self.suspects.synced.contains_key(address));
+        let new = new.filter(|address| !self.suspects.synced.contains(address));
         for address in new.collect::<Vec<_>>() {
-            self.suspects.synced.insert(address, (now, false));
+            self.suspects.synced.insert(address);
             let known = self.suspects.table.update(now);
             self.send_suspects(address, SuspectKind::Update(known));
         }
@@ -135,11 +138,16 @@
         self.suspects.synced.remove(&side);
     }
 
-    /// Returns whether the records of the other entries are about to arrive: requests wait for them.
+    /// Starts to wait for the records of the other entries once sides are known that may have them.
+    pub(super) fn expect_suspects(&mut self) {
+        self.suspects.learn_until.get_or_insert(self.now + self.profile.learn_ms);
+    }
+
+    /// Returns whether requests wait for the records of the other entries. An entry that has just
+    /// started would run a request that the others have quarantined.
     pub(super) fn awaits_suspects(&self) -> bool {
-        let mut synced = self.suspects.synced.values();
-        !self.suspects.synced.is_empty()
-            && synced.all(|(at, replied)| !replied && self.now.since(*at) < SYNC_MS)
+        let waiting = self.suspects.learn_until.is_some_and(|until| self.now < until);
+        waiting && !self.suspects.learned
     }
 
     pub(super) fn send_to_collectors(&mut self, kind: &SuspectKind) {
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -28,6 +28,9 @@
     pub retry_slack: f64,
     /// The sliding window to which both retry limits apply, in milliseconds.
     pub retry_window_ms: u64,
+    /// Maximum milliseconds for which requests wait after a start, until the sides have told which
+    /// requests crash endpoints.
+    pub learn_ms: u64,
 }
 
 /// A request that was received completely.
--- a/crates/pool/tests/all/load_priority.rs
+++ b/crates/pool/tests/all/load_priority.rs
@@ -135,6 +135,7 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_ms: 10_000,
+            learn_ms: 0,
         };
         let mut bench = bench_of_twenty();
         bench.entry = PoolEntry::new(profile);
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -212,6 +212,7 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_ms: 10_000,
+            learn_ms: 300,
         };
         Simulation {
             now: 0,
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -188,6 +188,7 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_ms: 10_000,
+            learn_ms: 0,
         };
         Bench { entry: PoolEntry::new(profile), now: 1_000, next_id: 1 }
     }
--- /dev/null
+++ b/tests/pool/poison.rs
@@ -0,0 +1,51 @@
+//! Requests that crash every worker that runs them, over real processes.
+
+use std::{net::SocketAddr, thread, time::Duration};
+
+use rstest::rstest;
+
+use crate::support::{Deployment, Request, Response};
+
+/// Crashes after which a poison request must not run again.
+const MAX_CRASHES: u32 = 3;
+/// Milliseconds between two attempts of a caller.
+const PAUSE: Duration = Duration::from_millis(900);
+
+fn crashes(pool: &Deployment) -> u32 {
+    pool.engines.iter().chain([&pool.ledger]).map(|worker| worker.crashes()).sum()
+}
+
+fn attempt(pool: &Deployment, entry: SocketAddr, path: &str, id: &str) -> Response {
+    let request = match path.starts_with("/status/") {
+        true => Request::call(path, id),
+        false => Request::stream(path, id, "m0"),
+    };
+    pool.request_at(entry, &request)
+}
+
+/// Guards against a request that crashes one worker after another, by whichever entry it comes, also by
+/// one that starts later.
+#[rstest]
+fn a_poison_request_crashes_three_workers_at_most(
+    #[values("/chat/poison", "/draft/poison", "/status/poison")] path: &str,
+) {
+    let engines: [(&str, &[&str]); 4] =
+        [("e1", &["m0"]), ("e2", &["m0"]), ("e3", &["m0"]), ("e4", &["m0"])];
+    let pool = Deployment::start(&engines);
+    let (_second, address) = pool.add_entry_at();
+    let entries = [pool.caller_address, address];
+    for number in 0..8 {
+        attempt(&pool, entries[number % 2], path, &format!("poison-{number}"));
+        thread::sleep(PAUSE);
+    }
+    assert!(crashes(&pool) <= MAX_CRASHES, "{} crashes", crashes(&pool));
+    let (_later, address) = pool.add_entry_at();
+    for entry in entries.into_iter().chain([address]) {
+        let response = attempt(&pool, entry, path, "poison-last");
+        assert_eq!(response.status, 503, "{response:?}");
+        assert!(response.body.contains("quarantined"), "{response:?}");
+    }
+    assert!(crashes(&pool) <= MAX_CRASHES, "{} crashes", crashes(&pool));
+    let innocent = attempt(&pool, pool.caller_address, &path.replace("poison", "x"), "innocent");
+    assert_eq!((innocent.status, innocent.complete), (200, true), "{innocent:?}");
+}
--- a/tests/pool/support/mod.rs
+++ b/tests/pool/support/mod.rs
@@ -179,6 +179,17 @@
         self.add_entry_with_seeds("")
     }
 
+    /// Starts another entry and waits until it is connected to all sides; returns it with its address
+    /// for callers.
+    pub(crate) fn add_entry_at(&self) -> (Process, SocketAddr) {
+        let connected =
+            || self.sides.iter().map(|side| side.count(&["entry_connected"])).sum::<usize>();
+        let before = connected();
+        let (entry, address) = start_entry(self.peer_port, self.store.address(), "");
+        self.wait_until("the entry is connected", || connected() >= before + self.sides.len());
+        (entry, address)
+    }
+
     /// Starts another entry, which connects to the store through a proxy.
     pub(crate) fn entry_behind_proxy(&self) -> (Process, Proxy) {
         let proxy = self.platform.proxy(self.store.address());
@@ -222,9 +233,18 @@
         Response::read(&mut stream)
     }
 
+    /// Sends a request to the entry at this address and reads its response.
+    pub(crate) fn request_at(&self, entry: SocketAddr, request: &Request<'_>) -> Response {
+        Response::read(&mut self.send_to(entry, request))
+    }
+
     /// Sends a request and returns the connection for reading the response.
     pub(crate) fn send(&self, request: &Request<'_>) -> TcpStream {
-        let mut stream = TcpStream::connect(self.caller_address).unwrap();
+        self.send_to(self.caller_address, request)
+    }
+
+    fn send_to(&self, entry: SocketAddr, request: &Request<'_>) -> TcpStream {
+        let mut stream = TcpStream::connect(entry).unwrap();
         stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
         stream.write_all(&request.bytes()).unwrap();
         stream
