Have a quarantine outlive a loss of all processes, and tell a cause from what ran beside it

What callers would see: after a loss of power of all instances, a request that was quarantined crashes three more engines, as no process knows it any more. The test over processes answers 200 and crashes a fourth worker without it.

A crash in a trial is conclusive only if three crashes of the request came as long after the start of its response, up to a factor of two and 100 ms: a poison request does the same each time, one that ran beside it was at any point. Other suspects that fit as well keep it open, by the crashes that no quarantined request explains.

Sides are selected again every 200 ms and not at each check, to save processor time.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -85,6 +85,15 @@
     pub body: Vec<u8>,
 }
 
+/// A change of rows, encoded as an HTTP call.
+#[derive(Debug, Clone)]
+pub struct WriteCall {
+    /// Path of the call.
+    pub path: &'static str,
+    /// Body of the call, in JSON.
+    pub body: Vec<u8>,
+}
+
 /// HTTP calls, headers and encodings of a platform.
 pub trait Dialect: Send + Sync {
     /// Returns the path that reads a table from key `from`, or from its beginning.
@@ -93,6 +102,12 @@
     /// Returns the path that long-polls for changes after `version`, for at most `wait_ms`.
     fn changes_path(&self, table: Table, version: u64, wait_ms: u64) -> String;
 
+    /// Returns the path that reads the quarantined requests.
+    fn quarantine_path(&self) -> &'static str;
+
+    /// Encodes a call that writes quarantined requests by key, or removes those without a value.
+    fn encode_quarantine(&self, rows: &[(String, Option<Vec<u8>>)]) -> WriteCall;
+
     /// Decodes the response to a call of either path.
     ///
     /// # Errors
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -17,7 +17,7 @@
     Arrival, CallerLimits, CheckTimer, ConfigFetchEvent, ConfigSources, Dispatch, DueCheck,
     EntryEffect, EntryEvent, EntryProfile, PoolEntry, Refusal, RequestId, ServingConfig,
 };
-use citronrill_wire::{EncodedConfig, PoolKind, Probe};
+use citronrill_wire::{EncodedConfig, PoolKind, Probe, SuspectRecord};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use tokio::sync::{mpsc, watch};
 
@@ -30,6 +30,7 @@
     logs::{LogRateLimit, LogStats},
     metrics::{EntryMetrics, serve_metrics},
     platform_view::PlatformView,
+    quarantine::QuarantineStore,
     seeds::{bootstrap_from_seeds, serve_snapshots},
     sides::{SideCommand, run_sides},
     store::watch_table,
@@ -160,6 +161,7 @@
     let metrics = Arc::new(EntryMetrics::new(logs));
     let (side_sender, side_receiver) = mpsc::unbounded_channel();
     let (check_sender, checks) = mpsc::unbounded_channel();
+    let (quarantine_sender, quarantined) = mpsc::unbounded_channel();
     // A weak sender: the connections to sides end when the control thread drops the strong one.
     let chunk_requests = side_sender.downgrade();
     let (limits_sender, limits) = watch::channel(CallerLimits::default());
@@ -179,6 +181,7 @@
         timer: CheckTimer::default(),
         side_commands: side_sender,
         endpoint_checks: check_sender,
+        quarantined: quarantine_sender,
         limits: limits_sender,
         status: status.clone(),
         metrics: metrics.clone(),
@@ -204,6 +207,12 @@
         tokio::spawn(fetch_config(&settings.name, transfer_events, chunk_requests, view.clone()));
         tokio::spawn(run_sides(port, side_receiver, view, transfer, events.clone()));
         tokio::spawn(run_endpoint_checks(checks, events.clone()));
+        let quarantine = QuarantineStore {
+            address: settings.store,
+            dialect: dialect.clone(),
+            events: events.clone(),
+        };
+        tokio::spawn(quarantine.run(quarantined));
         tokio::spawn(serve_metrics(settings.metrics, metrics.clone()));
         let server = CallerServer { dialect, events, status, metrics, limits };
         serve(callers, readiness, server, stop_plan(stop, settings.stop_ms)).await
@@ -279,6 +288,8 @@
     side_commands: mpsc::UnboundedSender<SideCommand>,
     /// Endpoints whose process is to be checked.
     endpoint_checks: mpsc::UnboundedSender<SocketAddr>,
+    /// Quarantined requests to be written to the platform store.
+    quarantined: mpsc::UnboundedSender<SuspectRecord>,
     limits: watch::Sender<CallerLimits>,
     status: Arc<EntryStatus>,
     metrics: Arc<EntryMetrics>,
@@ -381,6 +392,11 @@
                     Box::new(PoolKind::Suspects(message)),
                 ));
             }
+            EntryEffect::SaveQuarantined(record) => {
+                if self.quarantined.send(record).is_err() {
+                    log::debug!("event=traffic_gone");
+                }
+            }
             EntryEffect::CheckEndpoint(address) => {
                 if self.endpoint_checks.send(address).is_err() {
                     log::debug!("event=traffic_gone");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod logs;
 mod metrics;
 mod platform_view;
+mod quarantine;
 mod relay;
 mod seeds;
 mod side;
@@ -26,7 +27,10 @@
 mod store;
 
 pub use crate::{
-    dialect::{Dialect, DialectError, OrderCall, RequestMeta, RowPage, RowValue, StoreRow, Table},
+    dialect::{
+        Dialect, DialectError, OrderCall, RequestMeta, RowPage, RowValue, StoreRow, Table,
+        WriteCall,
+    },
     entry::run_entry,
     error::GatewayError,
     logs::{LogHandle, LogPipe, LogRateLimit, LogStats},
--- a/crates/pool/src/digest.rs
+++ b/crates/pool/src/digest.rs
@@ -14,7 +14,7 @@
     }
 
     /// Reads the digest of a message; `None` if it does not have 16 bytes.
-    pub(crate) fn from_bytes(bytes: &[u8]) -> Option<RequestDigest> {
+    pub fn from_bytes(bytes: &[u8]) -> Option<RequestDigest> {
         bytes.try_into().ok().map(|bytes| RequestDigest(u128::from_be_bytes(bytes)))
     }
 }
--- a/crates/pool/src/entry/crashes.rs
+++ b/crates/pool/src/entry/crashes.rs
@@ -44,10 +44,25 @@
     caller: u64,
     /// Milliseconds for which it had run.
     ran_ms: u64,
+    /// Milliseconds since its response had started; 0 if it had not.
+    responding_ms: u64,
     /// Its trial, which ends when the cause of the broken connection is known.
     trial: Option<Trial>,
 }
 
+impl LostRun {
+    /// Returns the record of the crash of this incarnation.
+    fn record(&self, incarnation: u64, conclusive: bool) -> CrashRecord {
+        CrashRecord {
+            incarnation,
+            caller: self.caller,
+            trial: self.trial.is_some_and(Trial::is_running),
+            conclusive,
+            responding_ms: self.responding_ms as u32,
+        }
+    }
+}
+
 /// An endpoint whose connections broke.
 #[derive(Debug)]
 struct PossibleCrash {
@@ -108,6 +123,7 @@
             digest: request.digest,
             caller: caller_hash(request),
             ran_ms: now.since(request.sent_at),
+            responding_ms: request.responding_ms(now),
             trial: request.trial.take(),
         };
         let (incarnation, address) = (incarnation_hash(endpoint), endpoint.member.address);
@@ -169,12 +185,11 @@
         let instance = crash.instance.clone();
         let mut suspects = Vec::new();
         for run in std::mem::take(&mut crash.lost) {
-            let trial = run.trial.is_some_and(Trial::is_running);
-            let record = CrashRecord { incarnation, caller: run.caller, trial, conclusive: false };
+            let record = run.record(incarnation, false);
             self.suspects.table.merge(run.digest, &[record], now);
             suspects.push(self.suspects.table.record(run.digest, now));
             self.log_suspect(&run, &instance, false);
-            if trial {
+            if record.trial {
                 let instance = instance.clone();
                 self.crashes.undecided.push(Undecided { run, incarnation, instance, at: now });
             }
@@ -200,11 +215,12 @@
             endpoints: endpoints.count(),
         };
         if self.suspects.table.is_conclusive(&crash, now) {
-            let (incarnation, caller) = (undecided.incarnation, run.caller);
-            let record = CrashRecord { incarnation, caller, trial: true, conclusive: true };
+            let record = run.record(undecided.incarnation, true);
             self.suspects.table.merge(run.digest, &[record], now);
-            let suspects = vec![self.suspects.table.record(run.digest, now)];
-            self.send_to_collectors(&SuspectKind::Update(SuspectUpdate { suspects }));
+            let record = self.suspects.table.record(run.digest, now);
+            self.effects.push(EntryEffect::SaveQuarantined(record.clone()));
+            let update = SuspectUpdate { suspects: vec![record] };
+            self.send_to_collectors(&SuspectKind::Update(update));
         }
         self.log_suspect(run, &undecided.instance, true);
         self.end_lost_trial(run);
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -159,6 +159,12 @@
         self.queued = self.required.is_some();
     }
 
+    /// Returns the milliseconds since the current response started; 0 if it has not.
+    fn responding_ms(&self, now: Millis) -> u64 {
+        let started = self.stage == Stage::Responding;
+        if started { now.since(self.sent_at + self.head_ms) } else { 0 }
+    }
+
     /// Returns whether the latency objective has already passed.
     fn is_late(&self, now: Millis) -> bool {
         now.since(self.arrived) >= self.target_ms
@@ -280,6 +286,7 @@
             EntryEvent::ProbeReply(address) => self.record_probe_reply(address),
             EntryEvent::SideLost(address, loss) => self.side_lost(address, loss),
             EntryEvent::Suspects(address, message) => self.handle_suspects(address, message),
+            EntryEvent::QuarantineRead(update) => self.apply_quarantine(&update),
             EntryEvent::EndpointChecked(address, check) => self.endpoint_checked(address, check),
             EntryEvent::LoadDeclined(address, name) => self.record_decline(address, &name),
             EntryEvent::RequestArrived(arrival) => self.request_arrived(arrival),
--- a/crates/pool/src/entry/suspects.rs
+++ b/crates/pool/src/entry/suspects.rs
@@ -5,7 +5,10 @@
 //! its second crash on, a request runs only as a trial, which one side grants. A third crash in a
 //! trial shows that the request is the cause. A request that completes is cleared.
 
-use std::net::{IpAddr, SocketAddr};
+use std::{
+    fmt::Display,
+    net::{IpAddr, SocketAddr},
+};
 
 use citronrill_base::{Millis, Set, hash_bytes};
 use citronrill_decide::LogEvent;
@@ -20,6 +23,8 @@
 
 /// Sides that collect the records: the second one takes over when the first one is lost.
 const COLLECTORS: usize = 2;
+/// Milliseconds between two selections of the collectors.
+const SELECT_MS: u64 = 200;
 
 /// What an entry knows about suspects.
 #[derive(Debug, Default)]
@@ -27,12 +32,16 @@
     pub(super) table: SuspectTable,
     /// The sides that collect the records, the one that grants trials first.
     pub(super) collectors: Vec<SocketAddr>,
+    /// When they were selected; `None` if a connection has been lost since.
+    selected_at: Option<Millis>,
     /// Collectors that were sent this entry's records.
     synced: Set<SocketAddr>,
     /// Until when requests wait for the records of the other entries; `None` while no side is known.
     learn_until: Option<Millis>,
     /// Whether these records have arrived.
     learned: bool,
+    /// Whether the quarantined requests were read from the platform store.
+    restored: bool,
 }
 
 impl PoolEntry {
@@ -78,11 +87,26 @@
     }
 
     fn merge_suspects(&mut self, side: SocketAddr, update: &SuspectUpdate) {
-        let now = self.now;
         // Until all sides are connected, another one may be taken for a collector; it knows nothing.
         let rank = ranked_address(side);
         let ahead = self.sides().filter(|other| ranked_address(*other) < rank).count();
         self.suspects.learned |= ahead < COLLECTORS;
+        self.merge_records(update, side);
+    }
+
+    /// Applies the quarantined requests of the platform store, and passes them on: all other processes
+    /// may have lost them.
+    pub(super) fn apply_quarantine(&mut self, update: &SuspectUpdate) {
+        self.suspects.restored = true;
+        self.merge_records(update, "store");
+        if !update.suspects.is_empty() {
+            self.send_to_collectors(&SuspectKind::Update(update.clone()));
+        }
+        self.schedule_waiting();
+    }
+
+    fn merge_records(&mut self, update: &SuspectUpdate, source: impl Display) {
+        let now = self.now;
         for record in &update.suspects {
             let Some(digest) = RequestDigest::from_bytes(&record.digest) else { continue };
             let table = &mut self.suspects.table;
@@ -90,16 +114,19 @@
             let crashes = table.crashes(digest, now);
             if new && crashes >= TRIAL_CRASHES {
                 let event = LogEvent::new("suspect_told").with("digest", digest);
-                self.log(event.with("crashes", crashes).with("from", side));
+                self.log(event.with("crashes", crashes).with("from", &source));
             }
         }
     }
 
-    /// Keeps in touch with the collectors.
+    /// Decides what is due about crashes and trials, and selects the collectors again.
     pub(super) fn check_suspects(&mut self) {
         self.check_crashes();
         self.share_endpoints();
-        self.update_collectors();
+        let selected_at = self.suspects.selected_at;
+        if selected_at.is_none_or(|at| self.now.since(at) >= SELECT_MS) {
+            self.update_collectors();
+        }
     }
 
     /// Updates the collectors when a side has reported and there are too few of them.
@@ -113,6 +140,7 @@
     /// new. All entries rank the sides alike.
     fn update_collectors(&mut self) {
         let now = self.now;
+        self.suspects.selected_at = Some(now);
         let collects = |endpoint: &&Endpoint| {
             let tracks = endpoint.fresh_side(now).is_some_and(|side| side.tracks_suspects);
             tracks && endpoint.liveness.is_connected() && !endpoint.liveness.is_stalled(now)
@@ -136,6 +164,7 @@
     /// Handles the loss of the connection to a side: what was sent to it may be lost.
     pub(super) fn desync_suspects(&mut self, side: SocketAddr) {
         self.suspects.synced.remove(&side);
+        self.suspects.selected_at = None;
     }
 
     /// Starts to wait for the records of the other entries once sides are known that may have them.
@@ -147,7 +176,7 @@
     /// started would run a request that the others have quarantined.
     pub(super) fn awaits_suspects(&self) -> bool {
         let waiting = self.suspects.learn_until.is_some_and(|until| self.now < until);
-        waiting && !self.suspects.learned
+        waiting && !(self.suspects.learned && self.suspects.restored)
     }
 
     pub(super) fn send_to_collectors(&mut self, kind: &SuspectKind) {
--- a/crates/pool/src/entry/trials.rs
+++ b/crates/pool/src/entry/trials.rs
@@ -167,8 +167,7 @@
         let mut shared = Vec::new();
         for request in self.requests.values_mut() {
             let Some(Trial::Granted(side)) = request.trial else { continue };
-            let responding = request.stage == Stage::Responding;
-            if responding && now.since(request.sent_at + request.head_ms) >= ALONE_MS {
+            if request.responding_ms(now) >= ALONE_MS {
                 request.trial = Some(Trial::Shared(side));
                 shared.extend(side.map(|side| (request.digest, side)));
             }
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -6,7 +6,9 @@
 };
 
 use citronrill_decide::LogEvent;
-use citronrill_wire::{LoadRequest, ModelName, SideState, SuspectMessage, UsageReport};
+use citronrill_wire::{
+    LoadRequest, ModelName, SideState, SuspectMessage, SuspectRecord, SuspectUpdate, UsageReport,
+};
 
 use super::crashes::EndpointCheck;
 use crate::{config::ServingConfig, digest::RequestDigest, member::MemberChange};
@@ -128,6 +130,8 @@
     LoadDeclined(SocketAddr, ModelName),
     /// The side of the endpoint at this address sent a message about suspects.
     Suspects(SocketAddr, SuspectMessage),
+    /// The quarantined requests were read from the platform store.
+    QuarantineRead(SuspectUpdate),
     /// The endpoint at this address was checked.
     EndpointChecked(SocketAddr, EndpointCheck),
     /// A request was received.
@@ -281,6 +285,8 @@
     ReportUsage(SocketAddr, UsageReport),
     /// Send a message about suspects to the side of the endpoint at this address.
     Suspects(SocketAddr, SuspectMessage),
+    /// Write a quarantined request to the platform store.
+    SaveQuarantined(SuspectRecord),
     /// Check whether the process of the endpoint at this address accepts connections.
     CheckEndpoint(SocketAddr),
     /// Keep connections to the sides of these endpoints, and to no others.
--- a/crates/pool/src/suspects.rs
+++ b/crates/pool/src/suspects.rs
@@ -19,6 +19,10 @@
 /// Probability that endpoints crashed by themselves in all trials of a request, above which the last
 /// crash is not conclusive.
 const MAX_CHANCE: f64 = 0.003;
+/// Ratio of two times from the start of a response to a crash up to which they count as similar.
+const SIMILAR_FACTOR: u32 = 2;
+/// Difference in milliseconds of two such times up to which they count as similar in any case.
+const SIMILAR_MS: u32 = 100;
 /// Milliseconds of a trial within which a crash counts as its own: of many suspects, some are hit
 /// within a few milliseconds by chance.
 const CHANCE_MIN_MS: u64 = 250;
@@ -65,6 +69,19 @@
         self.crashes.iter().any(|crash| crash.incarnation == incarnation)
     }
 
+    /// Returns the number of crashes that came about as long after the start of its response
+    /// as the given one, with that one. A poison request does the same each time; one that ran beside
+    /// others was at any point of its response.
+    fn similar_crashes(&self, incarnation: u64) -> usize {
+        let crash = self.crashes.iter().find(|crash| crash.incarnation == incarnation);
+        let Some(responding_ms) = crash.map(|crash| crash.responding_ms) else { return 0 };
+        let similar = |other: u32| {
+            let (less, more) = (responding_ms.min(other), responding_ms.max(other));
+            more <= less * SIMILAR_FACTOR + SIMILAR_MS
+        };
+        self.crashes.iter().filter(|crash| similar(crash.responding_ms)).count()
+    }
+
     /// Adds a crash. Returns whether it is new.
     fn add(&mut self, crash: CrashRecord) -> bool {
         let known = |other: &&mut CrashRecord| other.incarnation == crash.incarnation;
@@ -182,6 +199,7 @@
     pub(crate) fn is_conclusive(&self, crash: &TrialCrash, now: Millis) -> bool {
         let Some(suspect) = self.get(crash.digest, now) else { return false };
         let unexplained = self.unexplained(crash.digest, suspect);
+        let similar = suspect.similar_crashes(crash.incarnation);
         let rival = self.suspects.iter().any(|(digest, other)| {
             *digest != crash.digest
                 && other.has(crash.incarnation)
@@ -193,7 +211,7 @@
         let others = others.map(|(_, at)| *at).collect::<Vec<_>>();
         let since = crash.at - SAME_CAUSE_MS;
         let together = others.iter().filter(|at| **at >= since).count();
-        suspect.crashes.len() >= QUARANTINE_CRASHES
+        similar >= QUARANTINE_CRASHES
             && unexplained >= MIN_UNEXPLAINED
             && !rival
             && together < SAME_CAUSE_CRASHES
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -20,6 +20,7 @@
     MemberChange, Order, PoolEntry, PoolSide, RequestDigest, RequestId, ServingConfig, SideEffect,
     SideEvent, TokenCount,
 };
+use citronrill_wire::SuspectRecord;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use self::{
@@ -154,6 +155,8 @@
     faults: Faults,
     config: Arc<ServingConfig>,
     profile: EntryProfile,
+    /// Quarantined requests in the platform store.
+    stored: Vec<SuspectRecord>,
     /// When the last request of the load arrives.
     load_ends: u64,
     entries: Vec<PoolEntry>,
@@ -223,6 +226,7 @@
                 .map(PoolEntry::new)
                 .collect(),
             profile,
+            stored: Vec::new(),
             load_ends: 0,
             sides: (0..engines).map(|_| PoolSide::new(ENGINE)).collect(),
             engines: (0..engines).map(|index| engine(index, &mut rng)).collect(),
@@ -492,6 +496,7 @@
                 let engine = self.engine_at(address);
                 self.after_hop(SimEvent::EndpointCheck(engine, entry));
             }
+            EntryEffect::SaveQuarantined(record) => self.stored.push(record),
             EntryEffect::Disconnect(id) => {
                 self.cancel(entry, id);
                 self.after_hop(SimEvent::EntryInput(entry, EntryEvent::StreamBroken(id, Some(0))));
--- a/crates/pool/tests/all/simulation/poison.rs
+++ b/crates/pool/tests/all/simulation/poison.rs
@@ -6,6 +6,7 @@
     EntryEvent, EntryLink, EntryProfile, PoolEntry, PoolSide, RequestDigest, RequestId, SideEvent,
     SideLoss,
 };
+use citronrill_wire::SuspectUpdate;
 use rand::Rng;
 
 use super::{SimEvent, Simulation};
@@ -21,6 +22,8 @@
 const LEARN_MS: u64 = 3_000;
 /// Dispatches of a poison request that are permitted after that.
 const MAX_LATE_RUNS: usize = 3;
+/// Milliseconds in which an entry that has started reads the platform store.
+const STORE_MS: u64 = 8;
 /// Offset of the digests of poison requests, above all request IDs.
 const POISON_DIGEST: u128 = 1 << 64;
 
@@ -188,6 +191,9 @@
         self.entries[entry] = PoolEntry::new(profile);
         let config = EntryEvent::Config(self.config.clone());
         self.after_hop(SimEvent::EntryInput(entry, config));
+        let stored = SuspectUpdate { suspects: self.stored.clone() };
+        let read = EntryEvent::QuarantineRead(stored);
+        self.schedule(self.now + STORE_MS, SimEvent::EntryInput(entry, read));
         for side in 0..self.sides.len() {
             let lost = SideEvent::EntryLost(EntryLink(entry as u64));
             self.after_hop(SimEvent::SideInput(side, lost));
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -25,7 +25,7 @@
         Snapshot, UsageReport,
     },
     suspects::{
-        CrashRecord, SuspectCleared, SuspectKind, SuspectMessage, SuspectRecord, SuspectUpdate,
-        TrialEnded, TrialReply, TrialRequest,
+        CrashRecord, QuarantineRow, SuspectCleared, SuspectKind, SuspectMessage, SuspectRecord,
+        SuspectUpdate, TrialEnded, TrialReply, TrialRequest,
     },
 };
--- a/crates/wire/src/suspects.rs
+++ b/crates/wire/src/suspects.rs
@@ -57,6 +57,17 @@
     pub crashes: Vec<CrashRecord>,
 }
 
+/// A quarantined request in the platform store.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct QuarantineRow {
+    /// Its record.
+    #[prost(message, optional, tag = "1")]
+    pub record: Option<SuspectRecord>,
+    /// When the row is void, in Unix seconds by the writer's clock.
+    #[prost(fixed64, tag = "2")]
+    pub expires_at: u64,
+}
+
 /// The crash of an endpoint that was running a suspect.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct CrashRecord {
@@ -72,6 +83,9 @@
     /// Whether the crash shows that the request is the cause.
     #[prost(bool, tag = "4")]
     pub conclusive: bool,
+    /// Milliseconds from the start of the response to the crash; 0 if no response had started.
+    #[prost(uint32, tag = "5")]
+    pub responding_ms: u32,
 }
 
 /// A request that completed.
--- a/tests/pool/poison.rs
+++ b/tests/pool/poison.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 
-use crate::support::{Deployment, Request, Response};
+use crate::support::{Deployment, Process, Request, Response};
 
 /// Crashes after which a poison request must not run again.
 const MAX_CRASHES: u32 = 3;
@@ -23,6 +23,29 @@
     pool.request_at(entry, &request)
 }
 
+/// Guards against a quarantine that ends when all processes are lost at once.
+#[test]
+fn a_quarantine_outlives_all_processes() {
+    let mut pool = Deployment::start(&[("e1", &["m0"]), ("e2", &["m0"]), ("e3", &["m0"])]);
+    let entry = pool.caller_address;
+    let mut status = 0;
+    for number in 0..8 {
+        status = attempt(&pool, entry, "/chat/poison", &format!("poison-{number}")).status;
+        thread::sleep(PAUSE);
+    }
+    assert_eq!(status, 503);
+    pool.wait_until("the quarantine is saved", || pool.entry.logged(&["event=quarantine_saved"]));
+    pool.sides.iter_mut().for_each(Process::kill);
+    pool.entry.kill();
+    pool.sides.iter_mut().for_each(Process::restart);
+    pool.restart_entry();
+    pool.wait_until("the entry is ready", || pool.ready());
+    let response = attempt(&pool, entry, "/chat/poison", "poison-last");
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.body.contains("quarantined"), "{response:?}");
+    assert!(crashes(&pool) <= MAX_CRASHES, "{} crashes", crashes(&pool));
+}
+
 /// Guards against a request that crashes one worker after another, by whichever entry it comes, also by
 /// one that starts later.
 #[rstest]
