Test the guards of trials and of the quarantine one by one

20 tests of the reducers: trials after two crashes, one at a time, not beside each other, ended only after their crash was reported; the quarantine, its caller and what is not conclusive; clearing; what counts as a crash; sides that are silent or lost; bounded memory. No behaviour changes.

--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod simulation;
 mod stalls;
 mod support;
+mod suspects;
 mod table_follower;
 mod ticks;
 mod waiting;
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -1,6 +1,9 @@
 //! A small pool for tests: one engine service and one plain service.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+};
 
 use citronrill_base::Millis;
 use citronrill_pool::{
@@ -241,6 +244,17 @@
         self.arrive(Arrival { tokens, ..arrival })
     }
 
+    /// Sends a request that its caller has sent before, or may send again, with another ID.
+    pub(crate) fn attempt(
+        &mut self,
+        path: &str,
+        digest: RequestDigest,
+        caller: Option<IpAddr>,
+    ) -> (RequestId, Vec<EntryEffect>) {
+        let arrival = self.arrival(path, "m0");
+        self.arrive(Arrival { digest, caller, ..arrival })
+    }
+
     /// Applies a change of one row of the member list.
     pub(crate) fn update_row(
         &mut self,
--- /dev/null
+++ b/crates/pool/tests/all/suspects.rs
@@ -0,0 +1,505 @@
+//! Requests that were running when endpoints crashed: trials, quarantine, and what clears a request.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use citronrill_base::Millis;
+use citronrill_pool::{
+    EndpointCheck, EntryEffect, EntryEvent, EntryLink, PoolSide, Reason, RequestDigest, RequestId,
+    SideEffect, SideEvent, TokenCount,
+};
+use citronrill_wire::{
+    CrashRecord, SideState, SuspectCleared, SuspectKind, SuspectMessage, SuspectRecord,
+    SuspectUpdate, TrialEnded, TrialReply, TrialRequest,
+};
+use rstest::rstest;
+
+use crate::support::{Bench, ENGINE, address, dispatch, member, ok, refusal, state};
+
+const DIGEST: RequestDigest = RequestDigest(0x7000);
+const ONE: Option<IpAddr> = Some(IpAddr::V4(Ipv4Addr::new(100, 64, 0, 1)));
+const OTHER: Option<IpAddr> = Some(IpAddr::V4(Ipv4Addr::new(100, 64, 0, 2)));
+/// Milliseconds until the cause of a crash in a trial is decided.
+const DECISION_MS: u64 = 300;
+/// Milliseconds of calm before a test, over which the rate of crashes is measured.
+const CALM_MS: u64 = 60_000;
+
+fn tracking() -> SideState {
+    SideState { tracks_suspects: true, ..state(1, &["m0"]) }
+}
+
+/// Has the sides report, as they do all the time.
+fn report_sides(bench: &mut Bench, engines: u8) -> Vec<EntryEffect> {
+    let mut effects = Vec::new();
+    for index in 1..=engines {
+        effects.extend(bench.step(EntryEvent::SideReport(address(index), tracking())));
+    }
+    effects
+}
+
+/// An entry with engines that all hold `m0`, and sides that collect suspects.
+fn pool(engines: u8) -> Bench {
+    let members = (1..=engines).map(|index| member(index, ENGINE, &["m0"])).collect();
+    let mut bench = Bench::new(members);
+    bench.now += CALM_MS;
+    report_sides(&mut bench, engines);
+    bench.advance(20);
+    report_sides(&mut bench, engines);
+    bench
+}
+
+/// Returns the messages about suspects among the effects, with the sides that they go to.
+fn messages(effects: &[EntryEffect]) -> Vec<(SocketAddr, SuspectKind)> {
+    let messages = effects.iter().filter_map(|effect| match effect {
+        EntryEffect::Suspects(side, message) => Some((*side, message.kind.clone()?)),
+        _ => None,
+    });
+    messages.collect()
+}
+
+/// Returns the first trial request among the effects.
+fn trial_request(effects: &[EntryEffect]) -> Option<(SocketAddr, TrialRequest)> {
+    messages(effects).into_iter().find_map(|(side, kind)| match kind {
+        SuspectKind::TrialRequest(request) => Some((side, request)),
+        _ => None,
+    })
+}
+
+fn grant(bench: &mut Bench, side: SocketAddr, request: &TrialRequest) -> Vec<EntryEffect> {
+    let instance = request.instances.first().cloned().unwrap_or_default();
+    let reply = TrialReply { digest: request.digest.clone(), instance };
+    bench.step(EntryEvent::Suspects(side, SuspectKind::TrialReply(reply).into()))
+}
+
+/// Dispatches a request, as a trial if it needs one; returns its ID and its endpoint.
+fn run(
+    bench: &mut Bench,
+    digest: RequestDigest,
+    caller: Option<IpAddr>,
+) -> (RequestId, SocketAddr) {
+    let (id, mut effects) = bench.attempt("/draft/x", digest, caller);
+    if let Some((side, request)) = trial_request(&effects) {
+        effects = grant(bench, side, &request);
+    }
+    let sent = dispatch(&effects).unwrap().clone();
+    bench.now += 10;
+    bench.step(EntryEvent::ResponseHead(id, sent.number, ok()));
+    (id, sent.address)
+}
+
+/// Crashes the endpoint that runs a request, `after_ms` after the start of its response.
+fn crash(
+    bench: &mut Bench,
+    id: RequestId,
+    endpoint: SocketAddr,
+    after_ms: u64,
+) -> Vec<EntryEffect> {
+    bench.now += after_ms;
+    let mut effects = bench.step(EntryEvent::StreamBroken(id, None));
+    effects.extend(bench.step(EntryEvent::EndpointChecked(endpoint, EndpointCheck::Refused)));
+    effects
+}
+
+/// Has a request crash the endpoints that run it, as often as given; another incarnation comes up after
+/// each crash.
+fn crash_endpoints(bench: &mut Bench, engines: u8, caller: Option<IpAddr>, times: u32) {
+    for _ in 0..times {
+        let (id, endpoint) = run(bench, DIGEST, caller);
+        crash(bench, id, endpoint, 60);
+        settle(bench, engines, endpoint);
+    }
+}
+
+/// Lets the cause of a crash be decided, and restarts the endpoint.
+fn settle(bench: &mut Bench, engines: u8, endpoint: SocketAddr) {
+    bench.advance(DECISION_MS);
+    let restarted = SideState { instance: format!("i-{}", bench.now), ..tracking() };
+    bench.step(EntryEvent::SideReport(endpoint, restarted));
+    for index in (1..=engines).filter(|index| address(*index) != endpoint) {
+        bench.step(EntryEvent::SideReport(address(index), tracking()));
+    }
+    bench.advance(1_100);
+    for index in 1..=engines {
+        bench.step(EntryEvent::ProbeReply(address(index)));
+    }
+}
+
+fn is_quarantined(bench: &mut Bench, caller: Option<IpAddr>) -> bool {
+    let (id, effects) = bench.attempt("/draft/x", DIGEST, caller);
+    bench.step(EntryEvent::CallerLeft(id));
+    refusal(&effects).is_some_and(|(reason, _)| reason == Reason::Quarantined)
+}
+
+/// Has a side pass on that other requests ran at endpoints that crashed.
+fn tell(bench: &mut Bench, digest: u128, incarnations: &[u64]) {
+    let crashes = incarnations.iter().map(|incarnation| CrashRecord {
+        incarnation: *incarnation,
+        responding_ms: 60,
+        ..CrashRecord::default()
+    });
+    let digest = digest.to_be_bytes().to_vec();
+    let suspects = vec![SuspectRecord { digest, crashes: crashes.collect() }];
+    let update = SuspectKind::Update(SuspectUpdate { suspects });
+    bench.step(EntryEvent::Suspects(address(1), update.into()));
+}
+
+/// Guards against a third crash under a request that several entries run at once.
+#[test]
+fn a_request_runs_as_a_trial_after_two_crashes() {
+    let mut bench = pool(5);
+    crash_endpoints(&mut bench, 5, ONE, 2);
+    let (_, effects) = bench.attempt("/draft/x", DIGEST, ONE);
+    assert!(dispatch(&effects).is_none(), "{effects:?}");
+    let (side, request) = trial_request(&effects).unwrap();
+    let effects = grant(&mut bench, side, &request);
+    let sent = dispatch(&effects).unwrap();
+    assert_eq!(sent.instance, request.instances[0]);
+    assert_eq!(sent.backup, None, "no copy of a suspect's run is made");
+}
+
+/// Guards against a request that goes on crashing endpoints after the third.
+#[test]
+fn a_request_is_quarantined_after_a_crash_in_a_trial() {
+    let mut bench = pool(5);
+    crash_endpoints(&mut bench, 5, ONE, 3);
+    let (_, effects) = bench.attempt("/draft/x", DIGEST, ONE);
+    let (reason, retry_ms) = refusal(&effects).unwrap();
+    assert_eq!(reason, Reason::Quarantined);
+    assert!(retry_ms.unwrap() > 3_600_000, "callers learn that it stays quarantined: {retry_ms:?}");
+}
+
+/// Guards against refusing a caller whose request has the same content as another caller's.
+#[test]
+fn a_quarantine_is_for_the_caller_until_a_second_one_crashes_an_endpoint() {
+    let mut bench = pool(5);
+    crash_endpoints(&mut bench, 5, ONE, 3);
+    assert!(!is_quarantined(&mut bench, OTHER));
+    crash_endpoints(&mut bench, 5, OTHER, 1);
+    assert!(is_quarantined(&mut bench, OTHER));
+    assert!(is_quarantined(&mut bench, None));
+}
+
+/// Guards against taking a connection that was reset, or a stream taken from a stalled instance, for a
+/// crash.
+#[test]
+fn a_broken_connection_is_no_crash() {
+    let mut bench = pool(5);
+    for _ in 0..3 {
+        let (id, endpoint) = run(&mut bench, DIGEST, ONE);
+        bench.step(EntryEvent::StreamBroken(id, None));
+        bench.step(EntryEvent::EndpointChecked(endpoint, EndpointCheck::Accepted));
+        let effects = bench.advance(120);
+        let checks =
+            effects.iter().filter(|effect| matches!(effect, EntryEffect::CheckEndpoint(_)));
+        assert_eq!(checks.count(), 1, "it is checked once more");
+        bench.step(EntryEvent::EndpointChecked(endpoint, EndpointCheck::Accepted));
+        bench.advance(3_100);
+        report_sides(&mut bench, 5);
+    }
+    let (_, effects) = bench.attempt("/draft/x", DIGEST, ONE);
+    assert!(dispatch(&effects).is_some(), "{effects:?}");
+}
+
+/// Guards against a crash that is not noticed because the endpoint restarts before it is checked.
+#[test]
+fn a_restart_proves_a_crash() {
+    let mut bench = pool(5);
+    let (id, endpoint) = run(&mut bench, DIGEST, ONE);
+    bench.step(EntryEvent::StreamBroken(id, None));
+    bench.step(EntryEvent::EndpointChecked(endpoint, EndpointCheck::Accepted));
+    let restarted = SideState { instance: "i-next".to_owned(), ..tracking() };
+    let effects = bench.step(EntryEvent::SideReport(endpoint, restarted));
+    let updates = messages(&effects);
+    let updates = updates.iter().filter(|(_, kind)| matches!(kind, SuspectKind::Update(_)));
+    assert_eq!(updates.count(), 2, "both collectors are told: {effects:?}");
+}
+
+/// Guards against requests that stay suspects although they ran to their end.
+#[test]
+fn a_request_that_completes_is_cleared() {
+    let mut bench = pool(5);
+    crash_endpoints(&mut bench, 5, ONE, 2);
+    let (id, _) = run(&mut bench, DIGEST, ONE);
+    let effects = bench.step(EntryEvent::ResponseEnded(id, true));
+    let cleared = messages(&effects);
+    let cleared = cleared.iter().filter(|(_, kind)| matches!(kind, SuspectKind::Cleared(_)));
+    assert_eq!(cleared.count(), 2, "both collectors are told: {effects:?}");
+    crash_endpoints(&mut bench, 5, ONE, 1);
+    let (_, effects) = bench.attempt("/draft/x", DIGEST, ONE);
+    assert!(dispatch(&effects).is_some(), "one crash since: {effects:?}");
+}
+
+/// Guards against quarantining a request for a crash that may have another cause: others crash in the
+/// same second or often, or another suspect was at the same crashes.
+#[rstest]
+#[case::common_cause(&[101, 102], true)]
+#[case::frequent(&[101, 102, 103, 104, 105, 106, 107, 108], false)]
+fn a_crash_with_another_cause_is_not_conclusive(#[case] others: &[u64], #[case] together: bool) {
+    let mut bench = pool(5);
+    crash_endpoints(&mut bench, 5, ONE, 2);
+    let (id, endpoint) = run(&mut bench, DIGEST, ONE);
+    if !together {
+        tell(&mut bench, 1, others);
+        bench.now += 2_000;
+    }
+    crash(&mut bench, id, endpoint, 60);
+    if together {
+        tell(&mut bench, 1, others);
+    }
+    settle(&mut bench, 5, endpoint);
+    assert!(!is_quarantined(&mut bench, ONE));
+}
+
+/// Guards against quarantining a request for the crashes of a poison request that ran at the same
+/// endpoints.
+#[test]
+fn a_suspect_with_a_rival_is_not_quarantined() {
+    let mut bench = pool(5);
+    let mut rival = Vec::new();
+    for _ in 0..3 {
+        let (id, endpoint) = run(&mut bench, DIGEST, ONE);
+        let effects = crash(&mut bench, id, endpoint, 60);
+        let updates = messages(&effects).into_iter().filter_map(|(_, kind)| match kind {
+            SuspectKind::Update(update) => Some(update),
+            _ => None,
+        });
+        let crashes = updates.flat_map(|update| update.suspects).flat_map(|record| record.crashes);
+        rival = crashes.map(|crash| crash.incarnation).collect();
+        tell(&mut bench, 1, &rival);
+        settle(&mut bench, 5, endpoint);
+    }
+    assert!(rival.len() >= 3);
+    assert!(!is_quarantined(&mut bench, ONE));
+}
+
+/// Guards against quarantining a request that was at any point of its response when endpoints crashed.
+#[test]
+fn crashes_at_different_points_are_not_conclusive() {
+    let mut bench = pool(5);
+    for after_ms in [5, 900, 400] {
+        let (id, endpoint) = run(&mut bench, DIGEST, ONE);
+        crash(&mut bench, id, endpoint, after_ms);
+        settle(&mut bench, 5, endpoint);
+    }
+    assert!(!is_quarantined(&mut bench, ONE));
+}
+
+/// Guards against a second trial that starts before the crash of the first one is known.
+#[test]
+fn a_trial_ends_after_its_crash_was_reported() {
+    let mut bench = pool(5);
+    crash_endpoints(&mut bench, 5, ONE, 2);
+    let (id, endpoint) = run(&mut bench, DIGEST, ONE);
+    let mut effects = crash(&mut bench, id, endpoint, 60);
+    effects.extend(bench.advance(DECISION_MS));
+    let kinds = messages(&effects).into_iter().map(|(_, kind)| kind).collect::<Vec<_>>();
+    let ended = kinds.iter().position(|kind| matches!(kind, SuspectKind::TrialEnded(_))).unwrap();
+    let conclusive = |kind: &SuspectKind| match kind {
+        SuspectKind::Update(update) => {
+            let mut crashes = update.suspects.iter().flat_map(|record| &record.crashes);
+            crashes.any(|crash| crash.conclusive)
+        }
+        _ => false,
+    };
+    assert!(kinds[..ended].iter().any(conclusive), "{kinds:?}");
+}
+
+/// Guards against suspects that wait for ever because the side that grants trials is silent.
+#[test]
+fn the_other_collector_is_asked_when_the_first_is_silent() {
+    let mut bench = pool(5);
+    crash_endpoints(&mut bench, 5, ONE, 2);
+    let (_, effects) = bench.attempt("/draft/x", DIGEST, ONE);
+    let (first, _) = trial_request(&effects).unwrap();
+    bench.now += 160;
+    let effects = report_sides(&mut bench, 5);
+    let (second, _) = trial_request(&effects).unwrap();
+    assert_ne!(first, second);
+}
+
+/// Guards against two trials of one request at an entry that no side answers.
+#[test]
+fn an_entry_without_sides_runs_one_trial_at_a_time() {
+    let members = (1..=4).map(|index| member(index, ENGINE, &["m0"])).collect();
+    let mut bench = Bench::new(members);
+    let report = |bench: &mut Bench| {
+        for index in 1..=4 {
+            bench.step(EntryEvent::SideReport(address(index), state(1, &["m0"])));
+        }
+    };
+    report(&mut bench);
+    for _ in 0..2 {
+        let (id, endpoint) = run(&mut bench, DIGEST, ONE);
+        crash(&mut bench, id, endpoint, 60);
+        bench.advance(DECISION_MS);
+        report(&mut bench);
+    }
+    let (_, first) = bench.attempt("/draft/x", DIGEST, ONE);
+    let (_, second) = bench.attempt("/draft/x", DIGEST, ONE);
+    assert!(dispatch(&first).is_some(), "{first:?}");
+    assert!(dispatch(&second).is_none(), "{second:?}");
+}
+
+/// Guards against requests that wait behind a suspect which waits for its trial.
+#[test]
+fn a_waiting_suspect_holds_up_no_other_request() {
+    let mut bench = pool(3);
+    crash_endpoints(&mut bench, 3, ONE, 2);
+    let (_, effects) = bench.attempt("/draft/x", DIGEST, ONE);
+    let (side, request) = trial_request(&effects).unwrap();
+    let denied = TrialReply { digest: request.digest, instance: String::new() };
+    for index in 1..=3 {
+        bench.step(EntryEvent::SideReport(address(index), SideState { active: 60, ..tracking() }));
+    }
+    let (id, effects) = bench.request("/chat/x", "m0");
+    assert!(dispatch(&effects).is_none(), "all engines are full");
+    bench.step(EntryEvent::Suspects(side, SuspectKind::TrialReply(denied).into()));
+    let mut effects = Vec::new();
+    for index in 1..=3 {
+        effects.extend(bench.step(EntryEvent::SideReport(address(index), tracking())));
+    }
+    let sent =
+        effects.iter().any(|effect| matches!(effect, EntryEffect::Dispatch(to, _) if *to == id));
+    assert!(sent, "{effects:?}");
+}
+
+/// Guards against memory that grows with a flood of distinct requests that are lost.
+#[test]
+fn records_are_bounded() {
+    let mut bench = pool(5);
+    for digest in 0..6_000 {
+        tell(&mut bench, 0x10_0000 + digest, &[digest as u64]);
+    }
+    bench.step(EntryEvent::SideLost(address(1), citronrill_pool::SideLoss::Closed));
+    bench.step(EntryEvent::SideLost(address(2), citronrill_pool::SideLoss::Closed));
+    let mut effects = bench.advance(20);
+    report_sides(&mut bench, 5);
+    effects.extend(bench.advance(220));
+    for index in 3..=5 {
+        effects.extend(
+            bench.step(EntryEvent::SideLost(address(index), citronrill_pool::SideLoss::Closed)),
+        );
+    }
+    report_sides(&mut bench, 5);
+    effects.extend(bench.advance(220));
+    let sizes = messages(&effects).into_iter().filter_map(|(_, kind)| match kind {
+        SuspectKind::Update(update) => Some(update.suspects.len()),
+        _ => None,
+    });
+    let largest = sizes.max().unwrap();
+    assert!((1..=4_096).contains(&largest), "{largest}");
+}
+
+/// A side, its virtual clock and the messages that it sends to entries.
+struct Collector {
+    side: PoolSide,
+    now: u64,
+}
+
+impl Collector {
+    fn new() -> Collector {
+        Collector { side: PoolSide::new(ENGINE), now: 0 }
+    }
+
+    fn receive(&mut self, link: u64, kind: SuspectKind) -> Vec<(u64, SuspectKind)> {
+        self.step(SideEvent::Suspects(EntryLink(link), SuspectMessage { kind: Some(kind) }))
+    }
+
+    fn step(&mut self, event: SideEvent) -> Vec<(u64, SuspectKind)> {
+        self.now += 1;
+        let effects = self.side.step(Millis(self.now), event);
+        let sent = effects.into_iter().filter_map(|effect| match effect {
+            SideEffect::Suspects(link, message) => Some((link.0, message.kind?)),
+            _ => None,
+        });
+        sent.collect()
+    }
+
+    fn subscribe(&mut self, link: u64) -> Vec<(u64, SuspectKind)> {
+        self.receive(link, SuspectKind::Update(SuspectUpdate::default()))
+    }
+
+    /// Requests a trial; returns the granted instance, or an empty string.
+    fn trial(&mut self, link: u64, digest: u8, instances: &[&str]) -> String {
+        let instances = instances.iter().map(|name| (*name).to_owned()).collect();
+        let request = TrialRequest { digest: vec![digest; 16], instances };
+        let sent = self.receive(link, SuspectKind::TrialRequest(request));
+        let [(to, SuspectKind::TrialReply(reply))] = sent.as_slice() else { panic!("{sent:?}") };
+        assert_eq!(*to, link);
+        reply.instance.clone()
+    }
+
+    fn end(&mut self, link: u64, digest: u8, running: bool) {
+        let ended = TrialEnded { digest: vec![digest; 16], running };
+        self.receive(link, SuspectKind::TrialEnded(ended));
+    }
+}
+
+fn update(digest: u8, incarnation: u64) -> SuspectKind {
+    let crash = CrashRecord { incarnation, ..CrashRecord::default() };
+    let suspects = vec![SuspectRecord { digest: vec![digest; 16], crashes: vec![crash] }];
+    SuspectKind::Update(SuspectUpdate { suspects })
+}
+
+/// Guards against one request that runs at several endpoints at once, by several entries.
+#[test]
+fn a_request_has_one_trial_at_a_time() {
+    let mut side = Collector::new();
+    assert_eq!(side.trial(1, 7, &["a", "b"]), "a");
+    assert_eq!(side.trial(2, 7, &["b"]), "");
+    side.end(2, 7, false);
+    assert_eq!(side.trial(2, 7, &["b"]), "", "only the entry that has the trial can end it");
+    side.end(1, 7, false);
+    assert_eq!(side.trial(2, 7, &["b"]), "b");
+}
+
+/// Guards against an innocent suspect beside a poison request.
+#[test]
+fn two_suspects_do_not_start_at_one_endpoint() {
+    let mut side = Collector::new();
+    assert_eq!(side.trial(1, 7, &["a"]), "a");
+    assert_eq!(side.trial(2, 8, &["a", "b"]), "b");
+    assert_eq!(side.trial(2, 9, &["a", "b"]), "");
+    side.end(1, 7, true);
+    assert_eq!(side.trial(2, 9, &["a", "b"]), "a", "the first one has run for a while");
+    assert_eq!(side.trial(2, 7, &["c"]), "", "but it still runs");
+}
+
+/// Guards against trials that stay taken when the entry that runs them is lost.
+#[test]
+fn a_lost_entry_ends_its_trials() {
+    let mut side = Collector::new();
+    assert_eq!(side.trial(1, 7, &["a"]), "a");
+    side.step(SideEvent::EntryLost(EntryLink(1)));
+    assert_eq!(side.trial(2, 7, &["a"]), "a");
+}
+
+/// Guards against entries that do not learn of a crash that another entry saw.
+#[test]
+fn all_entries_learn_of_each_crash() {
+    let mut side = Collector::new();
+    side.subscribe(1);
+    side.subscribe(2);
+    let sent = side.receive(1, update(7, 100));
+    assert_eq!(sent.iter().map(|(link, _)| *link).collect::<Vec<_>>(), [1, 2]);
+    assert!(side.receive(2, update(7, 100)).is_empty(), "it is known");
+    let known = side.subscribe(3);
+    let [(3, SuspectKind::Update(known))] = known.as_slice() else { panic!("{known:?}") };
+    assert_eq!(known.suspects.len(), 1);
+    let cleared = SuspectCleared { digest: vec![7; 16], caller: 0 };
+    let sent = side.receive(1, SuspectKind::Cleared(cleared));
+    assert_eq!(sent.iter().map(|(link, _)| *link).collect::<Vec<_>>(), [2, 3]);
+}
+
+/// Guards against copies of the KV cache that carry a suspect to a second endpoint.
+#[test]
+fn a_suspect_gets_no_backup() {
+    let mut bench = pool(5);
+    crash_endpoints(&mut bench, 5, ONE, 2);
+    let tokens = TokenCount { prompt: 100, answer: 100 };
+    let (_, effects) = bench.request_with_tokens("/draft/x", "m0", tokens);
+    assert!(dispatch(&effects).unwrap().backup.is_some(), "others get one after losses");
+    let (_, effects) = bench.attempt("/draft/x", DIGEST, ONE);
+    let (side, request) = trial_request(&effects).unwrap();
+    let effects = grant(&mut bench, side, &request);
+    assert_eq!(dispatch(&effects).unwrap().backup, None);
+}
