Send a request that crashes workers in every seed of the soak

A caller repeats it every 50 to 800 ms at any entry, on a route for streams that may be resumed, streams that may run once, or plain calls, by seed, beside the faults; the draws of the other seeds stay. Checked: at most three runs later than three seconds after the third crash, and no other request refused as one that crashes workers.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -393,11 +393,13 @@
                 ));
             }
             EntryEffect::SaveQuarantined(record) => {
+                self.metrics.quarantined.increment();
                 if self.quarantined.send(record).is_err() {
                     log::debug!("event=traffic_gone");
                 }
             }
             EntryEffect::CheckEndpoint(address) => {
+                self.metrics.crash_checks.increment();
                 if self.endpoint_checks.send(address).is_err() {
                     log::debug!("event=traffic_gone");
                 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -82,6 +82,10 @@
 pub(crate) struct EntryMetrics {
     pub(crate) requests: Counter,
     pub(crate) load_requests: Counter,
+    /// Checks whether an endpoint has crashed.
+    pub(crate) crash_checks: Counter,
+    /// Requests that this entry found to crash endpoints.
+    pub(crate) quarantined: Counter,
     /// Time from a complete request to its first attempt.
     pub(crate) queue_time: DurationHistogram,
     /// Time from an attempt to the head of its response.
@@ -96,6 +100,8 @@
         EntryMetrics {
             requests: Counter::default(),
             load_requests: Counter::default(),
+            crash_checks: Counter::default(),
+            quarantined: Counter::default(),
             queue_time: DurationHistogram::default(),
             ttfb: DurationHistogram::default(),
             statuses: Mutex::default(),
@@ -122,6 +128,8 @@
         let mut text = String::new();
         write_sample(&mut text, "citronrill_requests_total", "", self.requests.value());
         write_sample(&mut text, "citronrill_wants_total", "", self.load_requests.value());
+        write_sample(&mut text, "citronrill_crash_checks_total", "", self.crash_checks.value());
+        write_sample(&mut text, "citronrill_quarantined_total", "", self.quarantined.value());
         self.queue_time.write_summary(&mut text, "citronrill_wait_ms");
         self.ttfb.write_summary(&mut text, "citronrill_head_ms");
         let statuses = self.statuses.lock().unwrap_or_else(PoisonError::into_inner);
--- a/tests/pool/poison.rs
+++ b/tests/pool/poison.rs
@@ -7,12 +7,12 @@
 use crate::support::{Deployment, Process, Request, Response};
 
 /// Crashes after which a poison request must not run again.
-const MAX_CRASHES: u32 = 3;
+const MAX_CRASHES: usize = 3;
 /// Milliseconds between two attempts of a caller.
 const PAUSE: Duration = Duration::from_millis(900);
 
-fn crashes(pool: &Deployment) -> u32 {
-    pool.engines.iter().chain([&pool.ledger]).map(|worker| worker.crashes()).sum()
+fn crashes(pool: &Deployment) -> usize {
+    pool.engines.iter().chain([&pool.ledger]).map(|worker| worker.crashes().len()).sum()
 }
 
 fn attempt(pool: &Deployment, entry: SocketAddr, path: &str, id: &str) -> Response {
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -58,6 +58,8 @@
             "ran, but was refused as not executed"
         } else if self.served() && self.echoed_id.as_deref() != Some(self.id.as_str()) {
             "got the response to another request"
+        } else if self.body.contains("quarantined") {
+            "was refused for having run beside a request that crashes workers"
         } else if self.served() && runs == 0 {
             "was served without having run"
         } else if self.served() && self.path != "/book/x" && !self.in_order() {
@@ -81,6 +83,42 @@
     }
 }
 
+/// Caller that repeats one request which crashes each worker that runs it, at any entry.
+pub(crate) struct PoisonCaller {
+    rng: SmallRng,
+    path: &'static str,
+    entries: Vec<EntryPoint>,
+}
+
+impl PoisonCaller {
+    pub(crate) fn new(seed: u64, entries: Vec<EntryPoint>) -> PoisonCaller {
+        let paths = ["/chat/poison", "/draft/poison", "/status/poison"];
+        let path = paths[seed as usize % paths.len()];
+        PoisonCaller { rng: SmallRng::seed_from_u64(seed), path, entries }
+    }
+
+    /// Sends the request until `stop` is set. Entries may be down; the response does not matter.
+    pub(crate) fn run(mut self, stop: &AtomicBool) {
+        let mut number = 0;
+        while !stop.load(Ordering::Relaxed) {
+            number += 1;
+            let id = format!("poison-{number}");
+            let request = match self.path {
+                "/status/poison" => Request::call(self.path, &id),
+                path => Request::stream(path, &id, "m0"),
+            };
+            let entry = self.rng.random_range(0..self.entries.len());
+            if let Ok(mut stream) = TcpStream::connect(self.entries[entry].address) {
+                stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+                if stream.write_all(&request.bytes()).is_ok() {
+                    Response::read(&mut stream);
+                }
+            }
+            thread::sleep(Duration::from_millis(self.rng.random_range(50..800)));
+        }
+    }
+}
+
 /// Caller that sends requests to one entry.
 pub(crate) struct Caller {
     name: String,
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use citronrill_platform_standin::{Fault, Outage, Proxy, WorkerMode};
+use citronrill_platform_standin::{Fault, Outage, Proxy, Worker, WorkerMode};
 use rand::{Rng, rngs::SmallRng};
 
 use crate::support::{Deployment, LinkedEntry, Process, WAIT_TIMEOUT, config, large_config};
@@ -27,6 +27,10 @@
 /// faults overlap.
 const MAX_FAULT_MS: u64 = 1_500;
 const MAX_PAUSE_MS: u64 = 500;
+/// Time after the third crash under one request within which all entries must know that request.
+const LEARN_TIME: Duration = Duration::from_secs(3);
+/// Runs of the request that are permitted after that.
+const MAX_LATE_RUNS: usize = 3;
 /// Bytes per second of an entry's slow link. A large configuration takes longer on it than a short fixed
 /// timeout of sides or of store reads would allow.
 const SLOW_LINK_RATE: u64 = 800_000;
@@ -342,6 +346,28 @@
         executed
     }
 
+    /// Returns when workers crashed, in order.
+    pub(crate) fn crashes(&self) -> Vec<Instant> {
+        self.worker_times(Worker::crashes)
+    }
+
+    fn worker_times(&self, times: impl Fn(&Worker) -> Vec<Instant>) -> Vec<Instant> {
+        let workers = self.deployment.engines.iter().chain([&self.deployment.ledger]);
+        let mut all = workers.flat_map(times).collect::<Vec<_>>();
+        all.sort_unstable();
+        all
+    }
+
+    /// Returns a violation if the request that crashes workers ran too often after the third crash.
+    pub(crate) fn check_poison(&self) -> Option<String> {
+        let crashes = self.crashes();
+        let known_at = *crashes.get(2)? + LEARN_TIME;
+        let runs = self.worker_times(Worker::poison_runs);
+        let late = runs.iter().filter(|at| **at > known_at).count();
+        let excess = late > MAX_LATE_RUNS;
+        excess.then(|| format!("{late} late runs of the request that crashed {}", crashes.len()))
+    }
+
     /// Returns violations that workers detected, and failed planned stops.
     pub(crate) fn check_workers(&self) -> Vec<String> {
         let mut violations = self.violations.clone();
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -26,7 +26,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
-    callers::{Caller, Record},
+    callers::{Caller, PoisonCaller, Record},
     faults::Harness,
     support::Deployment,
 };
@@ -93,7 +93,9 @@
         let (stop, records) = (stop.clone(), records.clone());
         thread::spawn(move || caller.run(&stop, &records))
     });
-    let callers = callers.collect::<Vec<_>>();
+    let mut callers = callers.collect::<Vec<_>>();
+    let (poison, poison_stop) = (PoisonCaller::new(seed, entries.clone()), stop.clone());
+    callers.push(thread::spawn(move || poison.run(&poison_stop)));
     harness.run();
     stop.store(true, Ordering::Relaxed);
     for caller in callers {
@@ -101,6 +103,7 @@
     }
     let mut violations = harness.check_configs();
     violations.extend(harness.check_workers());
+    violations.extend(harness.check_poison());
     let records = records.lock().unwrap();
     violations.extend(records.iter().filter_map(|record| record.violation(&harness.executed())));
     let served = records.iter().filter(|record| record.served()).count();
@@ -111,6 +114,10 @@
     }
     let mut statuses = BTreeMap::<u16, usize>::new();
     records.iter().for_each(|record| *statuses.entry(record.status).or_default() += 1);
-    println!("seed {seed}: {} requests, {served} served completely; {statuses:?}", records.len());
+    let crashes = harness.crashes().len();
+    println!(
+        "seed {seed}: {} requests, {served} served completely; {statuses:?}; {crashes} crashes",
+        records.len()
+    );
     (violations, fault_log)
 }
