--- a/crates/pool/tests/all/suspects.rs
+++ b/crates/pool/tests/all/suspects.rs
@@ -178,8 +178,7 @@
     assert!(is_quarantined(&mut bench, None));
 }
 
-/// Guards against taking a connection that was reset, or a stream taken from a stalled instance, for a
-/// crash.
+/// Guards against taking a connection that was reset for a crash.
 #[test]
 fn a_broken_connection_is_no_crash() {
     let mut bench = pool(5);
@@ -199,6 +198,18 @@
     assert!(dispatch(&effects).is_some(), "{effects:?}");
 }
 
+/// Guards against taking a stream that is taken away from a stalled instance for one that its endpoint
+/// lost.
+#[test]
+fn a_stream_taken_from_a_stalled_instance_is_no_crash() {
+    let mut bench = pool(5);
+    let (id, _) = run(&mut bench, DIGEST, ONE);
+    bench.advance(600);
+    let effects = bench.step(EntryEvent::StreamBroken(id, None));
+    let checked = effects.iter().any(|effect| matches!(effect, EntryEffect::CheckEndpoint(_)));
+    assert!(!checked, "{effects:?}");
+}
+
 /// Guards against a crash that is not noticed because the endpoint restarts before it is checked.
 #[test]
 fn a_restart_proves_a_crash() {
