Test a request that crashes its engines and comes at five entries in the same millisecond

Entries choose alike, and each request has its own order of the endpoints for retries, so that most of the five runs meet at one engine.

--- a/crates/pool/tests/all/poison.rs
+++ b/crates/pool/tests/all/poison.rs
@@ -122,3 +122,18 @@
     assert!(stats.poison.worst() <= MAX_CRASHES, "{:?}", stats.poison);
     assert!(stats.busy_served > 1_000, "{stats:?}");
 }
+
+/// Guards against a request that several entries receive in the same millisecond, again and again: none of
+/// them knows of a crash when it runs the first attempt.
+#[rstest]
+fn poison_request_at_several_entries_is_bounded(
+    #[values("/chat/x", "/draft/x")] path: &'static str,
+    #[values((9, 5), (42, 12))] (engines, entries): (usize, usize),
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let mut simulation = Simulation::new(seed, engines, entries, Faults::none());
+    simulation.add_poison(Poison { entries: 5, ..poison(path) });
+    let stats = simulation.run(&LOAD);
+    assert_eq!(stats.poison.violations(), Vec::<String>::new());
+    assert_eq!(stats.poison.innocent, 0, "{:?}", stats.poison);
+}
