--- a/crates/pool/tests/all/suspects.rs
+++ b/crates/pool/tests/all/suspects.rs
@@ -131,9 +131,14 @@
 
 /// Has a side pass on that other requests ran at endpoints that crashed.
 fn tell(bench: &mut Bench, digest: u128, incarnations: &[u64]) {
+    tell_decided(bench, digest, incarnations, false);
+}
+
+fn tell_decided(bench: &mut Bench, digest: u128, incarnations: &[u64], conclusive: bool) {
     let crashes = incarnations.iter().map(|incarnation| CrashRecord {
         incarnation: *incarnation,
         responding_ms: 60,
+        conclusive,
         ..CrashRecord::default()
     });
     let digest = digest.to_be_bytes().to_vec();
@@ -142,6 +147,19 @@
     bench.step(EntryEvent::Suspects(address(1), update.into()));
 }
 
+/// Returns the incarnations of the crashes that the effects report.
+fn reported(effects: &[EntryEffect]) -> Vec<u64> {
+    let updates = messages(effects).into_iter().filter_map(|(_, kind)| match kind {
+        SuspectKind::Update(update) => Some(update),
+        _ => None,
+    });
+    let crashes = updates.flat_map(|update| update.suspects).flat_map(|record| record.crashes);
+    let mut incarnations = crashes.map(|crash| crash.incarnation).collect::<Vec<_>>();
+    incarnations.sort_unstable();
+    incarnations.dedup();
+    incarnations
+}
+
 /// Guards against a third crash under a request that several entries run at once.
 #[test]
 fn a_request_runs_as_a_trial_after_two_crashes() {
@@ -268,13 +286,7 @@
     let mut rival = Vec::new();
     for _ in 0..3 {
         let (id, endpoint) = run(&mut bench, DIGEST, ONE);
-        let effects = crash(&mut bench, id, endpoint, 60);
-        let updates = messages(&effects).into_iter().filter_map(|(_, kind)| match kind {
-            SuspectKind::Update(update) => Some(update),
-            _ => None,
-        });
-        let crashes = updates.flat_map(|update| update.suspects).flat_map(|record| record.crashes);
-        rival = crashes.map(|crash| crash.incarnation).collect();
+        rival = reported(&crash(&mut bench, id, endpoint, 60));
         tell(&mut bench, 1, &rival);
         settle(&mut bench, 5, endpoint);
     }
@@ -282,6 +294,23 @@
     assert!(!is_quarantined(&mut bench, ONE));
 }
 
+/// Guards against quarantining a request for one crash of its own, beside those of a poison request that is
+/// quarantined.
+#[test]
+fn crashes_of_a_quarantined_request_do_not_count_for_another() {
+    let mut bench = pool(5);
+    let mut explained = Vec::new();
+    for _ in 0..2 {
+        let (id, endpoint) = run(&mut bench, DIGEST, ONE);
+        explained = reported(&crash(&mut bench, id, endpoint, 60));
+        settle(&mut bench, 5, endpoint);
+    }
+    explained.push(100);
+    tell_decided(&mut bench, 1, &explained, true);
+    crash_endpoints(&mut bench, 5, ONE, 1);
+    assert!(!is_quarantined(&mut bench, ONE));
+}
+
 /// Guards against quarantining a request that was at any point of its response when endpoints crashed.
 #[test]
 fn crashes_at_different_points_are_not_conclusive() {
