Have a request that completes meanwhile be no suspect

An entry remembers for ten seconds what completed there, and voids crashes of it that it reports or is told of, at all entries. Crashes under several callers are void when any of them completes.

--- /dev/null
+++ b/crates/pool/src/completed.rs
@@ -0,0 +1,44 @@
+//! Requests that completed of late.
+
+use std::collections::VecDeque;
+
+use citronrill_base::{Map, Millis};
+
+use crate::digest::RequestDigest;
+
+/// Milliseconds for which a completed request is remembered.
+const TTL_MS: u64 = 10_000;
+/// Completed requests that are remembered: those of ten seconds at some 400 a second.
+const MAX_COMPLETED: usize = 4_096;
+
+/// The requests that an entry has completed in the last seconds, with their callers.
+///
+/// A poison request never completes. Without this, many callers that send the same content at the same
+/// time, so that it runs at every endpoint that crashes, would be refused for those crashes.
+#[derive(Debug, Default)]
+pub(crate) struct Completed {
+    last: Map<RequestDigest, (u64, Millis)>,
+    /// In order of completion; a request that completed again since is in it twice.
+    order: VecDeque<(RequestDigest, Millis)>,
+}
+
+impl Completed {
+    /// Records a request that completed for this caller.
+    pub(crate) fn record(&mut self, digest: RequestDigest, caller: u64, now: Millis) {
+        self.last.insert(digest, (caller, now));
+        self.order.push_back((digest, now));
+        let old = |(_, at): &(RequestDigest, Millis)| now.since(*at) >= TTL_MS;
+        while self.order.len() > MAX_COMPLETED || self.order.front().is_some_and(old) {
+            let Some((digest, at)) = self.order.pop_front() else { return };
+            if self.last.get(&digest).is_some_and(|(_, last)| *last == at) {
+                self.last.remove(&digest);
+            }
+        }
+    }
+
+    /// Returns the last caller for whom a request completed, if that was not long ago.
+    pub(crate) fn caller(&self, digest: RequestDigest, now: Millis) -> Option<u64> {
+        let recent = |(_, at): &&(u64, Millis)| now.since(*at) < TTL_MS;
+        self.last.get(&digest).filter(recent).map(|(caller, _)| *caller)
+    }
+}
--- a/crates/pool/src/entry/crashes.rs
+++ b/crates/pool/src/entry/crashes.rs
@@ -194,9 +194,14 @@
                 self.crashes.undecided.push(Undecided { run, incarnation, instance, at: now });
             }
         }
-        if !suspects.is_empty() {
-            self.send_to_collectors(&SuspectKind::Update(SuspectUpdate { suspects }));
+        if suspects.is_empty() {
+            return;
         }
+        let digests =
+            suspects.iter().filter_map(|record| RequestDigest::from_bytes(&record.digest));
+        let digests = digests.collect::<Vec<_>>();
+        self.send_to_collectors(&SuspectKind::Update(SuspectUpdate { suspects }));
+        digests.into_iter().for_each(|digest| self.void_if_completed(digest));
     }
 
     /// Decides whether the request in a trial was the cause of a crash. Its trial ends after that, so
--- a/crates/pool/src/entry/suspects.rs
+++ b/crates/pool/src/entry/suspects.rs
@@ -16,6 +16,7 @@
 
 use super::{EntryEffect, PoolEntry, Request};
 use crate::{
+    completed::Completed,
     digest::RequestDigest,
     endpoint::Endpoint,
     suspects::{SuspectTable, TRIAL_CRASHES},
@@ -30,6 +31,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
     pub(super) table: SuspectTable,
+    /// Requests that completed here of late.
+    completed: Completed,
     /// The sides that collect the records, the one that grants trials first.
     pub(super) collectors: Vec<SocketAddr>,
     /// When they were selected; `None` if a connection has been lost since.
@@ -59,16 +62,28 @@
     /// Clears a request that has completed.
     pub(super) fn clear_suspect(&mut self, request: &Request) {
         let (digest, caller) = (request.digest, caller_hash(request));
+        self.suspects.completed.record(digest, caller, self.now);
         self.forget_lost_runs(digest, caller);
+        self.void_crashes(digest, caller);
+    }
+
+    /// Voids the crashes of a request that has completed, also at all other entries.
+    fn void_crashes(&mut self, digest: RequestDigest, caller: u64) {
         if !self.suspects.table.clear(digest, caller) {
             return;
         }
-        let event = LogEvent::new("cleared").with("id", &request.caller_id);
-        self.log(event.with("digest", digest));
+        self.log(LogEvent::new("cleared").with("digest", digest));
         let cleared = SuspectCleared { digest: digest.to_bytes(), caller };
         self.send_to_collectors(&SuspectKind::Cleared(cleared));
     }
 
+    /// Voids the crashes of a request that has completed here of late.
+    pub(super) fn void_if_completed(&mut self, digest: RequestDigest) {
+        if let Some(caller) = self.suspects.completed.caller(digest, self.now) {
+            self.void_crashes(digest, caller);
+        }
+    }
+
     /// Handles a message about suspects from a side.
     pub(super) fn handle_suspects(&mut self, side: SocketAddr, message: SuspectMessage) {
         match message.kind {
@@ -116,6 +131,7 @@
                 let event = LogEvent::new("suspect_told").with("digest", digest);
                 self.log(event.with("crashes", crashes).with("from", &source));
             }
+            self.void_if_completed(digest);
         }
     }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod budget;
 mod check_timer;
+mod completed;
 mod config;
 mod config_transfer;
 mod decaying_count;
--- a/crates/pool/src/suspects.rs
+++ b/crates/pool/src/suspects.rs
@@ -65,6 +65,10 @@
         self.updated_at + ttl
     }
 
+    fn has_several_callers(&self) -> bool {
+        self.crashes.iter().any(|crash| crash.caller != self.crashes[0].caller)
+    }
+
     fn has(&self, incarnation: u64) -> bool {
         self.crashes.iter().any(|crash| crash.incarnation == incarnation)
     }
@@ -179,11 +183,13 @@
     /// any.
     ///
     /// A request of the same content from another caller keeps its record: completing may depend on
-    /// more than the content.
+    /// more than the content. Crashes under several callers are all void, as what many of them send is
+    /// more likely to have been running at any endpoint that crashed.
     pub(crate) fn clear(&mut self, digest: RequestDigest, caller: u64) -> bool {
         let Some(suspect) = self.suspects.get_mut(&digest) else { return false };
         let before = suspect.crashes.len();
-        suspect.crashes.retain(|crash| crash.caller != caller);
+        let several = suspect.has_several_callers();
+        suspect.crashes.retain(|crash| !several && crash.caller != caller);
         let cleared = suspect.crashes.len() < before;
         if suspect.crashes.is_empty() {
             self.suspects.remove(&digest);
@@ -245,7 +251,7 @@
             return false;
         };
         let own = suspect.crashes.iter().any(|crash| crash.caller == caller);
-        own || suspect.crashes.iter().any(|crash| crash.caller != suspect.crashes[0].caller)
+        own || suspect.has_several_callers()
     }
 
     /// Returns the milliseconds until the quarantine of a request ends.
--- a/crates/pool/tests/all/suspects.rs
+++ b/crates/pool/tests/all/suspects.rs
@@ -257,6 +257,25 @@
     assert!(dispatch(&effects).is_some(), "one crash since: {effects:?}");
 }
 
+/// Guards against refusing all callers of a popular request, which runs at every endpoint that crashes.
+#[rstest]
+#[case::one_caller(ONE)]
+#[case::other_callers(OTHER)]
+fn a_request_that_completes_meanwhile_is_no_suspect(#[case] caller: Option<IpAddr>) {
+    let mut bench = pool(5);
+    for lost_by in [ONE, caller, ONE] {
+        let (id, _) = run(&mut bench, DIGEST, caller);
+        bench.step(EntryEvent::ResponseEnded(id, true));
+        let (id, endpoint) = run(&mut bench, DIGEST, lost_by);
+        crash(&mut bench, id, endpoint, 60);
+        settle(&mut bench, 5, endpoint);
+    }
+    let (id, _) = run(&mut bench, DIGEST, caller);
+    bench.step(EntryEvent::ResponseEnded(id, true));
+    let (_, effects) = bench.attempt("/draft/x", DIGEST, ONE);
+    assert!(dispatch(&effects).is_some(), "{effects:?}");
+}
+
 /// Guards against quarantining a request for a crash that may have another cause: others crash in the
 /// same second or often, or another suspect was at the same crashes.
 #[rstest]
