Take a reset connection for no crash when the endpoint crashes later

A connection was reset on its way, and the endpoint crashed under another request within three seconds; its restart passed for the proof that it had crashed under the run that was reset. Cause: two checks that found the process alive did not rule a crash out.

An endpoint that accepts connections 100 ms after it broke some has not crashed. So that this is told from one that is down behind something that accepts for it, or whose kernel still accepts while it ends, a connection that is closed within 30 ms counts as refused; crashes behind a proxy are proven at once now and not by the restart.

--- a/crates/gateway/src/endpoint_check.rs
+++ b/crates/gateway/src/endpoint_check.rs
@@ -1,9 +1,9 @@
 //! Checks whether the process of an endpoint has ended.
 
-use std::{io::ErrorKind, net::SocketAddr};
+use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
 use citronrill_pool::{EndpointCheck, EntryEvent};
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::{io::AsyncReadExt, sync::mpsc::UnboundedReceiver, time::timeout};
 
 use crate::{
     entry::EventSender,
@@ -11,6 +11,9 @@
     http_client::{CONNECT_TIMEOUT_MS, connect},
 };
 
+/// Milliseconds within which a connection that no process serves is closed.
+const CLOSE_MS: u64 = 30;
+
 /// Checks endpoints until the control thread ends.
 pub(crate) async fn run_endpoint_checks(
     mut addresses: UnboundedReceiver<SocketAddr>,
@@ -26,9 +29,18 @@
 }
 
 /// Connects to an endpoint and disconnects again.
+///
+/// The kernel accepts connections for a process that is about to end, as does whatever stands in front of
+/// an endpoint; they are closed at once.
 async fn check_endpoint(address: SocketAddr) -> EndpointCheck {
     match connect(address, CONNECT_TIMEOUT_MS).await {
-        Ok(_) => EndpointCheck::Accepted,
+        Ok(mut stream) => {
+            let read = stream.read_u8();
+            match timeout(Duration::from_millis(CLOSE_MS), read).await {
+                Ok(Err(_)) => EndpointCheck::Refused,
+                Ok(Ok(_)) | Err(_) => EndpointCheck::Accepted,
+            }
+        }
         Err(GatewayError::Connect { source, .. })
             if source.kind() == ErrorKind::ConnectionRefused =>
         {
--- a/crates/pool/src/entry/crashes.rs
+++ b/crates/pool/src/entry/crashes.rs
@@ -29,7 +29,7 @@
 /// Result of checking whether an endpoint's process accepts connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointCheck {
-    /// The connection was refused: no process listens there.
+    /// The connection was refused, or closed at once: no process runs there.
     Refused,
     /// The connection was accepted.
     Accepted,
@@ -149,13 +149,22 @@
     /// Handles the result of checking an endpoint.
     pub(super) fn endpoint_checked(&mut self, address: SocketAddr, check: EndpointCheck) {
         let now = self.now;
-        let mut possible = self.crashes.possible.iter_mut();
-        let unproven = possible.find(|crash| crash.address == address && !crash.proven);
-        let Some(crash) = unproven else { return };
-        if check != EndpointCheck::Refused {
-            let again = check == EndpointCheck::Silent || now.since(crash.at) < RECHECK_MS;
-            crash.recheck_at = again.then_some(now + RECHECK_MS);
-            return;
+        let possible = &mut self.crashes.possible;
+        let unproven = |crash: &PossibleCrash| crash.address == address && !crash.proven;
+        let Some(index) = possible.iter().position(unproven) else { return };
+        let crash = &mut possible[index];
+        match check {
+            EndpointCheck::Refused => {}
+            EndpointCheck::Accepted if now.since(crash.at) >= RECHECK_MS => {
+                // It still runs: what it lost was reset, and a later restart has another cause.
+                let lost = possible.remove(index).lost;
+                lost.iter().for_each(|run| self.end_lost_trial(run));
+                return;
+            }
+            EndpointCheck::Accepted | EndpointCheck::Silent => {
+                crash.recheck_at = Some(now + RECHECK_MS);
+                return;
+            }
         }
         let instance = crash.instance.clone();
         if let Some(endpoint) = self.pool.endpoints.get_mut(&instance) {
--- a/crates/pool/tests/all/suspects.rs
+++ b/crates/pool/tests/all/suspects.rs
@@ -216,6 +216,22 @@
     assert!(dispatch(&effects).is_some(), "{effects:?}");
 }
 
+/// Guards against counting a reset connection as a crash because the endpoint crashes a second later, under
+/// another request.
+#[test]
+fn a_crash_after_a_reset_has_another_cause() {
+    let mut bench = pool(5);
+    let (id, endpoint) = run(&mut bench, DIGEST, ONE);
+    bench.step(EntryEvent::StreamBroken(id, None));
+    bench.step(EntryEvent::EndpointChecked(endpoint, EndpointCheck::Accepted));
+    bench.advance(120);
+    bench.step(EntryEvent::EndpointChecked(endpoint, EndpointCheck::Accepted));
+    bench.advance(1_000);
+    let restarted = SideState { instance: "i-next".to_owned(), ..tracking() };
+    let effects = bench.step(EntryEvent::SideReport(endpoint, restarted));
+    assert_eq!(reported(&effects), Vec::<u64>::new());
+}
+
 /// Guards against taking a stream that is taken away from a stalled instance for one that its endpoint
 /// lost.
 #[test]
