Quarantine a suspect at its sixth crash whatever else fits

Read in the code, not seen: where another suspect always fits as well, or endpoints crash all the time, no crash of a poison request would be conclusive, and after the eighth none is even recorded. The test fails without it (never quarantined in six crashes).

--- a/crates/pool/src/suspects.rs
+++ b/crates/pool/src/suspects.rs
@@ -14,6 +14,9 @@
 pub(crate) const TRIAL_CRASHES: usize = 2;
 /// Crashes, one of them conclusive, from which on a request is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
+/// Crashes of a request from which on the last one is conclusive whatever else may have caused it: a limit
+/// on what a poison request can do beside other faults.
+const CERTAIN_CRASHES: usize = 6;
 /// Crashes of a request that no quarantined one explains, without which none is conclusive.
 const MIN_UNEXPLAINED: usize = 2;
 /// Probability that endpoints crashed by themselves in all trials of a request, above which the last
@@ -217,11 +220,12 @@
         let others = others.map(|(_, at)| *at).collect::<Vec<_>>();
         let since = crash.at - SAME_CAUSE_MS;
         let together = others.iter().filter(|at| **at >= since).count();
-        similar >= QUARANTINE_CRASHES
+        let alone = similar >= QUARANTINE_CRASHES
             && unexplained >= MIN_UNEXPLAINED
             && !rival
             && together < SAME_CAUSE_CRASHES
-            && chance(suspect, others.len(), crash, now) < MAX_CHANCE
+            && chance(suspect, others.len(), crash, now) < MAX_CHANCE;
+        alone || suspect.crashes.len() >= CERTAIN_CRASHES
     }
 
     /// Returns the number of crashes of a suspect that no other request explains.
--- a/crates/pool/tests/all/suspects.rs
+++ b/crates/pool/tests/all/suspects.rs
@@ -330,6 +330,20 @@
     assert!(!is_quarantined(&mut bench, ONE));
 }
 
+/// Guards against a poison request that goes on crashing endpoints because another one always fits as well.
+#[test]
+fn six_crashes_are_conclusive_whatever_else_fits() {
+    let mut bench = pool(5);
+    for crashes in 1..=6 {
+        assert!(!is_quarantined(&mut bench, ONE), "after {} crashes", crashes - 1);
+        let (id, endpoint) = run(&mut bench, DIGEST, ONE);
+        let incarnations = reported(&crash(&mut bench, id, endpoint, 60));
+        tell(&mut bench, 1, &incarnations);
+        settle(&mut bench, 5, endpoint);
+    }
+    assert!(is_quarantined(&mut bench, ONE));
+}
+
 /// Guards against quarantining a request for one crash of its own, beside those of a poison request that is
 /// quarantined.
 #[test]
