--- a/crates/pool/tests/all/suspects.rs
+++ b/crates/pool/tests/all/suspects.rs
@@ -292,6 +292,17 @@
     assert!(dispatch(&effects).is_some(), "{effects:?}");
 }
 
+/// Guards against crashes of a popular request that are recorded after it has completed.
+#[test]
+fn a_request_that_has_just_completed_is_no_suspect() {
+    let mut bench = pool(5);
+    let (id, _) = run(&mut bench, DIGEST, ONE);
+    bench.step(EntryEvent::ResponseEnded(id, true));
+    crash_endpoints(&mut bench, 5, ONE, 2);
+    let (_, effects) = bench.attempt("/draft/x", DIGEST, ONE);
+    assert!(dispatch(&effects).is_some(), "{effects:?}");
+}
+
 /// Guards against quarantining a request for a crash that may have another cause: others crash in the
 /// same second or often, or another suspect was at the same crashes.
 #[rstest]
@@ -737,7 +748,22 @@
     }
     let (_, effects) = bench.attempt("/chat/x", DIGEST, ONE);
     let (side, request) = trial_request(&effects).unwrap();
-    assert!(dispatch(&grant(&mut bench, side, &request)).is_some());
-    let effects = bench.advance(1_500);
-    assert!(dispatch(&effects).is_none(), "{effects:?}");
+    let endpoint = dispatch(&grant(&mut bench, side, &request)).unwrap().address;
+    assert!(dispatch(&stall(&mut bench, endpoint)).is_none());
+    // Another request does fail over.
+    let (_, effects) = bench.request("/chat/x", "m0");
+    let endpoint = dispatch(&effects).unwrap().address;
+    assert!(dispatch(&stall(&mut bench, endpoint)).is_some());
+}
+
+/// Lets an endpoint be silent for 1.5 s while the others report.
+fn stall(bench: &mut Bench, endpoint: SocketAddr) -> Vec<EntryEffect> {
+    let mut effects = Vec::new();
+    for _ in 0..75 {
+        for other in (1..=5).map(address).filter(|other| *other != endpoint) {
+            effects.extend(bench.step(EntryEvent::SideReport(other, tracking())));
+        }
+        effects.extend(bench.advance(20));
+    }
+    effects
 }
