Take a connection that is closed at once for no proof of a crash

Cause: a connection that was accepted and closed at once counted as refused. An endpoint closes connections beyond its limit as well. It is checked again now, until it refuses or restarts.

--- a/crates/gateway/src/endpoint_check.rs
+++ b/crates/gateway/src/endpoint_check.rs
@@ -31,13 +31,13 @@
 /// Connects to an endpoint and disconnects again.
 ///
 /// The kernel accepts connections for a process that is about to end, as does whatever stands in front of
-/// an endpoint; they are closed at once.
+/// an endpoint; they are closed at once. An endpoint also closes connections beyond its limit.
 async fn check_endpoint(address: SocketAddr) -> EndpointCheck {
     match connect(address, CONNECT_TIMEOUT_MS).await {
         Ok(mut stream) => {
             let read = stream.read_u8();
             match timeout(Duration::from_millis(CLOSE_MS), read).await {
-                Ok(Err(_)) => EndpointCheck::Refused,
+                Ok(Err(_)) => EndpointCheck::Unknown,
                 Ok(Ok(_)) | Err(_) => EndpointCheck::Accepted,
             }
         }
@@ -48,7 +48,7 @@
         }
         Err(error) => {
             log::debug!("event=endpoint_silent address={address} error=\"{error}\"");
-            EndpointCheck::Silent
+            EndpointCheck::Unknown
         }
     }
 }
--- a/crates/pool/src/entry/crashes.rs
+++ b/crates/pool/src/entry/crashes.rs
@@ -29,12 +29,12 @@
 /// Result of checking whether an endpoint's process accepts connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointCheck {
-    /// The connection was refused, or closed at once: no process runs there.
+    /// The connection was refused: no process listens there.
     Refused,
     /// The connection was accepted.
     Accepted,
-    /// Nothing was heard.
-    Silent,
+    /// Nothing was heard, or the connection was closed at once.
+    Unknown,
 }
 
 /// A request that was running at an endpoint when its connection broke.
@@ -161,7 +161,7 @@
                 lost.iter().for_each(|run| self.end_lost_trial(run));
                 return;
             }
-            EndpointCheck::Accepted | EndpointCheck::Silent => {
+            EndpointCheck::Accepted | EndpointCheck::Unknown => {
                 crash.recheck_at = Some(now + RECHECK_MS);
                 return;
             }
