Count the endpoints of a service for a crash that a restart has proven

Read in the code: when the restart under another name is the proof, the endpoint is gone from the list at the decision, its service was unknown, and one other crash a minute made every crash inconclusive, as if the service had one endpoint. The service is kept with the crash now.

--- a/crates/pool/src/entry/crashes.rs
+++ b/crates/pool/src/entry/crashes.rs
@@ -67,6 +67,7 @@
 #[derive(Debug)]
 struct PossibleCrash {
     instance: String,
+    service: String,
     address: SocketAddr,
     incarnation: u64,
     at: Millis,
@@ -84,6 +85,7 @@
     run: LostRun,
     incarnation: u64,
     instance: String,
+    service: String,
     at: Millis,
 }
 
@@ -127,6 +129,7 @@
             trial: request.trial.take(),
         };
         let (incarnation, address) = (incarnation_hash(endpoint), endpoint.member.address);
+        let service = endpoint.member.service.clone();
         if let Some(crash) = self.crashes.find(incarnation) {
             crash.lost.push(run);
             if crash.proven {
@@ -136,6 +139,7 @@
         }
         self.crashes.possible.push(PossibleCrash {
             instance,
+            service,
             address,
             incarnation,
             at: now,
@@ -191,7 +195,7 @@
     fn report_crash(&mut self, incarnation: u64) {
         let now = self.now;
         let Some(crash) = self.crashes.find(incarnation) else { return };
-        let instance = crash.instance.clone();
+        let (instance, service) = (crash.instance.clone(), crash.service.clone());
         let mut suspects = Vec::new();
         for run in std::mem::take(&mut crash.lost) {
             let record = run.record(incarnation, false);
@@ -199,8 +203,9 @@
             suspects.push(self.suspects.table.record(run.digest, now));
             self.log_suspect(&run, &instance, false);
             if record.trial {
-                let instance = instance.clone();
-                self.crashes.undecided.push(Undecided { run, incarnation, instance, at: now });
+                let (instance, service) = (instance.clone(), service.clone());
+                let undecided = Undecided { run, incarnation, instance, service, at: now };
+                self.crashes.undecided.push(undecided);
             }
         }
         if suspects.is_empty() {
@@ -217,10 +222,8 @@
     /// that nobody runs it meanwhile.
     fn decide_cause(&mut self, undecided: &Undecided) {
         let (now, run) = (self.now, &undecided.run);
-        let service = self.pool.endpoints.get(&undecided.instance);
-        let service = service.map(|endpoint| endpoint.member.service.clone());
         let fleet = self.pool.endpoints.values();
-        let endpoints = fleet.filter(|endpoint| Some(&endpoint.member.service) == service.as_ref());
+        let endpoints = fleet.filter(|endpoint| endpoint.member.service == undecided.service);
         let crash = TrialCrash {
             digest: run.digest,
             incarnation: undecided.incarnation,
