Wait for the log line of a transfer before it is counted in a test

The entry's line was there and the side's was not: each process's output is read by a thread of its own, and the test counted at once. It waits until one side has logged it, and asserts as before that exactly one has.

--- a/tests/pool/config_transfer.rs
+++ b/tests/pool/config_transfer.rs
@@ -68,5 +68,7 @@
     wait_until("the configuration is in use", || has_config(&entry, 2));
     assert!(entry.logged(&["event=text_copied", "version=2"]));
     let sent = |side: &&Process| side.logged(&["event=text_sent", "version=2"]);
+    // Logs of different processes are read independently of each other.
+    wait_until("the transfer is logged", || pool.sides.iter().any(|side| sent(&side)));
     assert_eq!(pool.sides.iter().filter(sent).count(), 1);
 }
