Compute an endpoint's place in an order in one place

The order of the endpoints for a prompt prefix and for a suspect's retries was computed by the same lines twice. One function serves both; the arithmetic is the same, so that no choice differs.

--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -3,7 +3,7 @@
 use citronrill_base::{ModelKey, hash_bytes};
 
 use super::{PoolEntry, Reason, Request};
-use crate::{digest::RequestDigest, endpoint::Endpoint};
+use crate::endpoint::Endpoint;
 
 /// Decision for a waiting request.
 pub(super) enum Choice {
@@ -235,21 +235,19 @@
             cost += UNREACHABLE_COST;
         }
         if request.lost_runs > 0 {
-            cost += SUSPECT_SPREAD * affinity(request.digest, endpoint);
+            cost += SUSPECT_SPREAD * affinity(request.digest.0 as u64, endpoint);
         }
         if request.prefix_hash != 0 {
-            // Requests with the same prompt prefix prefer the same endpoints. Each entry computes
-            // the same order from the instance names, without communication.
-            let mixed = hash_bytes(endpoint.member.instance.as_bytes()) ^ request.prefix_hash;
-            let affinity = hash_bytes(&mixed.to_le_bytes()) as f64 / u64::MAX as f64;
-            cost -= PREFIX_GAIN * affinity;
+            // Requests with the same prompt prefix prefer the same endpoints.
+            cost -= PREFIX_GAIN * affinity(request.prefix_hash, endpoint);
         }
         cost
     }
 }
 
-/// Returns the place of an endpoint in a suspect's order, from 0 to 1.
-fn affinity(digest: RequestDigest, endpoint: &Endpoint) -> f64 {
-    let mixed = hash_bytes(endpoint.member.instance.as_bytes()) ^ digest.0 as u64;
+/// Returns the place of an endpoint in the order of a key, from 0 to 1. Each entry computes the same
+/// order from the instance names, without communication.
+fn affinity(key: u64, endpoint: &Endpoint) -> f64 {
+    let mixed = hash_bytes(endpoint.member.instance.as_bytes()) ^ key;
     hash_bytes(&mixed.to_le_bytes()) as f64 / u64::MAX as f64
 }
