Wait for the last log line of a planned stop in a test

The process's output is read by a thread of its own; that the line only came later is concluded from reading, not shown. The test waits for the line and asserts finished=true as before.

--- a/tests/pool/life.rs
+++ b/tests/pool/life.rs
@@ -208,6 +208,8 @@
     stream.read_to_end(&mut rest).unwrap();
     assert!(rest.ends_with(b"0\r\n\r\n"), "the stream is incomplete");
     assert_eq!(pool.entry.wait_exit(), Some(0));
+    // The process's output is read by a thread of its own.
+    wait_until("the end is logged", || pool.entry.logged(&["event=stopped"]));
     assert!(pool.entry.logged(&["event=stopped", "finished=true"]));
 }
 
