Serve organisations: keys, priorities, and no key beyond the entry

Cause: nothing decoded organisations. The adapter now decodes them, with digests in place of keys; an entry refuses an unknown key with 401, or with 503 and a retry time while its configuration may be out of date; the endpoint gets the organisation's name, and neither key nor the caller's own header of that name. An organisation's priority goes before the route's, which orders requests of one priority.

No key goes further than the entry that reads the store: the configuration that processes pass to each other has digests in place of keys, errors on organisations give a position alone, and a test over processes looks for keys in logs, metrics and what an entry sends to its peers. A key that two organisations list belongs to the first; the count of such keys is logged. The test first found that a configuration with malformed keys was passed on without them.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -279,6 +279,7 @@
             model: meta.model,
             prefix_hash: meta.prefix_hash,
             tokens: meta.tokens,
+            key: meta.key,
         };
         let outgoing = OutgoingRequest {
             method: parts.method,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,7 +1,10 @@
 //! The interface to a platform's HTTP calls, headers and encodings.
 
+use std::borrow::Cow;
+
 use citronrill_pool::{
-    Dispatch, EngineReport, Member, Order, OrderOutcome, ResponseHead, ServingConfig, TokenCount,
+    Dispatch, EngineReport, KeyDigest, Member, Order, OrderOutcome, ResponseHead, ServingConfig,
+    TokenCount,
 };
 use hyper::{HeaderMap, StatusCode};
 use thiserror::Error;
@@ -72,6 +75,8 @@
     pub prefix_hash: u64,
     /// Token counts of the request.
     pub tokens: TokenCount,
+    /// Digest of the caller's API key, if it sent one.
+    pub key: Option<KeyDigest>,
 }
 
 /// An order, encoded as an HTTP call.
@@ -117,6 +122,13 @@
     /// Returns whether `key` is the key of the configuration in [`Table::Text`].
     fn is_config_key(&self, key: &str) -> bool;
 
+    /// Replaces the API keys of a configuration from the store by their digests, so that it can be
+    /// passed on to other processes.
+    ///
+    /// # Errors
+    /// The bytes are not a valid configuration; the error quotes no key.
+    fn shareable_config<'a>(&self, bytes: &'a [u8]) -> Result<Cow<'a, [u8]>, DialectError>;
+
     /// Decodes the configuration.
     ///
     /// # Errors
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -1,6 +1,6 @@
-//! Digest of a caller's request.
+//! Digests of callers' requests and API keys.
 
-use citronrill_pool::RequestDigest;
+use citronrill_pool::{KeyDigest, RequestDigest};
 use hyper::{Method, Uri};
 use sha2::{Digest, Sha256};
 
@@ -15,7 +15,16 @@
         hash.update(part);
     }
     hash.update(body);
+    RequestDigest(first_128_bits(hash))
+}
+
+/// Returns the digest of an API key.
+pub fn key_digest(key: &[u8]) -> KeyDigest {
+    KeyDigest(first_128_bits(Sha256::new_with_prefix(key)))
+}
+
+fn first_128_bits(hash: Sha256) -> u128 {
     let mut bytes = [0; 16];
     bytes.copy_from_slice(&hash.finalize()[..16]);
-    RequestDigest(u128::from_le_bytes(bytes))
+    u128::from_le_bytes(bytes)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
         Dialect, DialectError, OrderCall, RequestMeta, RowPage, RowValue, StoreRow, Table,
         WriteCall,
     },
+    digest::key_digest,
     entry::run_entry,
     error::GatewayError,
     logs::{LogHandle, LogPipe, LogRateLimit, LogStats},
--- a/crates/gateway/src/platform_view.rs
+++ b/crates/gateway/src/platform_view.rs
@@ -69,7 +69,7 @@
         PlatformView { dialect, events, transfer, config, regained, members: Arc::default() }
     }
 
-    /// Decodes a configuration from the store or a peer and keeps it if it is newer.
+    /// Decodes a configuration without API keys and keeps it if it is newer.
     pub(crate) fn offer_config(&self, bytes: &[u8], source: &str) {
         let config = match self.dialect.decode_config(bytes) {
             Ok(config) => config,
@@ -91,12 +91,26 @@
         });
         if newer {
             let (version, size) = (loaded.encoded.version, loaded.encoded.bytes.len());
-            log::info!("event=text_read source={source} version={version} bytes={size}");
+            let organisations = loaded.config.organisations.as_ref();
+            let (orgs, shared) =
+                organisations.map_or((0, 0), |all| (all.iter().count(), all.shared_keys()));
+            log::info!(
+                "event=text_read source={source} version={version} bytes={size} orgs={orgs} \
+                 shared_keys={shared}"
+            );
             self.transfer.send_event(ConfigFetchEvent::OwnVersion(version));
             self.events.send(EntryEvent::Config(loaded.config));
         }
     }
 
+    /// Decodes a configuration from the store, which has API keys.
+    fn offer_store_config(&self, bytes: &[u8]) {
+        match self.dialect.shareable_config(bytes) {
+            Ok(bytes) => self.offer_config(&bytes, "store"),
+            Err(error) => log::warn!("event=text_unreadable source=store error=\"{error}\""),
+        }
+    }
+
     /// Applies rows from the store; with `complete`, they are the whole table.
     pub(crate) fn apply_rows(&self, table: Table, page: RowPage, complete: bool) {
         match table {
@@ -104,7 +118,7 @@
                 let configs = page.rows.iter().filter(|row| self.dialect.is_config_key(&row.key));
                 for row in configs {
                     match &row.value {
-                        RowValue::Bytes(bytes) => self.offer_config(bytes, "store"),
+                        RowValue::Bytes(bytes) => self.offer_store_config(bytes),
                         RowValue::Removed => log::warn!("event=text_removed source=store"),
                         RowValue::Unreadable(reason) => {
                             log::warn!("event=text_unreadable source=store error={reason:?}");
--- a/crates/pool/src/config.rs
+++ b/crates/pool/src/config.rs
@@ -3,6 +3,8 @@
 //! The adapter of an installation decodes its format into these types; nothing here depends on
 //! names on the wire.
 
+use crate::organisation::Organisations;
+
 /// One version of the configuration: which routes lead to which services, and what the services can
 /// hold.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -15,6 +17,8 @@
     pub services: Vec<Service>,
     /// Limits for callers.
     pub limits: CallerLimits,
+    /// The organisations whose keys callers need; `None` if callers need no key.
+    pub organisations: Option<Organisations>,
 }
 
 impl ServingConfig {
@@ -99,6 +103,8 @@
     pub gap_ms: Option<u64>,
     /// Priority; 0 is the most urgent.
     pub rank: u8,
+    /// Whether callers need no API key.
+    pub public: bool,
     /// Services and their weights.
     pub shares: Vec<(String, u32)>,
     /// Maximum number of endpoints that may run one request.
--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -3,10 +3,14 @@
 use citronrill_decide::LogEvent;
 
 use super::{
-    Arrival, EntryEffect, PoolEntry, Reason, Refusal, Request, Stage,
+    Arrival, EntryEffect, PoolEntry, Priority, Reason, Refusal, Request, Stage,
     dispatch::NO_CONFIG_RETRY_MS,
     rules::{idle_timeout_ms, pick_service},
 };
+use crate::{
+    config::{Route, ServingConfig},
+    organisation::Organisation,
+};
 
 impl PoolEntry {
     /// Admits and dispatches a request, or refuses it.
@@ -35,18 +39,34 @@
     }
 
     /// Replaces "not found" by a refusal that allows a retry while the configuration may be out of
-    /// date: the route or model may have been added.
+    /// date: the route, key or model may have been added.
     fn adjust_for_stale(&self, reason: Reason) -> Reason {
         match reason {
-            Reason::NoRoute | Reason::NoModel if !self.config_current => Reason::StaleConfig,
+            Reason::NoRoute | Reason::UnknownKey | Reason::NoModel if !self.config_current => {
+                Reason::StaleConfig
+            }
             reason => reason,
         }
     }
 
+    /// Returns the organisation that a request belongs to; `None` if its route needs no key.
+    fn authenticate(
+        config: &ServingConfig,
+        route: &Route,
+        arrival: &Arrival,
+    ) -> Result<Option<Organisation>, Reason> {
+        let Some(organisations) = config.organisations.as_ref().filter(|_| !route.public) else {
+            return Ok(None);
+        };
+        let holder = arrival.key.and_then(|key| organisations.holder(key));
+        holder.cloned().map(Some).ok_or(Reason::UnknownKey)
+    }
+
     /// Returns the state of an admitted request, or the reason for its refusal.
     fn admit(&mut self, arrival: &Arrival) -> Result<Request, Reason> {
         let config = self.config.clone().ok_or(Reason::NoConfig)?;
         let route = config.route(&arrival.host, &arrival.path).ok_or(Reason::NoRoute)?;
+        let organisation = PoolEntry::authenticate(&config, route, arrival)?;
         let service = pick_service(route, &arrival.caller_id).ok_or(Reason::NoRoute)?;
         let (model, adapter) = arrival.model.split_once('/').unwrap_or((&arrival.model, ""));
         let engine = config.service(service).and_then(|service| service.engine.as_ref());
@@ -68,7 +88,8 @@
             path: arrival.path.clone(),
             service: service.to_owned(),
             retry_policy: route.retry_policy,
-            priority: route.rank,
+            priority: Priority::new(organisation.as_ref(), route),
+            organisation: organisation.map(|organisation| organisation.name),
             max_attempts: route.max_attempts.max(1),
             target_ms: route.target_ms,
             model: model.to_owned(),
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -54,6 +54,7 @@
             number: request.dispatches,
             address: endpoint.member.address,
             instance: instance.to_owned(),
+            organisation: request.organisation.clone(),
             remaining_ms: request.deadline.since(now),
             urgency: request.urgency(now),
             backup: backup_address,
@@ -62,6 +63,7 @@
         let event = LogEvent::new("sent")
             .with("id", &request.caller_id)
             .with("to", instance)
+            .with("org", request.organisation.as_deref().unwrap_or(""))
             .with("model", &request.model)
             .with("adapter", &request.adapter)
             .with("waited_ms", now.since(request.arrived))
@@ -335,6 +337,7 @@
             Reason::Stopping => Some(STOPPING_RETRY_MS),
             Reason::Expired
             | Reason::NoRoute
+            | Reason::UnknownKey
             | Reason::NoModel
             | Reason::TimedOut
             | Reason::Broken => None,
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod load_requests;
 mod placement;
 mod preload;
+mod priority;
 mod replicas;
 mod resume;
 mod rules;
@@ -37,8 +38,8 @@
 };
 use self::{
     choose::Choice, crashes::Crashes, demand::Demand, dispatch::MAX_DISPATCHES,
-    load_requests::SentLoadRequest, preload::PreloadState, resume::Losses, store_limit::StoreLimit,
-    suspects::Suspects, trials::Trial,
+    load_requests::SentLoadRequest, preload::PreloadState, priority::Priority, resume::Losses,
+    store_limit::StoreLimit, suspects::Suspects, trials::Trial,
 };
 use crate::{
     budget::RetryBudget,
@@ -90,8 +91,10 @@
     /// The path, for logs.
     path: String,
     service: String,
+    /// The organisation that it belongs to; `None` if its route needs no key.
+    organisation: Option<Arc<str>>,
     retry_policy: RetryPolicy,
-    priority: u8,
+    priority: Priority,
     max_attempts: u32,
     target_ms: u64,
     /// Model name; `adapter` is the adapter name, or empty.
@@ -172,7 +175,7 @@
 
     /// Returns the scheduling key among requests with the same requirements: by priority, then
     /// those first that can still meet their latency objective.
-    fn schedule_key(&self, now: Millis) -> (u8, bool) {
+    fn schedule_key(&self, now: Millis) -> (Priority, bool) {
         (self.priority, self.is_late(now))
     }
 
@@ -181,11 +184,9 @@
         now.since(self.arrived) > (QUEUE_TARGETS * self.target_ms).max(QUEUE_MIN_MS)
     }
 
-    /// Returns the priority in the endpoint's queue, 0 first. Each request priority has two levels:
-    /// on time and late.
+    /// Returns the priority in the endpoint's queue, 0 first.
     fn urgency(&self, now: Millis) -> u8 {
-        let (priority, late) = self.schedule_key(now);
-        priority.saturating_mul(2).saturating_add(u8::from(late))
+        self.priority.urgency(self.is_late(now))
     }
 
     /// Returns the refusal reason for a request that can wait no longer: its deadline has passed,
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -11,7 +11,9 @@
 };
 
 use super::crashes::EndpointCheck;
-use crate::{config::ServingConfig, digest::RequestDigest, member::MemberChange};
+use crate::{
+    config::ServingConfig, digest::RequestDigest, member::MemberChange, organisation::KeyDigest,
+};
 
 /// Identifies a request within one process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -58,6 +60,8 @@
     pub prefix_hash: u64,
     /// Length in tokens, as declared by the caller.
     pub tokens: TokenCount,
+    /// Digest of the caller's API key, if it sent one.
+    pub key: Option<KeyDigest>,
 }
 
 /// Length of a request in tokens.
@@ -167,6 +171,8 @@
     pub address: SocketAddr,
     /// The intended instance.
     pub instance: String,
+    /// The organisation that the request belongs to; `None` if its route needs no key.
+    pub organisation: Option<Arc<str>>,
     /// Milliseconds until the request's deadline.
     pub remaining_ms: u64,
     /// Priority in the endpoint's queue, 0 first.
@@ -194,9 +200,11 @@
     NoConfig,
     /// No route matches.
     NoRoute,
+    /// The caller's API key is missing, or no organisation holds it.
+    UnknownKey,
     /// The service does not have the model.
     NoModel,
-    /// No route or model matches, but the configuration may be out of date.
+    /// No route, model or key matches, but the configuration may be out of date.
     StaleConfig,
     /// No endpoint can run it.
     NoEndpoint,
@@ -222,6 +230,7 @@
         match self {
             Reason::NoConfig => "no_text",
             Reason::NoRoute => "no_route",
+            Reason::UnknownKey => "unknown_key",
             Reason::NoModel => "no_model",
             Reason::StaleConfig => "old_text",
             Reason::NoEndpoint => "no_endpoint",
@@ -241,6 +250,7 @@
     pub fn status(self) -> u16 {
         match self {
             Reason::NoRoute | Reason::NoModel => 404,
+            Reason::UnknownKey => 401,
             Reason::NoConfig
             | Reason::StaleConfig
             | Reason::NoEndpoint
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -20,6 +20,7 @@
 mod incarnation;
 mod liveness;
 mod member;
+mod organisation;
 mod pool;
 mod rate;
 mod side;
@@ -42,6 +43,7 @@
     },
     incarnation::StartTime,
     member::{HeldModel, Member, MemberChange},
+    organisation::{KeyDigest, LimitUnit, Organisation, Organisations, UsageLimit},
     side::{
         EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
     },
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod liveness;
 mod load_priority;
 mod member_list;
+mod organisations;
 mod overload;
 mod placement;
 mod poison;
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -414,6 +414,7 @@
             model: model.to_owned(),
             prefix_hash: 0,
             tokens: TokenCount::default(),
+            key: None,
         };
         self.step_entry(entry, EntryEvent::RequestArrived(arrival));
     }
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -8,8 +8,9 @@
 use citronrill_base::Millis;
 use citronrill_pool::{
     Arrival, CallerLimits, Dispatch, EngineReport, EngineSpec, EntryEffect, EntryEvent,
-    EntryProfile, HeldModel, Member, MemberChange, ModelSpec, PoolEntry, Reason, RequestDigest,
-    RequestId, ResponseHead, RetryPolicy, Route, Service, ServingConfig, TokenCount,
+    EntryProfile, HeldModel, KeyDigest, Member, MemberChange, ModelSpec, Organisation,
+    Organisations, PoolEntry, Reason, RequestDigest, RequestId, ResponseHead, RetryPolicy, Route,
+    Service, ServingConfig, TokenCount,
 };
 use citronrill_wire::{LoadRequest, ModelState, SideState};
 
@@ -43,6 +44,7 @@
         target_ms: 500,
         gap_ms: None,
         rank: 0,
+        public: false,
         shares: vec![(service.to_owned(), 1)],
         max_attempts,
     }
@@ -82,9 +84,22 @@
             },
         ],
         limits: CallerLimits::default(),
+        organisations: None,
     })
 }
 
+/// The configuration of [`config`] with these organisations.
+pub(crate) fn with_organisations(version: u64, list: Vec<Organisation>) -> Arc<ServingConfig> {
+    let organisations = Some(Organisations::new(list));
+    Arc::new(ServingConfig { organisations, ..(*config(version)).clone() })
+}
+
+/// An organisation with keys of these digests, without priority and limit.
+pub(crate) fn organisation(name: &str, keys: &[u128]) -> Organisation {
+    let keys = keys.iter().copied().map(KeyDigest).collect();
+    Organisation { name: name.into(), keys, priority: None, limit: None }
+}
+
 pub(crate) fn address(index: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, index], 8000))
 }
@@ -249,6 +264,16 @@
         self.arrive(Arrival { tokens, ..arrival })
     }
 
+    /// Sends a request of a caller whose key has this digest.
+    pub(crate) fn request_with_key(
+        &mut self,
+        path: &str,
+        key: Option<u128>,
+    ) -> (RequestId, Vec<EntryEffect>) {
+        let arrival = self.arrival(path, "m0");
+        self.arrive(Arrival { key: key.map(KeyDigest), ..arrival })
+    }
+
     /// Sends a request that its caller has sent before, or may send again, with another ID.
     pub(crate) fn attempt(
         &mut self,
@@ -305,6 +330,7 @@
             model: model.to_owned(),
             prefix_hash: 0,
             tokens: TokenCount::default(),
+            key: None,
         }
     }
 
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -6,6 +6,7 @@
 mod events;
 mod life;
 mod members;
+mod organisations;
 mod poison;
 mod requests;
 mod responses;
--- a/tests/pool/support/process.rs
+++ b/tests/pool/support/process.rs
@@ -82,14 +82,19 @@
 
     /// Returns the value of an unlabelled metric.
     pub(crate) fn metric(&self, name: &str) -> u64 {
+        let text = self.metrics();
+        let line = text.lines().find_map(|line| line.strip_prefix(name)).unwrap();
+        line.trim().parse().unwrap()
+    }
+
+    /// Returns all metrics.
+    pub(crate) fn metrics(&self) -> String {
         let settings = fs::read_to_string(&self.settings).unwrap();
         let address = settings.lines().find_map(|line| line.strip_prefix("metrics = ")).unwrap();
         let mut stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
         stream.write_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").unwrap();
-        let body = Response::read(&mut stream).body;
-        let line = body.lines().find_map(|line| line.strip_prefix(name)).unwrap();
-        line.trim().parse().unwrap()
+        Response::read(&mut stream).body
     }
 
     /// Sends a signal by its number.
