Refill an issuer's bucket with most of the slack, and issue what waits in full

More than half of the slack now refills the bucket. Refused callers return behind all that were refused before. An issuer counts as settled only when no entry has joined for a window.

--- a/crates/pool/src/entry/credit.rs
+++ b/crates/pool/src/entry/credit.rs
@@ -57,7 +57,7 @@
     pub(super) fn take_credit(&mut self, id: RequestId) -> bool {
         let (now, entries) = (self.now, self.known_entries());
         let Some(request) = self.requests.get_mut(&id) else { return false };
-        let (arrived, urgent) = (request.arrived, request.priority.is_most_urgent());
+        let arrived = request.arrived;
         let (Some(organisation), Some(limited)) = (&request.organisation, &mut request.limited)
         else {
             return true;
@@ -69,7 +69,6 @@
             organisation: organisation.clone(),
             limit: limited.limit,
             units: limited.units,
-            urgent,
             arrived,
             asked: limited.asked,
         };
@@ -126,8 +125,7 @@
         if limited.taken {
             self.ledger.refund(organisation, limited.units);
         } else if limited.asked.is_some() {
-            let urgent = request.priority.is_most_urgent();
-            self.ledger.withdraw(organisation, limited.units, urgent);
+            self.ledger.withdraw(organisation, limited.units);
         }
     }
 
--- a/crates/pool/src/entry/priority.rs
+++ b/crates/pool/src/entry/priority.rs
@@ -22,11 +22,6 @@
         Priority { organisation: own.unwrap_or(0), route: route.rank, organised: own.is_some() }
     }
 
-    /// Returns whether no route is more urgent.
-    pub(super) fn is_most_urgent(self) -> bool {
-        self.route == 0
-    }
-
     /// Returns the priority in an endpoint's queue, 0 first. Each priority has two levels, on time and
     /// late; where organisations have priorities, the least urgent routes of one share its last level.
     pub(super) fn urgency(self, late: bool) -> u8 {
--- a/crates/pool/src/limits/bounds.rs
+++ b/crates/pool/src/limits/bounds.rs
@@ -3,13 +3,13 @@
 use crate::organisation::UsageLimit;
 
 /// Share of the slack that refills an issuer's bucket in one window, in addition to the limit's rate.
-const REFILL_SHARE: f64 = 0.35;
+const REFILL_SHARE: f64 = 0.55;
 /// Share of the slack by which an issuer's bucket holds more than the burst.
-const CAPACITY_SHARE: f64 = 0.15;
+const CAPACITY_SHARE: f64 = 0.05;
 /// Share of the slack with which an issuer starts that does not know what was used before.
-const START_SHARE: f64 = 0.2;
+const START_SHARE: f64 = 0.15;
 /// Share of the slack that entries without an issuer may use, over all entries.
-const ALONE_SHARE: f64 = 0.1;
+const ALONE_SHARE: f64 = 0.05;
 
 /// By how much the sum of all entries may exceed a limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/pool/src/limits/issuer.rs
+++ b/crates/pool/src/limits/issuer.rs
@@ -15,9 +15,6 @@
 /// Share of a bucket's contents that is kept for requests that wait: credit for requests to come is
 /// issued from the rest only, or entries that do not need it would hold it all.
 const KEPT_SHARE: f64 = 0.5;
-/// Share of the units of a second that only the most urgent requests get: while an organisation is over
-/// its limit, the others would take everything before them.
-const URGENT_S: f64 = 0.25;
 /// Share of a bucket's contents that is divided evenly among all entries, so that the first requests of
 /// an organisation at an entry do not wait for credit.
 const EVEN_SHARE: f64 = 0.25;
@@ -42,8 +39,8 @@
 pub struct CreditIssuer {
     clients: Map<EntryLink, Client>,
     buckets: Map<String, Bucket>,
-    /// Start of the period without a gap in which entries have reported.
-    issuing_since: Option<Millis>,
+    /// When an entry last began to report here: it may have used other credit before.
+    joined_at: Option<Millis>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -84,7 +81,7 @@
         let Terms { organisations, bounds, entries } = terms;
         self.add_client(link, report.entries, now);
         let reach = self.reach(entries);
-        let settled = self.issuing_since.is_some_and(|since| now.since(since) >= bounds.window_ms);
+        let settled = self.joined_at.is_some_and(|at| now.since(at) >= bounds.window_ms);
         let mut credits = Vec::new();
         for entry_use in &report.uses {
             let name = &entry_use.organisation;
@@ -94,7 +91,7 @@
                 continue;
             };
             let bucket = self.buckets.entry(name.clone()).or_insert_with(|| {
-                // Nobody has used the organisation's limit while this side was issuing.
+                // All entries have reported here for a window, and none has used the limit.
                 let contents = if settled { bounds.capacity(limit) } else { bounds.start(limit) };
                 Bucket::new(contents, now)
             });
@@ -118,10 +115,10 @@
 
     fn add_client(&mut self, link: EntryLink, entries: u32, now: Millis) {
         self.clients.retain(|_, client| now.since(client.reported_at) < CLIENT_MS);
-        if self.clients.is_empty() {
-            self.issuing_since = Some(now);
+        let client = Client { reported_at: now, entries };
+        if self.clients.insert(link, client).is_none() {
+            self.joined_at = Some(now);
         }
-        self.clients.insert(link, Client { reported_at: now, entries });
     }
 
     /// Returns which part of all entries report here.
@@ -185,11 +182,8 @@
     ) -> Credit {
         let mut holder = self.holders.get(&link).copied().unwrap_or_default();
         let free = (self.contents - self.held).max(0.0);
-        let waiting = report.waiting as f64;
         // In addition to what the entry holds: requests that arrive meanwhile take from that.
-        let urgent = (report.urgent as f64).min(free);
-        let others = (free - urgent - URGENT_S * refill).max(0.0);
-        let needed = urgent + (waiting - urgent).clamp(0.0, others);
+        let needed = (report.waiting as f64).min(free);
         let spare = (free - needed - KEPT_SHARE * self.contents.max(0.0)).max(0.0);
         let ahead = (report.ahead as f64).max(EVEN_SHARE * self.contents / reach.entries);
         let extra = (ahead - holder.held).clamp(0.0, spare);
--- a/crates/pool/src/limits/ledger.rs
+++ b/crates/pool/src/limits/ledger.rs
@@ -40,8 +40,6 @@
     pub limit: UsageLimit,
     /// Units that the request counts as.
     pub units: u64,
-    /// Whether its route is one of the most urgent.
-    pub urgent: bool,
     /// When it arrived.
     pub arrived: Millis,
     /// The report that an earlier verdict told it to wait for.
@@ -103,8 +101,6 @@
     lapses_at: Millis,
     /// Units of requests that wait for credit.
     waiting: u64,
-    /// The part of `waiting` for urgent requests.
-    urgent: u64,
     /// Decaying sum of the units asked for, and of the requests.
     recent: f64,
     recent_requests: f64,
@@ -147,7 +143,7 @@
         if asked.is_none() {
             account.record_demand(units, now);
         } else {
-            account.remove_waiting(units, claim.urgent);
+            account.remove_waiting(units);
         }
         if account.take(units, now) {
             self.needed |= account.is_low(now);
@@ -164,7 +160,6 @@
             return Charge::Unknown;
         }
         account.waiting += units;
-        account.urgent += if claim.urgent { units } else { 0 };
         self.needed = true;
         Charge::Wait(asked.unwrap_or(self.number + 1))
     }
@@ -178,9 +173,9 @@
     }
 
     /// Handles a request that stopped waiting for credit.
-    pub fn withdraw(&mut self, organisation: &str, units: u64, urgent: bool) {
+    pub fn withdraw(&mut self, organisation: &str, units: u64) {
         if let Some(account) = self.accounts.get_mut(organisation) {
-            account.remove_waiting(units, urgent);
+            account.remove_waiting(units);
         }
     }
 
@@ -262,7 +257,6 @@
             held: 0.0,
             lapses_at: now,
             waiting: 0,
-            urgent: 0,
             recent: 0.0,
             recent_requests: 0.0,
             recent_at: now,
@@ -276,11 +270,8 @@
         }
     }
 
-    fn remove_waiting(&mut self, units: u64, urgent: bool) {
+    fn remove_waiting(&mut self, units: u64) {
         self.waiting = self.waiting.saturating_sub(units);
-        if urgent {
-            self.urgent = self.urgent.saturating_sub(units);
-        }
     }
 
     fn record_demand(&mut self, units: u64, now: Millis) {
@@ -340,8 +331,7 @@
         let passed = self.rate * now.since(self.returning_at) as f64 / 1_000.0;
         self.returning = (self.returning - passed).max(0.0) + units as f64;
         self.returning_at = now;
-        let missing = (self.returning - self.held.max(0.0)).max(0.0);
-        let ms = missing * 1_000.0 / self.rate.max(1.0);
+        let ms = self.returning * 1_000.0 / self.rate.max(1.0);
         (ms.ceil() as u64).clamp(1, MAX_RETRY_MS)
     }
 
@@ -355,7 +345,6 @@
             used: self.used,
             held: if foreign { 0 } else { self.held.max(0.0) as u64 },
             waiting: self.waiting,
-            urgent: self.urgent,
             ahead: self.ahead(now) as u64,
         }
     }
--- a/crates/wire/src/credit.rs
+++ b/crates/wire/src/credit.rs
@@ -34,9 +34,6 @@
     /// Units of the requests that wait for credit at the entry.
     #[prost(uint64, tag = "4")]
     pub waiting: u64,
-    /// The part of `waiting` for requests of the most urgent routes.
-    #[prost(uint64, tag = "6")]
-    pub urgent: u64,
     /// Units that the entry wants to hold in addition, for requests to come.
     #[prost(uint64, tag = "5")]
     pub ahead: u64,
