Start with two loads from the weight store at once, and one of rare models

Two loads of rare models were under way, a third followed, and each of the four took twice its time, as the store carries two at full speed, which nobody had seen yet. Limits of one more than a store carries cost most when it is needed.

The first limit is two, of which a model with less than one unserved request a second may take one; it doubles as before once the store has shown to carry it.

--- a/crates/pool/src/entry/store_limit.rs
+++ b/crates/pool/src/entry/store_limit.rs
@@ -5,7 +5,7 @@
 use crate::config::LATE_LOAD_MILLI;
 
 /// Initial limit.
-const INITIAL_LIMIT: u32 = 3;
+const INITIAL_LIMIT: u32 = 2;
 /// Maximum limit; further loads only occupy their endpoints for longer.
 const MAX_LIMIT: u32 = 8;
 /// Milliseconds after a slow load during which the limit is not raised: the store's speed does not
--- a/crates/pool/src/entry/store_loads.rs
+++ b/crates/pool/src/entry/store_loads.rs
@@ -3,16 +3,14 @@
 use citronrill_base::ModelKey;
 use citronrill_decide::LogEvent;
 
-use super::{
-    PoolEntry,
-    demand::{BUSY_RATE, MIN_LOCAL_RATE},
-    replicas::CROWDED_FILL,
-};
+use super::{PoolEntry, demand::MIN_LOCAL_RATE, replicas::CROWDED_FILL};
 use crate::endpoint::Endpoint;
 
 /// Requests per second above which a model without any cached weights is loaded before its first
 /// miss.
 const IN_DEMAND_RATE: f64 = 8.0;
+/// Unserved requests per second from which a model may take the last load slot of the weight store.
+const LAST_SLOT_RATE: f64 = 1.0;
 /// Milliseconds of one entry's turn to use the weight store. A side's report of its planned loads
 /// reaches all entries within a few milliseconds, and each entry checks every 20 ms.
 const TURN_MS: u64 = 40;
@@ -52,7 +50,7 @@
         let engines =
             self.pool.endpoints.values().filter(|endpoint| endpoint.side.is_some()).count() as u32;
         let rare_limit = (limit - 1).min(engines / ENGINES_PER_RARE_LOAD).max(1);
-        let limit = if model_rate < BUSY_RATE { rare_limit } else { limit };
+        let limit = if model_rate < LAST_SLOT_RATE { rare_limit } else { limit };
         self.store_loads() + (ahead.count() as u32) < limit
     }
 
--- a/crates/pool/tests/all/placement.rs
+++ b/crates/pool/tests/all/placement.rs
@@ -86,6 +86,35 @@
     }
 }
 
+/// Guards against rare models that occupy the weight store when the only instances with a busy model's
+/// weights leave: with two of their loads beside it, the busy model took twice its load time, and its
+/// callers were refused for 24 s instead of 10.
+#[test]
+fn rare_models_leave_room_in_the_store_for_one_in_demand() {
+    let mut members = (1..=24).map(|index| member(index, ENGINE, &[])).collect::<Vec<_>>();
+    members.iter_mut().for_each(|member| member.on_disk.clear());
+    let mut bench = Bench::new(members);
+    let empty = || SideState { on_disk: Vec::new(), ..state(0, &[]) };
+    for index in 1..=24 {
+        bench.step(EntryEvent::SideReport(address(index), empty()));
+    }
+    let mut loading = Vec::new();
+    for name in ["m1", "m2", "m3", "m0", "m0", "m0", "m0", "m0", "m0"] {
+        let (_, effects) = bench.request("/draft/x", name);
+        if let Some((at, load_request)) = requested_load(&effects) {
+            loading.push(load_request.model.clone());
+            let state = SideState {
+                loading: vec![load_request.model.clone()],
+                store_loads: 1,
+                load_eta_ms: 6_000,
+                ..empty()
+            };
+            bench.step(EntryEvent::SideReport(at, state));
+        }
+    }
+    assert_eq!(loading, ["m1", "m0"]);
+}
+
 /// After a power loss no endpoint has cached weights, and every model is requested. The weight
 /// store serves a few loads at full speed; twelve at once take three times as long and block as
 /// many endpoints. Further loads wait for their turn.
