Test two guards of the quarantine that no test noticed when they were left out

A flood of suspects ended no quarantine, and what an entry reads from the platform store goes on to the collecting sides; both were true and untested. Each test was seen to fail with its guard taken out.

--- a/crates/pool/tests/all/suspects.rs
+++ b/crates/pool/tests/all/suspects.rs
@@ -1,5 +1,7 @@
 //! Requests that were running when endpoints crashed: trials, quarantine, and what clears a request.
 
+mod quarantine;
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use citronrill_pool::{
