--- a/crates/pool/tests/all/limits/entry.rs
+++ b/crates/pool/tests/all/limits/entry.rs
@@ -133,9 +133,14 @@
     let free = organisation("south", &[2]);
     bench.step(EntryEvent::Config(with_organisations(3, vec![limited, free])));
     settle(&mut bench);
-    request(&mut bench);
-    let (_, effects) = bench.request_with_key("/book/x", Some(2));
-    assert!(dispatch(&effects).is_some());
+    let first = bench.request_for_model("/draft/x", "m5", Some(1)).0;
+    let second = bench.request_for_model("/draft/x", "m5", Some(2)).0;
+    let loaded = SideState { issues_credit: true, tracks_suspects: true, ..state(2, &["m5"]) };
+    let effects = bench.step(EntryEvent::SideReport(address(1), loaded));
+    let to = |id: RequestId| {
+        effects.iter().any(|effect| matches!(effect, EntryEffect::Dispatch(to, _) if *to == id))
+    };
+    assert_eq!((to(first), to(second)), (false, true));
 }
 
 /// Guards against a declared size near the largest integer that wraps around.
--- a/crates/pool/tests/all/limits/fleet.rs
+++ b/crates/pool/tests/all/limits/fleet.rs
@@ -23,7 +23,7 @@
 /// Milliseconds after which an entry notices that a side is lost.
 const NOTICE_MS: u64 = 400;
 
-pub(crate) fn limit(rate: u64, burst: u64) -> UsageLimit {
+pub(crate) const fn limit(rate: u64, burst: u64) -> UsageLimit {
     UsageLimit { rate, burst, unit: LimitUnit::Tokens(200) }
 }
 
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -271,7 +271,17 @@
         path: &str,
         key: Option<u128>,
     ) -> (RequestId, Vec<EntryEffect>) {
-        let arrival = self.arrival(path, "m0");
+        self.request_for_model(path, "m0", key)
+    }
+
+    /// Sends a request for `model` of a caller whose key has this digest.
+    pub(crate) fn request_for_model(
+        &mut self,
+        path: &str,
+        model: &str,
+        key: Option<u128>,
+    ) -> (RequestId, Vec<EntryEffect>) {
+        let arrival = self.arrival(path, model);
         self.arrive(Arrival { key: key.map(KeyDigest), ..arrival })
     }
 
