Answer for an organisation only where the issuer knows its limit, and count less for each request

A side with an older configuration knows no limit of a new organisation; its reply without one was taken for an empty bucket, and callers got 429 for the moment until the side had the configuration. A reply counts for the organisations that it names. The test failed before: over_limit.

Requests without a limit no longer count the entries that sides know of, reports are put together only when one is due, and an organisation's keys are no longer copied for each request.

--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -51,16 +51,16 @@
     }
 
     /// Returns the organisation that a request belongs to; `None` if its route needs no key.
-    fn authenticate(
-        config: &ServingConfig,
+    fn authenticate<'a>(
+        config: &'a ServingConfig,
         route: &Route,
         arrival: &Arrival,
-    ) -> Result<Option<Organisation>, Reason> {
+    ) -> Result<Option<&'a Organisation>, Reason> {
         let Some(organisations) = config.organisations.as_ref().filter(|_| !route.public) else {
             return Ok(None);
         };
         let holder = arrival.key.and_then(|key| organisations.holder(key));
-        holder.cloned().map(Some).ok_or(Reason::UnknownKey)
+        holder.map(Some).ok_or(Reason::UnknownKey)
     }
 
     /// Returns the state of an admitted request, or the reason for its refusal.
@@ -89,9 +89,9 @@
             path: arrival.path.clone(),
             service: service.to_owned(),
             retry_policy: route.retry_policy,
-            priority: Priority::new(organisation.as_ref(), route),
-            limited: LimitedUse::new(organisation.as_ref(), arrival.tokens),
-            organisation: organisation.map(|organisation| organisation.name),
+            priority: Priority::new(organisation, route),
+            limited: LimitedUse::new(organisation, arrival.tokens),
+            organisation: organisation.map(|organisation| organisation.name.clone()),
             max_attempts: route.max_attempts.max(1),
             target_ms: route.target_ms,
             model: model.to_owned(),
--- a/crates/pool/src/entry/credit.rs
+++ b/crates/pool/src/entry/credit.rs
@@ -45,6 +45,18 @@
 }
 
 impl Request {
+    /// Returns what the request claims of its organisation's limit; `None` if it needs no more credit.
+    fn claim(&self) -> Option<Claim> {
+        let limited = self.limited.as_ref().filter(|limited| !limited.taken)?;
+        Some(Claim {
+            organisation: self.organisation.clone()?,
+            limit: limited.limit,
+            units: limited.units,
+            arrived: self.arrived,
+            asked: limited.asked,
+        })
+    }
+
     /// Returns whether the request waits for credit.
     pub(super) fn awaits_credit(&self) -> bool {
         self.limited.as_ref().is_some_and(|limited| !limited.taken)
@@ -55,43 +67,26 @@
     /// Takes credit for a request that has none yet. Returns whether the request may run now; otherwise
     /// it waits or was refused.
     pub(super) fn take_credit(&mut self, id: RequestId) -> bool {
-        let (now, entries) = (self.now, self.known_entries());
-        let Some(request) = self.requests.get_mut(&id) else { return false };
-        let arrived = request.arrived;
-        let (Some(organisation), Some(limited)) = (&request.organisation, &mut request.limited)
-        else {
-            return true;
-        };
-        if limited.taken {
-            return true;
-        }
-        let claim = Claim {
-            organisation: organisation.clone(),
-            limit: limited.limit,
-            units: limited.units,
-            arrived,
-            asked: limited.asked,
-        };
+        let Some(request) = self.requests.get(&id) else { return false };
+        let Some(claim) = request.claim() else { return true };
         let was_over = self.ledger.is_over(&claim.organisation);
-        match self.ledger.charge(&claim, entries, now) {
+        let verdict = self.ledger.charge(&claim, self.known_entries(), self.now);
+        let Some(request) = self.requests.get_mut(&id) else { return false };
+        let Some(limited) = &mut request.limited else { return true };
+        limited.asked = None;
+        match verdict {
             Charge::Taken => limited.taken = true,
             Charge::Wait(number) => limited.asked = Some(number),
             Charge::Over(retry_ms) => {
-                limited.asked = None;
                 limited.retry_ms = retry_ms;
                 if !was_over {
                     self.log_over(&claim);
                 }
                 self.refuse(id, Reason::OverLimit);
-                return false;
-            }
-            Charge::Unknown => {
-                limited.asked = None;
-                self.refuse(id, Reason::LimitUnknown);
-                return false;
             }
+            Charge::Unknown => self.refuse(id, Reason::LimitUnknown),
         }
-        self.requests.get(&id).is_some_and(|request| !request.awaits_credit())
+        verdict == Charge::Taken
     }
 
     fn log_over(&mut self, claim: &Claim) {
@@ -142,6 +137,9 @@
             return;
         }
         self.ledger.set_issuer(self.issuer());
+        if !self.ledger.report_due(self.now) {
+            return;
+        }
         if let Some((side, report)) = self.ledger.take_report(self.known_entries(), self.now) {
             self.effects.push(EntryEffect::CreditReport(side, report));
         }
--- a/crates/pool/src/limits/ledger.rs
+++ b/crates/pool/src/limits/ledger.rs
@@ -96,6 +96,9 @@
     used: i64,
     /// `used` in the last report.
     reported: i64,
+    /// Number of the last report that was answered for this organisation: a side with an older
+    /// configuration may not know it.
+    answered: u64,
     /// Units of credit left.
     held: f64,
     lapses_at: Millis,
@@ -136,7 +139,6 @@
     /// Takes credit for a request; `entries` is the number of entries in the deployment.
     pub fn charge(&mut self, claim: &Claim, entries: u32, now: Millis) -> Charge {
         let Claim { limit, units, asked, .. } = *claim;
-        let replied = self.replied;
         let name = claim.organisation.clone();
         let account = self.accounts.entry(name).or_insert_with(|| Account::new(limit, now));
         account.limit = limit;
@@ -149,7 +151,7 @@
             self.needed |= account.is_low(now);
             return Charge::Taken;
         }
-        if asked.is_some_and(|number| number <= replied) {
+        if asked.is_some_and(|number| number <= account.answered) {
             return Charge::Over(account.refuse(units, now));
         }
         let waited = now.since(claim.arrived);
@@ -179,15 +181,17 @@
         }
     }
 
-    /// Returns the report that is due, and the side to send it to.
-    pub fn take_report(&mut self, entries: u32, now: Millis) -> Option<(SocketAddr, CreditReport)> {
-        let issuer = self.issuer?;
+    /// Returns whether a report is due.
+    pub fn report_due(&self, now: Millis) -> bool {
         let since = self.sent_at.map_or(u64::MAX, |sent_at| now.since(sent_at));
         let open = self.replied < self.number && since < REPLY_TIMEOUT_MS;
         let due = since >= HEARTBEAT_MS || self.needed && since >= MIN_REPORT_MS;
-        if open || !due {
-            return None;
-        }
+        self.issuer.is_some() && due && !open
+    }
+
+    /// Returns the report that is due, and the side to send it to.
+    pub fn take_report(&mut self, entries: u32, now: Millis) -> Option<(SocketAddr, CreditReport)> {
+        let issuer = self.issuer.filter(|_| self.report_due(now))?;
         self.number += 1;
         self.sent_at = Some(now);
         self.needed = false;
@@ -212,6 +216,7 @@
                 let used_since = (account.used - account.reported) as f64;
                 account.held = credit.units as f64 - used_since;
                 account.lapses_at = sent_at + LAPSE_MS;
+                account.answered = reply.number;
                 account.rate = credit.rate as f64;
             }
         }
@@ -254,6 +259,7 @@
             limit,
             used: 0,
             reported: 0,
+            answered: 0,
             held: 0.0,
             lapses_at: now,
             waiting: 0,
--- a/crates/pool/tests/all/limits/entry.rs
+++ b/crates/pool/tests/all/limits/entry.rs
@@ -125,6 +125,22 @@
     assert!(retry_ms.is_some());
 }
 
+/// Guards against callers of a new organisation who are told that they are over their limit by a side
+/// that has an older configuration.
+#[test]
+fn a_side_that_knows_no_limit_refuses_nobody() {
+    let mut bench = bench();
+    settle(&mut bench);
+    let (_, effects) = request(&mut bench);
+    let number = report(&effects).unwrap().number;
+    let unknown = CreditReply { number, credits: Vec::new() };
+    let effects = bench.step(EntryEvent::Credit(address(1), unknown));
+    assert!(refusal(&effects).is_none() && dispatch(&effects).is_none());
+    bench.now += 20;
+    let effects = bench.advance(40);
+    assert!(dispatch(&reply(&mut bench, &effects, 500)).is_some(), "it has the limit by now");
+}
+
 /// Guards against a request that blocks others of the same model while it waits for credit.
 #[test]
 fn a_request_that_waits_for_credit_blocks_no_other_organisation() {
