Count recent use of a limit with the crate's decaying count, and draw the model's requests once

Read again as a whole: the ledger had a decaying sum of its own beside DecayingCount, dropped lapsed credit in two places, and the tests drew requests twice in the same way. One piece serves each now. The module's comment said that the slack raises the bucket's capacity; it refills the bucket.

--- a/crates/pool/src/decaying_count.rs
+++ b/crates/pool/src/decaying_count.rs
@@ -17,6 +17,11 @@
 
     /// Counts one event.
     pub(crate) fn add(&mut self, decay_ms: f64, now: Millis) {
-        *self = DecayingCount { weight: self.decayed(decay_ms, now) + 1.0, updated_at: now };
+        self.add_weight(1.0, decay_ms, now);
+    }
+
+    /// Counts an event that counts as `weight`.
+    pub(crate) fn add_weight(&mut self, weight: f64, decay_ms: f64, now: Millis) {
+        *self = DecayingCount { weight: self.decayed(decay_ms, now) + weight, updated_at: now };
     }
 }
--- a/crates/pool/src/limits/ledger.rs
+++ b/crates/pool/src/limits/ledger.rs
@@ -7,7 +7,7 @@
 use citronrill_wire::{CreditReply, CreditReport, OrganisationUse};
 
 use super::LimitBounds;
-use crate::organisation::UsageLimit;
+use crate::{decaying_count::DecayingCount, organisation::UsageLimit};
 
 /// Milliseconds between two reports to the issuer when nothing changes.
 const HEARTBEAT_MS: u64 = 500;
@@ -104,10 +104,9 @@
     lapses_at: Millis,
     /// Units of requests that wait for credit.
     waiting: u64,
-    /// Decaying sum of the units asked for, and of the requests.
-    recent: f64,
-    recent_requests: f64,
-    recent_at: Millis,
+    /// Units asked for of late, and requests.
+    recent_units: DecayingCount,
+    recent_requests: DecayingCount,
     /// Units left for use without an issuer.
     alone: f64,
     alone_at: Millis,
@@ -263,9 +262,8 @@
             held: 0.0,
             lapses_at: now,
             waiting: 0,
-            recent: 0.0,
-            recent_requests: 0.0,
-            recent_at: now,
+            recent_units: DecayingCount::default(),
+            recent_requests: DecayingCount::default(),
             alone: 0.0,
             alone_at: now,
             rate: 0.0,
@@ -281,27 +279,26 @@
     }
 
     fn record_demand(&mut self, units: u64, now: Millis) {
-        let decay = self.decay(now);
-        self.recent = self.recent * decay + units as f64;
-        self.recent_requests = self.recent_requests * decay + 1.0;
-        self.recent_at = now;
-    }
-
-    fn decay(&self, now: Millis) -> f64 {
-        (-(now.since(self.recent_at) as f64) / USE_DECAY_MS).exp()
+        self.recent_units.add_weight(units as f64, USE_DECAY_MS, now);
+        self.recent_requests.add(USE_DECAY_MS, now);
     }
 
     /// Returns the units of the requests that are likely to come soon. A single request, however
     /// large, makes no other likely.
     fn ahead(&self, now: Millis) -> f64 {
-        let likely = (self.recent_requests * self.decay(now) - 1.0).max(0.0);
-        self.recent / self.recent_requests.max(1.0) * likely * HORIZON_MS / USE_DECAY_MS
+        let requests = self.recent_requests.decayed(USE_DECAY_MS, now);
+        let mean_units = self.recent_units.decayed(USE_DECAY_MS, now) / requests.max(1.0);
+        mean_units * (requests - 1.0).max(0.0) * HORIZON_MS / USE_DECAY_MS
     }
 
-    fn take(&mut self, units: u64, now: Millis) -> bool {
+    fn drop_lapsed(&mut self, now: Millis) {
         if now >= self.lapses_at {
             self.held = 0.0;
         }
+    }
+
+    fn take(&mut self, units: u64, now: Millis) -> bool {
+        self.drop_lapsed(now);
         let enough = units as f64 <= self.held;
         if enough {
             self.held -= units as f64;
@@ -342,9 +339,7 @@
     }
 
     fn report(&mut self, name: &str, foreign: bool, now: Millis) -> OrganisationUse {
-        if now >= self.lapses_at {
-            self.held = 0.0;
-        }
+        self.drop_lapsed(now);
         self.reported = self.used;
         OrganisationUse {
             organisation: name.to_owned(),
--- a/crates/pool/src/limits/mod.rs
+++ b/crates/pool/src/limits/mod.rs
@@ -5,7 +5,7 @@
 //! holds, so the sum over all entries never exceeds the bucket, whichever messages are lost or late.
 //!
 //! The platform's rule allows some use beyond the limit. [`LimitBounds`] divides this slack: most of it
-//! raises the bucket's capacity, so that callers are not refused below the limit; the rest covers what
+//! refills the bucket, so that callers are not refused below the limit; the rest covers what
 //! an issuer without memory gives out after it took over, and what entries that hear of no issuer admit
 //! on their own.
 
--- a/crates/pool/tests/all/limits/mod.rs
+++ b/crates/pool/tests/all/limits/mod.rs
@@ -5,27 +5,35 @@
 mod fleet;
 mod model;
 
-use rand::Rng;
+use rand::{Rng, rngs::SmallRng};
 use rstest::rstest;
 
 use self::fleet::{BOUNDS, Fleet, limit};
 use crate::support::seeds_from;
 
-/// Sends requests of `demands` units a second for each organisation to entries that get unequal shares
-/// of the callers.
+/// Draws whether a request of an organisation with `demand` units a second comes in this millisecond; returns
+/// its entry, of which some get more callers than others, and its units.
+fn draw_request(rng: &mut SmallRng, entries: usize, demand: u64) -> Option<(usize, u64)> {
+    let units = match rng.random_range(0..50) {
+        0 => 9_200,
+        1..10 => 200,
+        _ => 700,
+    };
+    let mean_units = 760.0;
+    if !rng.random_bool((demand as f64 / mean_units / 1_000.0).min(1.0)) {
+        return None;
+    }
+    // The square gives the first entries several times the callers of the last.
+    let place = rng.random::<f64>();
+    Some(((place * place * entries as f64) as usize, units))
+}
+
+/// Sends the requests of one millisecond, of `demands` units a second for each organisation.
 fn send_requests(fleet: &mut Fleet, demands: &[u64]) {
     let entries = fleet.entries();
     for (org, demand) in demands.iter().enumerate() {
-        let units = match fleet.rng.random_range(0..50) {
-            0 => 9_200,
-            1..10 => 200,
-            _ => 700,
-        };
-        let mean_units = 760.0;
-        if fleet.rng.random_bool((*demand as f64 / mean_units / 1_000.0).min(1.0)) {
-            // The square gives the first entries several times the callers of the last.
-            let place = fleet.rng.random::<f64>();
-            fleet.request((place * place * entries as f64) as usize, org, units);
+        if let Some((entry, units)) = draw_request(&mut fleet.rng, entries, *demand) {
+            fleet.request(entry, org, units);
         }
     }
 }
--- a/crates/pool/tests/all/limits/model.rs
+++ b/crates/pool/tests/all/limits/model.rs
@@ -1,9 +1,10 @@
 //! Ways to enforce a limit over all entries, compared on the same callers.
 
 use citronrill_pool::UsageLimit;
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{SeedableRng, rngs::SmallRng};
 
 use super::{
+    draw_request,
     fleet::{BOUNDS, Fleet, Tally, limit},
     send_requests,
 };
@@ -44,23 +45,6 @@
     }
 }
 
-/// The callers of [`send_requests`], as the entry, the organisation and the units of each request.
-fn requests(rng: &mut SmallRng, entries: usize, demands: &[u64]) -> Vec<(usize, usize, u64)> {
-    let mut requests = Vec::new();
-    for (org, demand) in demands.iter().enumerate() {
-        let units = match rng.random_range(0..50) {
-            0 => 9_200,
-            1..10 => 200,
-            _ => 700,
-        };
-        if rng.random_bool((*demand as f64 / 760.0 / 1_000.0).min(1.0)) {
-            let place = rng.random::<f64>();
-            requests.push(((place * place * entries as f64) as usize, org, units));
-        }
-    }
-    requests
-}
-
 /// What a way costs and achieves.
 struct Outcome {
     tallies: Vec<Tally>,
@@ -80,7 +64,8 @@
     let mut rng = SmallRng::seed_from_u64(11);
     let mut tallies = vec![Tally::default(); limits.len()];
     for now in 0..DURATION_MS {
-        for (entry, org, units) in requests(&mut rng, entries, demands) {
+        for (org, demand) in demands.iter().enumerate() {
+            let Some((entry, units)) = draw_request(&mut rng, entries, *demand) else { continue };
             if admit(entry, org, units, now) {
                 tallies[org].taken.push((now, units));
             } else {
