--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -30,6 +30,7 @@
 };
 
 use crate::{
+    body_framing::Framing,
     dialect::Dialect,
     digest::request_digest,
     entry::{EntryStatus, EventSender, ProgressCounter, RequestHandle, StopPlan},
@@ -324,11 +325,12 @@
         exchange: Exchange,
     ) -> Response<ResponseBody> {
         let (mut parts, body) = response.into_parts();
+        let framing = Framing::of(&parts.headers);
         strip_connection_headers(&mut parts.headers);
         parts.version = Version::HTTP_11;
         self.metrics.count_response(parts.status);
         let event_stream = parts.status.is_success() && is_event_stream(&parts.headers);
-        let relay = Relay::new(body, guard, exchange, self.events.clone(), event_stream);
+        let relay = Relay::new(body, framing, guard, exchange, self.events.clone(), event_stream);
         Response::from_parts(parts, Either::Left(relay))
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,6 +12,7 @@
 use thiserror::Error;
 
 use crate::{
+    body_framing::Framing,
     entry::{Command, EventSender},
     event_splitter::EventSplitter,
     exchange::{Exchange, Outcome},
@@ -57,14 +58,17 @@
     id: RequestId,
     source: Source,
     events: EventSender,
+    /// How the current response is delimited.
+    framing: Framing,
     /// Set for event streams, which may be resumed on another endpoint.
     splitter: Option<EventSplitter>,
 }
 
 impl Relay {
-    /// Forwards `body`; `stream` is set if it is an event stream.
+    /// Forwards `body`, which is delimited by `framing`; `stream` is set if it is an event stream.
     pub(crate) fn new(
         body: Incoming,
+        framing: Framing,
         guard: ConnectionGuard,
         exchange: Exchange,
         events: EventSender,
@@ -72,7 +76,15 @@
     ) -> Relay {
         let id = exchange.id();
         let source = Source::Endpoint(body, Box::new(exchange), guard);
-        Relay { id, source, events, splitter: stream.then(EventSplitter::default) }
+        Relay { id, source, events, framing, splitter: stream.then(EventSplitter::default) }
+    }
+
+    /// Logs that a stream ended without an error after `bytes` bytes of an event.
+    fn log_unfinished(&self, bytes: usize) {
+        if let Source::Endpoint(_, exchange, _) = &self.source {
+            let (id, framing) = (&exchange.outgoing.caller_id, self.framing.as_str());
+            log::info!("event=stream_unfinished id={id} framing={framing} bytes={bytes}");
+        }
     }
 
     fn end(&mut self, complete: bool) {
@@ -89,6 +101,9 @@
             None => {
                 let remainder =
                     self.splitter.as_mut().map(EventSplitter::finish).unwrap_or_default();
+                if !remainder.is_empty() {
+                    self.log_unfinished(remainder.len());
+                }
                 self.end(true);
                 Some((!remainder.is_empty()).then(|| Ok(Frame::data(remainder))))
             }
@@ -97,7 +112,11 @@
                 Some(Some(Err(error.into())))
             }
             Some(Err(error)) => {
-                log::debug!("event=stream_broken request={} error=\"{error}\"", self.id.0);
+                log::debug!(
+                    "event=stream_broken request={} framing={} error=\"{error}\"",
+                    self.id.0,
+                    self.framing.as_str()
+                );
                 self.fail_over();
                 None
             }
@@ -171,6 +190,7 @@
                         self.source = Source::Ended;
                         return Poll::Ready(Some(Err(RelayError::Aborted)));
                     };
+                    self.framing = Framing::of(response.headers());
                     let body = response.into_body();
                     self.source = Source::Endpoint(body, Box::new(exchange), guard);
                 }
