Add a failing test of streams that are cut inside an event and look complete

The stand-in worker delimits streams by the end of their connection, closed or reset, and breaks off inside an event, within its blank line or before the first one.

--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -12,3 +12,4 @@
 mod responses;
 mod resume;
 mod support;
+mod truncated;
--- a/tests/pool/resume.rs
+++ b/tests/pool/resume.rs
@@ -4,7 +4,7 @@
 
 use citronrill_platform_standin::WorkerMode;
 
-use crate::support::{Deployment, Request, Response};
+use crate::support::{Deployment, Request, Response, event_ids};
 
 const SIGCONT: i32 = 18;
 const SIGSTOP: i32 = 19;
@@ -20,11 +20,6 @@
     pool
 }
 
-fn event_ids(response: &Response) -> Vec<u32> {
-    let event_ids = response.body.lines().filter_map(|line| line.strip_prefix("id: "));
-    event_ids.map(|number| number.parse().unwrap()).collect()
-}
-
 /// A worker fails in the middle of a stream that may run only once, between two events or within one. The
 /// other worker resumes from its KV backup, and the caller gets each event exactly once.
 #[rstest]
--- a/tests/pool/support/messages.rs
+++ b/tests/pool/support/messages.rs
@@ -107,3 +107,9 @@
         self.head.lines().find_map(|line| line.strip_prefix(prefix.as_str()))
     }
 }
+
+/// Returns the IDs of the events in a response's body, including an incomplete last one.
+pub(crate) fn event_ids(response: &Response) -> Vec<u32> {
+    let event_ids = response.body.lines().filter_map(|line| line.strip_prefix("id: "));
+    event_ids.map(|number| number.parse().unwrap()).collect()
+}
--- /dev/null
+++ b/tests/pool/truncated.rs
@@ -0,0 +1,70 @@
+//! Streams without length or chunks, which end with the endpoint's connection.
+
+use rstest::rstest;
+
+use citronrill_platform_standin::{Framing, WorkerMode};
+
+use crate::support::{Deployment, Request, event_ids};
+
+/// Starts a pool of two workers that both hold `m0`, behave as `mode` says and delimit streams by
+/// `framing`.
+fn pool(framing: Framing, mode: WorkerMode) -> Deployment {
+    let pool = Deployment::start(&[("e1", &["m0"]), ("e2", &["m0"])]);
+    for engine in &pool.engines {
+        engine.set_framing(framing);
+        engine.set_mode(mode);
+    }
+    pool
+}
+
+/// Guards against a stream that was cut inside an event and reaches its caller as a complete one.
+#[rstest]
+fn a_stream_cut_inside_an_event_does_not_look_complete(
+    #[values(Framing::UntilClose, Framing::UntilReset, Framing::Chunked)] framing: Framing,
+    #[values(WorkerMode::BreakMidEvent, WorkerMode::BreakMidBlank)] mode: WorkerMode,
+) {
+    let pool = pool(framing, mode);
+    let response = pool.request(&Request::stream("/draft/x", "id-1", "m0"));
+    assert_eq!((response.status, response.complete), (200, false), "{response:?}");
+    assert_eq!(event_ids(&response), [0, 1], "an incomplete event was forwarded");
+    pool.wait_until("the end is logged", || {
+        pool.entry.logged(&["event=finished", "id=id-1", "complete=false"])
+    });
+}
+
+/// Guards against a resumable stream that was cut inside an event and is not resumed, as its end was
+/// taken for that of the response.
+#[rstest]
+fn a_resumable_stream_cut_inside_an_event_is_resumed(
+    #[values(Framing::UntilClose, Framing::UntilReset, Framing::Chunked)] framing: Framing,
+    #[values(WorkerMode::BreakMidEvent, WorkerMode::BreakMidBlank)] mode: WorkerMode,
+) {
+    let pool = pool(framing, mode);
+    let response = pool.request(&Request::stream("/chat/x", "id-1", "m0"));
+    assert_eq!((response.status, response.complete), (200, true), "{response:?}");
+    assert_eq!(event_ids(&response), (0..20).collect::<Vec<_>>());
+}
+
+/// Guards against a stream that was cut before its first event and reaches its caller as an empty,
+/// complete one.
+#[rstest]
+fn a_stream_cut_before_its_first_event_does_not_look_complete(
+    #[values(Framing::UntilClose, Framing::UntilReset, Framing::Chunked)] framing: Framing,
+) {
+    let pool = pool(framing, WorkerMode::BreakAtStart);
+    let response = pool.request(&Request::stream("/draft/x", "id-1", "m0"));
+    assert!(!response.complete || response.status == 502, "{response:?}");
+}
+
+/// Guards against a whole stream that is taken for a broken one, as it ends with its connection.
+#[rstest]
+fn a_whole_stream_that_ends_with_its_connection_is_complete(
+    #[values("/draft/x", "/chat/x")] path: &str,
+) {
+    let pool = pool(Framing::UntilClose, WorkerMode::Normal);
+    let response = pool.request(&Request::stream(path, "id-1", "m0"));
+    assert_eq!((response.status, response.complete), (200, true), "{response:?}");
+    assert_eq!(event_ids(&response), (0..20).collect::<Vec<_>>());
+    let executed = pool.engines.iter().map(|engine| engine.executed().len()).sum::<usize>();
+    assert_eq!(executed, 1);
+}
