Decide in one place how a response body ended, and take no end inside an event for a whole one

Callers saw: an answer with 200 and the terminating chunk, whose last event was cut off. Streams that may be resumed were not.

Cause: the relay took the end of the body without an error for the end of the response.

Why it holds: BodyEnd::classify is the only place that judges an end, from the framing and the events. Inside an event, or before the first one, a stream is broken whatever its framing. Between two events nothing in it shows more, so the end waits (150 ms at most, 30 ms usually) until the endpoint's address was checked: refused or restarted is a crash, anything else is a whole stream. The check is one connection for all streams that end there at the time, and only for responses without length and chunks.

The splitter knew no other end of an event than two line feeds: a stream with other line ends would now have been taken for unfinished (and was held back to its end before). Events end with an empty line of any kind.

Left: an engine that closes a stream between two events while its process goes on can't be told from one that has finished.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -314,7 +314,9 @@
         match outcome {
             Outcome::Forward(response, guard) => self.forward(response, guard, exchange),
             Outcome::Refuse(refusal) => refusal_response(refusal),
-            Outcome::Abort => problem_response(StatusCode::BAD_GATEWAY, "broken", None),
+            Outcome::Finish | Outcome::Abort => {
+                problem_response(StatusCode::BAD_GATEWAY, "broken", None)
+            }
         }
     }
 
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -60,6 +60,8 @@
     Forward,
     /// Respond with a refusal.
     Refuse(Refusal),
+    /// End the response: what was forwarded is complete.
+    Finish,
     /// Abort the response.
     Abort,
     /// Disconnect from the endpoint, as if it had broken off the stream.
@@ -385,6 +387,7 @@
                 self.metrics.count_refusal(refusal.reason);
                 self.send_command(id, Command::Refuse(refusal), true);
             }
+            EntryEffect::Finish(id) => self.send_command(id, Command::Finish, true),
             EntryEffect::Abort(id) => self.send_command(id, Command::Abort, true),
             EntryEffect::Disconnect(id) => self.send_command(id, Command::Disconnect, false),
             EntryEffect::Probe(address) => {
--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -2,10 +2,19 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// End of an event.
+/// The usual end of an event.
 const EVENT_END: &[u8] = b"\n\n";
 /// Name of the field with an event's ID.
 const ID_FIELD: &str = "id:";
+/// First byte of a comment line.
+const COMMENT: u8 = b':';
+
+/// A stream ended in the middle of an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct InsideEvent {
+    /// Bytes of the event that had arrived.
+    pub(crate) bytes: usize,
+}
 
 /// Forwards whole events, each once, across all attempts that produce one response.
 ///
@@ -16,6 +25,10 @@
 pub(crate) struct EventSplitter {
     /// The beginning of an incomplete event.
     partial: BytesMut,
+    /// Length of the lines of `partial` that were examined.
+    examined: usize,
+    /// Whether the current attempt has produced an event.
+    has_events: bool,
     /// ID of the last event that was forwarded.
     last_id: Option<u64>,
     /// ID of the last event that was forwarded before the current attempt.
@@ -28,24 +41,30 @@
         self.last_id
     }
 
+    /// Returns whether the current attempt has produced an event.
+    pub(crate) fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Begins the next attempt and discards the incomplete event of the previous one.
     pub(crate) fn start_attempt(&mut self) {
-        self.partial.clear();
+        self.take_partial();
+        self.has_events = false;
         self.resumed_after = self.last_id;
     }
 
     /// Adds bytes of the current attempt; returns its new whole events.
     pub(crate) fn push(&mut self, bytes: Bytes) -> Bytes {
         if self.partial.is_empty() && self.resumed_after.is_none() && bytes.ends_with(EVENT_END) {
+            self.has_events |= is_inside_event(&bytes);
             self.record_id(&bytes);
             return bytes;
         }
         self.partial.extend_from_slice(&bytes);
         let mut complete = BytesMut::new();
-        while let Some(end) =
-            self.partial.windows(EVENT_END.len()).position(|window| window == EVENT_END)
-        {
-            let event = self.partial.split_to(end + EVENT_END.len());
+        while let Some(end) = self.event_end() {
+            let event = self.partial.split_to(end);
+            self.has_events |= is_inside_event(&event);
             if self.is_new(&event) {
                 self.record_id(&event);
                 complete.extend_from_slice(&event);
@@ -54,12 +73,54 @@
         complete.freeze()
     }
 
-    /// Returns the bytes after the last event of an attempt that ended normally: they are part of the
-    /// response.
-    pub(crate) fn finish(&mut self) -> Bytes {
+    /// Ends the current attempt; returns the bytes after its last event if they belong to none.
+    ///
+    /// # Errors
+    /// The attempt has ended in the middle of an event.
+    pub(crate) fn finish(&mut self) -> Result<Bytes, InsideEvent> {
+        let rest = self.take_partial();
+        if rest.ends_with(b"\n\r") && is_inside_event(&rest) {
+            // The empty line ends with a carriage return alone.
+            self.has_events = true;
+            if !self.is_new(&rest) {
+                return Ok(Bytes::new());
+            }
+            self.record_id(&rest);
+            return Ok(rest);
+        }
+        if is_inside_event(&rest) { Err(InsideEvent { bytes: rest.len() }) } else { Ok(rest) }
+    }
+
+    fn take_partial(&mut self) -> Bytes {
+        self.examined = 0;
         self.partial.split().freeze()
     }
 
+    /// Returns the length of the first event in `partial` if it is complete: it ends with an empty
+    /// line. A line ends with a line feed, a carriage return, or both.
+    fn event_end(&mut self) -> Option<usize> {
+        let bytes = &self.partial;
+        let mut start = self.examined;
+        while let Some(length) =
+            bytes[start..].iter().position(|byte| matches!(byte, b'\n' | b'\r'))
+        {
+            let at = start + length;
+            let end = match (bytes[at], bytes.get(at + 1)) {
+                (b'\r', Some(b'\n')) => at + 2,
+                // A line feed may follow, unless the lines of this stream end without one.
+                (b'\r', None) if length > 0 || !bytes[..at].ends_with(b"\r") => break,
+                _ => at + 1,
+            };
+            if length == 0 {
+                self.examined = 0;
+                return Some(end);
+            }
+            start = end;
+        }
+        self.examined = start;
+        None
+    }
+
     fn is_new(&self, event: &[u8]) -> bool {
         match (parse_last_id(event), self.resumed_after) {
             (Some(id), Some(resumed_after)) => id > resumed_after,
@@ -72,9 +133,16 @@
     }
 }
 
+/// Returns whether the bytes after an event have a line of another event: one that is neither empty
+/// nor a comment.
+fn is_inside_event(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.any(|line| line.first().is_some_and(|first| *first != COMMENT))
+}
+
 /// Returns the ID of the last event in `bytes` that has one.
 fn parse_last_id(bytes: &[u8]) -> Option<u64> {
     let text = str::from_utf8(bytes).ok()?;
-    let ids = text.lines().rev().filter_map(|line| line.strip_prefix(ID_FIELD));
+    let ids = text.split(['\n', '\r']).rev().filter_map(|line| line.strip_prefix(ID_FIELD));
     ids.filter_map(|id| id.trim().parse().ok()).next()
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -41,6 +41,8 @@
     Forward(Response<Incoming>, ConnectionGuard),
     /// The caller gets a refusal.
     Refuse(Refusal),
+    /// The response that was forwarded is complete.
+    Finish,
     /// The response is aborted.
     Abort,
 }
@@ -108,6 +110,7 @@
                 }
                 // The endpoint broke off the stream before it could be disconnected.
                 Some(Command::Disconnect) => command = self.commands.recv().await,
+                Some(Command::Finish) => return (self, Outcome::Finish),
                 Some(Command::Refuse(refusal)) => return (self, Outcome::Refuse(refusal)),
                 Some(Command::Abort) | None => return (self, Outcome::Abort),
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! channel ends the task that reads from it. The platform's paths, headers and encodings are behind
 //! [`Dialect`], so this crate doesn't depend on them.
 
+mod body_end;
 mod body_framing;
 mod caller_server;
 mod config_transfer;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,11 +7,12 @@
 };
 
 use bytes::Bytes;
-use citronrill_pool::{EntryEvent, RequestId};
+use citronrill_pool::{EntryEvent, RequestId, ResponseEnd};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use thiserror::Error;
 
 use crate::{
+    body_end::BodyEnd,
     body_framing::Framing,
     entry::{Command, EventSender},
     event_splitter::EventSplitter,
@@ -30,8 +31,8 @@
     Aborted,
 }
 
-/// Waits for the control thread to resume the stream on another endpoint.
-type Failover = Pin<Box<dyn Future<Output = (Exchange, Outcome)> + Send>>;
+/// Waits for the control thread to decide how the response goes on.
+type Decision = Pin<Box<dyn Future<Output = (Exchange, Outcome)> + Send>>;
 
 /// The result of polling the body: a frame, an error, or the end.
 type NextFrame = Option<Result<Frame<Bytes>, RelayError>>;
@@ -44,8 +45,8 @@
         Box<Exchange>,
         #[allow(dead_code, reason = "held for its end")] ConnectionGuard,
     ),
-    /// No endpoint: the stream broke off and is being resumed on another one.
-    Failover(Failover),
+    /// No endpoint: the stream broke off, or its end does not show whether it is whole.
+    Undecided(Decision),
     /// The body has ended.
     Ended,
 }
@@ -79,65 +80,69 @@
         Relay { id, source, events, framing, splitter: stream.then(EventSplitter::default) }
     }
 
-    /// Logs that a stream ended without an error after `bytes` bytes of an event.
-    fn log_unfinished(&self, bytes: usize) {
-        if let Source::Endpoint(_, exchange, _) = &self.source {
-            let (id, framing) = (&exchange.outgoing.caller_id, self.framing.as_str());
-            log::info!("event=stream_unfinished id={id} framing={framing} bytes={bytes}");
-        }
-    }
-
-    fn end(&mut self, complete: bool) {
+    fn end(&mut self, end: ResponseEnd) {
         self.source = Source::Ended;
-        self.events.send(EntryEvent::ResponseEnded(self.id, complete));
+        self.events.send(EntryEvent::ResponseEnded(self.id, end));
     }
 
     /// Handles a frame of the endpoint's body; returns `None` if nothing of it is forwarded.
-    fn handle_frame(
-        &mut self,
-        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
-    ) -> Option<NextFrame> {
-        match frame {
-            None => {
-                let remainder =
-                    self.splitter.as_mut().map(EventSplitter::finish).unwrap_or_default();
-                if !remainder.is_empty() {
-                    self.log_unfinished(remainder.len());
-                }
-                self.end(true);
-                Some((!remainder.is_empty()).then(|| Ok(Frame::data(remainder))))
+    fn handle_frame(&mut self, frame: Frame<Bytes>) -> Option<NextFrame> {
+        if let Source::Endpoint(_, exchange, _) = &self.source {
+            exchange.progress.increment();
+        }
+        let frame = match &mut self.splitter {
+            Some(splitter) => frame.map_data(|bytes| splitter.push(bytes)),
+            None => frame,
+        };
+        let empty = frame.data_ref().is_some_and(Bytes::is_empty);
+        (!empty).then_some(Some(Ok(frame)))
+    }
+
+    /// Handles the end of the endpoint's body; returns `None` if the response goes on.
+    fn handle_end(&mut self, error: Option<hyper::Error>) -> Option<NextFrame> {
+        match BodyEnd::classify(self.framing, self.splitter.as_mut(), error.is_some()) {
+            BodyEnd::Complete(rest) => {
+                self.end(ResponseEnd::Complete);
+                Some(data_frame(rest))
             }
-            Some(Err(error)) if self.splitter.is_none() => {
-                self.end(false);
-                Some(Some(Err(error.into())))
+            BodyEnd::Unproven(rest) => {
+                self.await_decision(EntryEvent::StreamEndUnproven);
+                data_frame(rest).map(Some)
             }
-            Some(Err(error)) => {
-                log::debug!(
-                    "event=stream_broken request={} framing={} error=\"{error}\"",
-                    self.id.0,
-                    self.framing.as_str()
-                );
+            BodyEnd::Truncated(bytes) => {
+                self.log_unfinished(bytes);
                 self.fail_over();
                 None
             }
-            Some(Ok(frame)) => {
-                if let Source::Endpoint(_, exchange, _) = &self.source {
-                    exchange.progress.increment();
-                }
-                let frame = match &mut self.splitter {
-                    Some(splitter) => frame.map_data(|bytes| splitter.push(bytes)),
-                    None => frame,
-                };
-                if frame.data_ref().is_some_and(Bytes::is_empty) {
-                    return None;
-                }
-                Some(Some(Ok(frame)))
+            BodyEnd::Broken if self.splitter.is_some() => {
+                let error = error.map(|error| error.to_string()).unwrap_or_default();
+                log::debug!("event=stream_broken request={} error=\"{error}\"", self.id.0);
+                self.fail_over();
+                None
+            }
+            BodyEnd::Broken => {
+                self.end(ResponseEnd::Broken);
+                Some(error.map(|error| Err(error.into())))
             }
         }
     }
 
+    /// Logs that a stream ended without an error after `bytes` bytes of an event.
+    fn log_unfinished(&self, bytes: usize) {
+        if let Source::Endpoint(_, exchange, _) = &self.source {
+            let (id, framing) = (&exchange.outgoing.caller_id, self.framing.as_str());
+            log::info!("event=stream_unfinished id={id} framing={framing} bytes={bytes}");
+        }
+    }
+
     /// Reports that the stream broke off and waits for the control thread to fail over.
     fn fail_over(&mut self) {
+        self.await_decision(EntryEvent::StreamBroken);
+    }
+
+    /// Disconnects from the endpoint, reports the event with the last one that was forwarded to the
+    /// caller, and waits for the control thread to decide how the response goes on.
+    fn await_decision(&mut self, event: fn(RequestId, Option<u64>) -> EntryEvent) {
         let last_event = self.splitter.as_mut().and_then(|splitter| {
             splitter.start_attempt();
             splitter.last_id()
@@ -145,12 +150,17 @@
         // Closes the connection to the endpoint before the stream is resumed on another one.
         if let Source::Endpoint(_, exchange, _) = std::mem::replace(&mut self.source, Source::Ended)
         {
-            self.source = Source::Failover(Box::pin(exchange.next_outcome()));
-            self.events.send(EntryEvent::StreamBroken(self.id, last_event));
+            self.source = Source::Undecided(Box::pin(exchange.next_outcome()));
+            self.events.send(event(self.id, last_event));
         }
     }
 }
 
+/// Returns a frame with these bytes; `None` if there are none.
+fn data_frame(bytes: Bytes) -> NextFrame {
+    (!bytes.is_empty()).then(|| Ok(Frame::data(bytes)))
+}
+
 impl Body for Relay {
     type Data = Bytes;
     type Error = RelayError;
@@ -178,17 +188,29 @@
                     let Poll::Ready(frame) = Pin::new(body).poll_frame(context) else {
                         return Poll::Pending;
                     };
-                    if let Some(next) = self.handle_frame(frame) {
+                    let next = match frame {
+                        Some(Ok(frame)) => self.handle_frame(frame),
+                        Some(Err(error)) => self.handle_end(Some(error)),
+                        None => self.handle_end(None),
+                    };
+                    if let Some(next) = next {
                         return Poll::Ready(next);
                     }
                 }
-                Source::Failover(failover) => {
-                    let Poll::Ready((exchange, outcome)) = failover.as_mut().poll(context) else {
+                Source::Undecided(decision) => {
+                    let Poll::Ready((exchange, outcome)) = decision.as_mut().poll(context) else {
                         return Poll::Pending;
                     };
-                    let Outcome::Forward(response, guard) = outcome else {
-                        self.source = Source::Ended;
-                        return Poll::Ready(Some(Err(RelayError::Aborted)));
+                    let (response, guard) = match outcome {
+                        Outcome::Forward(response, guard) => (response, guard),
+                        Outcome::Finish => {
+                            self.source = Source::Ended;
+                            return Poll::Ready(None);
+                        }
+                        Outcome::Refuse(_) | Outcome::Abort => {
+                            self.source = Source::Ended;
+                            return Poll::Ready(Some(Err(RelayError::Aborted)));
+                        }
                     };
                     self.framing = Framing::of(response.headers());
                     let body = response.into_body();
@@ -201,7 +223,7 @@
     fn is_end_stream(&self) -> bool {
         match &self.source {
             Source::Endpoint(body, ..) => self.splitter.is_none() && body.is_end_stream(),
-            Source::Failover(_) => false,
+            Source::Undecided(_) => false,
             Source::Ended => true,
         }
     }
@@ -219,10 +241,11 @@
     fn drop(&mut self) {
         let event = match &self.source {
             Source::Ended => return,
-            Source::Endpoint(body, ..) if body.is_end_stream() => {
-                EntryEvent::ResponseEnded(self.id, true)
+            // The server library does not poll a body again that has delivered its whole length.
+            Source::Endpoint(body, ..) if self.splitter.is_none() && body.is_end_stream() => {
+                EntryEvent::ResponseEnded(self.id, ResponseEnd::Complete)
             }
-            Source::Endpoint(..) | Source::Failover(_) => EntryEvent::CallerLeft(self.id),
+            Source::Endpoint(..) | Source::Undecided(_) => EntryEvent::CallerLeft(self.id),
         };
         self.events.send(event);
     }
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -2,13 +2,23 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that cannot go on must fail")]
 
+#[path = "../src/body_end.rs"]
+mod body_end;
+#[path = "../src/body_framing.rs"]
+#[allow(dead_code, reason = "the test uses a part of the module")]
+mod body_framing;
 #[path = "../src/event_splitter.rs"]
 mod event_splitter;
 
 use bytes::Bytes;
 use proptest::{prelude::*, test_runner::RngSeed};
+use rstest::rstest;
 
-use self::event_splitter::EventSplitter;
+use self::{
+    body_end::BodyEnd,
+    body_framing::Framing,
+    event_splitter::{EventSplitter, InsideEvent},
+};
 
 fn event(number: u64) -> String {
     format!("id: {number}\ndata: token {number}\n\n")
@@ -51,13 +61,78 @@
     assert_eq!(splitter.push(Bytes::from(produced(3, 8))), produced(5, 8));
 }
 
-/// The bytes after the last event of an attempt that ended normally belong to the response.
+/// Comments after the last event of an attempt that ended normally belong to the response.
 #[test]
-fn trailing_bytes_are_forwarded() {
+fn trailing_comments_are_forwarded() {
     let mut splitter = EventSplitter::default();
-    assert!(splitter.push(Bytes::from_static(b"data: [DONE]\n")).is_empty());
-    assert_eq!(splitter.finish(), Bytes::from_static(b"data: [DONE]\n"));
-    assert!(splitter.finish().is_empty());
+    assert_eq!(splitter.push(Bytes::from_static(b"data: x\n\n: end\n")), "data: x\n\n");
+    assert_eq!(splitter.finish(), Ok(Bytes::from_static(b": end\n")));
+    assert_eq!(splitter.finish(), Ok(Bytes::new()));
+}
+
+/// Guards against the beginning of an event that is passed on as the end of a response.
+#[test]
+fn an_unfinished_event_is_reported_and_not_forwarded() {
+    for rest in ["d", "data: [DONE]", "data: [DONE]\n", "data: x\r\n", ": c\ndata: x\n"] {
+        let mut splitter = EventSplitter::default();
+        assert!(splitter.push(Bytes::from(rest.to_owned())).is_empty());
+        assert_eq!(splitter.finish(), Err(InsideEvent { bytes: rest.len() }), "{rest:?}");
+        assert_eq!(splitter.finish(), Ok(Bytes::new()));
+    }
+}
+
+/// Guards against a stream that is held back to its end, and then taken for an unfinished event, as its
+/// lines end otherwise.
+#[rstest]
+fn events_end_with_an_empty_line_of_any_kind(
+    #[values("\n", "\r\n", "\r")] line_end: &str,
+    #[values(1, 2, 3, 7, 400)] chunk: usize,
+) {
+    let stream = String::from_utf8(produced(0, 4)).unwrap().replace('\n', line_end);
+    let mut splitter = EventSplitter::default();
+    let mut forwarded = Vec::new();
+    for bytes in stream.as_bytes().chunks(chunk) {
+        forwarded.extend_from_slice(&splitter.push(Bytes::copy_from_slice(bytes)));
+    }
+    assert_eq!(String::from_utf8(forwarded).unwrap(), stream);
+    assert_eq!(splitter.last_id(), Some(3));
+    assert_eq!(splitter.finish(), Ok(Bytes::new()));
+}
+
+/// The end of a stream is judged by its framing and its events; that of another response by its framing.
+#[rstest]
+#[case(Framing::UntilClose, "id: 0\n\nid: 1\n", BodyEnd::Truncated(6))]
+#[case(Framing::Chunked, "id: 0\n\nid: 1\n", BodyEnd::Truncated(6))]
+#[case(Framing::UntilClose, "", BodyEnd::Truncated(0))]
+#[case(Framing::UntilClose, ": wait\n\n", BodyEnd::Truncated(0))]
+#[case(Framing::Chunked, "", BodyEnd::Complete(Bytes::new()))]
+#[case(Framing::Length, "id: 0\n\n", BodyEnd::Complete(Bytes::new()))]
+#[case(Framing::UntilClose, "id: 0\n\n", BodyEnd::Unproven(Bytes::new()))]
+#[case(Framing::UntilClose, "id: 0\n\n: end", BodyEnd::Unproven(Bytes::from_static(b": end")))]
+fn the_end_of_a_body_is_classified(
+    #[case] framing: Framing,
+    #[case] stream: &str,
+    #[case] end: BodyEnd,
+) {
+    let splitter = || {
+        let mut splitter = EventSplitter::default();
+        splitter.push(Bytes::from(stream.to_owned()));
+        splitter
+    };
+    assert_eq!(BodyEnd::classify(framing, Some(&mut splitter()), false), end);
+    assert_eq!(BodyEnd::classify(framing, Some(&mut splitter()), true), BodyEnd::Broken);
+    assert_eq!(BodyEnd::classify(framing, None, false), BodyEnd::Complete(Bytes::new()));
+    assert_eq!(BodyEnd::classify(framing, None, true), BodyEnd::Broken);
+}
+
+/// Guards against an attempt that resumes a stream and produces nothing, and ends it as complete.
+#[test]
+fn a_resumed_attempt_without_an_event_is_truncated() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(Bytes::from(produced(0, 2)));
+    splitter.start_attempt();
+    let end = BodyEnd::classify(Framing::UntilClose, Some(&mut splitter), false);
+    assert_eq!(end, BodyEnd::Truncated(0));
 }
 
 proptest! {
--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -121,6 +121,7 @@
             lost_runs: 0,
             trial: None,
             from_copy: false,
+            unproven_end: None,
         })
     }
 }
--- a/crates/pool/src/entry/crashes.rs
+++ b/crates/pool/src/entry/crashes.rs
@@ -153,6 +153,7 @@
     /// Handles the result of checking an endpoint.
     pub(super) fn endpoint_checked(&mut self, address: SocketAddr, check: EndpointCheck) {
         let now = self.now;
+        self.resolve_unproven_ends(address, check);
         let possible = &mut self.crashes.possible;
         let unproven = |crash: &PossibleCrash| crash.address == address && !crash.proven;
         let Some(index) = possible.iter().position(unproven) else { return };
@@ -180,6 +181,7 @@
     /// Handles the proof that an instance has crashed: its process is gone, or it has restarted.
     pub(super) fn prove_crash(&mut self, instance: &str, proof: &'static str) {
         let now = self.now;
+        self.break_unproven_ends(instance);
         let mut possible = self.crashes.possible.iter_mut();
         let crash = possible.find(|crash| crash.instance == instance && !crash.proven);
         let Some(crash) = crash else { return };
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Dispatch, EntryEffect, FailureKind, LimitedUse, PoolEntry, Reason, Refusal, Request, RequestId,
-    ResponseHead, Resume, Stage, Verdict, classify_response,
+    ResponseEnd, ResponseHead, Resume, Stage, Verdict, classify_response,
 };
 
 /// Maximum dispatches of one request, including refused ones: a backstop in addition to the retry
@@ -233,7 +233,8 @@
         }
     }
 
-    pub(super) fn response_ended(&mut self, id: RequestId, complete: bool) {
+    pub(super) fn response_ended(&mut self, id: RequestId, end: ResponseEnd) {
+        let complete = end == ResponseEnd::Complete;
         let instance = self.requests.get(&id).and_then(|request| request.instance.clone());
         if let Some(endpoint) = instance.and_then(|instance| self.pool.endpoints.get_mut(&instance))
         {
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod stalls;
 mod store_limit;
 mod store_loads;
+mod stream_end;
 mod suspects;
 mod timers;
 mod trials;
@@ -35,12 +36,12 @@
 pub use self::rules::classify_response;
 pub use self::types::{
     Arrival, Dispatch, EntryEffect, EntryEvent, EntryProfile, FailureKind, Reason, Refusal,
-    RequestId, ResponseHead, Resume, SideLoss, TokenCount, Verdict,
+    RequestId, ResponseEnd, ResponseHead, Resume, SideLoss, TokenCount, Verdict,
 };
 use self::{
     choose::Choice, crashes::Crashes, credit::LimitedUse, demand::Demand, dispatch::MAX_DISPATCHES,
     load_requests::SentLoadRequest, preload::PreloadState, priority::Priority, resume::Losses,
-    store_limit::StoreLimit, suspects::Suspects, trials::Trial,
+    store_limit::StoreLimit, stream_end::UnprovenEnd, suspects::Suspects, trials::Trial,
 };
 use crate::{
     budget::RetryBudget,
@@ -137,6 +138,8 @@
     head_sent: bool,
     /// Last event that was delivered to the caller.
     last_event: Option<u64>,
+    /// Set while it is not known whether its response, which ended with the connection, is whole.
+    unproven_end: Option<UnprovenEnd>,
     /// Instance to which the KV cache of the last run was copied.
     backup: Option<String>,
     /// Whether the current response has delivered any bytes.
@@ -314,13 +317,14 @@
                 }
             }
             EntryEvent::Progress(ids) => self.progress(&ids),
-            EntryEvent::ResponseEnded(id, complete) => {
-                if !complete {
+            EntryEvent::ResponseEnded(id, end) => {
+                if end == ResponseEnd::Broken {
                     self.record_lost_run(id);
                 }
-                self.response_ended(id, complete);
+                self.response_ended(id, end);
             }
             EntryEvent::StreamBroken(id, last_event) => self.stream_broken(id, last_event),
+            EntryEvent::StreamEndUnproven(id, last_event) => self.end_unproven(id, last_event),
             EntryEvent::CallerLeft(id) => self.caller_left(id),
             EntryEvent::Stop(wait_ms, end_ms) => {
                 self.stop = Some(Stop { wait_until: now + wait_ms, end_by: now + end_ms });
--- a/crates/pool/src/entry/resume.rs
+++ b/crates/pool/src/entry/resume.rs
@@ -11,8 +11,8 @@
 use citronrill_decide::LogEvent;
 
 use super::{
-    EntryEffect, FIRST_EVENT_MS, MAX_DISPATCHES, PoolEntry, Reason, Request, RequestId, Stage,
-    TokenCount,
+    EntryEffect, FIRST_EVENT_MS, MAX_DISPATCHES, PoolEntry, Reason, Request, RequestId,
+    ResponseEnd, Stage, TokenCount,
 };
 use crate::{
     config::{EngineSpec, RetryPolicy},
@@ -209,6 +209,6 @@
             self.log(event.with("tokens", request.tokens.prompt));
         }
         self.effects.push(EntryEffect::Abort(id));
-        self.response_ended(id, false);
+        self.response_ended(id, ResponseEnd::Aborted);
     }
 }
--- a/crates/pool/src/entry/stalls.rs
+++ b/crates/pool/src/entry/stalls.rs
@@ -124,6 +124,7 @@
             && request.stage != Stage::Waiting
             && !request.retry_charged
             && request.trial.is_none()
+            && request.unproven_end.is_none()
             && request.dispatches < MAX_DISPATCHES
     }
 
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -2,7 +2,10 @@
 
 use citronrill_base::Set;
 
-use super::{Choice, EntryEffect, MIN_REMAINING_MS, PoolEntry, Reason, Request, RequestId, Stage};
+use super::{
+    Choice, EntryEffect, MIN_REMAINING_MS, PoolEntry, Reason, Request, RequestId, ResponseEnd,
+    Stage,
+};
 
 /// Time to first byte, in latency objectives, above which a request is retried elsewhere. At two
 /// objectives, the response to the retry still arrives within three if the other endpoint takes its
@@ -16,6 +19,7 @@
     pub(super) fn check_deadlines(&mut self) {
         self.exclude_pause();
         self.last_check = self.now;
+        self.check_unproven_ends();
         self.end_expired();
         self.refuse_before_disconnect();
         self.refuse_on_stop();
@@ -50,7 +54,7 @@
                 Stage::Waiting | Stage::Sent => self.refuse(id, Reason::TimedOut),
                 Stage::Responding => {
                     self.effects.push(EntryEffect::Abort(id));
-                    self.response_ended(id, false);
+                    self.response_ended(id, ResponseEnd::Aborted);
                 }
             }
         }
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -110,6 +110,17 @@
     Broken,
 }
 
+/// How a response ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseEnd {
+    /// It was forwarded completely.
+    Complete,
+    /// The endpoint broke it off.
+    Broken,
+    /// This entry aborted it.
+    Aborted,
+}
+
 /// How the connection to a side was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SideLoss {
@@ -152,10 +163,13 @@
     DispatchFailed(RequestId, u32, FailureKind),
     /// The responses of these requests have made progress.
     Progress(Vec<RequestId>),
-    /// The response has ended; the flag says whether it was complete.
-    ResponseEnded(RequestId, bool),
+    /// The response has ended.
+    ResponseEnded(RequestId, ResponseEnd),
     /// The endpoint broke off a stream; carries the last event delivered to the caller, if any.
     StreamBroken(RequestId, Option<u64>),
+    /// A stream has ended with its connection, between two events; carries the last event delivered to
+    /// the caller.
+    StreamEndUnproven(RequestId, Option<u64>),
     /// The caller has disconnected.
     CallerLeft(RequestId),
     /// A planned stop has begun: no request waits for longer than the first number of milliseconds
@@ -297,6 +311,8 @@
     Forward(RequestId),
     /// Refuse the request with a response of the entry's own.
     Refuse(RequestId, Refusal),
+    /// End a response: what was forwarded is complete.
+    Finish(RequestId),
     /// Cut off a response that is being forwarded and cannot be completed.
     Abort(RequestId),
     /// Disconnect from the responding endpoint, as if it had broken off the stream.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -39,8 +39,8 @@
     digest::RequestDigest,
     entry::{
         Arrival, Dispatch, EndpointCheck, EntryEffect, EntryEvent, EntryProfile, FailureKind,
-        PoolEntry, Reason, Refusal, RequestId, ResponseHead, Resume, SideLoss, TokenCount, Verdict,
-        classify_response,
+        PoolEntry, Reason, Refusal, RequestId, ResponseEnd, ResponseHead, Resume, SideLoss,
+        TokenCount, Verdict, classify_response,
     },
     incarnation::StartTime,
     limits::{
--- a/crates/pool/tests/all/entry.rs
+++ b/crates/pool/tests/all/entry.rs
@@ -2,7 +2,8 @@
 
 use citronrill_pool::Verdict;
 use citronrill_pool::{
-    EntryEffect, EntryEvent, FailureKind, Reason, ResponseHead, RetryPolicy, classify_response,
+    EntryEffect, EntryEvent, FailureKind, Reason, ResponseEnd, ResponseHead, RetryPolicy,
+    classify_response,
 };
 use rstest::rstest;
 
@@ -162,7 +163,7 @@
     for _ in 0..12 {
         let (id, effects) = bench.request("/book/x", "");
         assert_eq!(dispatch(&effects).unwrap().instance, "i2");
-        bench.step(EntryEvent::ResponseEnded(id, true));
+        bench.step(EntryEvent::ResponseEnded(id, ResponseEnd::Complete));
     }
 }
 
--- a/crates/pool/tests/all/incarnation.rs
+++ b/crates/pool/tests/all/incarnation.rs
@@ -1,8 +1,8 @@
 //! Endpoints that restart under the same name, and member list rows of other writers.
 
 use citronrill_pool::{
-    EngineReport, EntryEffect, EntryEvent, Member, Order, OrderOutcome, PoolSide, SideEffect,
-    SideEvent, StartTime,
+    EngineReport, EntryEffect, EntryEvent, Member, Order, OrderOutcome, PoolSide, ResponseEnd,
+    SideEffect, SideEvent, StartTime,
 };
 use citronrill_wire::{LoadRequest, SideState};
 use rstest::rstest;
@@ -216,7 +216,7 @@
     for _ in 0..8 {
         let (id, effects) = bench.request("/book/x", "");
         if dispatch(&effects).unwrap().instance == "i1" {
-            bench.step(EntryEvent::ResponseEnded(id, false));
+            bench.step(EntryEvent::ResponseEnded(id, ResponseEnd::Broken));
         }
     }
     assert_eq!(dispatched_to(&mut bench, "/book/x", ""), Some("i2".to_owned()));
--- a/crates/pool/tests/all/limits/entry.rs
+++ b/crates/pool/tests/all/limits/entry.rs
@@ -1,8 +1,8 @@
 //! Limits in the entry's state machine.
 
 use citronrill_pool::{
-    EntryEffect, EntryEvent, KeyDigest, LimitUnit, Organisation, Reason, RequestId, TokenCount,
-    UsageLimit,
+    EntryEffect, EntryEvent, KeyDigest, LimitUnit, Organisation, Reason, RequestId, ResponseEnd,
+    TokenCount, UsageLimit,
 };
 use citronrill_wire::{Credit, CreditReply, CreditReport, SideState};
 
@@ -107,7 +107,7 @@
     let (id, effects) = request(&mut bench);
     reply(&mut bench, &effects, 200);
     bench.respond(id, crate::support::ok());
-    bench.step(EntryEvent::ResponseEnded(id, true));
+    bench.step(EntryEvent::ResponseEnded(id, ResponseEnd::Complete));
     bench.now += 20;
     assert!(dispatch(&request(&mut bench).1).is_none());
 }
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod simulated_loads;
 mod simulation;
 mod stalls;
+mod stream_ends;
 mod support;
 mod suspects;
 mod table_follower;
--- a/crates/pool/tests/all/resume.rs
+++ b/crates/pool/tests/all/resume.rs
@@ -1,8 +1,8 @@
 //! Streams that resume at another endpoint when theirs fails.
 
 use citronrill_pool::{
-    Dispatch, EntryEffect, EntryEvent, FailureKind, Member, RequestId, ResponseHead, Resume,
-    StartTime, TokenCount,
+    Dispatch, EntryEffect, EntryEvent, FailureKind, Member, RequestId, ResponseEnd, ResponseHead,
+    Resume, StartTime, TokenCount,
 };
 use citronrill_wire::SideState;
 use rstest::rstest;
@@ -158,7 +158,7 @@
         bench.step(EntryEvent::ResponseHead(id, next.number, SERVED));
         after += 3;
     }
-    let effects = bench.step(EntryEvent::ResponseEnded(id, true));
+    let effects = bench.step(EntryEvent::ResponseEnded(id, ResponseEnd::Complete));
     assert!(!is_cut(&effects, id));
     assert_eq!(bench.entry.in_flight(), 0);
 }
--- a/crates/pool/tests/all/simulation/engines.rs
+++ b/crates/pool/tests/all/simulation/engines.rs
@@ -4,7 +4,7 @@
 
 use citronrill_pool::{
     EngineReport, EntryEvent, FailureKind, HeldModel, Order, OrderKind, OrderOutcome, RequestId,
-    ResponseHead, SideEvent, StartTime,
+    ResponseEnd, ResponseHead, SideEvent, StartTime,
 };
 use rand::Rng;
 
@@ -264,7 +264,10 @@
         let place = runs.iter().position(|run| run.id == id && run.number == number);
         if let Some(place) = place {
             let run = runs.remove(place);
-            self.after_hop(SimEvent::EntryInput(run.entry, EntryEvent::ResponseEnded(id, true)));
+            self.after_hop(SimEvent::EntryInput(
+                run.entry,
+                EntryEvent::ResponseEnded(id, ResponseEnd::Complete),
+            ));
         }
         self.fill_slots(index);
     }
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -18,7 +18,7 @@
 use citronrill_pool::{
     Arrival, EndpointCheck, EntryEffect, EntryEvent, EntryLink, EntryProfile, HeldModel,
     LimitBounds, Member, MemberChange, Order, PoolEntry, PoolSide, RequestDigest, RequestId,
-    ServingConfig, SideEffect, SideEvent, TokenCount,
+    ResponseEnd, ServingConfig, SideEffect, SideEvent, TokenCount,
 };
 use citronrill_wire::SuspectRecord;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -421,8 +421,8 @@
     }
 
     fn step_entry(&mut self, entry: usize, event: EntryEvent) {
-        if let EntryEvent::ResponseEnded(id, complete) = &event {
-            self.record_end(entry, *id, *complete);
+        if let EntryEvent::ResponseEnded(id, end) = &event {
+            self.record_end(entry, *id, *end == ResponseEnd::Complete);
         }
         self.stats.steps += 1;
         let effects = self.entries[entry].step(Millis(self.now), event);
@@ -465,6 +465,7 @@
                     self.record_violation(format!("{id:?} ended twice ({twice}) or late ({late})"));
                 }
             }
+            EntryEffect::Finish(id) => self.record_end(entry, id, true),
             EntryEffect::Abort(id) => {
                 self.cancel(entry, id);
                 self.repeat_failed(entry, id, false);
--- /dev/null
+++ b/crates/pool/tests/all/stream_ends.rs
@@ -0,0 +1,91 @@
+//! Streams that end with their connection, between two events.
+
+use citronrill_pool::{EndpointCheck, EntryEffect, EntryEvent, RequestId};
+use rstest::rstest;
+
+use crate::support::{Bench, ENGINE, address, dispatch, member, ok, state};
+
+/// An entry with two engines that have `m0` loaded.
+fn bench() -> Bench {
+    let members = (1..=2).map(|index| member(index, ENGINE, &["m0"])).collect();
+    let mut bench = Bench::new(members);
+    for index in 1..=2 {
+        bench.step(EntryEvent::SideReport(address(index), state(1, &["m0"])));
+    }
+    bench
+}
+
+/// Starts a stream that ends with its connection; returns it with its engine's number.
+fn ended_stream(bench: &mut Bench, path: &str) -> (RequestId, u8) {
+    let (id, effects) = bench.request(path, "m0");
+    let engine = if dispatch(&effects).unwrap().address == address(1) { 1 } else { 2 };
+    bench.respond(id, ok());
+    let effects = bench.step(EntryEvent::StreamEndUnproven(id, Some(3)));
+    assert!(effects.contains(&EntryEffect::CheckEndpoint(address(engine))), "{effects:?}");
+    assert!(!effects.contains(&EntryEffect::Finish(id)));
+    (id, engine)
+}
+
+/// The engine still runs, so the stream is whole.
+#[test]
+fn a_stream_of_a_running_engine_is_complete() {
+    let mut bench = bench();
+    let (id, engine) = ended_stream(&mut bench, "/chat/x");
+    let effects = bench.step(EntryEvent::EndpointChecked(address(engine), EndpointCheck::Accepted));
+    assert!(effects.contains(&EntryEffect::Finish(id)), "{effects:?}");
+    assert_eq!(bench.entry.in_flight(), 0);
+}
+
+/// Guards against a stream that looks complete although its engine crashed between two events: a resumable
+/// one goes on elsewhere, any other is cut.
+#[rstest]
+#[case("/chat/x", true)]
+#[case("/draft/x", false)]
+fn a_stream_of_a_crashed_engine_is_not_complete(#[case] path: &str, #[case] resumed: bool) {
+    let mut bench = bench();
+    let (id, engine) = ended_stream(&mut bench, path);
+    let effects = bench.step(EntryEvent::EndpointChecked(address(engine), EndpointCheck::Refused));
+    assert!(!effects.contains(&EntryEffect::Finish(id)), "{effects:?}");
+    assert_eq!(effects.contains(&EntryEffect::Abort(id)), !resumed);
+    let next = dispatch(&effects).and_then(|dispatch| dispatch.resume);
+    assert_eq!(next.and_then(|resume| resume.last_event), resumed.then_some(3));
+}
+
+/// Guards against a response that never ends, as its engine does not reply to the check.
+#[test]
+fn a_stream_is_complete_if_nothing_contradicts_it() {
+    let mut bench = bench();
+    let (id, engine) = ended_stream(&mut bench, "/chat/x");
+    bench.step(EntryEvent::EndpointChecked(address(engine), EndpointCheck::Unknown));
+    bench.now += 20;
+    let effects = bench.step(EntryEvent::UrgentTick);
+    assert!(effects.contains(&EntryEffect::CheckEndpoint(address(engine))), "not checked again");
+    bench.now += 150;
+    let effects = bench.step(EntryEvent::UrgentTick);
+    assert!(effects.contains(&EntryEffect::Finish(id)), "{effects:?}");
+}
+
+/// Guards against one connection for each stream that ends at the same time.
+#[test]
+fn an_engine_is_checked_once_for_all_its_streams() {
+    let mut bench = bench();
+    let mut ends = Vec::new();
+    for _ in 0..6 {
+        let (id, effects) = bench.request("/chat/x", "m0");
+        ends.push((id, dispatch(&effects).unwrap().address));
+        bench.respond(id, ok());
+    }
+    let mut checks = Vec::new();
+    for (id, _) in &ends {
+        let effects = bench.step(EntryEvent::StreamEndUnproven(*id, Some(3)));
+        checks.extend(effects.into_iter().filter_map(|effect| match effect {
+            EntryEffect::CheckEndpoint(address) => Some(address),
+            _ => None,
+        }));
+    }
+    let mut engines = ends.iter().map(|(_, address)| *address).collect::<Vec<_>>();
+    engines.sort_unstable();
+    engines.dedup();
+    checks.sort_unstable();
+    assert_eq!(checks, engines);
+}
--- a/crates/pool/tests/all/suspects.rs
+++ b/crates/pool/tests/all/suspects.rs
@@ -5,7 +5,8 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use citronrill_pool::{
-    EndpointCheck, EntryEffect, EntryEvent, Reason, RequestDigest, RequestId, SideLoss, TokenCount,
+    EndpointCheck, EntryEffect, EntryEvent, Reason, RequestDigest, RequestId, ResponseEnd,
+    SideLoss, TokenCount,
 };
 use citronrill_wire::{
     CrashRecord, SideState, SuspectKind, SuspectMessage, SuspectRecord, SuspectUpdate, TrialReply,
@@ -281,7 +282,7 @@
     let mut bench = pool(5);
     crash_endpoints(&mut bench, 5, ONE, 2);
     let (id, _) = run(&mut bench, DIGEST, ONE);
-    let effects = bench.step(EntryEvent::ResponseEnded(id, true));
+    let effects = bench.step(EntryEvent::ResponseEnded(id, ResponseEnd::Complete));
     let cleared = messages(&effects);
     let cleared = cleared.iter().filter(|(_, kind)| matches!(kind, SuspectKind::Cleared(_)));
     assert_eq!(cleared.count(), 2, "both collectors are told: {effects:?}");
@@ -298,13 +299,13 @@
     let mut bench = pool(5);
     for lost_by in [ONE, caller, ONE] {
         let (id, _) = run(&mut bench, DIGEST, caller);
-        bench.step(EntryEvent::ResponseEnded(id, true));
+        bench.step(EntryEvent::ResponseEnded(id, ResponseEnd::Complete));
         let (id, endpoint) = run(&mut bench, DIGEST, lost_by);
         crash(&mut bench, id, endpoint, 60);
         settle(&mut bench, 5, endpoint);
     }
     let (id, _) = run(&mut bench, DIGEST, caller);
-    bench.step(EntryEvent::ResponseEnded(id, true));
+    bench.step(EntryEvent::ResponseEnded(id, ResponseEnd::Complete));
     let (_, effects) = bench.attempt("/draft/x", DIGEST, ONE);
     assert!(dispatch(&effects).is_some(), "{effects:?}");
 }
@@ -314,7 +315,7 @@
 fn a_request_that_has_just_completed_is_no_suspect() {
     let mut bench = pool(5);
     let (id, _) = run(&mut bench, DIGEST, ONE);
-    bench.step(EntryEvent::ResponseEnded(id, true));
+    bench.step(EntryEvent::ResponseEnded(id, ResponseEnd::Complete));
     crash_endpoints(&mut bench, 5, ONE, 2);
     let (_, effects) = bench.attempt("/draft/x", DIGEST, ONE);
     assert!(dispatch(&effects).is_some(), "{effects:?}");
--- a/tests/pool/poison.rs
+++ b/tests/pool/poison.rs
@@ -4,6 +4,8 @@
 
 use rstest::rstest;
 
+use citronrill_platform_standin::Framing;
+
 use crate::support::{Deployment, Process, Request, Response};
 
 /// Crashes after which a poison request must not run again.
@@ -72,3 +74,24 @@
     let innocent = attempt(&pool, pool.caller_address, &path.replace("poison", "x"), "innocent");
     assert_eq!((innocent.status, innocent.complete), (200, true), "{innocent:?}");
 }
+
+/// Guards against a stream that looks complete, and clears the request that crashes its workers, because
+/// its connection was closed between two events when the worker crashed.
+#[rstest]
+fn a_crash_between_two_events_is_no_completion(
+    #[values("/chat/poison", "/draft/poison")] path: &str,
+) {
+    let engines: [(&str, &[&str]); 4] =
+        [("e1", &["m0"]), ("e2", &["m0"]), ("e3", &["m0"]), ("e4", &["m0"])];
+    let pool = Deployment::start(&engines);
+    pool.engines.iter().for_each(|engine| engine.set_framing(Framing::UntilClose));
+    for number in 0..8 {
+        let id = format!("poison-{number}");
+        let response = attempt(&pool, pool.caller_address, path, &id);
+        assert!(response.status != 200 || !response.complete, "{response:?}");
+        thread::sleep(PAUSE);
+    }
+    assert!(crashes(&pool) <= MAX_CRASHES, "{} crashes", crashes(&pool));
+    let response = attempt(&pool, pool.caller_address, path, "poison-last");
+    assert!(response.body.contains("quarantined"), "{response:?}");
+}
--- a/tests/pool/resume.rs
+++ b/tests/pool/resume.rs
@@ -4,7 +4,7 @@
 
 use citronrill_platform_standin::WorkerMode;
 
-use crate::support::{Deployment, Request, Response, event_ids};
+use crate::support::{Deployment, Request, Response};
 
 const SIGCONT: i32 = 18;
 const SIGSTOP: i32 = 19;
@@ -29,7 +29,7 @@
     let pool = pool_with_backups(mode);
     let response = pool.request(&Request::stream("/draft/x", "id-1", "m0"));
     assert_eq!((response.status, response.complete), (200, true), "{response:?}");
-    assert_eq!(event_ids(&response), (0..20).collect::<Vec<_>>());
+    assert_eq!(response.event_ids(), (0..20).collect::<Vec<_>>());
     let after = pool.engines.iter().filter_map(|engine| engine.last_header("last-event-id"));
     assert_eq!(
         after.collect::<Vec<_>>(),
@@ -52,7 +52,7 @@
     pool.engines.iter().for_each(|engine| engine.set_mode(WorkerMode::BreakThenRun));
     let response = pool.request(&Request::stream("/chat/x", "id-1", "m0"));
     assert_eq!((response.status, response.complete), (200, true), "{response:?}");
-    assert_eq!(event_ids(&response), (0..20).collect::<Vec<_>>());
+    assert_eq!(response.event_ids(), (0..20).collect::<Vec<_>>());
 }
 
 /// Guards against a caller that waits until a stalled instance (engine and side) responds again.
@@ -67,7 +67,7 @@
     side.signal(SIGSTOP);
     let response = Response::read(&mut stream);
     assert_eq!((response.status, response.complete), (200, true), "{response:?}");
-    assert_eq!(event_ids(&response), (0..20).collect::<Vec<_>>());
+    assert_eq!(response.event_ids(), (0..20).collect::<Vec<_>>());
     let logged = |parts: &[&str]| pool.entry.logged(parts);
     assert!(logged(&["event=stands_still"]) && logged(&["event=moved", "id=id-1", "begun=true"]));
     side.signal(SIGCONT);
--- a/tests/pool/support/messages.rs
+++ b/tests/pool/support/messages.rs
@@ -106,10 +106,10 @@
         let prefix = format!("{name}: ");
         self.head.lines().find_map(|line| line.strip_prefix(prefix.as_str()))
     }
-}
 
-/// Returns the IDs of the events in a response's body, including an incomplete last one.
-pub(crate) fn event_ids(response: &Response) -> Vec<u32> {
-    let event_ids = response.body.lines().filter_map(|line| line.strip_prefix("id: "));
-    event_ids.map(|number| number.parse().unwrap()).collect()
+    /// Returns the IDs of the events in the body, including an incomplete last one.
+    pub(crate) fn event_ids(&self) -> Vec<u32> {
+        let event_ids = self.body.lines().filter_map(|line| line.strip_prefix("id: "));
+        event_ids.map(|number| number.parse().unwrap()).collect()
+    }
 }
--- a/tests/pool/support/mod.rs
+++ b/tests/pool/support/mod.rs
@@ -18,7 +18,7 @@
 use citronrill_platform_standin::{Link, Platform, Proxy, Store, Worker, WorkerSpec};
 
 pub(crate) use self::{
-    messages::{Request, Response, event_ids},
+    messages::{Request, Response},
     process::Process,
 };
 
--- a/tests/pool/truncated.rs
+++ b/tests/pool/truncated.rs
@@ -4,7 +4,7 @@
 
 use citronrill_platform_standin::{Framing, WorkerMode};
 
-use crate::support::{Deployment, Request, event_ids};
+use crate::support::{Deployment, Request};
 
 /// Starts a pool of two workers that both hold `m0`, behave as `mode` says and delimit streams by
 /// `framing`.
@@ -26,7 +26,7 @@
     let pool = pool(framing, mode);
     let response = pool.request(&Request::stream("/draft/x", "id-1", "m0"));
     assert_eq!((response.status, response.complete), (200, false), "{response:?}");
-    assert_eq!(event_ids(&response), [0, 1], "an incomplete event was forwarded");
+    assert_eq!(response.event_ids(), [0, 1], "an incomplete event was forwarded");
     pool.wait_until("the end is logged", || {
         pool.entry.logged(&["event=finished", "id=id-1", "complete=false"])
     });
@@ -42,7 +42,7 @@
     let pool = pool(framing, mode);
     let response = pool.request(&Request::stream("/chat/x", "id-1", "m0"));
     assert_eq!((response.status, response.complete), (200, true), "{response:?}");
-    assert_eq!(event_ids(&response), (0..20).collect::<Vec<_>>());
+    assert_eq!(response.event_ids(), (0..20).collect::<Vec<_>>());
 }
 
 /// Guards against a stream that was cut before its first event and reaches its caller as an empty,
@@ -64,7 +64,7 @@
     let pool = pool(Framing::UntilClose, WorkerMode::Normal);
     let response = pool.request(&Request::stream(path, "id-1", "m0"));
     assert_eq!((response.status, response.complete), (200, true), "{response:?}");
-    assert_eq!(event_ids(&response), (0..20).collect::<Vec<_>>());
+    assert_eq!(response.event_ids(), (0..20).collect::<Vec<_>>());
     let executed = pool.engines.iter().map(|engine| engine.executed().len()).sum::<usize>();
     assert_eq!(executed, 1);
 }
