Take no stream that ends inside an event for a whole one at a side of the product's own interface

The side now follows the events of a stream: one that ends inside an event, or before the first one without any framing, is reported as incomplete; after a whole event the end counts unless the endpoint's address refuses connections, as that of a crashed process does.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,6 +3,7 @@
 //! The decision crates share these small `Copy` types without depending on anything that does I/O.
 //! Nothing in this crate reads a clock or a random source.
 
+mod event_stream;
 mod hash;
 mod maps;
 mod names;
@@ -10,6 +11,7 @@
 mod time;
 
 pub use crate::{
+    event_stream::EventTracker,
     hash::{hash_bytes, rendezvous_order, rendezvous_score, zone_first},
     maps::{FixedState, Map, Set},
     names::{Interner, Key},
--- a/crates/runtime/src/side/calls.rs
+++ b/crates/runtime/src/side/calls.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::{HashMap, VecDeque},
     io::{self, Read, Write},
-    net::SocketAddr,
+    net::{SocketAddr, TcpStream},
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -12,9 +12,10 @@
 use attohttpc::{
     ErrorKind, Method, RequestBuilder, Response,
     body::{Body, BodyKind},
-    header::HeaderName,
+    header::{HeaderMap, HeaderName},
 };
 use bytes::Bytes;
+use citronrill_base::EventTracker;
 use citronrill_decide::{CallId, Decline};
 use citronrill_http::{Header, is_forwarded};
 use citronrill_wire::{self as wire, Call, Frame};
@@ -33,6 +34,8 @@
 /// An endpoint that sends nothing for the call's remaining time plus this time is given up.
 const DEADLINE_GRACE: Duration = Duration::from_secs(5);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Media type of a server-sent event stream.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Maximum number of cancellations that have not been answered yet.
 const CANCEL_LIMIT: usize = 4_096;
 
@@ -347,8 +350,7 @@
     fn forward(&self, response: Response) -> bool {
         let number = self.exchange.number;
         let (status, headers, mut reader) = response.split();
-        let expected =
-            headers.get("content-length").and_then(|header| header.to_str().ok()?.parse().ok());
+        let mut body = BodyCheck::new(&headers);
         let headers = headers.iter().filter(|(name, _)| is_forwarded(name.as_str()));
         let headers = headers
             .filter_map(|(name, value)| Some(Header::new(name.as_str(), value.to_str().ok()?)));
@@ -357,12 +359,12 @@
         if !self.exchange.push(|_| wire::ResponseHead { number, status, headers }.into()) {
             return false;
         }
-        let (mut buffer, mut total) = (vec![0; PART_BYTES], 0_u64);
+        let mut buffer = vec![0; PART_BYTES];
         loop {
             match reader.read(&mut buffer) {
-                Ok(0) => return expected.is_none_or(|expected: u64| expected == total),
+                Ok(0) => return body.is_complete(self.target),
                 Ok(count) => {
-                    total += count as u64;
+                    body.push(&buffer[..count]);
                     let data = Bytes::copy_from_slice(&buffer[..count]);
                     let part = |sequence| wire::ResponsePart { number, sequence, data }.into();
                     if !self.exchange.push(part) || self.exchange.stopped() {
@@ -376,6 +378,57 @@
     }
 }
 
+/// Decides whether the body of an endpoint's response is complete when its connection has ended.
+struct BodyCheck {
+    /// Its length in bytes, if announced.
+    expected: Option<u64>,
+    /// Whether nothing but the end of the connection marks its end.
+    until_close: bool,
+    /// Set for an event stream.
+    events: Option<EventTracker>,
+    received: u64,
+}
+
+impl BodyCheck {
+    fn new(headers: &HeaderMap) -> BodyCheck {
+        let value = |name: &str| headers.get(name).and_then(|header| header.to_str().ok());
+        let expected = value("content-length").and_then(|length| length.parse().ok());
+        let stream = value("content-type").is_some_and(|name| name.starts_with(EVENT_STREAM));
+        BodyCheck {
+            expected,
+            until_close: expected.is_none() && !headers.contains_key("transfer-encoding"),
+            events: stream.then(EventTracker::default),
+            received: 0,
+        }
+    }
+
+    fn push(&mut self, bytes: &[u8]) {
+        self.received += bytes.len() as u64;
+        if let Some(events) = &mut self.events {
+            events.push(bytes);
+        }
+    }
+
+    /// Returns whether the body is complete.
+    ///
+    /// The connections of a process that crashes are closed like that of one that has sent everything.
+    /// A stream that ends inside an event, or without any, was broken off; after a whole event, the
+    /// address of a crashed endpoint refuses connections.
+    fn is_complete(&self, target: SocketAddr) -> bool {
+        let whole = self.expected.is_none_or(|expected| expected == self.received);
+        let Some(events) = self.events.filter(|_| whole) else { return whole };
+        let cut = events.is_inside_event() || self.until_close && !events.has_events();
+        let crashed = || self.until_close && is_refused(target);
+        !(cut || crashed())
+    }
+}
+
+/// Returns whether nothing listens at an address.
+fn is_refused(address: SocketAddr) -> bool {
+    let connected = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT);
+    connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Returns whether an error shows that the endpoint has received nothing of the call.
 fn connection_refused(error: &attohttpc::Error) -> bool {
     matches!(error.kind(), ErrorKind::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -1,6 +1,7 @@
 //! A plain service that records its calls, so that tests can check how often each one ran.
 
 use std::{
+    io::Write,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -13,6 +14,8 @@
 use crate::server::{HttpServer, StandinError, read_body};
 
 const THREADS: usize = 16;
+/// Media type of a server-sent event stream.
+const EVENT_STREAM: &str = "text/event-stream";
 
 /// A call received by the service.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,6 +61,18 @@
     }
 }
 
+/// Returns the response to a path under `/streams/`: an event stream with neither length nor chunks, which
+/// ends with the connection.
+fn unframed_stream(path: &str) -> Option<String> {
+    let events = match path {
+        "/streams/whole" => "id: 0\ndata: x\n\nid: 1\ndata: y\n\n",
+        "/streams/cut" => "id: 0\ndata: x\n\nid: 1\nda",
+        "/streams/none" => "",
+        _ => return None,
+    };
+    Some(format!("HTTP/1.1 200 OK\r\nContent-Type: {EVENT_STREAM}\r\n\r\n{events}"))
+}
+
 fn handle(mut request: Request, calls: &Mutex<Vec<RecordedCall>>, delay_ms: u64) {
     let body = read_body(&mut request);
     let call = RecordedCall {
@@ -72,6 +87,11 @@
         calls.len()
     };
     std::thread::park_timeout(Duration::from_millis(delay_ms));
+    if let Some(stream) = unframed_stream(request.url()) {
+        let mut out = request.into_writer();
+        let _ = out.write_all(stream.as_bytes()).and_then(|()| out.flush());
+        return;
+    }
     let headers = [Header::new("Content-Type", "text/plain"), Header::new("X-Entry", "yes")];
     let mut answer = format!("entry {number} {} ", request.url()).into_bytes();
     answer.extend_from_slice(&body);
--- a/tests/all/failures.rs
+++ b/tests/all/failures.rs
@@ -26,6 +26,25 @@
     (words, BufReader::new(reader).lines())
 }
 
+/// Guards against a stream of a plain service that was cut inside an event, or before the first one, and
+/// looks complete to its caller.
+#[test]
+fn a_stream_that_ends_with_its_connection_is_complete_only_after_an_event() {
+    let deployment = Deployment::start(1, 1);
+    let get = |name: &str| {
+        let url = deployment.url(0, &format!("/services/ledger/streams/{name}"));
+        let request = attohttpc::get(url).bearer_auth("north-key").header("X-Deadline-Ms", "2000");
+        let response = request.send().unwrap();
+        (response.status().as_u16(), response.text())
+    };
+    let (status, body) = get("whole");
+    assert_eq!((status, body.unwrap().matches("data: ").count()), (200, 2));
+    for name in ["cut", "none"] {
+        let (status, body) = get(name);
+        assert!(status >= 500 || body.is_err(), "{name}: {status} {body:?}");
+    }
+}
+
 /// No placement decision can be committed while the platform table is unavailable. Warm models must still
 /// be served; requests for cold ones must be refused with the reason and a retry time.
 #[test]
