Give a caller without chunks a response with a length, or 502

Such a response is collected, up to 16 MiB, and sent with its length; one that breaks off gives 502. Tokens reach such a caller at the end; callers of HTTP/1.1 see no difference.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -16,7 +16,7 @@
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Request, Response, StatusCode, Version,
-    body::Incoming,
+    body::{Body, Incoming},
     header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
     server::conn::http1,
     service::service_fn,
@@ -51,6 +51,9 @@
 /// Milliseconds to receive a request body when the caller sets no deadline.
 const BODY_TIMEOUT_MS: u64 = 10_000;
 
+/// Maximum size in bytes of a response that is collected for a caller without chunks.
+const MAX_COLLECTED_BYTES: usize = 16 << 20;
+
 /// Milliseconds before the end of a planned stop by which all requests must be answered.
 const LAST_RESPONSES_MS: u64 = 300;
 /// Milliseconds for which a stopping entry waits for the first request on an accepted connection: a
@@ -238,6 +241,9 @@
     ) -> Response<ResponseBody> {
         let http_1_0 = request.version() < Version::HTTP_11;
         let mut response = self.respond(request, caller).await;
+        if http_1_0 && response.size_hint().exact().is_none() {
+            response = with_length(response).await;
+        }
         if self.status.stopping.load(Ordering::Relaxed) && !http_1_0 {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
@@ -353,6 +359,19 @@
     NEXT.fetch_add(1, Ordering::Relaxed)
 }
 
+/// Collects a response for a caller that knows no chunks: the end of its connection would mark the end
+/// of the response, also of one that was aborted.
+async fn with_length(response: Response<ResponseBody>) -> Response<ResponseBody> {
+    let (parts, body) = response.into_parts();
+    match Limited::new(body, MAX_COLLECTED_BYTES).collect().await {
+        Ok(body) => Response::from_parts(parts, Either::Right(Full::new(body.to_bytes()))),
+        Err(error) => {
+            log::debug!("event=response_aborted error=\"{error}\"");
+            problem_response(StatusCode::BAD_GATEWAY, "broken", None)
+        }
+    }
+}
+
 fn refusal_response(refusal: Refusal) -> Response<ResponseBody> {
     let status = StatusCode::from_u16(refusal.reason.status());
     problem_response(
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -71,10 +71,25 @@
     Ok(socket.into())
 }
 
+/// Maximum size in bytes of a response that is collected for a caller without chunks.
+const MAX_COLLECTED_BYTES: usize = 16 << 20;
+
 /// Writes a response. Each part is flushed, so that a token is not delayed until the next one.
+///
+/// A caller that knows no chunks gets the response when it is complete, with its length: the end of its
+/// connection would mark the end of the response, also of one that was aborted.
 pub struct ResponseWriter {
     out: Box<dyn Write + Send>,
-    chunked: bool,
+    body: BodyWriter,
+}
+
+enum BodyWriter {
+    Chunked,
+    /// Collects the response; `head` lacks the length and the empty line.
+    Collected {
+        head: String,
+        bytes: Vec<u8>,
+    },
 }
 
 impl ResponseWriter {
@@ -85,33 +100,43 @@
     pub fn begin(request: Request, status: u16, headers: &[Header]) -> io::Result<ResponseWriter> {
         let chunked = *request.http_version() >= HTTPVersion(1, 1);
         let mut head = head(status, headers);
-        if chunked {
-            head.push_str("Transfer-Encoding: chunked\r\n");
-        }
-        head.push_str("\r\n");
         let mut out = request.into_writer();
+        if !chunked {
+            return Ok(ResponseWriter { out, body: BodyWriter::Collected { head, bytes: vec![] } });
+        }
+        head.push_str("Transfer-Encoding: chunked\r\n\r\n");
         out.write_all(head.as_bytes())?;
         out.flush()?;
-        Ok(ResponseWriter { out, chunked })
+        Ok(ResponseWriter { out, body: BodyWriter::Chunked })
     }
 
     /// Writes and flushes a part of the body.
     ///
     /// # Errors
-    /// The caller has disconnected or does not accept the data in time.
+    /// The caller has disconnected or does not accept the data in time, or the response is too large for
+    /// a caller without chunks.
     pub fn write_part(&mut self, data: &[u8]) -> io::Result<()> {
         if data.is_empty() {
             return Ok(());
         }
-        if self.chunked {
-            let mut chunk = format!("{:x}\r\n", data.len()).into_bytes();
-            chunk.extend_from_slice(data);
-            chunk.extend_from_slice(b"\r\n");
-            self.out.write_all(&chunk)?;
-        } else {
-            self.out.write_all(data)?;
+        match &mut self.body {
+            BodyWriter::Chunked => {
+                let mut chunk = format!("{:x}\r\n", data.len()).into_bytes();
+                chunk.extend_from_slice(data);
+                chunk.extend_from_slice(b"\r\n");
+                self.out.write_all(&chunk)?;
+                self.out.flush()
+            }
+            BodyWriter::Collected { bytes, .. }
+                if bytes.len() + data.len() > MAX_COLLECTED_BYTES =>
+            {
+                Err(io::ErrorKind::FileTooLarge.into())
+            }
+            BodyWriter::Collected { bytes, .. } => {
+                bytes.extend_from_slice(data);
+                Ok(())
+            }
         }
-        self.out.flush()
     }
 
     /// Ends a complete response.
@@ -119,8 +144,12 @@
     /// # Errors
     /// The caller has disconnected.
     pub fn finish(mut self) -> io::Result<()> {
-        if self.chunked {
-            self.out.write_all(b"0\r\n\r\n")?;
+        match &self.body {
+            BodyWriter::Chunked => self.out.write_all(b"0\r\n\r\n")?,
+            BodyWriter::Collected { head, bytes } => {
+                write!(self.out, "{head}Content-Length: {}\r\n\r\n", bytes.len())?;
+                self.out.write_all(bytes)?;
+            }
         }
         self.out.flush()
     }
@@ -130,10 +159,11 @@
     /// The server library keeps the connection open, so closing it cannot be the signal. An invalid
     /// chunk size makes HTTP libraries report a malformed body.
     pub fn abort(mut self) {
-        if self.chunked {
-            let _ = self.out.write_all(b"cut\r\n");
-        }
-        let _ = self.out.flush();
+        let aborted = match &self.body {
+            BodyWriter::Chunked => "cut\r\n".to_owned(),
+            BodyWriter::Collected { .. } => format!("{}Content-Length: 0\r\n\r\n", head(502, &[])),
+        };
+        let _ = self.out.write_all(aborted.as_bytes()).and_then(|()| self.out.flush());
     }
 }
 
--- a/tests/pool/truncated.rs
+++ b/tests/pool/truncated.rs
@@ -1,10 +1,12 @@
 //! Streams without length or chunks, which end with the endpoint's connection.
 
+use std::{io::Write, net::TcpStream};
+
 use rstest::rstest;
 
 use citronrill_platform_standin::{Framing, WorkerMode};
 
-use crate::support::{Deployment, Request};
+use crate::support::{Deployment, Request, Response, WAIT_TIMEOUT};
 
 /// Starts a pool of two workers that both hold `m0`, behave as `mode` says and delimit streams by
 /// `framing`.
@@ -45,6 +47,23 @@
     assert_eq!(response.event_ids(), (0..20).collect::<Vec<_>>());
 }
 
+/// Guards against a stream that was cut and looks complete to a caller without chunks, which sees only the
+/// end of the connection.
+#[rstest]
+#[case(WorkerMode::BreakMidEvent, 502)]
+#[case(WorkerMode::Normal, 200)]
+fn a_caller_without_chunks_gets_a_length(#[case] mode: WorkerMode, #[case] status: u16) {
+    let pool = pool(Framing::Chunked, mode);
+    let request = Request::stream("/draft/x", "id-1", "m0").bytes();
+    let request = String::from_utf8(request).unwrap().replace("HTTP/1.1", "HTTP/1.0");
+    let mut stream = TcpStream::connect(pool.caller_address).unwrap();
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    let response = Response::read(&mut stream);
+    assert_eq!((response.status, response.complete), (status, true), "{response:?}");
+    assert!(response.header("content-length").is_some(), "{response:?}");
+}
+
 /// Guards against a stream that was cut before its first event and reaches its caller as an empty,
 /// complete one.
 #[rstest]
