Print the logs of the processes when a test waits for them in vain

In 1 of 17 runs of the tests of truncated streams, a_resumable_stream_cut_inside_an_event_is_resumed (UntilReset, BreakMidEvent) timed out while its processes started (the sides' connections or the entry's configuration), before anything of the test itself; the run left no log, so that it can't be traced. 15 runs since were green.

--- a/tests/pool/support/mod.rs
+++ b/tests/pool/support/mod.rs
@@ -222,9 +222,16 @@
         self.wait_until("the entry is started", || self.entry.logged(&["event=started"]));
     }
 
-    /// Waits until `done` returns true.
+    /// Waits until `done` returns true; prints the processes' logs if that takes too long.
     pub(crate) fn wait_until(&self, what: &str, done: impl Fn() -> bool) {
-        wait_until(what, done);
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        while !done() {
+            if Instant::now() >= deadline {
+                [&self.entry].into_iter().chain(&self.sides).for_each(Process::print_log);
+                panic!("timed out waiting until {what}");
+            }
+            thread::yield_now();
+        }
     }
 
     /// Sends a request and reads its response.
--- a/tests/pool/support/process.rs
+++ b/tests/pool/support/process.rs
@@ -69,6 +69,12 @@
         values.filter_map(|value| value.parse().ok()).collect()
     }
 
+    /// Prints the log.
+    pub(crate) fn print_log(&self) {
+        let lines = self.lines.lock().unwrap();
+        println!("log of {} {}:\n{}", self.role, self.child.id(), lines.join("\n"));
+    }
+
     /// Returns whether a log line contains all of these parts.
     pub(crate) fn logged(&self, parts: &[&str]) -> bool {
         self.count(parts) > 0
