--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -286,6 +286,8 @@
             model: meta.model,
             prefix_hash: meta.prefix_hash,
             tokens: meta.tokens,
+            taken_up: meta.taken_up,
+            resumes: meta.resumes,
             key: meta.key,
         };
         let outgoing = OutgoingRequest {
--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -21,6 +21,10 @@
             Ok(request) => {
                 let (now, service) = (self.now, request.service.clone());
                 self.budget(&service).record_first(now);
+                if request.taken_up {
+                    let event = LogEvent::new("stream_taken_up").with("id", &request.caller_id);
+                    self.log(event.with("resumes", request.resumes.as_deref().unwrap_or("")));
+                }
                 self.requests.insert(id, request);
                 self.schedule(id);
             }
@@ -111,6 +115,8 @@
             dispatches: 0,
             missed: false,
             tokens: arrival.tokens,
+            taken_up: arrival.taken_up,
+            resumes: arrival.resumes.clone(),
             idle_timeout,
             head_sent: false,
             last_event: None,
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -66,6 +66,7 @@
         let event = LogEvent::new("sent")
             .with("id", &request.caller_id)
             .with("to", instance)
+            .with("software", &endpoint.member.software)
             .with("org", request.organisation.as_deref().unwrap_or(""))
             .with("model", &request.model)
             .with("adapter", &request.adapter)
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -131,6 +131,10 @@
     /// Whether the request was counted as a miss: no replica had room.
     missed: bool,
     tokens: TokenCount,
+    /// Whether the caller takes up a stream of which it has events.
+    taken_up: bool,
+    /// ID of the caller's attempt that began this stream, if named.
+    resumes: Option<String>,
     /// Milliseconds without an event after which the caller disconnects.
     idle_timeout: u64,
     /// Whether the caller has received the response head, so that the response can no longer be
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -64,6 +64,10 @@
     pub prefix_hash: u64,
     /// Length in tokens, as declared by the caller.
     pub tokens: TokenCount,
+    /// Whether the caller takes up a stream of which it has events.
+    pub taken_up: bool,
+    /// ID of the caller's attempt that began this stream, if named.
+    pub resumes: Option<String>,
     /// Digest of the caller's API key, if it sent one.
     pub key: Option<KeyDigest>,
 }
--- a/crates/pool/src/member.rs
+++ b/crates/pool/src/member.rs
@@ -17,6 +17,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: String,
+    /// The version of its software.
+    pub software: String,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Whether it is leaving.
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -415,6 +415,8 @@
             model: model.to_owned(),
             prefix_hash: 0,
             tokens: TokenCount::default(),
+            taken_up: false,
+            resumes: None,
             key: None,
         };
         self.step_entry(entry, EntryEvent::RequestArrived(arrival));
@@ -614,6 +616,7 @@
             service: ENGINE.to_owned(),
             address: address(index as u8),
             zone: "a".to_owned(),
+            software: "v1".to_owned(),
             slots: SLOTS as u32,
             leaving: false,
             models: engine
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -117,6 +117,7 @@
         service: service.to_owned(),
         address: address(index),
         zone: "a".to_owned(),
+        software: "v1".to_owned(),
         slots: if service == ENGINE { 24 } else { 6 },
         leaving: false,
         models: held(models),
@@ -352,6 +353,8 @@
             model: model.to_owned(),
             prefix_hash: 0,
             tokens: TokenCount::default(),
+            taken_up: false,
+            resumes: None,
             key: None,
         }
     }
