--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -11,5 +11,6 @@
 mod requests;
 mod responses;
 mod resume;
+mod software;
 mod support;
 mod truncated;
--- /dev/null
+++ b/tests/pool/software.rs
@@ -0,0 +1,149 @@
+//! Streams at workers of several software versions.
+
+use std::{
+    io::Read,
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use citronrill_platform_standin::{Worker, WorkerMode};
+
+use crate::support::{Deployment, Process, Request, Response};
+
+const ENGINES: [(&str, &[&str]); 4] =
+    [("e1", &["m0"]), ("e2", &["m0"]), ("e3", &["m0"]), ("e4", &["m0"])];
+
+/// Starts a pool of four workers with `m0`, one after the other of versions v1 and v2, of which the entry
+/// knows.
+fn mixed_pool() -> Deployment {
+    let pool = Deployment::start(&ENGINES);
+    for engine in pool.engines.iter().skip(1).step_by(2) {
+        engine.set_software("v2");
+    }
+    // Streams go to both versions once the entry has read the list again.
+    for number in 0.. {
+        let response = pool.request(&Request::stream("/draft/x", &format!("probe-{number}"), "m0"));
+        assert!(response.complete, "{response:?}");
+        if pool.entry.logged(&["event=sent", "software=v2"]) {
+            break;
+        }
+    }
+    pool
+}
+
+/// Returns the workers that ran the request with this ID.
+fn runners<'a>(pool: &'a Deployment, id: &str) -> Vec<&'a Worker> {
+    let ran = |engine: &&Worker| engine.executed().iter().any(|other| other == id);
+    pool.engines.iter().filter(ran).collect()
+}
+
+/// Begins a stream at an entry and reads its first events; returns its connection, and the ID of the last
+/// event.
+fn begin(pool: &Deployment, entry: SocketAddr, id: &str) -> (TcpStream, u32) {
+    let mut stream = pool.send_to(entry, &Request::stream("/chat/x", id, "m0"));
+    let (mut bytes, mut part) = (Vec::new(), [0; 512]);
+    loop {
+        let read = stream.read(&mut part).unwrap();
+        assert!(read > 0, "ended early");
+        bytes.extend_from_slice(&part[..read]);
+        let text = String::from_utf8_lossy(&bytes);
+        let whole = text.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
+        let ids = whole.lines().filter_map(|line| line.strip_prefix("id: "));
+        if let Some(last) = ids.filter_map(|id| id.parse().ok()).next_back() {
+            return (stream, last);
+        }
+    }
+}
+
+/// Takes up the stream that began in attempt `first` after the event with ID `last`.
+fn take_up(pool: &Deployment, entry: SocketAddr, first: &str, id: &str, last: u32) -> Response {
+    let headers = format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n");
+    let request = Request { headers: &headers, ..Request::stream("/chat/x", id, "m0") };
+    pool.request_at(entry, &request)
+}
+
+/// Guards against a stream that a caller takes up by another entry, as its entry has ended, and that goes on
+/// at a worker of another software version, whose events do not fit.
+#[test]
+fn a_stream_taken_up_elsewhere_goes_on_at_its_software_version() {
+    let mut pool = mixed_pool();
+    let (_other, address) = pool.add_entry_at();
+    for round in 0..5 {
+        let (first, second) = (format!("first-{round}"), format!("second-{round}"));
+        let (stream, last) = begin(&pool, pool.caller_address, &first);
+        pool.restart_entry();
+        drop(stream);
+        let response = take_up(&pool, address, &first, &second, last);
+        assert_eq!((response.status, response.complete), (200, true), "{response:?}");
+        assert_eq!(response.event_ids(), (last + 1..20).collect::<Vec<_>>());
+        let (began, went_on) = (runners(&pool, &first), runners(&pool, &second));
+        assert_eq!(began[0].software(), went_on[0].software(), "round {round}");
+        pool.wait_until("the entry is ready", || pool.ready());
+    }
+}
+
+/// Guards against a stream that its entry takes on at a worker of another software version when the first
+/// one breaks off.
+#[test]
+fn a_stream_fails_over_within_its_software_version() {
+    let pool = mixed_pool();
+    for engine in &pool.engines {
+        engine.set_mode(WorkerMode::BreakThenRun);
+    }
+    for round in 0..6 {
+        let id = format!("id-{round}");
+        let response = pool.request(&Request::stream("/chat/x", &id, "m0"));
+        assert_eq!((response.status, response.complete), (200, true), "{response:?}");
+        let ran = runners(&pool, &id);
+        assert_eq!(ran.len(), 2, "round {round}");
+        assert_eq!(ran[0].software(), ran[1].software(), "round {round}");
+    }
+}
+
+/// Guards against a stream that goes on at any version when no worker of its own is left.
+#[test]
+fn a_stream_of_a_version_that_is_gone_is_refused() {
+    let mut pool = mixed_pool();
+    let (_other, address) = pool.add_entry_at();
+    let (stream, last) = begin(&pool, pool.caller_address, "first");
+    let software = runners(&pool, "first")[0].software();
+    pool.restart_entry();
+    drop(stream);
+    for engine in pool.engines.iter().filter(|engine| engine.software() == software) {
+        engine.deregister();
+    }
+    thread::sleep(Duration::from_millis(500));
+    let response = take_up(&pool, address, "first", "second", last);
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(runners(&pool, "second").is_empty());
+}
+
+/// Guards against a stream that goes on by guess after all processes that knew its version have ended.
+#[test]
+fn a_stream_of_unknown_version_is_refused() {
+    let mut pool = mixed_pool();
+    let (stream, last) = begin(&pool, pool.caller_address, "first");
+    pool.sides.iter_mut().for_each(Process::restart);
+    pool.restart_entry();
+    drop(stream);
+    pool.wait_until("the entry is ready", || pool.ready());
+    pool.wait_until("the sides are connected", || {
+        pool.sides.iter().all(|side| side.logged(&["entry_connected"]))
+    });
+    let response = take_up(&pool, pool.caller_address, "first", "second", last);
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(runners(&pool, "second").is_empty());
+}
+
+/// Guards against a stream that is refused although only one version has ever served.
+#[test]
+fn a_stream_goes_on_where_only_one_version_serves() {
+    let mut pool = Deployment::start(&ENGINES);
+    let (_other, address) = pool.add_entry_at();
+    let (stream, last) = begin(&pool, pool.caller_address, "first");
+    pool.restart_entry();
+    drop(stream);
+    let response = take_up(&pool, address, "first", "second", last);
+    assert_eq!((response.status, response.complete), (200, true), "{response:?}");
+}
--- a/tests/pool/support/mod.rs
+++ b/tests/pool/support/mod.rs
@@ -250,7 +250,8 @@
         self.send_to(self.caller_address, request)
     }
 
-    fn send_to(&self, entry: SocketAddr, request: &Request<'_>) -> TcpStream {
+    /// Sends a request to the entry at this address and returns the connection.
+    pub(crate) fn send_to(&self, entry: SocketAddr, request: &Request<'_>) -> TcpStream {
         let mut stream = TcpStream::connect(entry).unwrap();
         stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
         stream.write_all(&request.bytes()).unwrap();
