--- a/crates/config/src/pool.rs
+++ b/crates/config/src/pool.rs
@@ -24,6 +24,8 @@
     pub name: String,
     /// Its availability zone.
     pub zone: String,
+    /// Whether the whole deployment starts for the first time.
+    pub first_start: bool,
     /// The address at which an entry listens for callers.
     pub callers: Option<SocketAddr>,
     /// The address of an entry's readiness check, for the load balancer.
@@ -105,6 +107,7 @@
         let mut fields = reader.fields("process");
         let name = fields.required::<String>("name");
         let zone = fields.required::<String>("zone");
+        let first_start = maybe(&mut fields, "first_start").unwrap_or(false);
         let stop_s = fields.required::<f64>("stop_s");
         fields.finish();
         let mut fields = reader.fields("listen");
@@ -137,6 +140,7 @@
             Some(PoolSettings {
                 name: name?,
                 zone: zone?,
+                first_start,
                 callers,
                 readiness,
                 peers: peers?,
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -176,6 +176,7 @@
         retry_window_ms: settings.retry_window_ms,
         limits: limit_bounds(settings),
         learn_ms: LEARN_MS,
+        first_start: settings.first_start,
     };
     let control = ControlThread {
         reducer: PoolEntry::new(profile),
@@ -329,6 +330,7 @@
                 DueCheck::Full => {
                     self.tick(EntryEvent::Tick);
                     self.metrics.set_limit_usage(self.reducer.limit_usage());
+                    self.metrics.streams_taken_up.set(self.reducer.streams_taken_up());
                 }
             }
         }
@@ -409,6 +411,12 @@
                     Box::new(PoolKind::Suspects(message)),
                 ));
             }
+            EntryEffect::Streams(address, message) => {
+                self.send_to_sides(SideCommand::Send(
+                    address,
+                    Box::new(PoolKind::Streams(message)),
+                ));
+            }
             EntryEffect::CreditReport(address, report) => {
                 self.metrics.credit_reports.increment();
                 self.send_to_sides(SideCommand::Send(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,11 @@
         self.0.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Sets the count to that of another counter.
+    pub(crate) fn set(&self, count: u64) {
+        self.0.store(count, Ordering::Relaxed);
+    }
+
     /// Returns the current count.
     pub(crate) fn value(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
@@ -92,6 +97,8 @@
     pub(crate) ttfb: DurationHistogram,
     /// Reports to the side that issues credit for organisations' limits.
     pub(crate) credit_reports: Counter,
+    /// Streams of callers' earlier attempts that went on here.
+    pub(crate) streams_taken_up: Counter,
     limits: Mutex<Vec<LimitUsage>>,
     statuses: Mutex<BTreeMap<u16, u64>>,
     refusals: Mutex<BTreeMap<&'static str, u64>>,
@@ -108,6 +115,7 @@
             queue_time: DurationHistogram::default(),
             ttfb: DurationHistogram::default(),
             credit_reports: Counter::default(),
+            streams_taken_up: Counter::default(),
             limits: Mutex::default(),
             statuses: Mutex::default(),
             refusals: Mutex::default(),
@@ -154,6 +162,8 @@
             let label = format!("{{reason=\"{reason}\"}}");
             write_sample(&mut text, "citronrill_refusals_total", &label, *count);
         }
+        let taken_up = self.streams_taken_up.value();
+        write_sample(&mut text, "citronrill_streams_taken_up_total", "", taken_up);
         write_sample(&mut text, "citronrill_credit_reports_total", "", self.credit_reports.value());
         let limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
         for usage in limits.iter() {
--- a/crates/gateway/src/side/entries.rs
+++ b/crates/gateway/src/side/entries.rs
@@ -150,6 +150,7 @@
         PoolKind::LoadRequest(load_request) => SideEvent::LoadRequest(link, load_request),
         PoolKind::Usage(usage) => SideEvent::Usage(usage),
         PoolKind::Suspects(message) => SideEvent::Suspects(link, message),
+        PoolKind::Streams(message) => SideEvent::Streams(link, message),
         PoolKind::CreditReport(report) => SideEvent::CreditReport(link, report),
         PoolKind::ConfigVersion(config) => {
             context.transfer.send_event(ConfigFetchEvent::Offered(link, config.version));
--- a/crates/gateway/src/side/mod.rs
+++ b/crates/gateway/src/side/mod.rs
@@ -78,7 +78,9 @@
     });
     let connections = Arc::new(EntryConnections::default());
     let control = ControlThread {
-        reducer: PoolSide::new(&settings.service).with_limits(limit_bounds(settings)),
+        reducer: PoolSide::new(&settings.service)
+            .with_limits(limit_bounds(settings))
+            .with_first_start(settings.first_start),
         start: std::time::Instant::now(),
         inputs,
         calls: call_sender,
@@ -112,7 +114,10 @@
         let listener = TcpListener::bind(peers).await;
         let listener =
             listener.map_err(|source| GatewayError::Listen { address: peers, source })?;
-        log::info!("event=started role=side endpoint={endpoint} peers={peers}");
+        log::info!(
+            "event=started role=side endpoint={endpoint} peers={peers} first={}",
+            settings.first_start
+        );
         tokio::spawn(serve_metrics(settings.metrics, metrics));
         let client =
             EndpointClient { address: endpoint, holder: settings.name.clone(), dialect, events };
@@ -180,6 +185,10 @@
                 self.connections.send(link, PoolKind::Suspects(message));
                 return;
             }
+            SideEffect::Streams(link, message) => {
+                self.connections.send(link, PoolKind::Streams(message));
+                return;
+            }
             SideEffect::Credit(link, reply) => {
                 self.metrics.credit_replies.increment();
                 self.connections.send(link, PoolKind::CreditReply(reply));
--- a/crates/pool/src/config.rs
+++ b/crates/pool/src/config.rs
@@ -5,6 +5,9 @@
 
 use crate::organisation::Organisations;
 
+/// Minimum of [`ServingConfig::stream_horizon_ms`]: a route's timeout may just have been shortened.
+const MIN_HORIZON_MS: u64 = 10_000;
+
 /// One version of the configuration: which routes lead to which services, and what the services can
 /// hold.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -28,6 +31,15 @@
         self.routes.iter().filter(fits).max_by_key(|route| route.prefix.len())
     }
 
+    /// Returns the milliseconds after its beginning within which a caller may take a stream up: a stream
+    /// that began last in this time ends by its route's timeout, and its caller returns within the same.
+    pub fn stream_horizon_ms(&self) -> u64 {
+        let resumable =
+            self.routes.iter().filter(|route| route.retry_policy == RetryPolicy::ResumableStream);
+        let longest = resumable.map(|route| route.timeout_ms).max().unwrap_or(0);
+        (2 * longest).max(MIN_HORIZON_MS)
+    }
+
     /// Returns the service of this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -7,6 +7,7 @@
     incarnation::{KnownIncarnation, StartTime},
     liveness::Liveness,
     member::{Member, full_name},
+    software::SoftwareKey,
 };
 
 /// Milliseconds after which a side's last report no longer counts as fresh: four report intervals
@@ -110,6 +111,8 @@
     pub(crate) tracks_suspects: bool,
     /// Whether the side issues credit for organisations' limits.
     pub(crate) issues_credit: bool,
+    /// Whether the side keeps the software versions at which streams began.
+    pub(crate) tracks_streams: bool,
     /// Number of entries that the side knows of.
     pub(crate) known_entries: u32,
     /// Requests a second that find no replica with room, for the models that this side counts.
@@ -131,6 +134,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Endpoint {
     pub(crate) member: Member,
+    /// The software version of its incarnation.
+    pub(crate) software: SoftwareKey,
     pub(crate) inventory: ModelInventory,
     pub(crate) side: Option<SideView>,
     /// Whether its instance responds.
@@ -167,6 +172,7 @@
     /// Creates an endpoint of which only the member list entry is known.
     pub(crate) fn new(member: Member, now: Millis) -> Endpoint {
         Endpoint {
+            software: SoftwareKey::new(&member.service, &member.software),
             member,
             inventory: ModelInventory::default(),
             side: None,
@@ -190,7 +196,15 @@
 
     /// Creates an endpoint that only its side has reported so far.
     pub(crate) fn unlisted(member: Member, now: Millis) -> Endpoint {
-        Endpoint { unlisted: true, ..Endpoint::new(member, now) }
+        let software = SoftwareKey::unlisted(&member.instance);
+        Endpoint { unlisted: true, software, ..Endpoint::new(member, now) }
+    }
+
+    /// Applies an entry of the member list.
+    pub(crate) fn set_member(&mut self, member: Member) {
+        self.software = SoftwareKey::new(&member.service, &member.software);
+        self.member = member;
+        self.unlisted = false;
     }
 
     /// Discards the state of the previous incarnation, except the instance's liveness and the count of
--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -7,10 +7,12 @@
     credit::LimitedUse,
     dispatch::NO_CONFIG_RETRY_MS,
     rules::{idle_timeout_ms, pick_service},
+    streams::Origin,
 };
 use crate::{
     config::{Route, ServingConfig},
     organisation::Organisation,
+    software::StreamKey,
 };
 
 impl PoolEntry {
@@ -21,11 +23,8 @@
             Ok(request) => {
                 let (now, service) = (self.now, request.service.clone());
                 self.budget(&service).record_first(now);
-                if request.taken_up {
-                    let event = LogEvent::new("stream_taken_up").with("id", &request.caller_id);
-                    self.log(event.with("resumes", request.resumes.as_deref().unwrap_or("")));
-                }
                 self.requests.insert(id, request);
+                self.inquire_origin(id);
                 self.schedule(id);
             }
             Err(reason) => {
@@ -72,7 +71,9 @@
         let config = self.config.clone().ok_or(Reason::NoConfig)?;
         let route = config.route(&arrival.host, &arrival.path).ok_or(Reason::NoRoute)?;
         let organisation = PoolEntry::authenticate(&config, route, arrival)?;
-        let service = pick_service(route, &arrival.caller_id).ok_or(Reason::NoRoute)?;
+        // All attempts of one stream go to the same service of a route.
+        let stream_id = arrival.resumes.as_ref().unwrap_or(&arrival.caller_id);
+        let service = pick_service(route, stream_id).ok_or(Reason::NoRoute)?;
         let (model, adapter) = arrival.model.split_once('/').unwrap_or((&arrival.model, ""));
         let engine = config.service(service).and_then(|service| service.engine.as_ref());
         let (mut required, mut base) = (None, None);
@@ -117,6 +118,9 @@
             tokens: arrival.tokens,
             taken_up: arrival.taken_up,
             resumes: arrival.resumes.clone(),
+            stream: StreamKey::new(stream_id),
+            origin: Origin::Free,
+            sent_software: None,
             idle_timeout,
             head_sent: false,
             last_event: None,
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -158,6 +158,7 @@
         let instance = &endpoint.member.instance;
         endpoint.accepts_requests()
             && endpoint.member.service == request.service
+            && request.fits_software(endpoint)
             && request.required.is_none_or(|required| self.can_run(endpoint, required))
             && !request.tried.contains(instance)
     }
--- a/crates/pool/src/entry/demand.rs
+++ b/crates/pool/src/entry/demand.rs
@@ -205,7 +205,7 @@
         });
         let Some(service) = service else { return };
         let max_loss = (1.0 + rate * HORIZON_S) * DELAY_PER_WAITER_MS;
-        if let Some(place) = self.place(&service.name, &name, key, max_loss) {
+        if let Some(place) = self.place(&service.name, &name, key, max_loss, None) {
             let ttl_ms = (2.0 * place.ready_ms) as u64;
             self.send_load_request(
                 key,
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -52,6 +52,7 @@
         request.retry_charged = false;
         request.sent_at = now;
         request.instance = Some(instance.to_owned());
+        request.sent_software = Some(endpoint.software);
         request.dispatches += 1;
         let dispatch = Dispatch {
             number: request.dispatches,
@@ -142,7 +143,11 @@
             }
         }
         match verdict {
-            Verdict::Forward => self.forward(id),
+            Verdict::Forward => {
+                // Told first: this process may end as soon as the caller has the first event.
+                self.record_origin(id);
+                self.forward(id);
+            }
             Verdict::NotRun => {
                 let stale = request.instance.clone().filter(|_| head.other_incarnation);
                 self.retry_or_end(id, false, head.status, false);
@@ -346,7 +351,9 @@
             Reason::LimitUnknown => Some(LIMIT_UNKNOWN_RETRY_MS),
             // Any other entry can serve it at once.
             Reason::Stopping => Some(STOPPING_RETRY_MS),
-            Reason::Expired
+            Reason::VersionUnknown
+            | Reason::VersionGone
+            | Reason::Expired
             | Reason::NoRoute
             | Reason::UnknownKey
             | Reason::NoModel
--- a/crates/pool/src/entry/load_requests.rs
+++ b/crates/pool/src/entry/load_requests.rs
@@ -10,6 +10,7 @@
 use crate::{
     endpoint::{DECLINED_MS, Endpoint},
     member::full_name,
+    software::SoftwareKey,
 };
 
 /// Maximum delay, in milliseconds, that one waiting request may cause to other callers.
@@ -81,6 +82,10 @@
     pub(super) fn request_model(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
         let (Some(required), Some(base)) = (request.required, request.base) else { return };
+        if let Some(software) = request.bound_software() {
+            self.request_bound_model(id, required, base, software);
+            return;
+        }
         // An additional replica that is being loaded does not help requests for an adapter: while
         // the model has a live holder, the adapter is loaded there. Callers that had to wait for
         // the replica waited 6 s and disconnected.
@@ -90,25 +95,17 @@
             self.check_load(id, required, base);
             return;
         }
-        let adapter = request.adapter.clone();
         let wait_ms = request.wait_ms(self.now);
         let paused = self.holder_paused(request);
-        if !adapter.is_empty() {
-            let endpoints = self.pool.endpoints.values();
-            let holders = endpoints.filter(|endpoint| self.can_load_adapter(endpoint, request));
-            let cost = |endpoint: &&Endpoint| self.adapter_cost(endpoint, &request.model, &adapter);
-            let best = holders.min_by(|a, b| cost(a).total_cmp(&cost(b)));
-            if let Some(best) = best {
-                let instance = best.member.instance.clone();
-                self.send_load_request(required, &instance, Vec::new(), ADAPTER_READY_MS, wait_ms);
-                return;
-            }
+        if let Some(instance) = self.adapter_place(request) {
+            self.send_load_request(required, &instance, Vec::new(), ADAPTER_READY_MS, wait_ms);
+            return;
         }
         if self.holder_unconfirmed(base) {
             return;
         }
         let max_loss = self.waiting_count(base) * DELAY_PER_WAITER_MS;
-        let place = self.place(&request.service, &request.model, base, max_loss);
+        let place = self.place(&request.service, &request.model, base, max_loss, None);
         let place = place.filter(|place| !(paused && place.from_store));
         if let Some(remaining_ms) = self.load_remaining_ms(base) {
             let sooner = place
@@ -147,6 +144,56 @@
         );
     }
 
+    /// Requests the model or adapter of a stream that goes on only at one software version.
+    ///
+    /// Only loads that end soon are requested: a caller that takes a stream up leaves within seconds,
+    /// and a load from the weight store would be for it alone.
+    fn request_bound_model(
+        &mut self,
+        id: RequestId,
+        required: ModelKey,
+        base: ModelKey,
+        software: SoftwareKey,
+    ) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let at_version = |instance: &String| {
+            self.pool.endpoints.get(instance).is_some_and(|endpoint| endpoint.software == software)
+        };
+        let loading = [required, base].into_iter().filter_map(|key| self.load_requests.get(&key));
+        let mut loading = loading.filter(|load_request| !load_request.declined);
+        if loading.any(|load_request| at_version(&load_request.instance)) {
+            return;
+        }
+        let wait_ms = request.wait_ms(self.now);
+        if let Some(instance) = self.adapter_place(request) {
+            self.send_load_request(required, &instance, Vec::new(), ADAPTER_READY_MS, wait_ms);
+            return;
+        }
+        if self.holder_unconfirmed(base) {
+            return;
+        }
+        let max_loss = self.waiting_count(base) * DELAY_PER_WAITER_MS;
+        let (service, model) = (&request.service, &request.model);
+        let place = self.place(service, model, base, max_loss, Some(software));
+        let place = place.filter(|place| !place.from_store && place.ready_ms <= wait_ms as f64);
+        let Some(place) = place else {
+            self.refuse(id, Reason::VersionGone);
+            return;
+        };
+        let ready_ms = place.ready_ms as u64;
+        self.send_load_request(base, &place.instance, place.evictions, ready_ms, wait_ms);
+    }
+
+    /// Returns the holder of a request's model at which its adapter is loaded best.
+    fn adapter_place(&self, request: &Request) -> Option<String> {
+        let adapter = Some(&request.adapter).filter(|adapter| !adapter.is_empty())?;
+        let endpoints = self.pool.endpoints.values();
+        let holders = endpoints.filter(|endpoint| self.can_load_adapter(endpoint, request));
+        let cost = |endpoint: &&Endpoint| self.adapter_cost(endpoint, &request.model, adapter);
+        let best = holders.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
+        Some(best.member.instance.clone())
+    }
+
     /// Returns whether an endpoint holds a request's model and can load its adapter.
     pub(super) fn can_load_adapter(&self, endpoint: &Endpoint, request: &Request) -> bool {
         let (Some(base), Some(required)) = (request.base, request.required) else { return false };
@@ -154,6 +201,7 @@
             && endpoint.inventory.keys.contains(&base)
             && !endpoint.inventory.keys.contains(&required)
             && endpoint.member.service == request.service
+            && request.fits_software(endpoint)
             && endpoint.is_responsive(self.now)
             && endpoint.fresh_side(self.now).is_some_and(|side| !side.evicting.contains(&base))
     }
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod store_limit;
 mod store_loads;
 mod stream_end;
+mod streams;
 mod suspects;
 mod timers;
 mod trials;
@@ -39,9 +40,20 @@
     RequestId, ResponseEnd, ResponseHead, Resume, SideLoss, TokenCount, Verdict,
 };
 use self::{
-    choose::Choice, crashes::Crashes, credit::LimitedUse, demand::Demand, dispatch::MAX_DISPATCHES,
-    load_requests::SentLoadRequest, preload::PreloadState, priority::Priority, resume::Losses,
-    store_limit::StoreLimit, stream_end::UnprovenEnd, suspects::Suspects, trials::Trial,
+    choose::Choice,
+    crashes::Crashes,
+    credit::LimitedUse,
+    demand::Demand,
+    dispatch::MAX_DISPATCHES,
+    load_requests::SentLoadRequest,
+    preload::PreloadState,
+    priority::Priority,
+    resume::Losses,
+    store_limit::StoreLimit,
+    stream_end::UnprovenEnd,
+    streams::{Origin, StreamTracker},
+    suspects::Suspects,
+    trials::Trial,
 };
 use crate::{
     budget::RetryBudget,
@@ -50,6 +62,7 @@
     limits::{CreditLedger, LimitUsage},
     member::{MemberChange, full_name},
     pool::{ListOutcome, Pool},
+    software::{SoftwareKey, StreamKey},
 };
 
 /// Entry count assumed until a side has reported one. Too high a count gives each entry too small a
@@ -135,6 +148,12 @@
     taken_up: bool,
     /// ID of the caller's attempt that began this stream, if named.
     resumes: Option<String>,
+    /// Identifies the stream over the caller's attempts.
+    stream: StreamKey,
+    /// What is known of the software version that began the stream.
+    origin: Origin,
+    /// Software version of the endpoint of the last dispatch.
+    sent_software: Option<SoftwareKey>,
     /// Milliseconds without an event after which the caller disconnects.
     idle_timeout: u64,
     /// Whether the caller has received the response head, so that the response can no longer be
@@ -238,6 +257,7 @@
     store_limit: StoreLimit,
     crashes: Crashes,
     suspects: Suspects,
+    streams: StreamTracker,
     ledger: CreditLedger,
     stop: Option<Stop>,
     effects: Vec<EntryEffect>,
@@ -264,6 +284,7 @@
             store_limit: StoreLimit::default(),
             crashes: Crashes::default(),
             suspects: Suspects::default(),
+            streams: StreamTracker::default(),
             stop: None,
             effects: Vec::new(),
         }
@@ -305,6 +326,7 @@
             EntryEvent::ProbeReply(address) => self.record_probe_reply(address),
             EntryEvent::SideLost(address, loss) => self.side_lost(address, loss),
             EntryEvent::Suspects(address, message) => self.handle_suspects(address, message),
+            EntryEvent::Streams(address, message) => self.handle_streams(address, &message),
             EntryEvent::Credit(address, reply) => self.apply_credit(address, &reply),
             EntryEvent::QuarantineRead(update) => self.apply_quarantine(&update),
             EntryEvent::EndpointChecked(address, check) => self.endpoint_checked(address, check),
@@ -360,6 +382,7 @@
         let outcome = self.pool.apply(change, &mut self.names, self.now);
         self.preload.record_list(self.now);
         self.handle_membership(outcome);
+        self.track_software();
         self.schedule_waiting();
     }
 
@@ -434,6 +457,7 @@
                 self.prove_crash(&ended, "superseded");
                 self.log(event.with("by", &state.instance).with("sequence", state.sequence));
                 self.record_loss(&state.instance);
+                self.track_software();
             }
             self.add_collector();
             self.update_store_limit();
@@ -458,6 +482,8 @@
             SideLoss::Closed => endpoint.liveness.mark_disconnected(),
             SideLoss::Silent => endpoint.liveness.mark_lost(now),
         }
+        // The side may have been one of those that know where streams of this entry began.
+        self.record_begun(|_| true);
     }
 
     fn record_decline(&mut self, address: SocketAddr, name: &ModelName) {
@@ -487,6 +513,13 @@
             self.refuse(id, Reason::Quarantined);
             return;
         }
+        if request.awaits_origin() {
+            return;
+        }
+        if !self.serves_version(request) {
+            self.refuse(id, Reason::VersionGone);
+            return;
+        }
         if !self.take_credit(id) {
             return;
         }
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -6,6 +6,7 @@
 use crate::{
     config::{EngineSpec, ModelSpec},
     endpoint::Endpoint,
+    software::SoftwareKey,
 };
 
 /// Milliseconds by which a model in use delays its own unloading: a stream runs for about half a
@@ -75,19 +76,21 @@
 
 impl PoolEntry {
     /// Returns the cheapest endpoint to load `model` on, with an eviction loss of at most
-    /// `max_loss`.
+    /// `max_loss`; only one with this software version if it is given.
     pub(super) fn place(
         &self,
         service: &str,
         name: &str,
         model: ModelKey,
         max_loss: f64,
+        software: Option<SoftwareKey>,
     ) -> Option<Place> {
         let engine = self.config.as_ref()?.service(service)?.engine.as_ref()?;
         let spec = engine.model(name)?;
         let members = self.pool.endpoints.values();
         let candidates = members
-            .filter(|endpoint| endpoint.accepts_requests() && endpoint.member.service == service);
+            .filter(|endpoint| endpoint.accepts_requests() && endpoint.member.service == service)
+            .filter(|endpoint| software.is_none_or(|software| endpoint.software == software));
         let store_open = self.store_open(model) && !self.copy_unconfirmed(service, model);
         let runs = self.service_runs(service);
         let load = ModelLoad { engine, spec, model, store_open, runs };
--- a/crates/pool/src/entry/replicas.rs
+++ b/crates/pool/src/entry/replicas.rs
@@ -104,7 +104,7 @@
         // demand keeps a single holder while the weight store is idle.
         let served = held > 0 && !overloaded;
         let cost = |place: &Place| if served { place.background_cost } else { place.cost };
-        let place = self.place(service, name, key, gain).filter(|place| cost(place) < gain);
+        let place = self.place(service, name, key, gain, None).filter(|place| cost(place) < gain);
         place.filter(|place| !place.from_store || self.replica_due(key, loading))
     }
 
@@ -124,7 +124,7 @@
     /// It must cost other callers little, so it is never loaded from the weight store. Nothing in use
     /// makes way: an unload waits for seconds until the runs of a model have ended.
     fn spread_place(&self, service: &str, name: &str, key: ModelKey) -> Option<Place> {
-        let place = self.place(service, name, key, SPREAD_GAIN_MS)?;
+        let place = self.place(service, name, key, SPREAD_GAIN_MS, None)?;
         (!place.drains && place.background_cost < SPREAD_GAIN_MS).then_some(place)
     }
 
--- a/crates/pool/src/entry/resume.rs
+++ b/crates/pool/src/entry/resume.rs
@@ -85,8 +85,10 @@
         if !engine.backups || !self.worth_copying(&request.service, engine, request.tokens) {
             return None;
         }
+        let software = self.pool.endpoints.get(instance)?.software;
         let eligible = self.pool.endpoints.values().filter(|endpoint| {
             endpoint.member.instance != instance
+                && endpoint.software == software
                 && self.eligible(endpoint, request)
                 && !endpoint.side_silent(self.now)
                 && !endpoint.liveness.maybe_stalled(self.now)
@@ -112,6 +114,7 @@
         request.head_sent = true;
         request.runs += 1;
         request.last_event = last_event.or(request.last_event);
+        request.bind();
         // The caller has just received an event, or at least the head.
         request.idle_deadline = request.deadline.min(now + request.idle_timeout);
         if let Some(endpoint) = self.pool.endpoints.get_mut(&instance) {
@@ -158,6 +161,7 @@
         let backup = request.backup.as_ref().and_then(|backup| self.pool.endpoints.get(backup));
         let live = |endpoint: &Endpoint| {
             endpoint.member.service == request.service
+                && request.fits_software(endpoint)
                 && endpoint.accepts_requests()
                 && endpoint.is_responsive(self.now)
         };
--- /dev/null
+++ b/crates/pool/src/entry/streams.rs
@@ -0,0 +1,290 @@
+//! Streams go on only at the software version that began them.
+//!
+//! A stream that its caller takes up may have begun at another entry, which has ended since. While
+//! endpoints of several versions serve in a service, entries tell some sides where their streams begin,
+//! and ask them. A stream that no side knows began while one version served alone, if the sides have
+//! kept everything for long enough, or if this entry has seen no other version for as long; otherwise
+//! its version cannot be known, and it is refused.
+
+use std::net::SocketAddr;
+
+use citronrill_base::{Millis, Set, hash_bytes};
+use citronrill_decide::LogEvent;
+use citronrill_wire::{
+    StreamKind, StreamMessage, StreamOrigin, StreamQuery, StreamReply, StreamsBegun,
+};
+
+use super::{EntryEffect, PoolEntry, Reason, Request, RequestId, Stage};
+use crate::{
+    config::RetryPolicy,
+    endpoint::Endpoint,
+    software::{SoftwareHistory, SoftwareKey, StreamKey},
+};
+
+/// Sides that are told of a stream: the second one knows it when the first one is lost.
+const TOLD_SIDES: usize = 2;
+/// Sides that are asked about a stream: one more, as the entry that told them may have known other
+/// sides.
+const ASKED_SIDES: usize = 3;
+/// Maximum milliseconds for which a request waits for their replies; a round trip takes a few.
+const REPLY_MS: u64 = 150;
+/// Horizon in milliseconds while no configuration is known.
+const DEFAULT_HORIZON_MS: u64 = 30_000;
+
+/// What is known of the software version that began a request's stream.
+#[derive(Debug, Clone)]
+pub(super) enum Origin {
+    /// The stream has no event yet: it may begin at any version.
+    Free,
+    /// Sides were asked.
+    Asked(Inquiry),
+    /// It goes on only at this version.
+    Bound(SoftwareKey),
+}
+
+/// Queries of several sides about one stream.
+#[derive(Debug, Clone)]
+pub(super) struct Inquiry {
+    /// Until when replies are awaited.
+    until: Millis,
+    /// Sides that have not replied.
+    open: Vec<SocketAddr>,
+    /// Whether a side would know the stream if it had begun while several versions served.
+    vouched: bool,
+}
+
+/// What an entry knows of software versions, over all streams.
+#[derive(Debug, Default)]
+pub(super) struct StreamTracker {
+    history: SoftwareHistory,
+    /// Services in which several versions have served of late.
+    mixed: Set<String>,
+    /// Streams of other attempts that go on here.
+    taken_up: u64,
+}
+
+impl Request {
+    /// Returns the only version at which its response goes on; `None` if it may begin at any.
+    pub(super) fn bound_software(&self) -> Option<SoftwareKey> {
+        match self.origin {
+            Origin::Bound(software) => Some(software),
+            Origin::Free | Origin::Asked(_) => {
+                let begun = self.stage == Stage::Responding && self.has_progress;
+                self.sent_software.filter(|_| begun && self.retry_policy.is_stream())
+            }
+        }
+    }
+
+    /// Returns whether its response can go on at the software version of an endpoint.
+    pub(super) fn fits_software(&self, endpoint: &Endpoint) -> bool {
+        self.bound_software().is_none_or(|software| endpoint.software == software)
+    }
+
+    /// Returns whether it waits until sides tell where its stream began.
+    pub(super) fn awaits_origin(&self) -> bool {
+        matches!(self.origin, Origin::Asked(_))
+    }
+
+    /// Binds a stream that broke off to the version of its endpoint, unless its caller has no event.
+    pub(super) fn bind(&mut self) {
+        let begun = self.last_event.is_some() || self.has_progress;
+        if let (Origin::Free, true, Some(software)) = (&self.origin, begun, self.sent_software) {
+            self.origin = Origin::Bound(software);
+        }
+    }
+}
+
+impl PoolEntry {
+    /// Returns how many streams of other attempts have gone on here.
+    pub fn streams_taken_up(&self) -> u64 {
+        self.streams.taken_up
+    }
+
+    /// Records the software versions that serve, and tells where streams began that are under way when
+    /// a second version comes.
+    pub(super) fn track_software(&mut self) {
+        let (now, horizon_ms) = (self.now, self.horizon_ms());
+        if self.pool.list_version == 0 {
+            return;
+        }
+        let endpoints = self.pool.endpoints.values();
+        let serving = endpoints.map(|endpoint| (endpoint.software, &*endpoint.member.service));
+        let services = serving.clone().map(|(_, service)| service).collect::<Set<_>>();
+        self.streams.history.record(serving, horizon_ms, now);
+        let history = &self.streams.history;
+        let mixed = services
+            .into_iter()
+            .filter(|service| history.recent(service, horizon_ms, now).nth(1).is_some());
+        let mixed = mixed.map(str::to_owned).collect::<Set<_>>();
+        let before = std::mem::replace(&mut self.streams.mixed, mixed);
+        let added = self.streams.mixed.difference(&before).cloned().collect::<Vec<_>>();
+        for service in added {
+            self.log(LogEvent::new("versions_mixed").with("service", &service));
+            self.record_begun(|request| request.service == service);
+        }
+    }
+
+    /// Returns the milliseconds after its beginning within which a caller may take a stream up.
+    fn horizon_ms(&self) -> u64 {
+        self.config.as_ref().map_or(DEFAULT_HORIZON_MS, |config| config.stream_horizon_ms())
+    }
+
+    /// Tells where the streams under way have begun.
+    pub(super) fn record_begun(&mut self, concerned: impl Fn(&Request) -> bool) {
+        let begun = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.stage == Stage::Responding && concerned(request));
+        for id in begun.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.record_origin(id);
+        }
+    }
+
+    /// Tells some sides where a stream begins, if several versions serve and its caller may take it up.
+    pub(super) fn record_origin(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let resumable = request.retry_policy == RetryPolicy::ResumableStream;
+        if !resumable || !self.streams.mixed.contains(&request.service) {
+            return;
+        }
+        let software = match request.origin {
+            Origin::Bound(software) => Some(software),
+            Origin::Free | Origin::Asked(_) => request.sent_software,
+        };
+        let Some(software) = software else { return };
+        let stream = request.stream;
+        let origin = StreamOrigin { stream: stream.0, software: software.0 };
+        for side in self.stream_sides(stream, TOLD_SIDES) {
+            let begun = StreamsBegun { streams: vec![origin] };
+            self.send_stream_message(side, StreamKind::Begun(begun));
+        }
+    }
+
+    /// Returns the sides that keep a stream, in an order that is the same at all entries.
+    fn stream_sides(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
+        let keeps = |endpoint: &&Endpoint| {
+            let tracks = endpoint.fresh_side(self.now).is_some_and(|side| side.tracks_streams);
+            tracks && endpoint.liveness.is_connected() && !endpoint.liveness.is_stalled(self.now)
+        };
+        let sides = self.pool.endpoints.values().filter(keeps);
+        let mut ranked = sides
+            .map(|endpoint| {
+                let address = endpoint.member.address;
+                (hash_bytes(format!("{address} {}", stream.0).as_bytes()), address)
+            })
+            .collect::<Vec<_>>();
+        ranked.sort_unstable();
+        ranked.dedup();
+        ranked.into_iter().take(count).map(|(_, address)| address).collect()
+    }
+
+    /// Asks where the stream began that the caller of a request takes up.
+    pub(super) fn inquire_origin(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if !request.taken_up || !request.retry_policy.is_stream() {
+            return;
+        }
+        let stream = request.stream;
+        let named = request.resumes.is_some();
+        let sides = if named { self.stream_sides(stream, ASKED_SIDES) } else { Vec::new() };
+        if sides.is_empty() {
+            self.origin_unknown(id, false);
+            return;
+        }
+        let until = self.now + REPLY_MS;
+        let inquiry = Inquiry { until, open: sides.clone(), vouched: false };
+        self.set_origin(id, Origin::Asked(inquiry));
+        for side in sides {
+            self.send_stream_message(side, StreamKind::Query(StreamQuery { stream: stream.0 }));
+        }
+    }
+
+    /// Handles a message about streams from a side.
+    pub(super) fn handle_streams(&mut self, side: SocketAddr, message: &StreamMessage) {
+        match &message.kind {
+            Some(StreamKind::Reply(reply)) => self.origin_replied(side, reply),
+            Some(StreamKind::Begun(_) | StreamKind::Query(_)) | None => {
+                self.log(LogEvent::new("stream_unreadable").with("from", side));
+            }
+        }
+    }
+
+    fn origin_replied(&mut self, side: SocketAddr, reply: &StreamReply) {
+        let horizon_ms = self.horizon_ms();
+        let asked = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.stream.0 == reply.stream && request.awaits_origin());
+        for id in asked.map(|(id, _)| *id).collect::<Vec<_>>() {
+            if let Some(software) = reply.software {
+                self.origin_known(id, SoftwareKey(software), "side");
+                continue;
+            }
+            let Some(request) = self.requests.get_mut(&id) else { continue };
+            let Origin::Asked(inquiry) = &mut request.origin else { continue };
+            inquiry.open.retain(|open| *open != side);
+            inquiry.vouched |= reply.memory_ms >= horizon_ms;
+            if inquiry.open.is_empty() {
+                let vouched = inquiry.vouched;
+                self.origin_unknown(id, vouched);
+            }
+        }
+    }
+
+    /// Decides about requests whose sides have not replied in time.
+    pub(super) fn end_inquiries(&mut self) {
+        let due = self.requests.iter().filter_map(|(id, request)| match &request.origin {
+            Origin::Asked(inquiry) if self.now >= inquiry.until => Some((*id, inquiry.vouched)),
+            _ => None,
+        });
+        for (id, vouched) in due.collect::<Vec<_>>() {
+            self.origin_unknown(id, vouched);
+        }
+    }
+
+    /// Decides about a stream that no side knows; `vouched` means that one would know it if it had
+    /// begun while several versions served.
+    fn origin_unknown(&mut self, id: RequestId, vouched: bool) {
+        let (now, horizon_ms) = (self.now, self.horizon_ms());
+        let Some(request) = self.requests.get(&id) else { return };
+        let history = &self.streams.history;
+        let proven = vouched || self.profile.first_start || history.covers(horizon_ms, now);
+        let recent = history.recent(&request.service, horizon_ms, now).collect::<Vec<_>>();
+        match recent[..] {
+            [only] if proven => self.origin_known(id, only, "only_version"),
+            _ => self.refuse(id, Reason::VersionUnknown),
+        }
+    }
+
+    fn origin_known(&mut self, id: RequestId, software: SoftwareKey, source: &'static str) {
+        self.set_origin(id, Origin::Bound(software));
+        let name = self.pool.endpoints.values().find(|endpoint| endpoint.software == software);
+        let name = name.map(|endpoint| endpoint.member.software.clone());
+        let Some(request) = self.requests.get(&id) else { return };
+        let event = LogEvent::new("stream_taken_up")
+            .with("id", &request.caller_id)
+            .with("resumes", request.resumes.as_deref().unwrap_or(""))
+            .with("software", name.unwrap_or_else(|| software.to_string()))
+            .with("source", source);
+        self.log(event);
+        self.streams.taken_up += 1;
+        self.schedule(id);
+    }
+
+    /// Returns whether an endpoint serves with the software version that a request needs, if any.
+    pub(super) fn serves_version(&self, request: &Request) -> bool {
+        let Some(software) = request.bound_software() else { return true };
+        let mut endpoints = self.pool.endpoints.values();
+        endpoints.any(|endpoint| endpoint.accepts_requests() && endpoint.software == software)
+    }
+
+    fn set_origin(&mut self, id: RequestId, origin: Origin) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.origin = origin;
+        }
+    }
+
+    fn send_stream_message(&mut self, side: SocketAddr, kind: StreamKind) {
+        self.effects.push(EntryEffect::Streams(side, kind.into()));
+    }
+}
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -20,6 +20,7 @@
         self.exclude_pause();
         self.last_check = self.now;
         self.check_unproven_ends();
+        self.end_inquiries();
         self.end_expired();
         self.refuse_before_disconnect();
         self.refuse_on_stop();
@@ -186,7 +187,7 @@
         let mut blocked = Set::default();
         for (_, id) in order {
             let Some(request) = self.requests.get(&id) else { continue };
-            let requirement = (request.service.clone(), request.required);
+            let requirement = (request.service.clone(), request.required, request.bound_software());
             if blocked.contains(&requirement) {
                 continue;
             }
@@ -195,6 +196,7 @@
                 request.stage == Stage::Waiting
                     && request.trial.is_none()
                     && !request.awaits_credit()
+                    && !request.awaits_origin()
             });
             if waits {
                 blocked.insert(requirement);
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -7,8 +7,8 @@
 
 use citronrill_decide::LogEvent;
 use citronrill_wire::{
-    CreditReply, CreditReport, LoadRequest, ModelName, SideState, SuspectMessage, SuspectRecord,
-    SuspectUpdate, UsageReport,
+    CreditReply, CreditReport, LoadRequest, ModelName, SideState, StreamMessage, SuspectMessage,
+    SuspectRecord, SuspectUpdate, UsageReport,
 };
 
 use super::crashes::EndpointCheck;
@@ -39,6 +39,8 @@
     /// Maximum milliseconds for which requests wait after a start, until the sides have told which
     /// requests crash endpoints.
     pub learn_ms: u64,
+    /// Whether the whole system starts for the first time: no stream has begun before.
+    pub first_start: bool,
 }
 
 /// A request that was received completely.
@@ -155,6 +157,8 @@
     Suspects(SocketAddr, SuspectMessage),
     /// The side of the endpoint at this address replied to a report on limits.
     Credit(SocketAddr, CreditReply),
+    /// The side of the endpoint at this address sent a message about streams.
+    Streams(SocketAddr, StreamMessage),
     /// The quarantined requests were read from the platform store.
     QuarantineRead(SuspectUpdate),
     /// The endpoint at this address was checked.
@@ -246,6 +250,10 @@
     Broken,
     /// It crashes the endpoints that run it.
     Quarantined,
+    /// It takes up a stream that began at a software version that is not known.
+    VersionUnknown,
+    /// It takes up a stream that began at a software version of which no endpoint can run it.
+    VersionGone,
     /// Its organisation is over its limit.
     OverLimit,
     /// Whether its organisation is over its limit is unknown.
@@ -269,6 +277,8 @@
             Reason::TimedOut => "timed_out",
             Reason::Broken => "broken",
             Reason::Quarantined => "quarantined",
+            Reason::VersionUnknown => "version_unknown",
+            Reason::VersionGone => "version_gone",
             Reason::OverLimit => "over_limit",
             Reason::LimitUnknown => "limit_unknown",
         }
@@ -289,6 +299,8 @@
             | Reason::TooLate
             | Reason::Stopping
             | Reason::Quarantined
+            | Reason::VersionUnknown
+            | Reason::VersionGone
             | Reason::LimitUnknown
             | Reason::Expired => 503,
             Reason::TimedOut => 504,
@@ -329,6 +341,8 @@
     ReportUsage(SocketAddr, UsageReport),
     /// Send a message about suspects to the side of the endpoint at this address.
     Suspects(SocketAddr, SuspectMessage),
+    /// Send a message about streams to the side of the endpoint at this address.
+    Streams(SocketAddr, StreamMessage),
     /// Send a report on limits to the side of the endpoint at this address.
     CreditReport(SocketAddr, CreditReport),
     /// Write a quarantined request to the platform store.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -25,6 +25,7 @@
 mod pool;
 mod rate;
 mod side;
+mod software;
 mod suspects;
 mod table_follower;
 
@@ -51,5 +52,6 @@
     side::{
         EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
     },
+    software::{SoftwareKey, StreamKey},
     table_follower::{FollowerProfile, StoreCall, StoreQuery, TableFollower},
 };
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -218,8 +218,7 @@
         if known && endpoint.accepts_requests() && member.leaving {
             outcome.departed.push(member.service.clone());
         }
-        endpoint.member = member;
-        endpoint.unlisted = false;
+        endpoint.set_member(member);
     }
 
     /// Applies the start time of a list entry to a known endpoint. Returns false if the entry is
@@ -336,6 +335,7 @@
             store_concurrent: state.store_concurrent,
             tracks_suspects: state.tracks_suspects,
             issues_credit: state.issues_credit,
+            tracks_streams: state.tracks_streams,
             known_entries: state.known_entries,
             missed,
             pinned,
@@ -360,6 +360,7 @@
         let mut member = self.endpoints.remove(&previous)?.member;
         member.instance.clone_from(&state.instance);
         member.leaving = false;
+        member.software.clear();
         let endpoint = self
             .endpoints
             .entry(state.instance.clone())
--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -11,6 +11,7 @@
 mod orders;
 mod plan;
 mod report;
+mod streams;
 mod suspects;
 mod types;
 
@@ -28,6 +29,7 @@
     incarnation_name::IncarnationName,
     missed::MissRates,
     report::{holds, load_moved, order_result, same_except_load},
+    streams::StreamRegistry,
     suspects::SuspectRegistry,
 };
 use crate::{
@@ -117,6 +119,7 @@
     store_concurrent: u32,
     entries: u32,
     published: Option<(Millis, SideState)>,
+    streams: StreamRegistry,
     suspects: SuspectRegistry,
     limits: Limits,
     effects: Vec<SideEffect>,
@@ -151,6 +154,7 @@
             published: None,
             suspects: SuspectRegistry::default(),
             limits: Limits::default(),
+            streams: StreamRegistry::default(),
             effects: Vec::new(),
         }
     }
@@ -161,6 +165,12 @@
         self
     }
 
+    /// Sets that the whole system starts for the first time: no stream has begun before.
+    pub fn with_first_start(mut self, first_start: bool) -> PoolSide {
+        self.streams.set_complete(first_start);
+        self
+    }
+
     /// Returns the version of the known configuration, or 0 if there is none.
     pub fn config_version(&self) -> u64 {
         self.config.as_ref().map_or(0, |config| config.version)
@@ -186,6 +196,7 @@
             SideEvent::EntryLost(link, silent) => self.entry_lost(link, silent),
             SideEvent::CreditReport(link, report) => self.issue_credit(link, &report),
             SideEvent::Suspects(link, message) => self.handle_suspects(link, message),
+            SideEvent::Streams(link, message) => self.handle_streams(link, message),
             SideEvent::Tick => {}
         }
         self.issue_orders();
@@ -450,6 +461,7 @@
             store_concurrent: late.map_or(self.store_concurrent, |issued| issued.concurrent),
             tracks_suspects: true,
             issues_credit: true,
+            tracks_streams: true,
             known_entries: self.known_entries(),
         })
     }
--- /dev/null
+++ b/crates/pool/src/side/streams.rs
@@ -0,0 +1,83 @@
+//! The software versions at which streams began, kept for the entries.
+//!
+//! A caller that takes a stream up may come to another entry than before, as its entry has ended. The
+//! entries tell the sides where their streams began, and ask them.
+
+use citronrill_base::{Map, Millis};
+use citronrill_decide::LogEvent;
+use citronrill_wire::{StreamKind, StreamMessage, StreamReply};
+
+use super::{EntryLink, PoolSide, SideEffect};
+use crate::software::{SoftwareKey, StreamKey};
+
+/// Milliseconds for which streams are kept while no configuration is known.
+const DEFAULT_KEEP_MS: u64 = 30_000;
+/// Maximum number of streams in each of the two generations: 24 bytes each.
+const MAX_STREAMS: usize = 32_768;
+
+/// The streams in two generations: the older one is dropped when the newer one is old enough.
+#[derive(Debug, Default)]
+pub(super) struct StreamRegistry {
+    newer: Map<StreamKey, SoftwareKey>,
+    older: Map<StreamKey, SoftwareKey>,
+    newer_since: Millis,
+    older_since: Millis,
+    /// Whether nothing was ever lost, since the whole system started.
+    complete: bool,
+}
+
+impl StreamRegistry {
+    /// Sets whether no stream has begun before.
+    pub(super) fn set_complete(&mut self, complete: bool) {
+        self.complete = complete;
+    }
+
+    /// Adds a stream, and drops those that are older than `keep_ms`.
+    fn insert(&mut self, stream: StreamKey, software: SoftwareKey, keep_ms: u64, now: Millis) {
+        if now.since(self.newer_since) >= keep_ms || self.newer.len() >= MAX_STREAMS {
+            let dropped = std::mem::replace(&mut self.older, std::mem::take(&mut self.newer));
+            self.complete &= dropped.is_empty();
+            self.older_since = self.newer_since;
+            self.newer_since = now;
+        }
+        self.newer.insert(stream, software);
+    }
+
+    fn get(&self, stream: StreamKey) -> Option<SoftwareKey> {
+        self.newer.get(&stream).or_else(|| self.older.get(&stream)).copied()
+    }
+
+    /// Returns the milliseconds for which everything was kept.
+    fn memory_ms(&self, now: Millis) -> u64 {
+        if self.complete { u64::MAX } else { now.since(self.older_since) }
+    }
+}
+
+impl PoolSide {
+    /// Handles a message about streams from an entry.
+    pub(super) fn handle_streams(&mut self, link: EntryLink, message: StreamMessage) {
+        match message.kind {
+            Some(StreamKind::Begun(begun)) => {
+                let config = self.config.as_ref();
+                let keep_ms = config.map_or(DEFAULT_KEEP_MS, |config| config.stream_horizon_ms());
+                for origin in begun.streams {
+                    let (stream, software) =
+                        (StreamKey(origin.stream), SoftwareKey(origin.software));
+                    self.streams.insert(stream, software, keep_ms, self.now);
+                }
+            }
+            Some(StreamKind::Query(query)) => {
+                let software = self.streams.get(StreamKey(query.stream));
+                let reply = StreamReply {
+                    stream: query.stream,
+                    software: software.map(|key| key.0),
+                    memory_ms: self.streams.memory_ms(self.now),
+                };
+                self.effects.push(SideEffect::Streams(link, StreamKind::Reply(reply).into()));
+            }
+            Some(StreamKind::Reply(_)) | None => {
+                self.log(LogEvent::new("stream_unreadable").with("from", link));
+            }
+        }
+    }
+}
--- a/crates/pool/src/side/types.rs
+++ b/crates/pool/src/side/types.rs
@@ -4,7 +4,8 @@
 
 use citronrill_decide::LogEvent;
 use citronrill_wire::{
-    CreditReply, CreditReport, LoadRequest, ModelName, SideState, SuspectMessage, UsageReport,
+    CreditReply, CreditReport, LoadRequest, ModelName, SideState, StreamMessage, SuspectMessage,
+    UsageReport,
 };
 
 use crate::{config::ServingConfig, incarnation::StartTime, member::HeldModel};
@@ -119,6 +120,8 @@
     CreditReport(EntryLink, CreditReport),
     /// An entry sent a message about suspects.
     Suspects(EntryLink, SuspectMessage),
+    /// An entry sent a message about streams.
+    Streams(EntryLink, StreamMessage),
     /// Time has passed.
     Tick,
 }
@@ -138,6 +141,8 @@
     Decline(EntryLink, ModelName),
     /// Send one entry a message about suspects.
     Suspects(EntryLink, SuspectMessage),
+    /// Send one entry a message about streams.
+    Streams(EntryLink, StreamMessage),
     /// Send one entry a reply to its report on limits.
     Credit(EntryLink, CreditReply),
     /// Write a log line.
--- a/crates/pool/tests/all/load_priority.rs
+++ b/crates/pool/tests/all/load_priority.rs
@@ -139,6 +139,7 @@
             retry_window_ms: 10_000,
             limits: LimitBounds::default(),
             learn_ms: 0,
+            first_start: true,
         };
         let mut bench = bench_of_twenty();
         bench.entry = PoolEntry::new(profile);
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -21,6 +21,7 @@
 mod side;
 mod simulated_loads;
 mod simulation;
+mod software;
 mod stalls;
 mod stream_ends;
 mod support;
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -217,6 +217,7 @@
             retry_window_ms: 10_000,
             limits: LimitBounds::default(),
             learn_ms: 300,
+            first_start: true,
         };
         Simulation {
             now: 0,
@@ -497,6 +498,11 @@
                 let event = SideEvent::Suspects(EntryLink(entry as u64), message);
                 self.after_hop(SimEvent::SideInput(side, event));
             }
+            EntryEffect::Streams(address, message) => {
+                let side = self.engine_at(address);
+                let event = SideEvent::Streams(EntryLink(entry as u64), message);
+                self.after_hop(SimEvent::SideInput(side, event));
+            }
             EntryEffect::CreditReport(address, report) => {
                 let side = self.engine_at(address);
                 let event = SideEvent::CreditReport(EntryLink(entry as u64), report);
@@ -569,6 +575,10 @@
                     let event = EntryEvent::Suspects(address(side as u8), message);
                     self.after_hop(SimEvent::EntryInput(link.0 as usize, event));
                 }
+                SideEffect::Streams(link, message) => {
+                    let event = EntryEvent::Streams(address(side as u8), message);
+                    self.after_hop(SimEvent::EntryInput(link.0 as usize, event));
+                }
                 SideEffect::Credit(link, reply) => {
                     let event = EntryEvent::Credit(address(side as u8), reply);
                     self.after_hop(SimEvent::EntryInput(link.0 as usize, event));
--- /dev/null
+++ b/crates/pool/tests/all/software.rs
@@ -0,0 +1,303 @@
+//! Streams go on only at the software version that began them.
+
+use std::net::SocketAddr;
+
+use citronrill_base::Millis;
+use citronrill_pool::{
+    Arrival, EntryEffect, EntryEvent, EntryLink, Member, PoolSide, Reason, RequestId, SideEffect,
+    SideEvent, SoftwareKey, StreamKey,
+};
+use citronrill_wire::{
+    SideState, StreamKind, StreamMessage, StreamOrigin, StreamQuery, StreamReply, StreamsBegun,
+};
+use rstest::rstest;
+
+use crate::support::{Bench, ENGINE, address, dispatch, member, ok, refusal, state};
+
+/// Milliseconds after which a stream can no longer be taken up, with the routes of the tests.
+const HORIZON_MS: u64 = 30_000;
+
+fn versioned(index: u8, software: &str, models: &[&str]) -> Member {
+    Member { software: software.to_owned(), ..member(index, ENGINE, models) }
+}
+
+fn key(software: &str) -> SoftwareKey {
+    SoftwareKey::new(ENGINE, software)
+}
+
+fn report_sides(bench: &mut Bench, models: &[&[&str]]) {
+    for (index, models) in models.iter().enumerate() {
+        let state = SideState { tracks_streams: true, ..state(1, models) };
+        bench.step(EntryEvent::SideReport(address(index as u8 + 1), state));
+    }
+}
+
+/// An entry with four engines that hold `m0`, in turn of versions v1 and v2.
+fn mixed() -> Bench {
+    let members = (1..=4).map(|index| versioned(index, ["v2", "v1"][index as usize % 2], &["m0"]));
+    let mut bench = Bench::new(members.collect());
+    report_sides(&mut bench, &[&["m0"], &["m0"], &["m0"], &["m0"]]);
+    bench
+}
+
+/// Messages about streams among effects, with the sides that they go to.
+fn messages(effects: &[EntryEffect]) -> Vec<(SocketAddr, StreamKind)> {
+    let messages = effects.iter().filter_map(|effect| match effect {
+        EntryEffect::Streams(side, message) => Some((*side, message.kind.clone().unwrap())),
+        _ => None,
+    });
+    messages.collect()
+}
+
+/// Takes up the stream that began in attempt `first`.
+fn take_up(bench: &mut Bench, first: Option<&str>) -> (RequestId, Vec<EntryEffect>) {
+    let arrival = bench.arrival("/chat/x", "m0");
+    bench.arrive(Arrival { taken_up: true, resumes: first.map(str::to_owned), ..arrival })
+}
+
+fn reply(stream: &str, software: Option<&str>, memory_ms: u64) -> StreamMessage {
+    let software = software.map(|software| key(software).0);
+    StreamKind::Reply(StreamReply { stream: StreamKey::new(stream).0, software, memory_ms }).into()
+}
+
+/// Sends the same reply from all sides that were asked.
+fn reply_all(
+    bench: &mut Bench,
+    asked: &[EntryEffect],
+    software: Option<&str>,
+    memory_ms: u64,
+) -> Vec<EntryEffect> {
+    let asked = messages(asked).into_iter().map(|(side, _)| side);
+    let replies = asked.map(|side| EntryEvent::Streams(side, reply("first", software, memory_ms)));
+    let replies = replies.collect::<Vec<_>>();
+    assert_eq!(replies.len(), 3, "not all sides were asked");
+    replies.into_iter().flat_map(|reply| bench.step(reply)).collect()
+}
+
+fn sent_software(effects: &[EntryEffect]) -> Option<&'static str> {
+    let address = dispatch(effects)?.address;
+    Some(if [self::address(1), self::address(3)].contains(&address) { "v1" } else { "v2" })
+}
+
+/// A stream goes on at the version that a side names, whichever that is.
+#[rstest]
+fn a_stream_goes_on_at_the_version_that_a_side_knows(#[values("v1", "v2")] software: &str) {
+    for _ in 0..4 {
+        let mut bench = mixed();
+        let (_, asked) = take_up(&mut bench, Some("first"));
+        assert!(dispatch(&asked).is_none(), "sent before a side has replied");
+        let (side, _) = messages(&asked)[0];
+        let effects =
+            bench.step(EntryEvent::Streams(side, reply("first", Some(software), u64::MAX)));
+        assert_eq!(sent_software(&effects), Some(software));
+    }
+}
+
+/// Guards against a stream that goes on by guess: no side knows it, and two versions have served.
+#[rstest]
+fn an_unknown_stream_is_refused_while_two_versions_serve(
+    #[values(0, u64::MAX)] memory_ms: u64,
+    #[values(true, false)] named: bool,
+) {
+    let mut bench = mixed();
+    let (_, asked) = take_up(&mut bench, named.then_some("first"));
+    let effects = if named { reply_all(&mut bench, &asked, None, memory_ms) } else { asked };
+    let (reason, retry_ms) = refusal(&effects).unwrap();
+    assert_eq!((reason, retry_ms), (Reason::VersionUnknown, None));
+}
+
+/// Guards against a version that left a moment ago and is forgotten: a stream of it may still come back.
+#[test]
+fn a_version_that_has_just_left_counts() {
+    let mut bench = mixed();
+    let only_v1 = [1, 3].map(|index| versioned(index, "v1", &["m0"]));
+    bench.set_members(2, only_v1.to_vec());
+    report_sides(&mut bench, &[&["m0"], &[], &["m0"]]);
+    let (id, _) = take_up(&mut bench, Some("first"));
+    let effects = bench.advance(200);
+    assert_eq!(refusal(&effects).unwrap().0, Reason::VersionUnknown, "{id:?}");
+    bench.now += HORIZON_MS;
+    bench.set_members(3, only_v1.to_vec());
+    report_sides(&mut bench, &[&["m0"], &[], &["m0"]]);
+    take_up(&mut bench, Some("first"));
+    let mut effects = bench.advance(200);
+    effects.extend(bench.step(EntryEvent::ProbeReply(address(1))));
+    effects.extend(bench.step(EntryEvent::ProbeReply(address(3))));
+    assert_eq!(sent_software(&effects), Some("v1"), "{effects:?}");
+}
+
+/// Guards against an entry that has just started and takes the only version that it has seen for the only
+/// one that has served; a side that has kept everything for long enough knows better.
+#[rstest]
+#[case(0, false)]
+#[case(HORIZON_MS, true)]
+fn a_restarted_entry_relies_on_the_memory_of_sides(#[case] memory_ms: u64, #[case] goes_on: bool) {
+    let members = (1..=4).map(|index| versioned(index, "v1", &["m0"])).collect();
+    let mut bench = Bench::restarted(members);
+    report_sides(&mut bench, &[&["m0"], &["m0"], &["m0"], &["m0"]]);
+    let (_, asked) = take_up(&mut bench, Some("first"));
+    let effects = reply_all(&mut bench, &asked, None, memory_ms);
+    assert_eq!(dispatch(&effects).is_some(), goes_on);
+    assert_eq!(refusal(&effects).is_none(), goes_on);
+}
+
+/// Guards against a caller that waits for a version of which no endpoint is left.
+#[test]
+fn a_stream_of_a_version_that_is_gone_is_refused_at_once() {
+    let mut bench = mixed();
+    let (_, asked) = take_up(&mut bench, Some("first"));
+    let effects = reply_all(&mut bench, &asked, Some("v3"), u64::MAX);
+    assert_eq!(refusal(&effects).unwrap().0, Reason::VersionGone);
+}
+
+/// The only endpoint of the stream's version does not hold the model, but has its weights on disk: it loads
+/// the model, although others hold it.
+#[test]
+fn the_model_is_loaded_at_the_version_of_the_stream() {
+    let members =
+        vec![versioned(1, "v1", &["m0"]), versioned(2, "v2", &["m1"]), versioned(3, "v1", &["m0"])];
+    let mut bench = Bench::new(members);
+    report_sides(&mut bench, &[&["m0"], &["m1"], &["m0"]]);
+    let (_, asked) = take_up(&mut bench, Some("first"));
+    let effects = reply_all(&mut bench, &asked, Some("v2"), u64::MAX);
+    let loads = effects.iter().filter_map(|effect| match effect {
+        EntryEffect::LoadRequest(side, load) => Some((*side, load.model.as_str())),
+        _ => None,
+    });
+    assert_eq!(loads.collect::<Vec<_>>(), [(address(2), "m0")]);
+    assert!(dispatch(&effects).is_none() && refusal(&effects).is_none());
+}
+
+/// Where streams begin is told to two sides while two versions serve, and to none while one does.
+#[test]
+fn beginnings_are_told_only_while_versions_are_mixed() {
+    let mut alone = Bench::new((1..=4).map(|index| versioned(index, "v1", &["m0"])).collect());
+    report_sides(&mut alone, &[&["m0"], &["m0"], &["m0"], &["m0"]]);
+    let (id, _) = alone.request("/chat/x", "m0");
+    assert!(messages(&alone.respond(id, ok())).is_empty());
+    let mut bench = mixed();
+    let (id, effects) = bench.request("/chat/x", "m0");
+    let software = sent_software(&effects).unwrap();
+    let effects = bench.respond(id, ok());
+    let told = messages(&effects);
+    assert_eq!(told.len(), 2);
+    let begun = |kind: &StreamKind| match kind {
+        StreamKind::Begun(begun) => begun.streams[0].software,
+        _ => 0,
+    };
+    assert!(told.iter().all(|(_, kind)| begun(kind) == key(software).0), "{told:?}");
+    let forwarded = effects.iter().position(|effect| *effect == EntryEffect::Forward(id));
+    let first = effects.iter().position(|effect| matches!(effect, EntryEffect::Streams(..)));
+    assert!(first < forwarded, "told after the caller may have an event");
+}
+
+/// Guards against streams that nobody knows because they began just before the second version came.
+#[test]
+fn streams_under_way_are_told_when_a_second_version_comes() {
+    let mut bench = Bench::new((1..=3).map(|index| versioned(index, "v1", &["m0"])).collect());
+    report_sides(&mut bench, &[&["m0"], &["m0"], &["m0"]]);
+    let (id, _) = bench.request("/chat/x", "m0");
+    bench.respond(id, ok());
+    let effects = bench.update_row(2, "i4", Some(versioned(4, "v2", &[])));
+    assert_eq!(messages(&effects).len(), 2, "{effects:?}");
+}
+
+/// Guards against a stream that its entry takes on at another version: its own has no endpoint left, and
+/// it is cut.
+#[test]
+fn a_broken_stream_is_cut_rather_than_continued_at_another_version() {
+    let members = vec![versioned(1, "v1", &["m0"]), versioned(2, "v2", &["m0"])];
+    let mut bench = Bench::new(members);
+    report_sides(&mut bench, &[&["m0"], &["m0"]]);
+    let (id, effects) = bench.request("/chat/x", "m0");
+    let first = dispatch(&effects).unwrap().address;
+    bench.respond(id, ok());
+    let effects = bench.step(EntryEvent::StreamBroken(id, Some(2)));
+    assert!(dispatch(&effects).is_none(), "{effects:?}");
+    let gone = if first == address(1) { "i1" } else { "i2" };
+    let mut effects = [effects, bench.update_row(2, gone, None)].concat();
+    effects.extend(bench.advance(100));
+    assert!(effects.contains(&EntryEffect::Abort(id)), "{effects:?}");
+}
+
+/// A stream without an event is free: it begins again at any version.
+#[test]
+fn a_stream_without_an_event_begins_at_any_version() {
+    let members = vec![versioned(1, "v1", &["m0"]), versioned(2, "v2", &["m0"])];
+    let mut bench = Bench::new(members);
+    report_sides(&mut bench, &[&["m0"], &["m0"]]);
+    let (id, effects) = bench.request("/chat/x", "m0");
+    let first = dispatch(&effects).unwrap().address;
+    bench.respond(id, ok());
+    let effects = bench.step(EntryEvent::StreamBroken(id, None));
+    assert_ne!(dispatch(&effects).unwrap().address, first);
+}
+
+/// Guards against a copy of a run that no endpoint can continue, as it is at another version.
+#[test]
+fn a_run_is_copied_within_its_version() {
+    for _ in 0..4 {
+        let mut bench = mixed();
+        let (lost, _) = bench.request("/draft/x", "m0");
+        bench.respond(lost, ok());
+        bench.step(EntryEvent::StreamBroken(lost, Some(0)));
+        let (_, effects) = bench.request("/draft/x", "m0");
+        let sent = dispatch(&effects).unwrap();
+        let place = |address| (1..=4).position(|index| address == self::address(index)).unwrap();
+        assert_eq!(place(sent.address) % 2, place(sent.backup.unwrap()) % 2);
+    }
+}
+
+/// Guards against an incarnation whose version is not listed yet, taken for one of the version that was at
+/// its address before.
+#[test]
+fn an_incarnation_that_only_its_side_reports_has_no_known_version() {
+    let mut bench = Bench::new((1..=2).map(|index| versioned(index, "v1", &["m0"])).collect());
+    report_sides(&mut bench, &[&["m0"], &["m0"]]);
+    let renamed = SideState {
+        instance: "i1-b".to_owned(),
+        service: ENGINE.to_owned(),
+        healthy: true,
+        tracks_streams: true,
+        ..state(1, &["m0"])
+    };
+    bench.step(EntryEvent::SideReport(address(1), renamed));
+    let (_, asked) = take_up(&mut bench, Some("first"));
+    let side = messages(&asked)[0].0;
+    let effects = bench.step(EntryEvent::Streams(side, reply("first", Some("v1"), 0)));
+    assert_eq!(dispatch(&effects).unwrap().address, address(2));
+}
+
+/// A side tells what it was told, forgets it after the horizon, and says how far its memory goes back.
+#[test]
+fn a_side_remembers_streams_for_the_horizon() {
+    let mut side = PoolSide::new(ENGINE).with_first_start(true);
+    let link = EntryLink(1);
+    let begin = |side: &mut PoolSide, now: u64, stream: u64| {
+        let streams = vec![StreamOrigin { stream, software: 7 }];
+        let message = StreamKind::Begun(StreamsBegun { streams }).into();
+        side.step(Millis(now), SideEvent::Streams(link, message));
+    };
+    let ask = |side: &mut PoolSide, now: u64, stream: u64| {
+        let message = StreamKind::Query(StreamQuery { stream }).into();
+        let effects = side.step(Millis(now), SideEvent::Streams(link, message));
+        let mut replies = effects.into_iter().filter_map(|effect| match effect {
+            SideEffect::Streams(_, StreamMessage { kind: Some(StreamKind::Reply(reply)) }) => {
+                Some(reply)
+            }
+            _ => None,
+        });
+        replies.next_back().unwrap()
+    };
+    begin(&mut side, 1_000, 1);
+    let known = ask(&mut side, 2_000, 1);
+    assert_eq!((known.software, known.memory_ms), (Some(7), u64::MAX));
+    assert_eq!(ask(&mut side, 2_000, 2).software, None);
+    for second in 0..100 {
+        begin(&mut side, 2_000 + second * 1_000, 100 + second);
+    }
+    let forgotten = ask(&mut side, 102_000, 1);
+    assert_eq!(forgotten.software, None);
+    assert!((30_000..=60_000).contains(&forgotten.memory_ms), "{forgotten:?}");
+    assert_eq!(ask(&mut side, 102_000, 180).software, Some(7));
+}
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -214,7 +214,30 @@
             retry_window_ms: 10_000,
             limits: LimitBounds::default(),
             learn_ms,
+            first_start: true,
         };
+        Bench::with_profile(profile)
+    }
+
+    /// An entry that does not know when the system started: streams may have begun before.
+    pub(crate) fn restarted(members: Vec<Member>) -> Bench {
+        let profile = EntryProfile {
+            zone: "a".to_owned(),
+            seed: 0,
+            retry_ratio: 0.2,
+            retry_slack: 50.0,
+            retry_window_ms: 10_000,
+            limits: LimitBounds::default(),
+            learn_ms: 0,
+            first_start: false,
+        };
+        let mut bench = Bench::with_profile(profile);
+        bench.step(EntryEvent::Config(config(1)));
+        bench.set_members(1, members);
+        bench
+    }
+
+    fn with_profile(profile: EntryProfile) -> Bench {
         Bench { entry: PoolEntry::new(profile), now: 1_000, next_id: 1 }
     }
 
@@ -339,7 +362,7 @@
         self.arrive(Arrival { prefix_hash, ..arrival })
     }
 
-    fn arrival(&mut self, path: &str, model: &str) -> Arrival {
+    pub(crate) fn arrival(&mut self, path: &str, model: &str) -> Arrival {
         let id = RequestId(self.next_id);
         self.next_id += 1;
         Arrival {
@@ -359,7 +382,7 @@
         }
     }
 
-    fn arrive(&mut self, arrival: Arrival) -> (RequestId, Vec<EntryEffect>) {
+    pub(crate) fn arrive(&mut self, arrival: Arrival) -> (RequestId, Vec<EntryEffect>) {
         let id = arrival.id;
         (id, self.step(EntryEvent::RequestArrived(arrival)))
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod frames;
 mod handshake;
 mod pool;
+mod streams;
 mod suspects;
 
 pub use crate::{
@@ -26,6 +27,7 @@
         ModelName, ModelRate, ModelState, PoolFrame, PoolKind, Probe, ProbeReply, SideState,
         Snapshot, UsageReport,
     },
+    streams::{StreamKind, StreamMessage, StreamOrigin, StreamQuery, StreamReply, StreamsBegun},
     suspects::{
         CrashRecord, QuarantineRow, SuspectCleared, SuspectKind, SuspectMessage, SuspectRecord,
         SuspectUpdate, TrialEnded, TrialReply, TrialRequest,
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     credit::{CreditReply, CreditReport},
+    streams::StreamMessage,
     suspects::SuspectMessage,
 };
 
@@ -11,7 +12,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PoolFrame {
     /// The message.
-    #[prost(oneof = "PoolKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "PoolKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub kind: Option<PoolKind>,
 }
 
@@ -59,6 +60,10 @@
     /// A side's reply to the report.
     #[prost(message, tag = "14")]
     CreditReply(CreditReply),
+    /// A message about the software versions at which streams began, in either direction. Only for a side
+    /// whose state says that it tracks them, and for an entry that has sent one.
+    #[prost(message, tag = "15")]
+    Streams(StreamMessage),
 }
 
 /// A liveness probe.
@@ -290,6 +295,9 @@
     /// Number of entries that the side knows of: those connected, and those whose connection fell silent.
     #[prost(uint32, tag = "25")]
     pub known_entries: u32,
+    /// Whether the side understands [`PoolKind::Streams`].
+    #[prost(bool, tag = "26")]
+    pub tracks_streams: bool,
 }
 
 /// One loaded model of an endpoint.
--- a/tests/pool/software.rs
+++ b/tests/pool/software.rs
@@ -3,8 +3,6 @@
 use std::{
     io::Read,
     net::{SocketAddr, TcpStream},
-    thread,
-    time::Duration,
 };
 
 use citronrill_platform_standin::{Worker, WorkerMode};
@@ -95,9 +93,10 @@
         let id = format!("id-{round}");
         let response = pool.request(&Request::stream("/chat/x", &id, "m0"));
         assert_eq!((response.status, response.complete), (200, true), "{response:?}");
-        let ran = runners(&pool, &id);
-        assert_eq!(ran.len(), 2, "round {round}");
-        assert_eq!(ran[0].software(), ran[1].software(), "round {round}");
+        let id = format!("id={id} ");
+        let sent = ["software=v1", "software=v2"]
+            .map(|software| pool.entry.count(&["event=sent", &id, software]));
+        assert!(sent == [2, 0] || sent == [0, 2], "round {round}: {sent:?}");
     }
 }
 
@@ -105,7 +104,7 @@
 #[test]
 fn a_stream_of_a_version_that_is_gone_is_refused() {
     let mut pool = mixed_pool();
-    let (_other, address) = pool.add_entry_at();
+    let (other, address) = pool.add_entry_at();
     let (stream, last) = begin(&pool, pool.caller_address, "first");
     let software = runners(&pool, "first")[0].software();
     pool.restart_entry();
@@ -113,7 +112,7 @@
     for engine in pool.engines.iter().filter(|engine| engine.software() == software) {
         engine.deregister();
     }
-    thread::sleep(Duration::from_millis(500));
+    pool.wait_until("the list is read", || other.logged(&["event=members", "open=3"]));
     let response = take_up(&pool, address, "first", "second", last);
     assert_eq!(response.status, 503, "{response:?}");
     assert!(runners(&pool, "second").is_empty());
--- a/tests/pool/support/mod.rs
+++ b/tests/pool/support/mod.rs
@@ -297,7 +297,7 @@
 fn common_settings(name: &str, peers: SocketAddr, store: SocketAddr) -> String {
     let metrics = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
     format!(
-        "[process]\nname = {name}\nzone = a\nstop_s = 4\n[platform]\nstore = {store}\n\
+        "[process]\nname = {name}\nzone = a\nfirst_start = yes\nstop_s = 4\n[platform]\nstore = {store}\n\
          [retry]\nratio = 0.2\nslack = 50\nwindow_s = 10\n\
          [listen]\npeers = {peers}\nmetrics = {metrics}\n"
     )
--- a/tests/pool/support/process.rs
+++ b/tests/pool/support/process.rs
@@ -49,6 +49,7 @@
     /// Kills and restarts the process with the same settings, as the platform does; clears its log.
     pub(crate) fn restart(&mut self) {
         let settings = fs::read_to_string(&self.settings).unwrap();
+        let settings = settings.replace("first_start = yes", "first_start = no");
         self.kill();
         *self = Process::start(&self.role, &settings);
     }
