Let sides vouch also for streams whose beginning the caller does not name

A caller may take a stream up with Last-Event-Id alone. A side now also says for how long it was told of no stream at all; where that is longer than a stream can come back, no second version has served.

The shortest memory of the sides that reply counts, not the longest: the third one asked was never told.

--- a/crates/pool/src/entry/streams.rs
+++ b/crates/pool/src/entry/streams.rs
@@ -49,8 +49,8 @@
     until: Millis,
     /// Sides that have not replied.
     open: Vec<SocketAddr>,
-    /// Whether a side would know the stream if it had begun while several versions served.
-    vouched: bool,
+    /// The shortest memory of the sides that have replied.
+    memory_ms: Option<u64>,
 }
 
 /// What an entry knows of software versions, over all streams.
@@ -184,18 +184,18 @@
         if !request.taken_up || !request.retry_policy.is_stream() {
             return;
         }
-        let stream = request.stream;
-        let named = request.resumes.is_some();
-        let sides = if named { self.stream_sides(stream, ASKED_SIDES) } else { Vec::new() };
+        let (stream, unnamed) = (request.stream, request.resumes.is_none());
+        let sides = self.stream_sides(stream, ASKED_SIDES);
         if sides.is_empty() {
-            self.origin_unknown(id, false);
+            self.origin_unknown(id, 0);
             return;
         }
         let until = self.now + REPLY_MS;
-        let inquiry = Inquiry { until, open: sides.clone(), vouched: false };
+        let inquiry = Inquiry { until, open: sides.clone(), memory_ms: None };
         self.set_origin(id, Origin::Asked(inquiry));
         for side in sides {
-            self.send_stream_message(side, StreamKind::Query(StreamQuery { stream: stream.0 }));
+            let query = StreamQuery { stream: stream.0, unnamed };
+            self.send_stream_message(side, StreamKind::Query(query));
         }
     }
 
@@ -210,7 +210,6 @@
     }
 
     fn origin_replied(&mut self, side: SocketAddr, reply: &StreamReply) {
-        let horizon_ms = self.horizon_ms();
         let asked = self
             .requests
             .iter()
@@ -223,10 +222,10 @@
             let Some(request) = self.requests.get_mut(&id) else { continue };
             let Origin::Asked(inquiry) = &mut request.origin else { continue };
             inquiry.open.retain(|open| *open != side);
-            inquiry.vouched |= reply.memory_ms >= horizon_ms;
+            let shortest = inquiry.memory_ms.unwrap_or(u64::MAX).min(reply.memory_ms);
+            inquiry.memory_ms = Some(shortest);
             if inquiry.open.is_empty() {
-                let vouched = inquiry.vouched;
-                self.origin_unknown(id, vouched);
+                self.origin_unknown(id, shortest);
             }
         }
     }
@@ -234,20 +233,23 @@
     /// Decides about requests whose sides have not replied in time.
     pub(super) fn end_inquiries(&mut self) {
         let due = self.requests.iter().filter_map(|(id, request)| match &request.origin {
-            Origin::Asked(inquiry) if self.now >= inquiry.until => Some((*id, inquiry.vouched)),
+            Origin::Asked(inquiry) if self.now >= inquiry.until => {
+                Some((*id, inquiry.memory_ms.unwrap_or(0)))
+            }
             _ => None,
         });
-        for (id, vouched) in due.collect::<Vec<_>>() {
-            self.origin_unknown(id, vouched);
+        for (id, memory_ms) in due.collect::<Vec<_>>() {
+            self.origin_unknown(id, memory_ms);
         }
     }
 
-    /// Decides about a stream that no side knows; `vouched` means that one would know it if it had
-    /// begun while several versions served.
-    fn origin_unknown(&mut self, id: RequestId, vouched: bool) {
+    /// Decides about a stream that no side knows. The sides would know of one that began while several
+    /// versions served, as far back as their memory goes.
+    fn origin_unknown(&mut self, id: RequestId, memory_ms: u64) {
         let (now, horizon_ms) = (self.now, self.horizon_ms());
         let Some(request) = self.requests.get(&id) else { return };
         let history = &self.streams.history;
+        let vouched = memory_ms >= horizon_ms;
         let proven = vouched || self.profile.first_start || history.covers(horizon_ms, now);
         let recent = history.recent(&request.service, horizon_ms, now).collect::<Vec<_>>();
         match recent[..] {
--- a/crates/pool/src/side/streams.rs
+++ b/crates/pool/src/side/streams.rs
@@ -20,6 +20,8 @@
 pub(super) struct StreamRegistry {
     newer: Map<StreamKey, SoftwareKey>,
     older: Map<StreamKey, SoftwareKey>,
+    /// When it was last told of a stream.
+    told_at: Option<Millis>,
     newer_since: Millis,
     older_since: Millis,
     /// Whether nothing was ever lost, since the whole system started.
@@ -40,6 +42,7 @@
             self.older_since = self.newer_since;
             self.newer_since = now;
         }
+        self.told_at = Some(now);
         self.newer.insert(stream, software);
     }
 
@@ -51,6 +54,11 @@
     fn memory_ms(&self, now: Millis) -> u64 {
         if self.complete { u64::MAX } else { now.since(self.older_since) }
     }
+
+    /// Returns the milliseconds for which it was told of no stream.
+    fn quiet_ms(&self, now: Millis) -> u64 {
+        self.told_at.map_or(self.memory_ms(now), |at| now.since(at))
+    }
 }
 
 impl PoolSide {
@@ -68,10 +76,15 @@
             }
             Some(StreamKind::Query(query)) => {
                 let software = self.streams.get(StreamKey(query.stream));
+                let streams = &self.streams;
+                let memory_ms = match query.unnamed {
+                    true => streams.quiet_ms(self.now),
+                    false => streams.memory_ms(self.now),
+                };
                 let reply = StreamReply {
                     stream: query.stream,
                     software: software.map(|key| key.0),
-                    memory_ms: self.streams.memory_ms(self.now),
+                    memory_ms,
                 };
                 self.effects.push(SideEffect::Streams(link, StreamKind::Reply(reply).into()));
             }
--- a/crates/pool/tests/all/software.rs
+++ b/crates/pool/tests/all/software.rs
@@ -55,9 +55,18 @@
     bench.arrive(Arrival { taken_up: true, resumes: first.map(str::to_owned), ..arrival })
 }
 
-fn reply(stream: &str, software: Option<&str>, memory_ms: u64) -> StreamMessage {
+fn reply(query: StreamQuery, software: Option<&str>, memory_ms: u64) -> StreamMessage {
     let software = software.map(|software| key(software).0);
-    StreamKind::Reply(StreamReply { stream: StreamKey::new(stream).0, software, memory_ms }).into()
+    StreamKind::Reply(StreamReply { stream: query.stream, software, memory_ms }).into()
+}
+
+/// Returns the queries among effects, with the sides that they go to.
+fn queries(effects: &[EntryEffect]) -> Vec<(SocketAddr, StreamQuery)> {
+    let queries = messages(effects).into_iter().filter_map(|(side, kind)| match kind {
+        StreamKind::Query(query) => Some((side, query)),
+        _ => None,
+    });
+    queries.collect()
 }
 
 /// Sends the same reply from all sides that were asked.
@@ -67,11 +76,12 @@
     software: Option<&str>,
     memory_ms: u64,
 ) -> Vec<EntryEffect> {
-    let asked = messages(asked).into_iter().map(|(side, _)| side);
-    let replies = asked.map(|side| EntryEvent::Streams(side, reply("first", software, memory_ms)));
-    let replies = replies.collect::<Vec<_>>();
-    assert_eq!(replies.len(), 3, "not all sides were asked");
-    replies.into_iter().flat_map(|reply| bench.step(reply)).collect()
+    let asked = queries(asked);
+    assert_eq!(asked.len(), 3, "not all sides were asked");
+    let replies = asked
+        .into_iter()
+        .map(|(side, query)| EntryEvent::Streams(side, reply(query, software, memory_ms)));
+    replies.flat_map(|reply| bench.step(reply)).collect()
 }
 
 fn sent_software(effects: &[EntryEffect]) -> Option<&'static str> {
@@ -86,9 +96,9 @@
         let mut bench = mixed();
         let (_, asked) = take_up(&mut bench, Some("first"));
         assert!(dispatch(&asked).is_none(), "sent before a side has replied");
-        let (side, _) = messages(&asked)[0];
-        let effects =
-            bench.step(EntryEvent::Streams(side, reply("first", Some(software), u64::MAX)));
+        let (side, query) = queries(&asked)[0];
+        assert_eq!(query.stream, StreamKey::new("first").0);
+        let effects = bench.step(EntryEvent::Streams(side, reply(query, Some(software), 0)));
         assert_eq!(sent_software(&effects), Some(software));
     }
 }
@@ -101,7 +111,8 @@
 ) {
     let mut bench = mixed();
     let (_, asked) = take_up(&mut bench, named.then_some("first"));
-    let effects = if named { reply_all(&mut bench, &asked, None, memory_ms) } else { asked };
+    assert!(queries(&asked).iter().all(|(_, query)| query.unnamed != named));
+    let effects = reply_all(&mut bench, &asked, None, memory_ms);
     let (reason, retry_ms) = refusal(&effects).unwrap();
     assert_eq!((reason, retry_ms), (Reason::VersionUnknown, None));
 }
@@ -131,11 +142,15 @@
 #[rstest]
 #[case(0, false)]
 #[case(HORIZON_MS, true)]
-fn a_restarted_entry_relies_on_the_memory_of_sides(#[case] memory_ms: u64, #[case] goes_on: bool) {
+fn a_restarted_entry_relies_on_the_memory_of_sides(
+    #[case] memory_ms: u64,
+    #[case] goes_on: bool,
+    #[values(Some("first"), None)] named: Option<&str>,
+) {
     let members = (1..=4).map(|index| versioned(index, "v1", &["m0"])).collect();
     let mut bench = Bench::restarted(members);
     report_sides(&mut bench, &[&["m0"], &["m0"], &["m0"], &["m0"]]);
-    let (_, asked) = take_up(&mut bench, Some("first"));
+    let (_, asked) = take_up(&mut bench, named);
     let effects = reply_all(&mut bench, &asked, None, memory_ms);
     assert_eq!(dispatch(&effects).is_some(), goes_on);
     assert_eq!(refusal(&effects).is_none(), goes_on);
@@ -263,8 +278,8 @@
     };
     bench.step(EntryEvent::SideReport(address(1), renamed));
     let (_, asked) = take_up(&mut bench, Some("first"));
-    let side = messages(&asked)[0].0;
-    let effects = bench.step(EntryEvent::Streams(side, reply("first", Some("v1"), 0)));
+    let (side, query) = queries(&asked)[0];
+    let effects = bench.step(EntryEvent::Streams(side, reply(query, Some("v1"), 0)));
     assert_eq!(dispatch(&effects).unwrap().address, address(2));
 }
 
@@ -279,7 +294,7 @@
         side.step(Millis(now), SideEvent::Streams(link, message));
     };
     let ask = |side: &mut PoolSide, now: u64, stream: u64| {
-        let message = StreamKind::Query(StreamQuery { stream }).into();
+        let message = StreamKind::Query(StreamQuery { stream, unnamed: stream == 0 }).into();
         let effects = side.step(Millis(now), SideEvent::Streams(link, message));
         let mut replies = effects.into_iter().filter_map(|effect| match effect {
             SideEffect::Streams(_, StreamMessage { kind: Some(StreamKind::Reply(reply)) }) => {
@@ -300,4 +315,6 @@
     assert_eq!(forgotten.software, None);
     assert!((30_000..=60_000).contains(&forgotten.memory_ms), "{forgotten:?}");
     assert_eq!(ask(&mut side, 102_000, 180).software, Some(7));
+    // It was told of a stream one second ago.
+    assert_eq!(ask(&mut side, 102_000, 0).memory_ms, 1_000);
 }
--- a/crates/wire/src/streams.rs
+++ b/crates/wire/src/streams.rs
@@ -55,6 +55,9 @@
     /// Hash of the ID of the caller's attempt that began it.
     #[prost(fixed64, tag = "1")]
     pub stream: u64,
+    /// Whether the caller does not name that attempt, so that no side can know the stream.
+    #[prost(bool, tag = "2")]
+    pub unnamed: bool,
 }
 
 /// The reply to a query.
@@ -66,7 +69,8 @@
     /// Hash of the service and of the software version; `None` if the side knows of no such stream.
     #[prost(fixed64, optional, tag = "2")]
     pub software: Option<u64>,
-    /// Milliseconds for which the side has kept all that it was told of streams.
+    /// Milliseconds for which the side has kept all that it was told of streams; for an unnamed stream,
+    /// milliseconds for which it was told of none.
     #[prost(uint64, tag = "3")]
     pub memory_ms: u64,
 }
