Refuse no stream for a version that is known a moment later, or was alone before

The key is replaced once the incarnation is listed, also in what sides were told.

A stream from before the second version came is in no record. It began at the version that served alone until then, which an entry knows that was there; a side must vouch that it would know it otherwise.

Both tests fail on the code before.

--- a/crates/pool/src/entry/streams.rs
+++ b/crates/pool/src/entry/streams.rs
@@ -8,7 +8,7 @@
 
 use std::net::SocketAddr;
 
-use citronrill_base::{Millis, Set, hash_bytes};
+use citronrill_base::{Map, Millis, Set, hash_bytes};
 use citronrill_decide::LogEvent;
 use citronrill_wire::{
     StreamKind, StreamMessage, StreamOrigin, StreamQuery, StreamReply, StreamsBegun,
@@ -18,7 +18,7 @@
 use crate::{
     config::RetryPolicy,
     endpoint::Endpoint,
-    software::{SoftwareHistory, SoftwareKey, StreamKey},
+    software::{ServingVersion, SoftwareHistory, SoftwareKey, StreamKey},
 };
 
 /// Sides that are told of a stream: the second one knows it when the first one is lost.
@@ -58,11 +58,19 @@
 pub(super) struct StreamTracker {
     history: SoftwareHistory,
     /// Services in which several versions have served of late.
-    mixed: Set<String>,
+    mixed: Map<String, Mixture>,
     /// Streams of other attempts that go on here.
     taken_up: u64,
 }
 
+/// Since when several versions have served in a service.
+#[derive(Debug, Clone, Copy)]
+struct Mixture {
+    since: Millis,
+    /// The version that served alone before, if known.
+    before: Option<SoftwareKey>,
+}
+
 impl Request {
     /// Returns the only version at which its response goes on; `None` if it may begin at any.
     pub(super) fn bound_software(&self) -> Option<SoftwareKey> {
@@ -107,23 +115,67 @@
         if self.pool.list_version == 0 {
             return;
         }
+        self.resolve_listed();
         let endpoints = self.pool.endpoints.values();
-        let serving = endpoints.map(|endpoint| (endpoint.software, &*endpoint.member.service));
-        let services = serving.clone().map(|(_, service)| service).collect::<Set<_>>();
+        let services = endpoints.clone().map(|endpoint| endpoint.member.service.clone());
+        let services = services.collect::<Set<_>>();
+        let before = services.iter().map(|service| self.only_version(service)).collect::<Vec<_>>();
+        let serving = endpoints.map(|endpoint| ServingVersion {
+            key: endpoint.software,
+            service: &endpoint.member.service,
+            unlisted: endpoint.unlisted,
+        });
         self.streams.history.record(serving, horizon_ms, now);
-        let history = &self.streams.history;
-        let mixed = services
-            .into_iter()
-            .filter(|service| history.recent(service, horizon_ms, now).nth(1).is_some());
-        let mixed = mixed.map(str::to_owned).collect::<Set<_>>();
-        let before = std::mem::replace(&mut self.streams.mixed, mixed);
-        let added = self.streams.mixed.difference(&before).cloned().collect::<Vec<_>>();
-        for service in added {
-            self.log(LogEvent::new("versions_mixed").with("service", &service));
-            self.record_begun(|request| request.service == service);
+        for (service, before) in services.into_iter().zip(before) {
+            if self.streams.history.recent(&service, horizon_ms, now).nth(1).is_none() {
+                self.streams.mixed.remove(&service);
+            } else if !self.streams.mixed.contains_key(&service) {
+                self.log(LogEvent::new("versions_mixed").with("service", &service));
+                self.streams.mixed.insert(service.clone(), Mixture { since: now, before });
+                self.record_begun(|request| request.service == service);
+            }
         }
     }
 
+    /// Replaces the versions of incarnations that only their sides had reported by those in the list.
+    fn resolve_listed(&mut self) {
+        if !self.streams.history.has_unlisted() {
+            return;
+        }
+        let listed = self.pool.endpoints.values().filter(|endpoint| !endpoint.unlisted);
+        let listed = listed
+            .map(|endpoint| (SoftwareKey::unlisted(&endpoint.member.instance), endpoint.software));
+        for (unlisted, software) in listed.collect::<Vec<_>>() {
+            if !self.streams.history.remove(unlisted) {
+                continue;
+            }
+            for request in self.requests.values_mut() {
+                if matches!(request.origin, Origin::Bound(bound) if bound == unlisted) {
+                    request.origin = Origin::Bound(software);
+                }
+                if request.sent_software == Some(unlisted) {
+                    request.sent_software = Some(software);
+                }
+            }
+        }
+    }
+
+    /// Returns the version that a side was told of, by its listed name.
+    fn resolve(&self, software: SoftwareKey) -> SoftwareKey {
+        let mut endpoints = self.pool.endpoints.values().filter(|endpoint| !endpoint.unlisted);
+        let listed =
+            endpoints.find(|endpoint| SoftwareKey::unlisted(&endpoint.member.instance) == software);
+        listed.map_or(software, |endpoint| endpoint.software)
+    }
+
+    /// Returns the only version of a service that has served within the horizon, if that is known.
+    fn only_version(&self, service: &str) -> Option<SoftwareKey> {
+        let (now, horizon_ms) = (self.now, self.horizon_ms());
+        let known = self.profile.first_start || self.streams.history.covers(horizon_ms, now);
+        let mut recent = self.streams.history.recent(service, horizon_ms, now);
+        recent.next().filter(|_| known && recent.next().is_none())
+    }
+
     /// Returns the milliseconds after its beginning within which a caller may take a stream up.
     fn horizon_ms(&self) -> u64 {
         self.config.as_ref().map_or(DEFAULT_HORIZON_MS, |config| config.stream_horizon_ms())
@@ -144,7 +196,7 @@
     pub(super) fn record_origin(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
         let resumable = request.retry_policy == RetryPolicy::ResumableStream;
-        if !resumable || !self.streams.mixed.contains(&request.service) {
+        if !resumable || !self.streams.mixed.contains_key(&request.service) {
             return;
         }
         let software = match request.origin {
@@ -216,7 +268,7 @@
             .filter(|(_, request)| request.stream.0 == reply.stream && request.awaits_origin());
         for id in asked.map(|(id, _)| *id).collect::<Vec<_>>() {
             if let Some(software) = reply.software {
-                self.origin_known(id, SoftwareKey(software), "side");
+                self.origin_known(id, self.resolve(SoftwareKey(software)), "side");
                 continue;
             }
             let Some(request) = self.requests.get_mut(&id) else { continue };
@@ -245,19 +297,34 @@
 
     /// Decides about a stream that no side knows. The sides would know of one that began while several
     /// versions served, as far back as their memory goes.
+    ///
+    /// Its entry saw one version alone when it began: that which serves alone now, or did so until the
+    /// second one came.
     fn origin_unknown(&mut self, id: RequestId, memory_ms: u64) {
         let (now, horizon_ms) = (self.now, self.horizon_ms());
         let Some(request) = self.requests.get(&id) else { return };
-        let history = &self.streams.history;
         let vouched = memory_ms >= horizon_ms;
-        let proven = vouched || self.profile.first_start || history.covers(horizon_ms, now);
-        let recent = history.recent(&request.service, horizon_ms, now).collect::<Vec<_>>();
-        match recent[..] {
-            [only] if proven => self.origin_known(id, only, "only_version"),
-            _ => self.refuse(id, Reason::VersionUnknown),
+        let mut recent = self.streams.history.recent(&request.service, horizon_ms, now);
+        let version = match (recent.next(), recent.next()) {
+            (only, None) if vouched => only,
+            (Some(_), None) => self.only_version(&request.service),
+            _ if vouched => self.version_before(&request.service),
+            _ => None,
+        };
+        drop(recent);
+        match version {
+            Some(version) => self.origin_known(id, version, "only_version"),
+            None => self.refuse(id, Reason::VersionUnknown),
         }
     }
 
+    /// Returns the version that served alone until a second one came within the horizon.
+    fn version_before(&self, service: &str) -> Option<SoftwareKey> {
+        let mixture = self.streams.mixed.get(service)?;
+        let recent = self.now.since(mixture.since) < self.horizon_ms();
+        mixture.before.filter(|_| recent)
+    }
+
     fn origin_known(&mut self, id: RequestId, software: SoftwareKey, source: &'static str) {
         self.set_origin(id, Origin::Bound(software));
         let name = self.pool.endpoints.values().find(|endpoint| endpoint.software == software);
--- a/crates/pool/src/software.rs
+++ b/crates/pool/src/software.rs
@@ -51,15 +51,25 @@
 #[derive(Debug)]
 struct SeenVersion {
     service: String,
+    /// Whether it is that of an incarnation that is not listed yet.
+    unlisted: bool,
     /// When its last endpoint left; `None` while it serves.
     gone_at: Option<Millis>,
 }
 
+/// A software version that an endpoint runs now.
+pub(crate) struct ServingVersion<'a> {
+    pub(crate) key: SoftwareKey,
+    pub(crate) service: &'a str,
+    /// Whether it is that of an incarnation that is not listed yet.
+    pub(crate) unlisted: bool,
+}
+
 impl SoftwareHistory {
-    /// Records the versions that serve now, with their services.
+    /// Records the versions that serve now.
     pub(crate) fn record<'a>(
         &mut self,
-        serving: impl Iterator<Item = (SoftwareKey, &'a str)>,
+        serving: impl Iterator<Item = ServingVersion<'a>>,
         horizon_ms: u64,
         now: Millis,
     ) {
@@ -67,16 +77,27 @@
         for seen in self.versions.values_mut() {
             seen.gone_at.get_or_insert(now);
         }
-        for (key, service) in serving {
-            let seen = self
-                .versions
-                .entry(key)
-                .or_insert_with(|| SeenVersion { service: service.to_owned(), gone_at: None });
+        for ServingVersion { key, service, unlisted } in serving {
+            let seen = self.versions.entry(key).or_insert_with(|| SeenVersion {
+                service: service.to_owned(),
+                unlisted,
+                gone_at: None,
+            });
             seen.gone_at = None;
         }
         self.versions.retain(|_, seen| seen.gone_at.is_none_or(|at| now.since(at) < horizon_ms));
     }
 
+    /// Returns whether a version is that of an incarnation that was not listed.
+    pub(crate) fn has_unlisted(&self) -> bool {
+        self.versions.values().any(|seen| seen.unlisted)
+    }
+
+    /// Removes a version; returns whether it was recorded.
+    pub(crate) fn remove(&mut self, key: SoftwareKey) -> bool {
+        self.versions.remove(&key).is_some()
+    }
+
     /// Returns the versions of a service that have served within the horizon.
     pub(crate) fn recent(
         &self,
--- a/crates/pool/tests/all/software.rs
+++ b/crates/pool/tests/all/software.rs
@@ -217,6 +217,52 @@
     assert_eq!(messages(&effects).len(), 2, "{effects:?}");
 }
 
+/// Guards against a stream that nobody knows because its entry ended just before the second version came:
+/// it began at the version that served alone until then.
+#[test]
+fn a_stream_from_before_the_second_version_goes_on_at_the_first() {
+    let mut bench = Bench::new((1..=3).map(|index| versioned(index, "v1", &["m0"])).collect());
+    report_sides(&mut bench, &[&["m0"], &["m0"], &["m0"]]);
+    bench.update_row(2, "i4", Some(versioned(4, "v2", &["m0"])));
+    report_sides(&mut bench, &[&["m0"], &["m0"], &["m0"], &["m0"]]);
+    let (_, asked) = take_up(&mut bench, Some("first"));
+    let effects = reply_all(&mut bench, &asked, None, u64::MAX);
+    assert_ne!(dispatch(&effects).unwrap().address, address(4));
+    let (_, asked) = take_up(&mut bench, Some("second"));
+    let effects = reply_all(&mut bench, &asked, None, 100);
+    assert_eq!(refusal(&effects).unwrap().0, Reason::VersionUnknown, "no side vouches for it");
+}
+
+/// Guards against streams that are refused after a restart, as the new incarnation has another version
+/// until it is listed.
+#[test]
+fn a_version_is_known_once_its_incarnation_is_listed() {
+    let mut bench = Bench::new((1..=2).map(|index| versioned(index, "v1", &["m0"])).collect());
+    report_sides(&mut bench, &[&["m0"], &["m0"]]);
+    let renamed = SideState {
+        instance: "i1-b".to_owned(),
+        service: ENGINE.to_owned(),
+        healthy: true,
+        tracks_streams: true,
+        ..state(1, &["m0"])
+    };
+    bench.step(EntryEvent::SideReport(address(1), renamed));
+    let (id, _) = bench.request("/chat/x", "m0");
+    let told = messages(&bench.respond(id, ok()));
+    assert_eq!(told.len(), 2, "not told while the version of an incarnation is unknown");
+    let listed = Member { instance: "i1-b".to_owned(), ..versioned(1, "v1", &["m0"]) };
+    bench.update_row(2, "i1-b", Some(listed));
+    let (id, _) = bench.request("/chat/x", "m0");
+    assert!(messages(&bench.respond(id, ok())).is_empty(), "still told");
+    let (_, asked) = take_up(&mut bench, Some("first"));
+    let (side, query) = queries(&asked)[0];
+    let StreamKind::Begun(begun) = &told[0].1 else { panic!("{told:?}") };
+    let software = Some(begun.streams[0].software);
+    let reply = StreamReply { stream: query.stream, software, memory_ms: 0 };
+    let effects = bench.step(EntryEvent::Streams(side, StreamKind::Reply(reply).into()));
+    assert!(dispatch(&effects).is_some(), "{effects:?}");
+}
+
 /// Guards against a stream that its entry takes on at another version: its own has no endpoint left, and
 /// it is cut.
 #[test]
