Refuse a stream of unknown version at an entry that reaches neither a side nor the store

Such an entry has an old member list, in which a second version may be missing; it would let any stream go on at the one that it knows. With the store in reach, or any side, nothing changes.

--- a/crates/pool/src/entry/streams.rs
+++ b/crates/pool/src/entry/streams.rs
@@ -239,7 +239,7 @@
         let (stream, unnamed) = (request.stream, request.resumes.is_none());
         let sides = self.stream_sides(stream, ASKED_SIDES);
         if sides.is_empty() {
-            self.origin_unknown(id, 0);
+            self.origin_unknown(id, None);
             return;
         }
         let until = self.now + REPLY_MS;
@@ -277,7 +277,7 @@
             let shortest = inquiry.memory_ms.unwrap_or(u64::MAX).min(reply.memory_ms);
             inquiry.memory_ms = Some(shortest);
             if inquiry.open.is_empty() {
-                self.origin_unknown(id, shortest);
+                self.origin_unknown(id, Some(shortest));
             }
         }
     }
@@ -285,9 +285,7 @@
     /// Decides about requests whose sides have not replied in time.
     pub(super) fn end_inquiries(&mut self) {
         let due = self.requests.iter().filter_map(|(id, request)| match &request.origin {
-            Origin::Asked(inquiry) if self.now >= inquiry.until => {
-                Some((*id, inquiry.memory_ms.unwrap_or(0)))
-            }
+            Origin::Asked(inquiry) if self.now >= inquiry.until => Some((*id, inquiry.memory_ms)),
             _ => None,
         });
         for (id, memory_ms) in due.collect::<Vec<_>>() {
@@ -296,18 +294,20 @@
     }
 
     /// Decides about a stream that no side knows. The sides would know of one that began while several
-    /// versions served, as far back as their memory goes.
+    /// versions served, as far back as their memory goes; `None` if none has replied.
     ///
     /// Its entry saw one version alone when it began: that which serves alone now, or did so until the
-    /// second one came.
-    fn origin_unknown(&mut self, id: RequestId, memory_ms: u64) {
+    /// second one came. An entry that reaches neither a side nor the platform store may not know of the
+    /// second one.
+    fn origin_unknown(&mut self, id: RequestId, memory_ms: Option<u64>) {
         let (now, horizon_ms) = (self.now, self.horizon_ms());
         let Some(request) = self.requests.get(&id) else { return };
-        let vouched = memory_ms >= horizon_ms;
+        let vouched = memory_ms.is_some_and(|memory_ms| memory_ms >= horizon_ms);
+        let in_touch = memory_ms.is_some() || self.config_current;
         let mut recent = self.streams.history.recent(&request.service, horizon_ms, now);
         let version = match (recent.next(), recent.next()) {
             (only, None) if vouched => only,
-            (Some(_), None) => self.only_version(&request.service),
+            (Some(_), None) if in_touch => self.only_version(&request.service),
             _ if vouched => self.version_before(&request.service),
             _ => None,
         };
--- a/crates/pool/tests/all/software.rs
+++ b/crates/pool/tests/all/software.rs
@@ -4,8 +4,8 @@
 
 use citronrill_base::Millis;
 use citronrill_pool::{
-    Arrival, EntryEffect, EntryEvent, EntryLink, Member, PoolSide, Reason, RequestId, SideEffect,
-    SideEvent, SoftwareKey, StreamKey,
+    Arrival, EntryEffect, EntryEvent, EntryLink, Member, PoolSide, Reason, RequestId, ResponseHead,
+    SideEffect, SideEvent, SoftwareKey, StreamKey,
 };
 use citronrill_wire::{
     SideState, StreamKind, StreamMessage, StreamOrigin, StreamQuery, StreamReply, StreamsBegun,
@@ -263,6 +263,23 @@
     assert!(dispatch(&effects).is_some(), "{effects:?}");
 }
 
+/// Guards against an entry that takes its old member list for the whole truth: it reaches neither a side nor
+/// the platform store, and a second version may have come.
+#[rstest]
+#[case(true, true)]
+#[case(false, false)]
+fn an_entry_that_reaches_nobody_refuses_unknown_streams(
+    #[case] store: bool,
+    #[case] goes_on: bool,
+) {
+    let mut bench = Bench::new((1..=2).map(|index| versioned(index, "v1", &["m0"])).collect());
+    report_sides(&mut bench, &[&["m0"], &["m0"]]);
+    bench.step(EntryEvent::ConfigCurrent(store));
+    let (_, mut effects) = take_up(&mut bench, Some("first"));
+    effects.extend(bench.advance(200));
+    assert_eq!(refusal(&effects).is_none(), goes_on, "{effects:?}");
+}
+
 /// Guards against a stream that its entry takes on at another version: its own has no endpoint left, and
 /// it is cut.
 #[test]
