Let no stream go on with the response of another incarnation than the intended one

An address may belong to another incarnation, with another software version, by the time a request arrives. If the response names it, a stream that is bound to a version does not go on with it, and one that begins with it is bound to a version that nothing else has. The test fails on the code before.

--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -8,6 +8,7 @@
     Dispatch, EntryEffect, FailureKind, LimitedUse, PoolEntry, Reason, Refusal, Request, RequestId,
     ResponseEnd, ResponseHead, Resume, Stage, Verdict, classify_response,
 };
+use crate::software::SoftwareKey;
 
 /// Maximum dispatches of one request, including refused ones: a backstop in addition to the retry
 /// budget.
@@ -120,7 +121,13 @@
         // no longer be forwarded: its body would be taken for the rest of the first response.
         let head_sent = request.head_sent;
         let unforwardable = head_sent && verdict == Verdict::Forward && !head.success();
-        let verdict = if unforwardable { Verdict::Failed } else { verdict };
+        // Another incarnation may have another software version: its events would not fit.
+        let unfit = head.other_incarnation && request.bound_software().is_some();
+        let failed = unforwardable || unfit && verdict == Verdict::Forward;
+        let verdict = if failed { Verdict::Failed } else { verdict };
+        if head.other_incarnation {
+            request.sent_software = Some(SoftwareKey::unlisted(&request.caller_id));
+        }
         let endpoint =
             request.instance.as_ref().and_then(|instance| self.pool.endpoints.get_mut(instance));
         if let Some(endpoint) = endpoint {
--- a/crates/pool/tests/all/software.rs
+++ b/crates/pool/tests/all/software.rs
@@ -280,6 +280,24 @@
     assert_eq!(refusal(&effects).is_none(), goes_on, "{effects:?}");
 }
 
+/// Guards against a response of another incarnation than the intended one, which may have another version:
+/// a stream does not go on with it, and one that begins with it goes on nowhere else.
+#[test]
+fn a_response_of_another_incarnation_fits_no_stream() {
+    let other = ResponseHead { other_incarnation: true, ..ok() };
+    let mut bench = mixed();
+    let (id, asked) = take_up(&mut bench, Some("first"));
+    let (side, query) = queries(&asked)[0];
+    bench.step(EntryEvent::Streams(side, reply(query, Some("v1"), 0)));
+    let effects = bench.respond(id, other);
+    assert!(!effects.contains(&EntryEffect::Forward(id)), "{effects:?}");
+    let (id, _) = bench.request("/chat/x", "m0");
+    let effects = bench.respond(id, other);
+    assert!(effects.contains(&EntryEffect::Forward(id)));
+    let effects = bench.step(EntryEvent::StreamBroken(id, Some(2)));
+    assert!(effects.contains(&EntryEffect::Abort(id)), "{effects:?}");
+}
+
 /// Guards against a stream that its entry takes on at another version: its own has no endpoint left, and
 /// it is cut.
 #[test]
