--- a/crates/pool/src/entry/streams.rs
+++ b/crates/pool/src/entry/streams.rs
@@ -117,8 +117,9 @@
         }
         self.resolve_listed();
         let endpoints = self.pool.endpoints.values();
-        let services = endpoints.clone().map(|endpoint| endpoint.member.service.clone());
-        let services = services.collect::<Set<_>>();
+        let services = endpoints.clone().map(|endpoint| &*endpoint.member.service);
+        let services = services.collect::<Set<_>>().into_iter().map(str::to_owned);
+        let services = services.collect::<Vec<_>>();
         let before = services.iter().map(|service| self.only_version(service)).collect::<Vec<_>>();
         let serving = endpoints.map(|endpoint| ServingVersion {
             key: endpoint.software,
