Let callers of the soak take up streams, at workers of two software versions in half of the runs

The stand-in's events name the version that wrote them, and a caller that holds events of two is a violation.

--- a/tests/pool/requests.rs
+++ b/tests/pool/requests.rs
@@ -13,7 +13,7 @@
     let pool = Deployment::start(&[("e1", &["m0", "m1"]), ("e2", &["m2"])]);
     let response = pool.request(&Request::stream("/draft/x", "id-1", "m3"));
     assert_eq!((response.status, response.complete), (200, true), "{response:?}");
-    assert_eq!(response.body.matches("data: x").count(), 20);
+    assert_eq!(response.body.matches("data: v1").count(), 20);
     assert_eq!(response.header("x-citronrill-attempt-id"), Some("id-1"));
     let orders =
         pool.engines.iter().flat_map(|engine| engine.accepted_orders()).collect::<Vec<_>>();
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -1,7 +1,7 @@
 //! Callers that keep sending requests during faults, and records of the responses.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     io::Write,
     net::TcpStream,
     sync::{
@@ -40,6 +40,8 @@
     /// Whether its connection had carried a request before: the entry may have closed it concurrently,
     /// without reading this request.
     reused: bool,
+    /// Software versions whose events the caller has received, also by taking the stream up.
+    versions: BTreeSet<String>,
 }
 
 impl Record {
@@ -64,6 +66,8 @@
             "was served without having run"
         } else if self.served() && self.path != "/book/x" && !self.in_order() {
             "got a stream with missing or reordered events"
+        } else if self.versions.len() > 1 {
+            "holds events of two software versions"
         } else if self.status == 0 && !self.disturbed && !(self.reused && runs == 0) {
             "got no response although its entry was not disturbed"
         } else if self.took_ms > TIMEOUT_MS + TIMEOUT_MARGIN_MS && !self.disturbed {
@@ -124,16 +128,20 @@
     name: String,
     rng: SmallRng,
     entry: EntryPoint,
+    /// All entries, at which it takes up streams that broke off.
+    entries: Vec<EntryPoint>,
     /// Whether it reuses its connection until the entry closes it, even after `Connection: close`.
     keep_alive: bool,
     connection: Option<TcpStream>,
 }
 
 impl Caller {
-    pub(crate) fn new(seed: u64, index: u64, entry: EntryPoint) -> Caller {
+    pub(crate) fn new(seed: u64, index: u64, entries: &[EntryPoint]) -> Caller {
         let rng = SmallRng::seed_from_u64(seed * 1_000 + index);
         let keep_alive = (index / 2).is_multiple_of(2);
-        Caller { name: format!("c{seed}-{index}"), rng, entry, keep_alive, connection: None }
+        let entry = entries[index as usize % entries.len()].clone();
+        let (name, entries) = (format!("c{seed}-{index}"), entries.to_vec());
+        Caller { name, rng, entry, entries, keep_alive, connection: None }
     }
 
     /// Sends requests until `stop` is set.
@@ -165,19 +173,44 @@
         let reused = self.connection.is_some();
         let response = self.exchange(&request)?;
         let disturbed = before.is_none() || self.entry.disturbances.count_if_idle() != before;
+        let took_ms = started.elapsed().as_millis();
+        let mut versions = versions(&response);
+        if path == "/chat/x" && response.status == 200 && !response.complete {
+            versions.extend(self.take_up(&id, &response));
+        }
         Some(Record {
             path,
             status: response.status,
             complete: response.complete,
             echoed_id: response.header("x-citronrill-attempt-id").map(str::to_owned),
             body: response.body,
-            took_ms: started.elapsed().as_millis(),
+            took_ms,
             disturbed,
             reused,
+            versions,
             id,
         })
     }
 
+    /// Takes up a stream that broke off, at any entry; returns the versions of the events received.
+    fn take_up(&mut self, first: &str, broken: &Response) -> BTreeSet<String> {
+        let entry = self.rng.random_range(0..self.entries.len());
+        let whole = broken.body.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
+        let last = whole.lines().rev().find_map(|line| line.strip_prefix("id: "));
+        let Some(last) = last else { return BTreeSet::new() };
+        let headers = format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n");
+        let id = format!("{first}-again");
+        let request = Request { headers: &headers, ..Request::stream("/chat/x", &id, "m0") };
+        let Ok(mut stream) = TcpStream::connect(self.entries[entry].address) else {
+            return BTreeSet::new();
+        };
+        stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+        match stream.write_all(&request.bytes()) {
+            Ok(()) => versions(&Response::read(&mut stream)),
+            Err(_) => BTreeSet::new(),
+        }
+    }
+
     /// Sends one request; returns the response, or `None` if the request could not be sent.
     fn exchange(&mut self, request: &Request<'_>) -> Option<Response> {
         let mut stream = match self.connection.take() {
@@ -198,3 +231,9 @@
         Some(response)
     }
 }
+
+/// Returns the software versions that wrote the events of a response.
+fn versions(response: &Response) -> BTreeSet<String> {
+    let versions = response.body.lines().filter_map(|line| line.strip_prefix("data: "));
+    versions.filter(|version| version.starts_with('v')).map(str::to_owned).collect()
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -98,13 +98,16 @@
         (name, MODELS[index % MODELS.len()])
     };
     let deployment = Deployment::start(&(0..size.sides).map(engine).collect::<Vec<_>>());
+    // Of two workers with the same model, one has another software version in every other run.
+    if seed.is_multiple_of(2) {
+        deployment.engines.iter().skip(1).step_by(2).for_each(|engine| engine.set_software("v2"));
+    }
     let mut harness = Harness::new(deployment, size.entries, SmallRng::seed_from_u64(seed));
     let stop = Arc::new(AtomicBool::new(false));
     let records = Arc::new(Mutex::new(Vec::<Record>::new()));
     let entries = harness.entry_points();
     let callers = (0..CALLERS_PER_ENTRY * entries.len() as u64).map(|index| {
-        let entry = entries[index as usize % entries.len()].clone();
-        let caller = Caller::new(seed, index, entry);
+        let caller = Caller::new(seed, index, &entries);
         let (stop, records) = (stop.clone(), records.clone());
         thread::spawn(move || caller.run(&stop, &records))
     });
