--- a/crates/pool/tests/all/software.rs
+++ b/crates/pool/tests/all/software.rs
@@ -5,7 +5,7 @@
 use citronrill_base::Millis;
 use citronrill_pool::{
     Arrival, EntryEffect, EntryEvent, EntryLink, Member, PoolSide, Reason, RequestId, ResponseHead,
-    SideEffect, SideEvent, SoftwareKey, StreamKey,
+    SideEffect, SideEvent, SideLoss, SoftwareKey, StreamKey,
 };
 use citronrill_wire::{
     SideState, StreamKind, StreamMessage, StreamOrigin, StreamQuery, StreamReply, StreamsBegun,
@@ -298,6 +298,145 @@
     assert!(effects.contains(&EntryEffect::Abort(id)), "{effects:?}");
 }
 
+/// Guards against a copy that another version would continue: the endpoint that has it was restarted with
+/// other software meanwhile.
+#[test]
+fn a_copy_at_another_version_is_not_used() {
+    let mut bench = mixed();
+    let (lost, _) = bench.request("/draft/x", "m0");
+    bench.respond(lost, ok());
+    bench.step(EntryEvent::StreamBroken(lost, Some(0)));
+    let (id, effects) = bench.request("/draft/x", "m0");
+    let copy = dispatch(&effects).unwrap().backup.unwrap();
+    bench.respond(id, ok());
+    let index = (1..=4).find(|index| address(*index) == copy).unwrap();
+    bench.update_row(2, &format!("i{index}"), Some(versioned(index, "v3", &["m0"])));
+    let effects = bench.step(EntryEvent::StreamBroken(id, Some(2)));
+    assert!(dispatch(&effects).is_none(), "{effects:?}");
+    assert!(effects.contains(&EntryEffect::Abort(id)));
+}
+
+/// Returns the sides that are asked to load something.
+fn load_places(effects: &[EntryEffect]) -> Vec<SocketAddr> {
+    let places = effects.iter().filter_map(|effect| match effect {
+        EntryEffect::LoadRequest(side, _) => Some(*side),
+        _ => None,
+    });
+    places.collect()
+}
+
+/// Guards against an adapter that is loaded where the stream cannot go on.
+#[rstest]
+fn the_adapter_is_loaded_at_the_version_of_the_stream(#[values("v1", "v2")] software: &str) {
+    let mut bench = mixed();
+    let arrival = bench.arrival("/chat/x", "m0/a1");
+    let resumes = Some("first".to_owned());
+    let (_, asked) = bench.arrive(Arrival { taken_up: true, resumes, ..arrival });
+    let effects = reply_all(&mut bench, &asked, Some(software), u64::MAX);
+    let places = load_places(&effects);
+    assert_eq!(places.len(), 1, "{effects:?}");
+    assert_eq!([address(1), address(3)].contains(&places[0]), software == "v1");
+}
+
+/// Guards against a model that is loaded at the cheapest place, where the stream cannot go on.
+#[test]
+fn the_model_is_not_loaded_at_another_version() {
+    let members = vec![
+        versioned(1, "v1", &["m0"]),
+        versioned(2, "v2", &["m1", "m2"]),
+        versioned(3, "v1", &[]),
+    ];
+    let mut bench = Bench::new(members);
+    report_sides(&mut bench, &[&["m0"], &["m1", "m2"], &[]]);
+    let (_, asked) = take_up(&mut bench, Some("first"));
+    let effects = reply_all(&mut bench, &asked, Some("v2"), u64::MAX);
+    let places = load_places(&effects);
+    assert!(places == [address(2)] || places.is_empty() && refusal(&effects).is_some());
+}
+
+/// Guards against a caller that waits for the first report of an endpoint of another version, although no
+/// endpoint of its own is left.
+#[test]
+fn a_version_that_is_gone_is_not_waited_for() {
+    let members = (1..=4).map(|index| versioned(index, "v1", &["m0"])).collect();
+    let mut bench = Bench::new(members);
+    report_sides(&mut bench, &[&[], &[], &[]]);
+    let (_, asked) = take_up(&mut bench, Some("first"));
+    let effects = reply_all(&mut bench, &asked, Some("v3"), u64::MAX);
+    assert_eq!(refusal(&effects).unwrap().0, Reason::VersionGone);
+}
+
+/// Guards against a stream that is taken for one from before the second version long after it came.
+#[test]
+fn a_mixture_that_is_older_than_the_horizon_leaves_no_guess() {
+    let mut bench = Bench::new((1..=3).map(|index| versioned(index, "v1", &["m0"])).collect());
+    report_sides(&mut bench, &[&["m0"], &["m0"], &["m0"]]);
+    bench.update_row(2, "i4", Some(versioned(4, "v2", &["m0"])));
+    bench.now += HORIZON_MS;
+    report_sides(&mut bench, &[&["m0"], &["m0"], &["m0"], &["m0"]]);
+    let (_, asked) = take_up(&mut bench, Some("first"));
+    let effects = reply_all(&mut bench, &asked, None, u64::MAX);
+    assert_eq!(refusal(&effects).unwrap().0, Reason::VersionUnknown);
+}
+
+/// Guards against requests that wait behind a stream which waits for its own version, or for what sides
+/// know of it.
+#[rstest]
+#[case::waits_for_its_version(true)]
+#[case::waits_for_the_sides(false)]
+fn a_stream_that_is_taken_up_holds_up_no_other_request(#[case] known: bool) {
+    let members = vec![versioned(1, "v1", &["m0"]), versioned(2, "v2", &["m0"])];
+    let mut bench = Bench::new(members);
+    let full = SideState { tracks_streams: true, active: 60, ..state(1, &["m0"]) };
+    for index in 1..=2 {
+        bench.step(EntryEvent::SideReport(address(index), full.clone()));
+    }
+    let (_, asked) = take_up(&mut bench, Some("first"));
+    if known {
+        let (side, query) = queries(&asked)[0];
+        bench.step(EntryEvent::Streams(side, reply(query, Some("v1"), 0)));
+    }
+    let (id, effects) = bench.request("/chat/x", "m0");
+    assert!(dispatch(&effects).is_none() && refusal(&effects).is_none(), "{effects:?}");
+    let free = SideState { active: 0, sequence: 2, ..full };
+    let effects = bench.step(EntryEvent::SideReport(address(2), free));
+    let sent = effects.iter().find_map(|effect| match effect {
+        EntryEffect::Dispatch(sent, dispatch) if *sent == id => Some(dispatch.address),
+        _ => None,
+    });
+    assert_eq!(sent, Some(address(2)), "{effects:?}");
+}
+
+/// Guards against a stream that leaves a stalled instance although no other has its version.
+#[test]
+fn a_stream_stays_at_a_stalled_instance_that_alone_has_its_version() {
+    let members =
+        vec![versioned(1, "v1", &["m0"]), versioned(2, "v2", &["m0"]), versioned(3, "v3", &["m0"])];
+    let mut bench = Bench::new(members);
+    report_sides(&mut bench, &[&["m0"], &["m0"], &["m0"]]);
+    let (id, sent) = bench.start_stream("/chat/x");
+    let mut effects = Vec::new();
+    for _ in 0..100 {
+        for index in (1..=3).filter(|index| address(*index) != sent.address) {
+            effects.extend(bench.step(EntryEvent::ProbeReply(address(index))));
+        }
+        effects.extend(bench.advance(20));
+    }
+    assert!(!effects.contains(&EntryEffect::Disconnect(id)), "{effects:?}");
+}
+
+/// Guards against streams that nobody knows because the sides that were told of them are lost.
+#[test]
+fn other_sides_are_told_when_one_is_lost() {
+    let mut bench = mixed();
+    let (id, _) = bench.request("/chat/x", "m0");
+    let told = messages(&bench.respond(id, ok()));
+    let effects = bench.step(EntryEvent::SideLost(told[0].0, SideLoss::Closed));
+    let sides = messages(&effects).into_iter().map(|(side, _)| side).collect::<Vec<_>>();
+    assert_eq!(sides.len(), 2);
+    assert!(!sides.contains(&told[0].0), "told the lost one");
+}
+
 /// Guards against a stream that its entry takes on at another version: its own has no endpoint left, and
 /// it is cut.
 #[test]
--- a/crates/pool/tests/all/stream_ends.rs
+++ b/crates/pool/tests/all/stream_ends.rs
@@ -1,6 +1,7 @@
 //! Streams that end with their connection, between two events.
 
 use citronrill_pool::{EndpointCheck, EntryEffect, EntryEvent, RequestId};
+use citronrill_wire::SideState;
 use rstest::rstest;
 
 use crate::support::{Bench, ENGINE, address, dispatch, member, ok, state};
@@ -65,6 +66,37 @@
     assert!(effects.contains(&EntryEffect::Finish(id)), "{effects:?}");
 }
 
+/// Guards against a stream that is held until its engine was checked, although the engine is known to have
+/// restarted.
+#[test]
+fn a_restart_shows_that_a_stream_was_cut() {
+    let mut bench = bench();
+    let (id, engine) = ended_stream(&mut bench, "/draft/x");
+    let restarted = SideState {
+        instance: "other".to_owned(),
+        service: ENGINE.to_owned(),
+        healthy: true,
+        ..state(1, &["m0"])
+    };
+    let effects = bench.step(EntryEvent::SideReport(address(engine), restarted));
+    assert!(effects.contains(&EntryEffect::Abort(id)), "{effects:?}");
+}
+
+/// Guards against a whole stream that is cut at its deadline while its engine is checked.
+#[test]
+fn a_stream_that_waits_for_the_check_ends_before_its_deadline() {
+    let mut bench = bench();
+    let (id, effects) = bench.request_with_deadline("/chat/x", "m0", 100);
+    assert!(dispatch(&effects).is_some());
+    bench.respond(id, ok());
+    bench.now += 60;
+    bench.step(EntryEvent::StreamEndUnproven(id, Some(3)));
+    bench.now += 40;
+    let effects = bench.step(EntryEvent::UrgentTick);
+    assert!(effects.contains(&EntryEffect::Finish(id)), "{effects:?}");
+    assert!(!effects.contains(&EntryEffect::Abort(id)));
+}
+
 /// Guards against one connection for each stream that ends at the same time.
 #[test]
 fn an_engine_is_checked_once_for_all_its_streams() {
