--- a/crates/insight/src/explain.rs
+++ b/crates/insight/src/explain.rs
@@ -86,6 +86,7 @@
     };
     let (models, mut instances) = (values_of("model"), values_of("to"));
     instances.extend(values_of("from"));
+    let attempts = attempts_of_stream(log, id);
     let entry = &first.source;
     let is_related = |line: &&Line| {
         let in_window = |before: u64| line.time + before >= arrived_ms && line.time <= ended;
@@ -94,6 +95,7 @@
             models.contains(line.get("model")) || models.contains(line.get("wanted"));
         let concerns_instance = instances.contains(line.get("instance"));
         line.get("id") == id
+            || attempts.contains(line.get("id"))
             || ORDER_EVENTS.contains(&event) && concerns_model && in_window(ORDER_WINDOW_MS)
             || STATE_EVENTS.contains(&event) && line.source == *entry && in_window(STATE_WINDOW_MS)
             || ENDPOINT_EVENTS.contains(&event) && concerns_instance && in_window(STATE_WINDOW_MS)
@@ -103,6 +105,19 @@
     Some(Explanation { lines, arrived_ms, summary })
 }
 
+/// Returns the other attempts of a caller at the stream that attempt `id` began or took up.
+fn attempts_of_stream<'a>(log: &'a Log, id: &str) -> BTreeSet<&'a str> {
+    let taken_up = log.lines().iter().filter(|line| !line.get("resumes").is_empty());
+    let own = taken_up.clone().find(|line| line.get("id") == id);
+    let first = own.map_or(id, |line| line.get("resumes"));
+    let same = taken_up.filter(|line| line.get("resumes") == first);
+    let mut attempts = BTreeSet::new();
+    for line in same {
+        attempts.extend([line.get("id"), line.get("resumes")]);
+    }
+    attempts
+}
+
 fn summarize(own: &[&Line], related: &[Line]) -> String {
     let Some(last) = own.last() else { return String::new() };
     match last.event.as_str() {
@@ -156,6 +171,15 @@
         ),
         "full" => "every endpoint that could run it was full".to_owned(),
         "too_far" => format!("{model} could not be loaded in time"),
+        "version_unknown" => format!(
+            "it takes up the stream that attempt {} began, at a software version that nobody knows",
+            last.get("resumes")
+        ),
+        "version_gone" => format!(
+            "it takes up the stream that attempt {} began, and no endpoint of that software version \
+             can run it",
+            last.get("resumes")
+        ),
         "expired" => "its deadline passed before it could be dispatched".to_owned(),
         "stopping" => "the entry was stopping".to_owned(),
         "timed_out" => "its deadline passed, and it may have run".to_owned(),
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -317,6 +317,7 @@
         self.return_credit(&request, reason);
         let (holders, copies, loading) =
             request.base.map_or((0, 0, 0), |base| self.availability(base));
+        let resumes = request.resumes.clone().unwrap_or_default();
         self.log(
             LogEvent::new("refused")
                 .with("id", &request.caller_id)
@@ -332,7 +333,8 @@
                 .with("sends", request.dispatches)
                 .with("runs", request.runs)
                 .with("text", self.config_version())
-                .with("list", self.pool.list_version),
+                .with("list", self.pool.list_version)
+                .with("resumes", resumes),
         );
         self.effects.push(EntryEffect::Refuse(id, Refusal { reason, retry_ms }));
     }
