Call it a reconnection when a caller goes on with a stream

Names, comments, log keys and the metric use the field's term (as for server-sent events); the header keeps its name in the adapter. Nothing else changes.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -286,8 +286,8 @@
             model: meta.model,
             prefix_hash: meta.prefix_hash,
             tokens: meta.tokens,
-            taken_up: meta.taken_up,
-            resumes: meta.resumes,
+            reconnects: meta.reconnects,
+            first_attempt: meta.first_attempt,
             key: meta.key,
         };
         let outgoing = OutgoingRequest {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -75,10 +75,10 @@
     pub prefix_hash: u64,
     /// Token counts of the request.
     pub tokens: TokenCount,
-    /// Whether the caller takes up a stream of which it has events.
-    pub taken_up: bool,
+    /// Whether the caller reconnects to a stream of which it has events.
+    pub reconnects: bool,
     /// ID of the attempt that began this stream, if the caller names it.
-    pub resumes: Option<String>,
+    pub first_attempt: Option<String>,
     /// Digest of the caller's API key, if it sent one.
     pub key: Option<KeyDigest>,
 }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -330,7 +330,7 @@
                 DueCheck::Full => {
                     self.tick(EntryEvent::Tick);
                     self.metrics.set_limit_usage(self.reducer.limit_usage());
-                    self.metrics.streams_taken_up.set(self.reducer.streams_taken_up());
+                    self.metrics.streams_reconnected.set(self.reducer.streams_reconnected());
                 }
             }
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -98,7 +98,7 @@
     /// Reports to the side that issues credit for organisations' limits.
     pub(crate) credit_reports: Counter,
     /// Streams of callers' earlier attempts that went on here.
-    pub(crate) streams_taken_up: Counter,
+    pub(crate) streams_reconnected: Counter,
     limits: Mutex<Vec<LimitUsage>>,
     statuses: Mutex<BTreeMap<u16, u64>>,
     refusals: Mutex<BTreeMap<&'static str, u64>>,
@@ -115,7 +115,7 @@
             queue_time: DurationHistogram::default(),
             ttfb: DurationHistogram::default(),
             credit_reports: Counter::default(),
-            streams_taken_up: Counter::default(),
+            streams_reconnected: Counter::default(),
             limits: Mutex::default(),
             statuses: Mutex::default(),
             refusals: Mutex::default(),
@@ -162,8 +162,8 @@
             let label = format!("{{reason=\"{reason}\"}}");
             write_sample(&mut text, "citronrill_refusals_total", &label, *count);
         }
-        let taken_up = self.streams_taken_up.value();
-        write_sample(&mut text, "citronrill_streams_taken_up_total", "", taken_up);
+        let reconnects = self.streams_reconnected.value();
+        write_sample(&mut text, "citronrill_streams_reconnected_total", "", reconnects);
         write_sample(&mut text, "citronrill_credit_reports_total", "", self.credit_reports.value());
         let limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
         for usage in limits.iter() {
--- a/crates/insight/src/explain.rs
+++ b/crates/insight/src/explain.rs
@@ -107,13 +107,13 @@
 
 /// Returns the other attempts of a caller at the stream that attempt `id` began or took up.
 fn attempts_of_stream<'a>(log: &'a Log, id: &str) -> BTreeSet<&'a str> {
-    let taken_up = log.lines().iter().filter(|line| !line.get("resumes").is_empty());
-    let own = taken_up.clone().find(|line| line.get("id") == id);
-    let first = own.map_or(id, |line| line.get("resumes"));
-    let same = taken_up.filter(|line| line.get("resumes") == first);
+    let reconnects = log.lines().iter().filter(|line| !line.get("first_attempt").is_empty());
+    let own = reconnects.clone().find(|line| line.get("id") == id);
+    let first = own.map_or(id, |line| line.get("first_attempt"));
+    let same = reconnects.filter(|line| line.get("first_attempt") == first);
     let mut attempts = BTreeSet::new();
     for line in same {
-        attempts.extend([line.get("id"), line.get("resumes")]);
+        attempts.extend([line.get("id"), line.get("first_attempt")]);
     }
     attempts
 }
@@ -172,13 +172,13 @@
         "full" => "every endpoint that could run it was full".to_owned(),
         "too_far" => format!("{model} could not be loaded in time"),
         "version_unknown" => format!(
-            "it takes up the stream that attempt {} began, at a software version that nobody knows",
-            last.get("resumes")
+            "it reconnects to the stream that attempt {} began, at a software version that nobody knows",
+            last.get("first_attempt")
         ),
         "version_gone" => format!(
-            "it takes up the stream that attempt {} began, and no endpoint of that software version \
+            "it reconnects to the stream that attempt {} began, and no endpoint of that software version \
              can run it",
-            last.get("resumes")
+            last.get("first_attempt")
         ),
         "expired" => "its deadline passed before it could be dispatched".to_owned(),
         "stopping" => "the entry was stopping".to_owned(),
--- a/crates/insight/tests/logs.rs
+++ b/crates/insight/tests/logs.rs
@@ -25,9 +25,9 @@
 time=4000 event=failed id=gone from=i-3 status=0 ran=false sends=1 barred=false
 time=4100 event=refused id=gone reason=too_far status=503 model=m9 after_ms=400 sends=1 runs=0 text=4 list=85
 time=5000 event=sent id=first to=i-2 software=v1 model=m9 waited_ms=0 load=3 list=22 sequence=8
-time=5300 event=stream_taken_up id=second resumes=first software=v1 source=side
+time=5300 event=stream_reconnected id=second first_attempt=first software=v1 source=side
 time=5301 event=sent id=second to=i-4 software=v1 model=m9 waited_ms=1 load=3 list=22 sequence=8
-time=5600 event=refused id=third reason=version_gone status=503 model=m9 after_ms=2 sends=0 runs=0 text=4 list=85 resumes=first
+time=5600 event=refused id=third reason=version_gone status=503 model=m9 after_ms=2 sends=0 runs=0 text=4 list=85 first_attempt=first
 time=9000 event=want model=other adapter= at=i-2 victims= rates= waiting=1 sequence=6
 ";
 const SIDE: &str = "\
--- a/crates/pool/src/config.rs
+++ b/crates/pool/src/config.rs
@@ -31,7 +31,7 @@
         self.routes.iter().filter(fits).max_by_key(|route| route.prefix.len())
     }
 
-    /// Returns the milliseconds after its beginning within which a caller may take a stream up: a stream
+    /// Returns the milliseconds after its beginning within which a caller may reconnect to a stream: one
     /// that began last in this time ends by its route's timeout, and its caller returns within the same.
     pub fn stream_horizon_ms(&self) -> u64 {
         let resumable =
--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -72,7 +72,7 @@
         let route = config.route(&arrival.host, &arrival.path).ok_or(Reason::NoRoute)?;
         let organisation = PoolEntry::authenticate(&config, route, arrival)?;
         // All attempts of one stream go to the same service of a route.
-        let stream_id = arrival.resumes.as_ref().unwrap_or(&arrival.caller_id);
+        let stream_id = arrival.first_attempt.as_ref().unwrap_or(&arrival.caller_id);
         let service = pick_service(route, stream_id).ok_or(Reason::NoRoute)?;
         let (model, adapter) = arrival.model.split_once('/').unwrap_or((&arrival.model, ""));
         let engine = config.service(service).and_then(|service| service.engine.as_ref());
@@ -116,8 +116,8 @@
             dispatches: 0,
             missed: false,
             tokens: arrival.tokens,
-            taken_up: arrival.taken_up,
-            resumes: arrival.resumes.clone(),
+            reconnects: arrival.reconnects,
+            first_attempt: arrival.first_attempt.clone(),
             stream: StreamKey::new(stream_id),
             origin: Origin::Free,
             sent_software: None,
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -317,7 +317,7 @@
         self.return_credit(&request, reason);
         let (holders, copies, loading) =
             request.base.map_or((0, 0, 0), |base| self.availability(base));
-        let resumes = request.resumes.clone().unwrap_or_default();
+        let first_attempt = request.first_attempt.clone().unwrap_or_default();
         self.log(
             LogEvent::new("refused")
                 .with("id", &request.caller_id)
@@ -334,7 +334,7 @@
                 .with("runs", request.runs)
                 .with("text", self.config_version())
                 .with("list", self.pool.list_version)
-                .with("resumes", resumes),
+                .with("first_attempt", first_attempt),
         );
         self.effects.push(EntryEffect::Refuse(id, Refusal { reason, retry_ms }));
     }
--- a/crates/pool/src/entry/load_requests.rs
+++ b/crates/pool/src/entry/load_requests.rs
@@ -146,7 +146,7 @@
 
     /// Requests the model or adapter of a stream that goes on only at one software version.
     ///
-    /// Only loads that end soon are requested: a caller that takes a stream up leaves within seconds,
+    /// Only loads that end soon are requested: a caller that reconnects leaves within seconds,
     /// and a load from the weight store would be for it alone.
     fn request_bound_model(
         &mut self,
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -144,10 +144,10 @@
     /// Whether the request was counted as a miss: no replica had room.
     missed: bool,
     tokens: TokenCount,
-    /// Whether the caller takes up a stream of which it has events.
-    taken_up: bool,
+    /// Whether the caller reconnects to a stream of which it has events.
+    reconnects: bool,
     /// ID of the caller's attempt that began this stream, if named.
-    resumes: Option<String>,
+    first_attempt: Option<String>,
     /// Identifies the stream over the caller's attempts.
     stream: StreamKey,
     /// What is known of the software version that began the stream.
--- a/crates/pool/src/entry/streams.rs
+++ b/crates/pool/src/entry/streams.rs
@@ -1,6 +1,6 @@
 //! Streams go on only at the software version that began them.
 //!
-//! A stream that its caller takes up may have begun at another entry, which has ended since. While
+//! A stream to which its caller reconnects may have begun at another entry, which has ended since. While
 //! endpoints of several versions serve in a service, entries tell some sides where their streams begin,
 //! and ask them. A stream that no side knows began while one version served alone, if the sides have
 //! kept everything for long enough, or if this entry has seen no other version for as long; otherwise
@@ -60,7 +60,7 @@
     /// Services in which several versions have served of late.
     mixed: Map<String, Mixture>,
     /// Streams of other attempts that go on here.
-    taken_up: u64,
+    reconnects: u64,
 }
 
 /// Since when several versions have served in a service.
@@ -104,8 +104,8 @@
 
 impl PoolEntry {
     /// Returns how many streams of other attempts have gone on here.
-    pub fn streams_taken_up(&self) -> u64 {
-        self.streams.taken_up
+    pub fn streams_reconnected(&self) -> u64 {
+        self.streams.reconnects
     }
 
     /// Records the software versions that serve, and tells where streams began that are under way when
@@ -177,7 +177,7 @@
         recent.next().filter(|_| known && recent.next().is_none())
     }
 
-    /// Returns the milliseconds after its beginning within which a caller may take a stream up.
+    /// Returns the milliseconds after its beginning within which a caller may reconnect to a stream.
     fn horizon_ms(&self) -> u64 {
         self.config.as_ref().map_or(DEFAULT_HORIZON_MS, |config| config.stream_horizon_ms())
     }
@@ -193,7 +193,7 @@
         }
     }
 
-    /// Tells some sides where a stream begins, if several versions serve and its caller may take it up.
+    /// Tells some sides where a stream begins, if several versions serve and its caller may reconnect.
     pub(super) fn record_origin(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
         let resumable = request.retry_policy == RetryPolicy::ResumableStream;
@@ -231,13 +231,13 @@
         ranked.into_iter().take(count).map(|(_, address)| address).collect()
     }
 
-    /// Asks where the stream began that the caller of a request takes up.
+    /// Asks where the stream began to which the caller of a request reconnects.
     pub(super) fn inquire_origin(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
-        if !request.taken_up || !request.retry_policy.is_stream() {
+        if !request.reconnects || !request.retry_policy.is_stream() {
             return;
         }
-        let (stream, unnamed) = (request.stream, request.resumes.is_none());
+        let (stream, unnamed) = (request.stream, request.first_attempt.is_none());
         let sides = self.stream_sides(stream, ASKED_SIDES);
         if sides.is_empty() {
             self.origin_unknown(id, None);
@@ -303,13 +303,13 @@
     fn origin_unknown(&mut self, id: RequestId, memory_ms: Option<u64>) {
         let (now, horizon_ms) = (self.now, self.horizon_ms());
         let Some(request) = self.requests.get(&id) else { return };
-        let vouched = memory_ms.is_some_and(|memory_ms| memory_ms >= horizon_ms);
-        let in_touch = memory_ms.is_some() || self.config_current;
+        let covered = memory_ms.is_some_and(|memory_ms| memory_ms >= horizon_ms);
+        let reachable = memory_ms.is_some() || self.config_current;
         let mut recent = self.streams.history.recent(&request.service, horizon_ms, now);
         let version = match (recent.next(), recent.next()) {
-            (only, None) if vouched => only,
-            (Some(_), None) if in_touch => self.only_version(&request.service),
-            _ if vouched => self.version_before(&request.service),
+            (only, None) if covered => only,
+            (Some(_), None) if reachable => self.only_version(&request.service),
+            _ if covered => self.version_before(&request.service),
             _ => None,
         };
         drop(recent);
@@ -331,13 +331,13 @@
         let name = self.pool.endpoints.values().find(|endpoint| endpoint.software == software);
         let name = name.map(|endpoint| endpoint.member.software.clone());
         let Some(request) = self.requests.get(&id) else { return };
-        let event = LogEvent::new("stream_taken_up")
+        let event = LogEvent::new("stream_reconnected")
             .with("id", &request.caller_id)
-            .with("resumes", request.resumes.as_deref().unwrap_or(""))
+            .with("first_attempt", request.first_attempt.as_deref().unwrap_or(""))
             .with("software", name.unwrap_or_else(|| software.to_string()))
             .with("source", source);
         self.log(event);
-        self.streams.taken_up += 1;
+        self.streams.reconnects += 1;
         self.schedule(id);
     }
 
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -66,10 +66,10 @@
     pub prefix_hash: u64,
     /// Length in tokens, as declared by the caller.
     pub tokens: TokenCount,
-    /// Whether the caller takes up a stream of which it has events.
-    pub taken_up: bool,
+    /// Whether the caller reconnects to a stream of which it has events.
+    pub reconnects: bool,
     /// ID of the caller's attempt that began this stream, if named.
-    pub resumes: Option<String>,
+    pub first_attempt: Option<String>,
     /// Digest of the caller's API key, if it sent one.
     pub key: Option<KeyDigest>,
 }
@@ -250,9 +250,9 @@
     Broken,
     /// It crashes the endpoints that run it.
     Quarantined,
-    /// It takes up a stream that began at a software version that is not known.
+    /// It reconnects to a stream that began at a software version that is not known.
     VersionUnknown,
-    /// It takes up a stream that began at a software version of which no endpoint can run it.
+    /// It reconnects to a stream that began at a software version of which no endpoint can run it.
     VersionGone,
     /// Its organisation is over its limit.
     OverLimit,
--- a/crates/pool/src/side/streams.rs
+++ b/crates/pool/src/side/streams.rs
@@ -1,6 +1,6 @@
 //! The software versions at which streams began, kept for the entries.
 //!
-//! A caller that takes a stream up may come to another entry than before, as its entry has ended. The
+//! A caller that reconnects may come to another entry than before, as its entry has ended. The
 //! entries tell the sides where their streams began, and ask them.
 
 use citronrill_base::{Map, Millis};
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -416,8 +416,8 @@
             model: model.to_owned(),
             prefix_hash: 0,
             tokens: TokenCount::default(),
-            taken_up: false,
-            resumes: None,
+            reconnects: false,
+            first_attempt: None,
             key: None,
         };
         self.step_entry(entry, EntryEvent::RequestArrived(arrival));
--- a/crates/pool/tests/all/software.rs
+++ b/crates/pool/tests/all/software.rs
@@ -14,7 +14,7 @@
 
 use crate::support::{Bench, ENGINE, address, dispatch, member, ok, refusal, state};
 
-/// Milliseconds after which a stream can no longer be taken up, with the routes of the tests.
+/// Milliseconds after which no caller reconnects to a stream, with the routes of the tests.
 const HORIZON_MS: u64 = 30_000;
 
 fn versioned(index: u8, software: &str, models: &[&str]) -> Member {
@@ -49,10 +49,10 @@
     messages.collect()
 }
 
-/// Takes up the stream that began in attempt `first`.
-fn take_up(bench: &mut Bench, first: Option<&str>) -> (RequestId, Vec<EntryEffect>) {
+/// Reconnects to the stream that began in attempt `first`.
+fn reconnect(bench: &mut Bench, first: Option<&str>) -> (RequestId, Vec<EntryEffect>) {
     let arrival = bench.arrival("/chat/x", "m0");
-    bench.arrive(Arrival { taken_up: true, resumes: first.map(str::to_owned), ..arrival })
+    bench.arrive(Arrival { reconnects: true, first_attempt: first.map(str::to_owned), ..arrival })
 }
 
 fn reply(query: StreamQuery, software: Option<&str>, memory_ms: u64) -> StreamMessage {
@@ -94,7 +94,7 @@
 fn a_stream_goes_on_at_the_version_that_a_side_knows(#[values("v1", "v2")] software: &str) {
     for _ in 0..4 {
         let mut bench = mixed();
-        let (_, asked) = take_up(&mut bench, Some("first"));
+        let (_, asked) = reconnect(&mut bench, Some("first"));
         assert!(dispatch(&asked).is_none(), "sent before a side has replied");
         let (side, query) = queries(&asked)[0];
         assert_eq!(query.stream, StreamKey::new("first").0);
@@ -110,7 +110,7 @@
     #[values(true, false)] named: bool,
 ) {
     let mut bench = mixed();
-    let (_, asked) = take_up(&mut bench, named.then_some("first"));
+    let (_, asked) = reconnect(&mut bench, named.then_some("first"));
     assert!(queries(&asked).iter().all(|(_, query)| query.unnamed != named));
     let effects = reply_all(&mut bench, &asked, None, memory_ms);
     let (reason, retry_ms) = refusal(&effects).unwrap();
@@ -124,13 +124,13 @@
     let only_v1 = [1, 3].map(|index| versioned(index, "v1", &["m0"]));
     bench.set_members(2, only_v1.to_vec());
     report_sides(&mut bench, &[&["m0"], &[], &["m0"]]);
-    let (id, _) = take_up(&mut bench, Some("first"));
+    let (id, _) = reconnect(&mut bench, Some("first"));
     let effects = bench.advance(200);
     assert_eq!(refusal(&effects).unwrap().0, Reason::VersionUnknown, "{id:?}");
     bench.now += HORIZON_MS;
     bench.set_members(3, only_v1.to_vec());
     report_sides(&mut bench, &[&["m0"], &[], &["m0"]]);
-    take_up(&mut bench, Some("first"));
+    reconnect(&mut bench, Some("first"));
     let mut effects = bench.advance(200);
     effects.extend(bench.step(EntryEvent::ProbeReply(address(1))));
     effects.extend(bench.step(EntryEvent::ProbeReply(address(3))));
@@ -150,7 +150,7 @@
     let members = (1..=4).map(|index| versioned(index, "v1", &["m0"])).collect();
     let mut bench = Bench::restarted(members);
     report_sides(&mut bench, &[&["m0"], &["m0"], &["m0"], &["m0"]]);
-    let (_, asked) = take_up(&mut bench, named);
+    let (_, asked) = reconnect(&mut bench, named);
     let effects = reply_all(&mut bench, &asked, None, memory_ms);
     assert_eq!(dispatch(&effects).is_some(), goes_on);
     assert_eq!(refusal(&effects).is_none(), goes_on);
@@ -160,7 +160,7 @@
 #[test]
 fn a_stream_of_a_version_that_is_gone_is_refused_at_once() {
     let mut bench = mixed();
-    let (_, asked) = take_up(&mut bench, Some("first"));
+    let (_, asked) = reconnect(&mut bench, Some("first"));
     let effects = reply_all(&mut bench, &asked, Some("v3"), u64::MAX);
     assert_eq!(refusal(&effects).unwrap().0, Reason::VersionGone);
 }
@@ -173,7 +173,7 @@
         vec![versioned(1, "v1", &["m0"]), versioned(2, "v2", &["m1"]), versioned(3, "v1", &["m0"])];
     let mut bench = Bench::new(members);
     report_sides(&mut bench, &[&["m0"], &["m1"], &["m0"]]);
-    let (_, asked) = take_up(&mut bench, Some("first"));
+    let (_, asked) = reconnect(&mut bench, Some("first"));
     let effects = reply_all(&mut bench, &asked, Some("v2"), u64::MAX);
     let loads = effects.iter().filter_map(|effect| match effect {
         EntryEffect::LoadRequest(side, load) => Some((*side, load.model.as_str())),
@@ -225,12 +225,16 @@
     report_sides(&mut bench, &[&["m0"], &["m0"], &["m0"]]);
     bench.update_row(2, "i4", Some(versioned(4, "v2", &["m0"])));
     report_sides(&mut bench, &[&["m0"], &["m0"], &["m0"], &["m0"]]);
-    let (_, asked) = take_up(&mut bench, Some("first"));
+    let (_, asked) = reconnect(&mut bench, Some("first"));
     let effects = reply_all(&mut bench, &asked, None, u64::MAX);
     assert_ne!(dispatch(&effects).unwrap().address, address(4));
-    let (_, asked) = take_up(&mut bench, Some("second"));
+    let (_, asked) = reconnect(&mut bench, Some("second"));
     let effects = reply_all(&mut bench, &asked, None, 100);
-    assert_eq!(refusal(&effects).unwrap().0, Reason::VersionUnknown, "no side vouches for it");
+    assert_eq!(
+        refusal(&effects).unwrap().0,
+        Reason::VersionUnknown,
+        "no side has kept everything for long enough"
+    );
 }
 
 /// Guards against streams that are refused after a restart, as the new incarnation has another version
@@ -254,7 +258,7 @@
     bench.update_row(2, "i1-b", Some(listed));
     let (id, _) = bench.request("/chat/x", "m0");
     assert!(messages(&bench.respond(id, ok())).is_empty(), "still told");
-    let (_, asked) = take_up(&mut bench, Some("first"));
+    let (_, asked) = reconnect(&mut bench, Some("first"));
     let (side, query) = queries(&asked)[0];
     let StreamKind::Begun(begun) = &told[0].1 else { panic!("{told:?}") };
     let software = Some(begun.streams[0].software);
@@ -275,7 +279,7 @@
     let mut bench = Bench::new((1..=2).map(|index| versioned(index, "v1", &["m0"])).collect());
     report_sides(&mut bench, &[&["m0"], &["m0"]]);
     bench.step(EntryEvent::ConfigCurrent(store));
-    let (_, mut effects) = take_up(&mut bench, Some("first"));
+    let (_, mut effects) = reconnect(&mut bench, Some("first"));
     effects.extend(bench.advance(200));
     assert_eq!(refusal(&effects).is_none(), goes_on, "{effects:?}");
 }
@@ -286,7 +290,7 @@
 fn a_response_of_another_incarnation_fits_no_stream() {
     let other = ResponseHead { other_incarnation: true, ..ok() };
     let mut bench = mixed();
-    let (id, asked) = take_up(&mut bench, Some("first"));
+    let (id, asked) = reconnect(&mut bench, Some("first"));
     let (side, query) = queries(&asked)[0];
     bench.step(EntryEvent::Streams(side, reply(query, Some("v1"), 0)));
     let effects = bench.respond(id, other);
@@ -330,8 +334,8 @@
 fn the_adapter_is_loaded_at_the_version_of_the_stream(#[values("v1", "v2")] software: &str) {
     let mut bench = mixed();
     let arrival = bench.arrival("/chat/x", "m0/a1");
-    let resumes = Some("first".to_owned());
-    let (_, asked) = bench.arrive(Arrival { taken_up: true, resumes, ..arrival });
+    let first_attempt = Some("first".to_owned());
+    let (_, asked) = bench.arrive(Arrival { reconnects: true, first_attempt, ..arrival });
     let effects = reply_all(&mut bench, &asked, Some(software), u64::MAX);
     let places = load_places(&effects);
     assert_eq!(places.len(), 1, "{effects:?}");
@@ -348,7 +352,7 @@
     ];
     let mut bench = Bench::new(members);
     report_sides(&mut bench, &[&["m0"], &["m1", "m2"], &[]]);
-    let (_, asked) = take_up(&mut bench, Some("first"));
+    let (_, asked) = reconnect(&mut bench, Some("first"));
     let effects = reply_all(&mut bench, &asked, Some("v2"), u64::MAX);
     let places = load_places(&effects);
     assert!(places == [address(2)] || places.is_empty() && refusal(&effects).is_some());
@@ -361,7 +365,7 @@
     let members = (1..=4).map(|index| versioned(index, "v1", &["m0"])).collect();
     let mut bench = Bench::new(members);
     report_sides(&mut bench, &[&[], &[], &[]]);
-    let (_, asked) = take_up(&mut bench, Some("first"));
+    let (_, asked) = reconnect(&mut bench, Some("first"));
     let effects = reply_all(&mut bench, &asked, Some("v3"), u64::MAX);
     assert_eq!(refusal(&effects).unwrap().0, Reason::VersionGone);
 }
@@ -374,7 +378,7 @@
     bench.update_row(2, "i4", Some(versioned(4, "v2", &["m0"])));
     bench.now += HORIZON_MS;
     report_sides(&mut bench, &[&["m0"], &["m0"], &["m0"], &["m0"]]);
-    let (_, asked) = take_up(&mut bench, Some("first"));
+    let (_, asked) = reconnect(&mut bench, Some("first"));
     let effects = reply_all(&mut bench, &asked, None, u64::MAX);
     assert_eq!(refusal(&effects).unwrap().0, Reason::VersionUnknown);
 }
@@ -384,14 +388,14 @@
 #[rstest]
 #[case::waits_for_its_version(true)]
 #[case::waits_for_the_sides(false)]
-fn a_stream_that_is_taken_up_holds_up_no_other_request(#[case] known: bool) {
+fn a_reconnecting_caller_holds_up_no_other_request(#[case] known: bool) {
     let members = vec![versioned(1, "v1", &["m0"]), versioned(2, "v2", &["m0"])];
     let mut bench = Bench::new(members);
     let full = SideState { tracks_streams: true, active: 60, ..state(1, &["m0"]) };
     for index in 1..=2 {
         bench.step(EntryEvent::SideReport(address(index), full.clone()));
     }
-    let (_, asked) = take_up(&mut bench, Some("first"));
+    let (_, asked) = reconnect(&mut bench, Some("first"));
     if known {
         let (side, query) = queries(&asked)[0];
         bench.step(EntryEvent::Streams(side, reply(query, Some("v1"), 0)));
@@ -497,7 +501,7 @@
         ..state(1, &["m0"])
     };
     bench.step(EntryEvent::SideReport(address(1), renamed));
-    let (_, asked) = take_up(&mut bench, Some("first"));
+    let (_, asked) = reconnect(&mut bench, Some("first"));
     let (side, query) = queries(&asked)[0];
     let effects = bench.step(EntryEvent::Streams(side, reply(query, Some("v1"), 0)));
     assert_eq!(dispatch(&effects).unwrap().address, address(2));
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -376,8 +376,8 @@
             model: model.to_owned(),
             prefix_hash: 0,
             tokens: TokenCount::default(),
-            taken_up: false,
-            resumes: None,
+            reconnects: false,
+            first_attempt: None,
             key: None,
         }
     }
--- a/tests/pool/software.rs
+++ b/tests/pool/software.rs
@@ -41,17 +41,17 @@
     }
 }
 
-/// Takes up the stream that began in attempt `first` after the event with ID `last`.
-fn take_up(pool: &Deployment, entry: SocketAddr, first: &str, id: &str, last: u32) -> Response {
+/// Reconnects to the stream that began in attempt `first` after the event with ID `last`.
+fn reconnect(pool: &Deployment, entry: SocketAddr, first: &str, id: &str, last: u32) -> Response {
     let headers = format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n");
     let request = Request { headers: &headers, ..Request::stream("/chat/x", id, "m0") };
     pool.request_at(entry, &request)
 }
 
-/// Guards against a stream that a caller takes up by another entry, as its entry has ended, and that goes on
+/// Guards against a stream to which a caller reconnects at another entry, as its entry has ended, and that goes on
 /// at a worker of another software version, whose events do not fit.
 #[test]
-fn a_stream_taken_up_elsewhere_goes_on_at_its_software_version() {
+fn a_stream_reconnected_elsewhere_goes_on_at_its_software_version() {
     let mut pool = mixed_pool();
     let (_other, address) = pool.add_entry_at();
     for round in 0..5 {
@@ -59,7 +59,7 @@
         let (stream, last) = begin(&pool, pool.caller_address, &first);
         pool.restart_entry();
         drop(stream);
-        let response = take_up(&pool, address, &first, &second, last);
+        let response = reconnect(&pool, address, &first, &second, last);
         assert_eq!((response.status, response.complete), (200, true), "{response:?}");
         assert_eq!(response.event_ids(), (last + 1..20).collect::<Vec<_>>());
         let (began, went_on) = (runners(&pool, &first), runners(&pool, &second));
@@ -100,7 +100,7 @@
         engine.deregister();
     }
     pool.wait_until("the list is read", || other.logged(&["event=members", "open=3"]));
-    let response = take_up(&pool, address, "first", "second", last);
+    let response = reconnect(&pool, address, "first", "second", last);
     assert_eq!(response.status, 503, "{response:?}");
     assert!(runners(&pool, "second").is_empty());
 }
@@ -117,7 +117,7 @@
     pool.wait_until("the sides are connected", || {
         pool.sides.iter().all(|side| side.logged(&["entry_connected"]))
     });
-    let response = take_up(&pool, pool.caller_address, "first", "second", last);
+    let response = reconnect(&pool, pool.caller_address, "first", "second", last);
     assert_eq!(response.status, 503, "{response:?}");
     assert!(runners(&pool, "second").is_empty());
 }
@@ -130,6 +130,6 @@
     let (stream, last) = begin(&pool, pool.caller_address, "first");
     pool.restart_entry();
     drop(stream);
-    let response = take_up(&pool, address, "first", "second", last);
+    let response = reconnect(&pool, address, "first", "second", last);
     assert_eq!((response.status, response.complete), (200, true), "{response:?}");
 }
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -40,7 +40,7 @@
     /// Whether its connection had carried a request before: the entry may have closed it concurrently,
     /// without reading this request.
     reused: bool,
-    /// Software versions whose events the caller has received, also by taking the stream up.
+    /// Software versions whose events the caller has received, also by reconnecting.
     versions: BTreeSet<String>,
 }
 
@@ -128,7 +128,7 @@
     name: String,
     rng: SmallRng,
     entry: EntryPoint,
-    /// All entries, at which it takes up streams that broke off.
+    /// All entries, at which it reconnects to streams that broke off.
     entries: Vec<EntryPoint>,
     /// Whether it reuses its connection until the entry closes it, even after `Connection: close`.
     keep_alive: bool,
@@ -176,7 +176,7 @@
         let took_ms = started.elapsed().as_millis();
         let mut versions = versions(&response);
         if path == "/chat/x" && response.status == 200 && !response.complete {
-            versions.extend(self.take_up(&id, &response));
+            versions.extend(self.reconnect(&id, &response));
         }
         Some(Record {
             path,
@@ -192,8 +192,8 @@
         })
     }
 
-    /// Takes up a stream that broke off, at any entry; returns the versions of the events received.
-    fn take_up(&mut self, first: &str, broken: &Response) -> BTreeSet<String> {
+    /// Reconnects to a stream that broke off, at any entry; returns the versions of the events received.
+    fn reconnect(&mut self, first: &str, broken: &Response) -> BTreeSet<String> {
         let entry = self.rng.random_range(0..self.entries.len());
         let whole = broken.body.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
         let last = whole.lines().rev().find_map(|line| line.strip_prefix("id: "));
