Request an adapter in one place for bound and other requests

The load of a model for a stream that is bound to a software version repeated the adapter's part of request_model. Nothing changes in behaviour.

--- a/crates/pool/src/entry/load_requests.rs
+++ b/crates/pool/src/entry/load_requests.rs
@@ -97,13 +97,10 @@
         }
         let wait_ms = request.wait_ms(self.now);
         let paused = self.holder_paused(request);
-        if let Some(instance) = self.adapter_place(request) {
-            self.send_load_request(required, &instance, Vec::new(), ADAPTER_READY_MS, wait_ms);
-            return;
-        }
-        if self.holder_unconfirmed(base) {
+        if self.request_adapter(id, required) || self.holder_unconfirmed(base) {
             return;
         }
+        let Some(request) = self.requests.get(&id) else { return };
         let max_loss = self.waiting_count(base) * DELAY_PER_WAITER_MS;
         let place = self.place(&request.service, &request.model, base, max_loss, None);
         let place = place.filter(|place| !(paused && place.from_store));
@@ -165,13 +162,10 @@
             return;
         }
         let wait_ms = request.wait_ms(self.now);
-        if let Some(instance) = self.adapter_place(request) {
-            self.send_load_request(required, &instance, Vec::new(), ADAPTER_READY_MS, wait_ms);
-            return;
-        }
-        if self.holder_unconfirmed(base) {
+        if self.request_adapter(id, required) || self.holder_unconfirmed(base) {
             return;
         }
+        let Some(request) = self.requests.get(&id) else { return };
         let max_loss = self.waiting_count(base) * DELAY_PER_WAITER_MS;
         let (service, model) = (&request.service, &request.model);
         let place = self.place(service, model, base, max_loss, Some(software));
@@ -184,6 +178,15 @@
         self.send_load_request(base, &place.instance, place.evictions, ready_ms, wait_ms);
     }
 
+    /// Requests the adapter of a request at a holder of its model; returns whether there is one.
+    fn request_adapter(&mut self, id: RequestId, required: ModelKey) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let Some(instance) = self.adapter_place(request) else { return false };
+        let wait_ms = request.wait_ms(self.now);
+        self.send_load_request(required, &instance, Vec::new(), ADAPTER_READY_MS, wait_ms);
+        true
+    }
+
     /// Returns the holder of a request's model at which its adapter is loaded best.
     fn adapter_place(&self, request: &Request) -> Option<String> {
         let adapter = Some(&request.adapter).filter(|adapter| !adapter.is_empty())?;
