--- a/crates/pool/src/entry/streams.rs
+++ b/crates/pool/src/entry/streams.rs
@@ -8,7 +8,7 @@
 
 use std::net::SocketAddr;
 
-use citronrill_base::{Map, Millis, Set, hash_bytes};
+use citronrill_base::{Map, Millis, Set, rendezvous_score};
 use citronrill_decide::LogEvent;
 use citronrill_wire::{
     StreamKind, StreamMessage, StreamOrigin, StreamQuery, StreamReply, StreamsBegun,
@@ -220,13 +220,14 @@
             tracks && endpoint.liveness.is_connected() && !endpoint.liveness.is_stalled(self.now)
         };
         let sides = self.pool.endpoints.values().filter(keeps);
+        let item = stream.0.to_string();
         let mut ranked = sides
             .map(|endpoint| {
                 let address = endpoint.member.address;
-                (hash_bytes(format!("{address} {}", stream.0).as_bytes()), address)
+                (rendezvous_score(&item, &address.to_string()), address)
             })
             .collect::<Vec<_>>();
-        ranked.sort_unstable();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
         ranked.dedup();
         ranked.into_iter().take(count).map(|(_, address)| address).collect()
     }
