--- a/crates/pool/tests/all/software.rs
+++ b/crates/pool/tests/all/software.rs
@@ -40,6 +40,17 @@
     bench
 }
 
+/// Report of engine 1's side on a new incarnation, `i1-b`, which is not listed yet.
+fn renamed() -> SideState {
+    SideState {
+        instance: "i1-b".to_owned(),
+        service: ENGINE.to_owned(),
+        healthy: true,
+        tracks_streams: true,
+        ..state(1, &["m0"])
+    }
+}
+
 /// Messages about streams among effects, with the sides that they go to.
 fn messages(effects: &[EntryEffect]) -> Vec<(SocketAddr, StreamKind)> {
     let messages = effects.iter().filter_map(|effect| match effect {
@@ -243,14 +254,7 @@
 fn a_version_is_known_once_its_incarnation_is_listed() {
     let mut bench = Bench::new((1..=2).map(|index| versioned(index, "v1", &["m0"])).collect());
     report_sides(&mut bench, &[&["m0"], &["m0"]]);
-    let renamed = SideState {
-        instance: "i1-b".to_owned(),
-        service: ENGINE.to_owned(),
-        healthy: true,
-        tracks_streams: true,
-        ..state(1, &["m0"])
-    };
-    bench.step(EntryEvent::SideReport(address(1), renamed));
+    bench.step(EntryEvent::SideReport(address(1), renamed()));
     let (id, _) = bench.request("/chat/x", "m0");
     let told = messages(&bench.respond(id, ok()));
     assert_eq!(told.len(), 2, "not told while the version of an incarnation is unknown");
@@ -493,14 +497,7 @@
 fn an_incarnation_that_only_its_side_reports_has_no_known_version() {
     let mut bench = Bench::new((1..=2).map(|index| versioned(index, "v1", &["m0"])).collect());
     report_sides(&mut bench, &[&["m0"], &["m0"]]);
-    let renamed = SideState {
-        instance: "i1-b".to_owned(),
-        service: ENGINE.to_owned(),
-        healthy: true,
-        tracks_streams: true,
-        ..state(1, &["m0"])
-    };
-    bench.step(EntryEvent::SideReport(address(1), renamed));
+    bench.step(EntryEvent::SideReport(address(1), renamed()));
     let (_, asked) = reconnect(&mut bench, Some("first"));
     let (side, query) = queries(&asked)[0];
     let effects = bench.step(EntryEvent::Streams(side, reply(query, Some("v1"), 0)));
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -206,7 +206,11 @@
 
     /// An entry whose requests wait this long after its start for what the sides know.
     pub(crate) fn learning(learn_ms: u64) -> Bench {
-        let profile = EntryProfile {
+        Bench::with_profile(Bench::profile(learn_ms))
+    }
+
+    fn profile(learn_ms: u64) -> EntryProfile {
+        EntryProfile {
             zone: "a".to_owned(),
             seed: 0,
             retry_ratio: 0.2,
@@ -215,22 +219,12 @@
             limits: LimitBounds::default(),
             learn_ms,
             first_start: true,
-        };
-        Bench::with_profile(profile)
+        }
     }
 
     /// An entry that does not know when the system started: streams may have begun before.
     pub(crate) fn restarted(members: Vec<Member>) -> Bench {
-        let profile = EntryProfile {
-            zone: "a".to_owned(),
-            seed: 0,
-            retry_ratio: 0.2,
-            retry_slack: 50.0,
-            retry_window_ms: 10_000,
-            limits: LimitBounds::default(),
-            learn_ms: 0,
-            first_start: false,
-        };
+        let profile = EntryProfile { first_start: false, ..Bench::profile(0) };
         let mut bench = Bench::with_profile(profile);
         bench.step(EntryEvent::Config(config(1)));
         bench.set_members(1, members);
