--- a/crates/pool/src/budget.rs
+++ b/crates/pool/src/budget.rs
@@ -42,11 +42,17 @@
         self.first_attempts.push_back(now);
     }
 
-    /// Takes one retry from the budget, if it allows one.
-    pub fn try_take(&mut self, now: Millis) -> bool {
+    /// Returns the number of retries within the window that ends now, and how many are permitted.
+    pub fn usage(&mut self, now: Millis) -> (usize, f64) {
         self.expire(now);
         let allowed = self.ratio * self.first_attempts.len() as f64 + self.slack;
-        let granted = (self.retries.len() as f64) + 1.0 <= allowed;
+        (self.retries.len(), allowed)
+    }
+
+    /// Takes one retry from the budget, if it allows one.
+    pub fn try_take(&mut self, now: Millis) -> bool {
+        let (used, allowed) = self.usage(now);
+        let granted = used as f64 + 1.0 <= allowed;
         if granted {
             self.retries.push_back(now);
         }
--- a/crates/pool/src/entry/resume.rs
+++ b/crates/pool/src/entry/resume.rs
@@ -174,13 +174,27 @@
         let now = self.now;
         let Some(request) = self.requests.get(&id) else { return false };
         let (retry_charged, service) = (request.retry_charged, request.service.clone());
-        let retry_charged = retry_charged || self.budget(&service).try_take(now);
+        let retry_charged = retry_charged || {
+            let granted = self.budget(&service).try_take(now);
+            self.log_retry(id, &service, granted);
+            granted
+        };
         if let Some(request) = self.requests.get_mut(&id) {
             request.retry_charged = retry_charged;
         }
         retry_charged
     }
 
+    /// Logs a decision on a further dispatch, with what the budget is then used for.
+    fn log_retry(&mut self, id: RequestId, service: &str, granted: bool) {
+        let (now, entries) = (self.now, self.entries());
+        let (used, allowed) = self.budget(service).usage(now);
+        let Some(request) = self.requests.get(&id) else { return };
+        let event = LogEvent::new("retry").with("id", &request.caller_id).with("service", service);
+        let event = event.with("granted", granted).with("used", used);
+        self.log(event.with("allowed", format!("{allowed:.1}")).with("entries", entries));
+    }
+
     /// Schedules a resumable stream again, for any endpoint that can run it. Returns false if no
     /// further attempt is permitted.
     fn resume_anywhere(&mut self, id: RequestId) -> bool {
