Add failing tests of the retry budget over entries that start again

Real entries before endpoints that refuse, with kills, cuts, additions and sides that count anew, at 4, 21 and 68 entries; the oracle knows only what arrives at endpoints. A fourth test holds the other end: nine tenths of what is permitted must be sent while nothing starts again.

--- a/crates/pool/tests/all/limits/mod.rs
+++ b/crates/pool/tests/all/limits/mod.rs
@@ -4,6 +4,7 @@
 mod entry;
 mod fleet;
 mod model;
+mod retries;
 
 use rand::{Rng, rngs::SmallRng};
 use rstest::rstest;
