Give an entry that starts again no share of the retry budget's slack for one window

Callers saw nothing directly; endpoints that refuse or fail got more repeats than permitted (BUDGET) while entries were killed or restarted: the load of a service in need grew with each restart before it.

Cause: the bound is a sum over all entries and windows, but what was used was kept only in the memory of the process that used it, so that each start gave out the entry's whole share (slack / (entries + 1)) anew; the one share left over covered a single start in a window.

Now an entry that has not started with the whole system has nothing of the slack until one window has passed (limits/share.rs), by when all that its predecessor used has left it, and it knows the number of entries. Until then it has what its own first attempts earn, up to 0.8 s of them, so that a window holds at most the slack and 1.08 x 0.92 of the permitted ratio whichever entries start in it. Shares are the slack / entries, no longer / (entries + 1); fractions of a retry accrue. An entry that knows no number of entries has none of the slack (it took an eighth).

Seen to fail without the guard: slack at the start (7 tests), no cap on what is earned (2). The other ways: credit of one side (reports each 500 ms on all sites, and waits of up to 400 ms before a failover) and sides that remember what each entry took (nothing where entry and side are lost together).

--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -128,7 +128,7 @@
             last_event: None,
             backup: None,
             has_progress: false,
-            retry_charged: false,
+            retry_reserved: false,
             queued: false,
             lost_runs: 0,
             trial: None,
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -43,6 +43,13 @@
         let backup_address = backup.as_ref().and_then(|backup| self.pool.endpoints.get(backup));
         let backup_address = backup_address.map(|endpoint| endpoint.member.address);
         let (eligible, fleet_load) = self.alternatives(id);
+        if !self.pool.endpoints.contains_key(instance) {
+            return;
+        }
+        if !self.use_retry(id) {
+            self.refuse(id, Reason::Full);
+            return;
+        }
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(endpoint) = self.pool.endpoints.get_mut(instance) else { return };
         request.backup = backup;
@@ -52,7 +59,6 @@
         endpoint.unreported += 1;
         request.stage = Stage::Sent;
         request.has_progress = false;
-        request.retry_charged = false;
         request.sent_at = now;
         request.instance = Some(instance.to_owned());
         request.sent_software = Some(endpoint.software);
@@ -230,7 +236,7 @@
         if ran && status == 0 && self.resume_from_copy(id) {
             return;
         }
-        let retry = !barred && self.charge_retry(id);
+        let retry = !barred && self.reserve_retry(id);
         if !retry && forwardable {
             self.forward(id);
             return;
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod priority;
 mod replicas;
 mod resume;
+mod retries;
 mod rules;
 mod stalls;
 mod store_limit;
@@ -56,11 +57,10 @@
     trials::Trial,
 };
 use crate::{
-    budget::RetryBudget,
     cause::Cause,
     config::{RetryPolicy, ServingConfig},
     digest::RequestDigest,
-    limits::{CreditLedger, LimitUsage},
+    limits::{CreditLedger, LimitUsage, RetryBudget},
     member::{MemberChange, full_name},
     pool::{ListOutcome, Pool},
     prompt::PromptPart,
@@ -73,9 +73,6 @@
 /// Lower bound on the reported entry count: right after a start, the other entries have not
 /// connected yet.
 const MIN_ENTRIES: u32 = 3;
-/// Share of the permitted retry ratio that is used. Compliance is checked over a sliding window of
-/// arrivals at the endpoints, and some of these requests were sent before the window began.
-const RETRY_RATIO_SHARE: f64 = 0.85;
 /// Minimum milliseconds before a request's deadline to start any new work for it.
 const MIN_REMAINING_MS: u64 = 20;
 /// Milliseconds in which every slot of an endpoint becomes free once. A stream runs for about that
@@ -173,8 +170,8 @@
     backup: Option<String>,
     /// Whether the current response has delivered any bytes.
     has_progress: bool,
-    /// Whether the next dispatch has already been charged to the retry budget.
-    retry_charged: bool,
+    /// Whether its next dispatch is reserved in the retry budget.
+    retry_reserved: bool,
     /// Number of runs whose connection broke.
     lost_runs: u32,
     /// Progress of its trial, if it may run only as one.
@@ -253,6 +250,8 @@
 pub struct PoolEntry {
     profile: EntryProfile,
     now: Millis,
+    /// Time of the first event.
+    started: Option<Millis>,
     /// Time of the last deadline check.
     last_check: Millis,
     config: Option<Arc<ServingConfig>>,
@@ -282,6 +281,7 @@
             ledger: CreditLedger::new(profile.limits),
             profile,
             now: Millis(0),
+            started: None,
             last_check: Millis(0),
             config: None,
             config_current: false,
@@ -330,6 +330,7 @@
     /// Processes one event and returns the effects to be carried out.
     pub fn step(&mut self, now: Millis, event: EntryEvent) -> Vec<EntryEffect> {
         self.now = now;
+        self.started.get_or_insert(now);
         match event {
             EntryEvent::Config(config) => self.apply_config(config),
             EntryEvent::ConfigCurrent(current) => self.config_current = current,
@@ -610,16 +611,6 @@
         entries.map_or(ASSUMED_ENTRIES, |entries| entries.max(MIN_ENTRIES))
     }
 
-    fn budget(&mut self, service: &str) -> &mut RetryBudget {
-        let entries = f64::from(self.entries());
-        let profile = &self.profile;
-        let budget = self.budgets.entry(service.to_owned()).or_insert_with(|| {
-            RetryBudget::new(profile.retry_ratio * RETRY_RATIO_SHARE, profile.retry_window_ms)
-        });
-        budget.set_slack(profile.retry_slack / (entries + 1.0));
-        budget
-    }
-
     fn log(&mut self, event: LogEvent) {
         self.effects.push(EntryEffect::Log(event));
     }
--- a/crates/pool/src/entry/resume.rs
+++ b/crates/pool/src/entry/resume.rs
@@ -141,7 +141,7 @@
         let last_endpoint =
             request.instance.as_ref().and_then(|instance| self.pool.endpoints.get(instance));
         let stalled = last_endpoint.is_some_and(|endpoint| endpoint.liveness.is_stalled(self.now));
-        if stalled || !self.has_live_copy(request) || !self.charge_retry(id) {
+        if stalled || !self.has_live_copy(request) || !self.reserve_retry(id) {
             return false;
         }
         let Some(request) = self.requests.get(&id) else { return false };
@@ -168,33 +168,6 @@
         backup.is_some_and(live)
     }
 
-    /// Charges a further dispatch to the retry budget, unless it has been charged already. Returns
-    /// whether the budget permits it.
-    pub(super) fn charge_retry(&mut self, id: RequestId) -> bool {
-        let now = self.now;
-        let Some(request) = self.requests.get(&id) else { return false };
-        let (retry_charged, service) = (request.retry_charged, request.service.clone());
-        let retry_charged = retry_charged || {
-            let granted = self.budget(&service).try_take(now);
-            self.log_retry(id, &service, granted);
-            granted
-        };
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.retry_charged = retry_charged;
-        }
-        retry_charged
-    }
-
-    /// Logs a decision on a further dispatch, with what the budget is then used for.
-    fn log_retry(&mut self, id: RequestId, service: &str, granted: bool) {
-        let (now, entries) = (self.now, self.entries());
-        let (used, allowed) = self.budget(service).usage(now);
-        let Some(request) = self.requests.get(&id) else { return };
-        let event = LogEvent::new("retry").with("id", &request.caller_id).with("service", service);
-        let event = event.with("granted", granted).with("used", used);
-        self.log(event.with("allowed", format!("{allowed:.1}")).with("entries", entries));
-    }
-
     /// Schedules a resumable stream again, for any endpoint that can run it. Returns false if no
     /// further attempt is permitted.
     fn resume_anywhere(&mut self, id: RequestId) -> bool {
@@ -202,7 +175,7 @@
         let allowed = request.retry_policy == RetryPolicy::ResumableStream
             && request.runs < request.max_attempts
             && request.dispatches < MAX_DISPATCHES;
-        if !allowed || !self.charge_retry(id) {
+        if !allowed || !self.reserve_retry(id) {
             return false;
         }
         self.detach(id);
--- /dev/null
+++ b/crates/pool/src/entry/retries.rs
@@ -0,0 +1,63 @@
+//! Further dispatches of a request, within the retry budget of its service.
+
+use citronrill_decide::LogEvent;
+
+use super::{MIN_ENTRIES, PoolEntry, RequestId};
+use crate::limits::RetryBudget;
+
+impl PoolEntry {
+    /// Reserves a further dispatch in the retry budget, unless that has been done already. Returns
+    /// whether the budget permits it.
+    pub(super) fn reserve_retry(&mut self, id: RequestId) -> bool {
+        let now = self.now;
+        let Some(request) = self.requests.get(&id) else { return false };
+        if request.retry_reserved {
+            return true;
+        }
+        let service = request.service.clone();
+        let granted = self.budget(&service).reserve(now) && self.budget(&service).send(now);
+        self.log_retry(id, granted);
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.retry_reserved = granted;
+        }
+        granted
+    }
+
+    /// Takes what a dispatch uses of the retry budget. Returns false if it may not be sent.
+    pub(super) fn use_retry(&mut self, id: RequestId) -> bool {
+        let Some(request) = self.requests.get_mut(&id) else { return false };
+        let first = request.dispatches == 0;
+        let reserved = std::mem::take(&mut request.retry_reserved);
+        first || reserved
+    }
+
+    pub(super) fn budget(&mut self, service: &str) -> &mut RetryBudget {
+        let entries = self.shared_among();
+        let profile = &self.profile;
+        let started = self.started.unwrap_or(self.now);
+        let create =
+            if profile.first_start { RetryBudget::unused } else { RetryBudget::after_restart };
+        let new = || create(profile.retry_ratio, profile.retry_window_ms, started);
+        let budget = self.budgets.entry(service.to_owned()).or_insert_with(new);
+        budget.set_slack(profile.retry_slack, entries);
+        budget
+    }
+
+    /// Returns the number of entries that sides report; `None` if none does.
+    fn shared_among(&self) -> Option<u32> {
+        let sides = self.pool.endpoints.values().filter_map(|endpoint| endpoint.side.as_ref());
+        let known = sides.map(|side| side.known_entries.max(side.entry_count)).max();
+        known.filter(|entries| *entries > 0).map(|entries| entries.max(MIN_ENTRIES))
+    }
+
+    fn log_retry(&mut self, id: RequestId, granted: bool) {
+        let (now, entries) = (self.now, self.shared_among());
+        let Some(request) = self.requests.get(&id) else { return };
+        let (caller_id, service) = (request.caller_id.clone(), request.service.clone());
+        let budget = self.budget(&service);
+        let (left, reserved) = (budget.left(now), budget.reserved());
+        let event = LogEvent::new("retry").with("id", caller_id).with("service", service);
+        let event = event.with("granted", granted).with("left", left).with("reserved", reserved);
+        self.log(event.with("entries", entries.unwrap_or(0)));
+    }
+}
--- a/crates/pool/src/entry/stalls.rs
+++ b/crates/pool/src/entry/stalls.rs
@@ -88,7 +88,7 @@
         for id in stuck.map(|(id, _)| *id).collect::<Vec<_>>() {
             let Some(request) = self.requests.get(&id) else { continue };
             let responding = request.stage == Stage::Responding;
-            if !self.may_retry(request) || !self.charge_retry(id) {
+            if !self.may_retry(request) || !self.reserve_retry(id) {
                 continue;
             }
             if responding {
@@ -115,14 +115,14 @@
     }
 
     /// Returns whether a request is at a stalled endpoint, may be dispatched again, and has no
-    /// retry charged yet.
+    /// retry reserved yet.
     fn is_stuck(&self, request: &Request) -> bool {
         let endpoint =
             request.instance.as_ref().and_then(|instance| self.pool.endpoints.get(instance));
         let stalled = endpoint.is_some_and(|endpoint| endpoint.liveness.is_stalled(self.now));
         stalled
             && request.stage != Stage::Waiting
-            && !request.retry_charged
+            && !request.retry_reserved
             && request.trial.is_none()
             && request.unproven_end.is_none()
             && request.dispatches < MAX_DISPATCHES
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -111,7 +111,7 @@
         });
         for id in unanswered.map(|(id, _)| *id).collect::<Vec<_>>() {
             let Some(request) = self.requests.get(&id) else { continue };
-            if self.has_room_elsewhere(request) && self.charge_retry(id) {
+            if self.has_room_elsewhere(request) && self.reserve_retry(id) {
                 self.fail_over(id);
             }
         }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -8,7 +8,6 @@
 //! because nothing here is agreed through the platform table: a side is the only process that gives
 //! orders to its endpoint, and entries act on views that each carry a sequence number.
 
-mod budget;
 mod cause;
 mod check_timer;
 mod completed;
@@ -32,7 +31,6 @@
 mod table_follower;
 
 pub use crate::{
-    budget::RetryBudget,
     cause::Cause,
     check_timer::{CheckTimer, DueCheck},
     config::{CallerLimits, EngineSpec, ModelSpec, RetryPolicy, Route, Service, ServingConfig},
@@ -48,7 +46,8 @@
     },
     incarnation::StartTime,
     limits::{
-        Charge, Claim, CreditIssuer, CreditLedger, EntryRoster, LimitBounds, LimitUsage, Terms,
+        Charge, Claim, CreditIssuer, CreditLedger, EntryRoster, LimitBounds, LimitUsage,
+        RetryBudget, Terms,
     },
     member::{HeldModel, Member, MemberChange},
     organisation::{KeyDigest, LimitUnit, Organisation, Organisations, UsageLimit},
--- a/crates/pool/src/limits/mod.rs
+++ b/crates/pool/src/limits/mod.rs
@@ -12,11 +12,15 @@
 mod bounds;
 mod issuer;
 mod ledger;
+mod retries;
 mod roster;
+mod share;
 
 pub use self::{
     bounds::LimitBounds,
     issuer::{CreditIssuer, Terms},
     ledger::{Charge, Claim, CreditLedger, LimitUsage},
+    retries::RetryBudget,
     roster::EntryRoster,
+    share::WindowShare,
 };
