Count a repeat when it is sent, and return it if it is not

What was charged in two windows could so arrive in one (BUDGET), and what was charged for callers who left was lost to others. Now a repeat is reserved when it is decided on, and counts when it is dispatched; what ends before returns it. No dispatch but the first leaves without one, whatever led to it. The test of callers who leave failed before; a reserved retry that is sent beyond the budget is refused.

--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -265,6 +265,7 @@
         }
         self.release(id);
         if let Some(request) = self.requests.remove(&id) {
+            self.cancel_retry(&request);
             // An error response does not show that anything began to run.
             if end == ResponseEnd::Complete && request.succeeded {
                 self.clear_suspect(&request);
@@ -283,6 +284,7 @@
     pub(super) fn caller_left(&mut self, id: RequestId) {
         self.release(id);
         if let Some(request) = self.requests.remove(&id) {
+            self.cancel_retry(&request);
             self.return_waiting_credit(&request);
             let instance = request.instance.as_deref().unwrap_or("");
             let silent = self
@@ -320,6 +322,7 @@
         }
         self.release(id);
         let Some(request) = self.requests.remove(&id) else { return };
+        self.cancel_retry(&request);
         // If the first run broke off and no second endpoint is found, the request may have run: a
         // status that guarantees that it has not would be wrong, whatever prevented the second run.
         let contradicts = request.runs > 0 && reason.status() == NOT_RUN_STATUS;
--- a/crates/pool/src/entry/retries.rs
+++ b/crates/pool/src/entry/retries.rs
@@ -2,7 +2,7 @@
 
 use citronrill_decide::LogEvent;
 
-use super::{MIN_ENTRIES, PoolEntry, RequestId};
+use super::{MIN_ENTRIES, PoolEntry, Request, RequestId};
 use crate::limits::RetryBudget;
 
 impl PoolEntry {
@@ -15,7 +15,7 @@
             return true;
         }
         let service = request.service.clone();
-        let granted = self.budget(&service).reserve(now) && self.budget(&service).send(now);
+        let granted = self.budget(&service).reserve(now);
         self.log_retry(id, granted);
         if let Some(request) = self.requests.get_mut(&id) {
             request.retry_reserved = granted;
@@ -25,10 +25,19 @@
 
     /// Takes what a dispatch uses of the retry budget. Returns false if it may not be sent.
     pub(super) fn use_retry(&mut self, id: RequestId) -> bool {
+        let now = self.now;
         let Some(request) = self.requests.get_mut(&id) else { return false };
         let first = request.dispatches == 0;
         let reserved = std::mem::take(&mut request.retry_reserved);
-        first || reserved
+        let service = request.service.clone();
+        first || reserved && self.budget(&service).send(now)
+    }
+
+    /// Returns what a request that has ended had reserved.
+    pub(super) fn cancel_retry(&mut self, request: &Request) {
+        if request.retry_reserved {
+            self.budget(&request.service).cancel();
+        }
     }
 
     pub(super) fn budget(&mut self, service: &str) -> &mut RetryBudget {
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod poison_parts;
 mod preload;
 mod resume;
+mod retry_budget;
 mod side;
 mod simulated_loads;
 mod simulation;
