Decode the limit that an endpoint names, and log it when it is learnt, changed and lifted

Nothing acts on it yet. A response to an earlier request does not lift or change a limit that one to a later request named; a new incarnation starts without one.

--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     incarnation::{KnownIncarnation, StartTime},
+    limits::EndpointRate,
     liveness::Liveness,
     member::{Member, full_name},
     software::SoftwareKey,
@@ -130,6 +131,14 @@
     }
 }
 
+/// A limit on the requests of all entries together, named by an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct NamedLimit {
+    pub(crate) rate: EndpointRate,
+    /// When the request was dispatched whose response named it.
+    pub(crate) asked_at: Millis,
+}
+
 /// One endpoint.
 #[derive(Debug, Clone)]
 pub(crate) struct Endpoint {
@@ -147,6 +156,8 @@
     pub(crate) load: u32,
     /// Dispatches of this entry since the load was last reported.
     pub(crate) unreported: u32,
+    /// The limit that the endpoint names, if any.
+    pub(crate) limit: Option<NamedLimit>,
     pub(crate) avoid_until: Millis,
     /// Until when its side gets no further load requests, because it has just declined one.
     pub(crate) declined_until: Millis,
@@ -180,6 +191,7 @@
             own_requests: 0,
             load: 0,
             unreported: 0,
+            limit: None,
             avoid_until: Millis(0),
             declined_until: Millis(0),
             failure_rate: 0.0,
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -123,6 +123,9 @@
 
     pub(super) fn response_started(&mut self, id: RequestId, head: ResponseHead) {
         let now = self.now;
+        if !head.other_incarnation {
+            self.learn_limit(id, head.rate);
+        }
         let Some(request) = self.requests.get_mut(&id) else { return };
         let verdict = classify_response(head, request.retry_policy);
         // Once the caller has the head of a successful response, an endpoint's error response can
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod credit;
 mod demand;
 mod dispatch;
+mod endpoint_limits;
 mod load_requests;
 mod placement;
 mod preload;
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -13,8 +13,12 @@
 
 use super::crashes::EndpointCheck;
 use crate::{
-    config::ServingConfig, digest::RequestDigest, limits::LimitBounds, member::MemberChange,
-    organisation::KeyDigest, prompt::PromptPart,
+    config::ServingConfig,
+    digest::RequestDigest,
+    limits::{EndpointRate, LimitBounds},
+    member::MemberChange,
+    organisation::KeyDigest,
+    prompt::PromptPart,
 };
 
 /// Identifies a request within one process.
@@ -100,6 +104,8 @@
     pub other_incarnation: bool,
     /// Requests running or queued at the endpoint, if reported.
     pub load: Option<u32>,
+    /// Requests a second that the endpoint takes from all entries together, if it names a limit.
+    pub rate: Option<EndpointRate>,
 }
 
 impl ResponseHead {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -46,8 +46,8 @@
     },
     incarnation::StartTime,
     limits::{
-        Charge, Claim, CreditIssuer, CreditLedger, EntryRoster, LimitBounds, LimitUsage,
-        RetryBudget, Terms,
+        Charge, Claim, CreditIssuer, CreditLedger, EndpointRate, EntryRoster, LimitBounds,
+        LimitUsage, RetryBudget, Terms,
     },
     member::{HeldModel, Member, MemberChange},
     organisation::{KeyDigest, LimitUnit, Organisation, Organisations, UsageLimit},
--- a/crates/pool/src/limits/mod.rs
+++ b/crates/pool/src/limits/mod.rs
@@ -10,6 +10,7 @@
 //! on their own.
 
 mod bounds;
+mod endpoint_rate;
 mod issuer;
 mod ledger;
 mod peak;
@@ -19,6 +20,7 @@
 
 pub use self::{
     bounds::LimitBounds,
+    endpoint_rate::EndpointRate,
     issuer::{CreditIssuer, Terms},
     ledger::{Charge, Claim, CreditLedger, LimitUsage},
     peak::RecentPeak,
--- a/crates/pool/tests/all/resume.rs
+++ b/crates/pool/tests/all/resume.rs
@@ -17,6 +17,7 @@
     misdirected: false,
     other_incarnation: false,
     load: None,
+    rate: None,
 };
 
 /// An entry with engines that all have `m0` loaded and whose sides have reported.
