Add failing tests of limits that endpoints name

Real entries and sides before engines that name a limit, change it and count what comes, at 5, 21 and 68 entries, with kills, cuts and sides that start again. Listed until the cause is mended.

--- a/crates/pool/tests/all/limits/mod.rs
+++ b/crates/pool/tests/all/limits/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod credit;
+mod endpoints;
 mod entry;
 mod fleet;
 mod model;
