Send an endpoint no more than the limit that it names, over all entries

Cause: no process read the limit, and nothing that an endpoint says is kept by all entries together. The class is the retry budget's: a bound on a sum that each sender can only see its own part of.

An endpoint's limit is a bucket of the side that issues credit for organisations' limits: a dispatch takes one of it, whatever led to it, and without credit the request goes to another holder of its model, waits for credit, or is refused with the time until its turn (endpoint_limit). Limits are passed on through the issuer with their age, so that entries that heard nothing, or start, know them, and an older word changes nothing. Credit that is not wanted is given back.

Over processes, of 40 requests at two entries at once ten at most run.

--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -131,12 +131,13 @@
     }
 }
 
-/// A limit on the requests of all entries together, named by an endpoint.
+/// What an endpoint has said of a limit on the requests of all entries together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct NamedLimit {
-    pub(crate) rate: EndpointRate,
-    /// When the request was dispatched whose response named it.
-    pub(crate) asked_at: Millis,
+    /// `None` if it names none.
+    pub(crate) rate: Option<EndpointRate>,
+    /// When the request was dispatched whose response said so.
+    pub(crate) said_at: Millis,
 }
 
 /// One endpoint.
@@ -156,7 +157,7 @@
     pub(crate) load: u32,
     /// Dispatches of this entry since the load was last reported.
     pub(crate) unreported: u32,
-    /// The limit that the endpoint names, if any.
+    /// What the endpoint last said of a limit, if anything is known.
     pub(crate) limit: Option<NamedLimit>,
     pub(crate) avoid_until: Millis,
     /// Until when its side gets no further load requests, because it has just declined one.
@@ -238,6 +239,17 @@
         !self.member.leaving
     }
 
+    /// Returns whether it names a limit.
+    pub(crate) fn is_limited(&self) -> bool {
+        self.limit.is_some_and(|limit| limit.rate.is_some())
+    }
+
+    /// Returns whether what it said at `said_at` is newer than what is known of its limit, and of this
+    /// incarnation.
+    pub(crate) fn is_newer_word(&self, said_at: Millis) -> bool {
+        said_at >= self.known_since && self.limit.is_none_or(|limit| said_at >= limit.said_at)
+    }
+
     /// Returns the number of requests known to run or wait at the endpoint.
     pub(crate) fn load(&self) -> u32 {
         self.load.max(self.own_requests)
--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -128,6 +128,7 @@
             last_event: None,
             backup: None,
             has_progress: false,
+            limit_wanted: false,
             retry_reserved: false,
             queued: false,
             lost_runs: 0,
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -17,6 +17,8 @@
     Reload,
     /// All endpoints that can run it are full.
     Full,
+    /// Wait: all endpoints that can run it have got what they take, by the limits that they name.
+    Limited,
     /// Wait: the best endpoint has already received this entry's share of its free slots.
     Throttle,
     /// Refuse it: no endpoint can run it in time.
@@ -70,37 +72,47 @@
 impl PoolEntry {
     /// Selects the best endpoint for `request`, or what to do instead.
     pub(super) fn choose(&self, request: &Request) -> Choice {
-        let eligible =
-            self.pool.endpoints.values().filter(|endpoint| self.eligible(endpoint, request));
         let runs = self.service_runs(&request.service);
-        let costs = eligible.map(|endpoint| (self.cost(endpoint, request, runs), endpoint));
-        let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        let best = self.best_endpoint(request, |endpoint| self.permits(endpoint));
         let full = match request.required {
             Some(_) if request.is_late(self.now) => LATE_FULL,
             Some(_) => ENGINE_FULL,
             None => PLAIN_FULL,
         };
         match best {
-            Some((_, endpoint)) if self.prefers_reload(endpoint, request, runs) => Choice::Reload,
-            Some((_, endpoint))
-                if endpoint.load_ratio() < full && self.throttled(endpoint, request) =>
-            {
+            Some(endpoint) if self.prefers_reload(endpoint, request, runs) => Choice::Reload,
+            Some(endpoint) if endpoint.load_ratio() < full && self.throttled(endpoint, request) => {
                 Choice::Throttle
             }
-            Some((_, endpoint))
+            Some(endpoint)
                 if endpoint.load_ratio() < full && self.needs_confirmation(endpoint, request) =>
             {
                 Choice::Confirm(endpoint.member.instance.clone())
             }
-            Some((_, endpoint)) if endpoint.load_ratio() < full => {
+            Some(endpoint) if endpoint.load_ratio() < full => {
                 Choice::Dispatch(endpoint.member.instance.clone())
             }
             Some(_) => Choice::Full,
+            None if self.best_endpoint(request, |_| true).is_some() => Choice::Limited,
             None if request.required.is_some() => Choice::Load,
             None => Choice::Refuse(Reason::NoEndpoint),
         }
     }
 
+    /// Returns the endpoint of the lowest cost of those that can run a request and are `admitted`.
+    pub(super) fn best_endpoint(
+        &self,
+        request: &Request,
+        admitted: impl Fn(&Endpoint) -> bool,
+    ) -> Option<&Endpoint> {
+        let runs = self.service_runs(&request.service);
+        let endpoints = self.pool.endpoints.values();
+        let eligible =
+            endpoints.filter(|endpoint| self.eligible(endpoint, request) && admitted(endpoint));
+        let costs = eligible.map(|endpoint| (self.cost(endpoint, request, runs), endpoint));
+        costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, endpoint)| endpoint)
+    }
+
     /// Returns whether to load the adapter on another holder of the model, because the endpoint that
     /// has it is silent or runs too large a share of all requests.
     ///
@@ -143,6 +155,7 @@
         }
         let places = self.pool.endpoints.values().filter(|endpoint| {
             self.eligible(endpoint, request)
+                && self.permits(endpoint)
                 && endpoint.load_ratio() < LATE_FULL
                 && !endpoint.avoided(self.now)
                 && !self.needs_confirmation(endpoint, request)
--- a/crates/pool/src/entry/credit.rs
+++ b/crates/pool/src/entry/credit.rs
@@ -133,7 +133,7 @@
 
     /// Sends the report on limits that is due.
     pub(super) fn report_use(&mut self) {
-        if !self.has_limits() {
+        if !self.has_limits() && !self.ledger.has_endpoints(self.now) {
             return;
         }
         self.ledger.set_issuer(self.issuer());
@@ -168,7 +168,7 @@
     }
 
     /// Returns the number of entries, with those that a side has lost in silence.
-    fn known_entries(&self) -> u32 {
+    pub(super) fn known_entries(&self) -> u32 {
         let sides = self.pool.endpoints.values().filter_map(|endpoint| endpoint.side.as_ref());
         sides.map(|side| side.known_entries).max().unwrap_or(0).max(self.entries())
     }
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -46,6 +46,10 @@
         if !self.pool.endpoints.contains_key(instance) {
             return;
         }
+        if !self.use_limit(instance) {
+            // It waits on.
+            return;
+        }
         if !self.use_retry(id) {
             self.refuse(id, Reason::Full);
             return;
@@ -380,6 +384,7 @@
             Reason::Quarantined => Some(self.quarantine_ms(request)),
             Reason::OverLimit => request.limited.as_ref().map(|limited| limited.retry_ms),
             Reason::LimitUnknown => Some(LIMIT_UNKNOWN_RETRY_MS),
+            Reason::EndpointLimit => Some(self.limit_retry_ms(request)),
             // Any other entry can serve it at once.
             Reason::Stopping => Some(STOPPING_RETRY_MS),
             Reason::VersionUnknown
--- a/crates/pool/src/entry/endpoint_limits.rs
+++ b/crates/pool/src/entry/endpoint_limits.rs
@@ -1,9 +1,23 @@
 //! Limits that endpoints name for the requests of all entries together.
+//!
+//! A request goes to an endpoint with a limit only with credit of the side that issues it, like one of an
+//! organisation with a limit. While there is none, other holders of its model serve it.
 
+use citronrill_base::Millis;
 use citronrill_decide::LogEvent;
+use citronrill_wire::EndpointLimit;
 
-use super::{PoolEntry, RequestId};
-use crate::{endpoint::NamedLimit, limits::EndpointRate};
+use super::{PoolEntry, Reason, Request, RequestId, Stage};
+use crate::{
+    endpoint::{Endpoint, NamedLimit},
+    limits::{EndpointRate, Sharing},
+};
+
+/// Milliseconds by which the age of what an issuer passes on may be wrong.
+const TOLD_SLACK_MS: u64 = 100;
+/// Bounds of the retry time, in milliseconds, of requests that a limit holds back.
+const MIN_RETRY_MS: u64 = 500;
+const MAX_RETRY_MS: u64 = 8_000;
 
 impl PoolEntry {
     /// Takes over the limit that the endpoint named in its response to a request, or that it names none.
@@ -12,22 +26,135 @@
     /// to a later request named.
     pub(super) fn learn_limit(&mut self, id: RequestId, rate: Option<EndpointRate>) {
         let Some(request) = self.requests.get(&id) else { return };
-        let (asked_at, caller_id) = (request.sent_at, request.caller_id.clone());
+        let (said_at, caller_id) = (request.sent_at, request.caller_id.clone());
         let Some(instance) = request.instance.clone() else { return };
-        let Some(endpoint) = self.pool.endpoints.get_mut(&instance) else { return };
-        let known = endpoint.limit;
-        if known.is_some_and(|known| known.asked_at > asked_at) {
+        self.set_limit(&instance, rate, said_at, "id", &caller_id);
+    }
+
+    /// Takes over the limits that a side passes on.
+    pub(super) fn learn_told_limits(&mut self, limits: &[EndpointLimit]) {
+        for limit in limits {
+            let age_ms = limit.age_ms + TOLD_SLACK_MS;
+            let said_at = Millis(self.now.0.saturating_sub(age_ms));
+            let rate = limit.milli.map(|milli| EndpointRate { milli });
+            self.set_limit(&limit.instance, rate, said_at, "told_ms", &age_ms.to_string());
+        }
+    }
+
+    fn set_limit(
+        &mut self,
+        instance: &str,
+        rate: Option<EndpointRate>,
+        said_at: Millis,
+        source: &'static str,
+        name: &str,
+    ) {
+        let now = self.now;
+        let Some(endpoint) = self.pool.endpoints.get_mut(instance) else { return };
+        if !endpoint.is_newer_word(said_at) {
+            return;
+        }
+        let known = endpoint.limit.and_then(|known| known.rate);
+        if known.is_none() && rate.is_none() {
+            endpoint.limit = Some(NamedLimit { rate, said_at });
             return;
         }
-        endpoint.limit = rate.map(|rate| NamedLimit { rate, asked_at });
-        if known.map(|known| known.rate) == rate {
+        endpoint.limit = Some(NamedLimit { rate, said_at });
+        self.ledger.set_endpoint(instance, rate, said_at, now);
+        if known == rate {
             return;
         }
-        let event = LogEvent::new("endpoint_limit").with("instance", &instance);
+        let event = LogEvent::new("endpoint_limit").with("instance", instance);
         let event = match rate {
             Some(rate) => event.with("rate", rate),
             None => event.with("rate", "none"),
         };
-        self.log(event.with("id", caller_id));
+        self.log(event.with(source, name));
+    }
+
+    /// Forgets the limit of the previous incarnation of an endpoint.
+    pub(super) fn forget_limit(&mut self, instance: &str) {
+        self.ledger.forget_endpoint(instance);
+        if let Some(endpoint) = self.pool.endpoints.get_mut(instance) {
+            endpoint.limit = None;
+        }
+    }
+
+    /// Forgets the limits of endpoints that have left.
+    pub(super) fn forget_departed_limits(&mut self) {
+        let endpoints = &self.pool.endpoints;
+        self.ledger.retain_endpoints(|instance| endpoints.contains_key(instance));
+    }
+
+    fn sharing(&self) -> Sharing {
+        Sharing { entries: self.known_entries(), seed: self.profile.seed }
+    }
+
+    /// Returns whether a request may be dispatched to an endpoint now, as far as its limit is concerned.
+    pub(super) fn permits(&self, endpoint: &Endpoint) -> bool {
+        !endpoint.is_limited()
+            || self.ledger.permits_endpoint(&endpoint.member.instance, self.sharing(), self.now)
+    }
+
+    /// Takes what a dispatch to an instance uses of its limit; returns false if there is nothing left.
+    pub(super) fn use_limit(&mut self, instance: &str) -> bool {
+        let limited = self.pool.endpoints.get(instance).is_some_and(Endpoint::is_limited);
+        let sharing = self.sharing();
+        !limited || self.ledger.take_endpoint(instance, sharing, self.now)
+    }
+
+    /// Asks for credit for the endpoint that a request would be dispatched to, if it names a limit.
+    pub(super) fn want_limited(&mut self, id: RequestId) {
+        if !self.pool.endpoints.values().any(Endpoint::is_limited) {
+            return;
+        }
+        let Some(request) = self.requests.get(&id) else { return };
+        let best = self.best_endpoint(request, |_| true).filter(|endpoint| endpoint.is_limited());
+        let Some(instance) = best.map(|endpoint| endpoint.member.instance.clone()) else { return };
+        let first = !request.limit_wanted;
+        self.ledger.want_endpoint(&instance, first, self.now);
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.limit_wanted = true;
+        }
+    }
+
+    /// Keeps a request waiting for credit of the endpoints that could run it, unless it would come too late.
+    pub(super) fn await_limit_or_refuse(&mut self, id: RequestId) {
+        if let Some(base) = self.requests.get(&id).and_then(|request| request.base) {
+            self.count_miss(id, base);
+        }
+        let Some(request) = self.requests.get(&id) else { return };
+        let wait_ms = request.wait_ms(self.now);
+        if self.limit_wait_ms(id, request) > wait_ms || request.waited_too_long(self.now) {
+            self.refuse(id, Reason::EndpointLimit);
+        }
+    }
+
+    /// Returns the milliseconds until the limits of the endpoints that could run a request permit it, behind
+    /// those that wait here already.
+    fn limit_wait_ms(&self, id: RequestId, request: &Request) -> u64 {
+        let key = request.schedule_key(self.now);
+        let ahead = self.requests.range(..id).filter(|(_, other)| {
+            other.stage == Stage::Waiting
+                && other.service == request.service
+                && other.base == request.base
+                && other.schedule_key(self.now) <= key
+        });
+        let sharing = self.sharing();
+        let limited = self
+            .pool
+            .endpoints
+            .values()
+            .filter(|endpoint| endpoint.is_limited() && self.eligible(endpoint, request));
+        let rates =
+            limited.map(|endpoint| self.ledger.endpoint_rate(&endpoint.member.instance, sharing));
+        let ahead = ahead.count() as f64;
+        (ahead * 1_000.0 / rates.sum::<f64>().max(0.001)) as u64
+    }
+
+    /// Returns the milliseconds after which a request that limits held back may return.
+    pub(super) fn limit_retry_ms(&self, request: &Request) -> u64 {
+        let waiting = self.requests.last_key_value().map_or(RequestId(0), |(id, _)| *id);
+        self.limit_wait_ms(RequestId(waiting.0 + 1), request).clamp(MIN_RETRY_MS, MAX_RETRY_MS)
     }
 }
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -171,6 +171,8 @@
     backup: Option<String>,
     /// Whether the current response has delivered any bytes.
     has_progress: bool,
+    /// Whether credit has been asked for because of an endpoint's limit.
+    limit_wanted: bool,
     /// Whether its next dispatch is reserved in the retry budget.
     retry_reserved: bool,
     /// Number of runs whose connection broke.
@@ -431,6 +433,7 @@
 
     /// Handles a new incarnation of an endpoint: load requests to the previous one are void.
     fn handle_restart(&mut self, instance: &str, source: &'static str) {
+        self.forget_limit(instance);
         let Some(endpoint) = self.pool.endpoints.get(instance) else { return };
         let address = endpoint.member.address;
         let started = endpoint.started().map_or(0, |start| start.0);
@@ -477,6 +480,7 @@
                 self.track_software();
             }
             self.add_collector();
+            self.learn_told_limits(&state.endpoint_limits);
             self.update_store_limit();
             self.resolve_load_requests(address);
             self.schedule_waiting();
@@ -552,6 +556,8 @@
             self.request_trial(id);
             return;
         }
+        self.want_limited(id);
+        let Some(request) = self.requests.get(&id) else { return };
         match self.choose(request) {
             Choice::Dispatch(_) if self.needs_trial(request) => self.request_trial(id),
             Choice::Dispatch(instance) => self.dispatch(id, &instance, false),
@@ -566,6 +572,10 @@
                 self.queue_or_refuse(id);
             }
             Choice::Throttle => {}
+            Choice::Limited => {
+                self.mark_queued(id);
+                self.await_limit_or_refuse(id);
+            }
             Choice::Refuse(reason) => self.refuse(id, reason),
         }
     }
--- a/crates/pool/src/entry/resume.rs
+++ b/crates/pool/src/entry/resume.rs
@@ -90,6 +90,7 @@
             endpoint.member.instance != instance
                 && endpoint.software == software
                 && self.eligible(endpoint, request)
+                && !endpoint.is_limited()
                 && !endpoint.side_silent(self.now)
                 && !endpoint.liveness.maybe_stalled(self.now)
                 && !endpoint.avoided(self.now)
@@ -163,6 +164,7 @@
             endpoint.member.service == request.service
                 && request.fits_software(endpoint)
                 && endpoint.accepts_requests()
+                && self.permits(endpoint)
                 && endpoint.is_responsive(self.now)
         };
         backup.is_some_and(live)
--- a/crates/pool/src/entry/stalls.rs
+++ b/crates/pool/src/entry/stalls.rs
@@ -145,6 +145,7 @@
         self.pool.endpoints.values().any(|endpoint| {
             Some(&endpoint.member.instance) != request.instance.as_ref()
                 && self.eligible(endpoint, request)
+                && self.permits(endpoint)
                 && endpoint.load_ratio() < 1.0
         })
     }
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -40,6 +40,7 @@
         self.handle_membership(outcome);
         self.check_suspects();
         self.log_limits_kept();
+        self.forget_departed_limits();
         self.schedule_waiting();
         self.add_replicas();
         self.load_missed();
@@ -142,8 +143,9 @@
                 && request.runs == 0
                 && request.waited_too_long(self.now)
         });
-        let full =
-            |request: &Request| matches!(self.choose(request), Choice::Full | Choice::Throttle);
+        let full = |request: &Request| {
+            matches!(self.choose(request), Choice::Full | Choice::Throttle | Choice::Limited)
+        };
         let full = too_long.filter(|(_, request)| full(request));
         for id in full.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.refuse(id, Reason::Full);
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -268,6 +268,8 @@
     OverLimit,
     /// Whether its organisation is over its limit is unknown.
     LimitUnknown,
+    /// Every endpoint that could run it has got what it takes, by the limit that it names.
+    EndpointLimit,
 }
 
 impl Reason {
@@ -291,6 +293,7 @@
             Reason::VersionGone => "version_gone",
             Reason::OverLimit => "over_limit",
             Reason::LimitUnknown => "limit_unknown",
+            Reason::EndpointLimit => "endpoint_limit",
         }
     }
 
@@ -312,6 +315,7 @@
             | Reason::VersionUnknown
             | Reason::VersionGone
             | Reason::LimitUnknown
+            | Reason::EndpointLimit
             | Reason::Expired => 503,
             Reason::TimedOut => 504,
             Reason::Broken => 502,
--- a/crates/pool/src/limits/bounds.rs
+++ b/crates/pool/src/limits/bounds.rs
@@ -42,24 +42,30 @@
         self.overage * self.nominal(limit) + self.tolerance
     }
 
-    /// Returns the units a second that refill an issuer's bucket.
-    pub(super) fn refill(&self, limit: UsageLimit) -> f64 {
+    /// Returns what the bucket of an organisation with this limit holds and gets.
+    pub(super) fn terms(&self, limit: UsageLimit) -> BucketTerms {
         let window_s = self.window_ms as f64 / 1_000.0;
-        limit.rate as f64 + REFILL_SHARE * self.slack(limit) / window_s.max(1.0)
-    }
-
-    /// Returns the capacity of an issuer's bucket.
-    pub(super) fn capacity(&self, limit: UsageLimit) -> f64 {
-        limit.burst as f64 + CAPACITY_SHARE * self.slack(limit)
-    }
-
-    /// Returns the contents of the bucket of an issuer that has just taken over.
-    pub(super) fn start(&self, limit: UsageLimit) -> f64 {
-        START_SHARE * self.slack(limit)
+        let slack = self.slack(limit);
+        BucketTerms {
+            window_ms: self.window_ms,
+            refill: limit.rate as f64 + REFILL_SHARE * slack / window_s.max(1.0),
+            capacity: limit.burst as f64 + CAPACITY_SHARE * slack,
+            start: START_SHARE * slack,
+            alone: ALONE_SHARE * slack,
+        }
     }
+}
 
-    /// Returns the units that one of `entries` entries may use in a window without an issuer.
-    pub(super) fn alone(&self, limit: UsageLimit, entries: u32) -> f64 {
-        ALONE_SHARE * self.slack(limit) / f64::from(entries.max(1))
-    }
+/// What an issuer's bucket holds and gets, and what is admitted without an issuer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct BucketTerms {
+    /// Milliseconds of the window in which the sum is bounded.
+    pub(super) window_ms: u64,
+    /// Units a second.
+    pub(super) refill: f64,
+    pub(super) capacity: f64,
+    /// Contents of the bucket of an issuer that has just taken over.
+    pub(super) start: f64,
+    /// Units in a window over all entries that have no issuer.
+    pub(super) alone: f64,
 }
--- a/crates/pool/src/limits/issuer.rs
+++ b/crates/pool/src/limits/issuer.rs
@@ -1,13 +1,10 @@
 //! Issues credit to entries.
 
 use citronrill_base::{Map, Millis};
-use citronrill_wire::{Credit, CreditReply, CreditReport, OrganisationUse};
+use citronrill_wire::{Credit, CreditReply, CreditReport, EndpointLimit, LimitUse};
 
-use super::LimitBounds;
-use crate::{
-    organisation::{Organisations, UsageLimit},
-    side::EntryLink,
-};
+use super::{EndpointRate, LimitBounds, bounds::BucketTerms, key::LimitKey, told::ToldLimits};
+use crate::{organisation::Organisations, side::EntryLink};
 
 /// Milliseconds after its last report for which an entry counts as a client: entries report every
 /// 500 ms.
@@ -18,19 +15,32 @@
 /// Share of a bucket's contents that is divided evenly among all entries, so that the first requests of
 /// an organisation at an entry do not wait for credit.
 const EVEN_SHARE: f64 = 0.25;
+/// Thousandths in one.
+const MILLI: f64 = 1_000.0;
 
 /// What credit is issued by.
 #[derive(Debug, Clone, Copy)]
 pub struct Terms<'a> {
-    /// The organisations and their limits.
-    pub organisations: &'a Organisations,
+    /// The organisations and their limits; `None` if there are none or none are known.
+    pub organisations: Option<&'a Organisations>,
     /// By how much the limits may be exceeded.
     pub bounds: &'a LimitBounds,
     /// Number of entries that the issuer knows of.
     pub entries: u32,
 }
 
-/// Divides each organisation's token bucket among the entries.
+impl Terms<'_> {
+    /// Returns the terms of the bucket of a limit; `None` if there is no such limit.
+    fn bucket_terms(&self, limit_use: &LimitUse) -> Option<BucketTerms> {
+        if let Some(limit) = &limit_use.endpoint {
+            return limit.milli.map(|milli| EndpointRate { milli }.terms());
+        }
+        let organisation = self.organisations?.named(&limit_use.name)?;
+        organisation.limit.map(|limit| self.bounds.terms(limit))
+    }
+}
+
+/// Divides the token bucket of each organisation, and of each endpoint that names a limit, among the entries.
 ///
 /// Two sides may issue credit at the same time while some entries cannot reach one of them. Each
 /// refills its buckets in proportion to the entries that report to it, so that both together stay
@@ -38,7 +48,8 @@
 #[derive(Debug, Default)]
 pub struct CreditIssuer {
     clients: Map<EntryLink, Client>,
-    buckets: Map<String, Bucket>,
+    buckets: Map<LimitKey, Bucket>,
+    told: ToldLimits,
     /// When an entry last began to report here: it may have used other credit before.
     joined_at: Option<Millis>,
 }
@@ -50,7 +61,7 @@
     entries: u32,
 }
 
-/// One organisation's bucket. Its contents include the credit that entries hold.
+/// The bucket of one limit. Its contents include the credit that entries hold.
 #[derive(Debug)]
 struct Bucket {
     contents: f64,
@@ -78,33 +89,39 @@
         terms: Terms<'_>,
         now: Millis,
     ) -> CreditReply {
-        let Terms { organisations, bounds, entries } = terms;
         self.add_client(link, report.entries, now);
-        let reach = self.reach(entries);
-        let settled = self.joined_at.is_some_and(|at| now.since(at) >= bounds.window_ms);
+        let reach = self.reach(terms.entries);
+        let settled = self.joined_at.is_some_and(|at| now.since(at) >= terms.bounds.window_ms);
         let mut credits = Vec::new();
-        for entry_use in &report.uses {
-            let name = &entry_use.organisation;
-            let limit = organisations.named(name).and_then(|organisation| organisation.limit);
-            let Some(limit) = limit else {
-                self.buckets.remove(name);
+        for limit_use in &report.uses {
+            if let Some(limit) = &limit_use.endpoint {
+                self.told.record(limit, now);
+            }
+            let key = LimitKey::from(limit_use);
+            let Some(bucket_terms) = terms.bucket_terms(limit_use) else {
+                self.buckets.remove(&key);
                 continue;
             };
-            let bucket = self.buckets.entry(name.clone()).or_insert_with(|| {
-                // All entries have reported here for a window, and none has used the limit.
-                let contents = if settled { bounds.capacity(limit) } else { bounds.start(limit) };
-                Bucket::new(contents, now)
-            });
-            bucket.refill(limit, bounds, reach.share, now);
+            // All entries have reported here for a window, and none has used the limit. What an endpoint got
+            // before it named one is unknown.
+            let full = settled && !key.is_endpoint();
+            let contents = if full { bucket_terms.capacity } else { bucket_terms.start };
+            let bucket = self.buckets.entry(key).or_insert_with(|| Bucket::new(contents, now));
+            bucket.refill(&bucket_terms, reach.share, now);
             if report.first {
                 bucket.forget(link);
             }
-            bucket.settle(link, entry_use);
-            credits.push(bucket.issue(link, entry_use, bounds.refill(limit), reach));
+            bucket.settle(link, limit_use);
+            credits.push(bucket.issue(link, limit_use, bucket_terms.refill, reach));
         }
         CreditReply { number: report.number, credits }
     }
 
+    /// Returns the limits that endpoints have named or lifted of late, as entries have told.
+    pub fn endpoint_limits(&self, now: Millis) -> Vec<EndpointLimit> {
+        self.told.list(now)
+    }
+
     /// Forgets an entry whose connection has ended.
     pub fn remove(&mut self, link: EntryLink) {
         self.clients.remove(&link);
@@ -142,10 +159,10 @@
         Bucket { contents, refilled_at: now, held: 0.0, wanted: 0.0, holders: Map::default() }
     }
 
-    fn refill(&mut self, limit: UsageLimit, bounds: &LimitBounds, share: f64, now: Millis) {
+    fn refill(&mut self, terms: &BucketTerms, share: f64, now: Millis) {
         let elapsed_s = now.since(self.refilled_at) as f64 / 1_000.0;
-        let capacity = (bounds.capacity(limit) * share).max(bounds.start(limit));
-        let refilled = self.contents + bounds.refill(limit) * share * elapsed_s;
+        let capacity = (terms.capacity * share).max(terms.start);
+        let refilled = self.contents + terms.refill * share * elapsed_s;
         self.contents = refilled.min(capacity);
         self.refilled_at = now;
     }
@@ -160,7 +177,7 @@
     }
 
     /// Takes what an entry used since its last report out of the bucket.
-    fn settle(&mut self, link: EntryLink, report: &OrganisationUse) {
+    fn settle(&mut self, link: EntryLink, report: &LimitUse) {
         // What it used before its first report was not credit of this side.
         let first = Holder { used: report.used, ..Holder::default() };
         let holder = self.holders.entry(link).or_insert(first);
@@ -173,13 +190,7 @@
 
     /// Gives an entry what its waiting requests need, as far as it is there, and some for requests to
     /// come while much is left.
-    fn issue(
-        &mut self,
-        link: EntryLink,
-        report: &OrganisationUse,
-        refill: f64,
-        reach: Reach,
-    ) -> Credit {
+    fn issue(&mut self, link: EntryLink, report: &LimitUse, refill: f64, reach: Reach) -> Credit {
         let mut holder = self.holders.get(&link).copied().unwrap_or_default();
         let free = (self.contents - self.held).max(0.0);
         // In addition to what the entry holds: requests that arrive meanwhile take from that.
@@ -192,7 +203,9 @@
         self.held += more;
         self.holders.insert(link, holder);
         let fair = holder.wanted / self.wanted.max(1.0);
-        let rate = (refill * reach.share * fair) as u64;
-        Credit { organisation: report.organisation.clone(), units: holder.held as u64, rate }
+        let endpoint = report.endpoint.is_some();
+        let scale = if endpoint { MILLI } else { 1.0 };
+        let rate = (refill * reach.share * fair * scale) as u64;
+        Credit { name: report.name.clone(), endpoint, units: holder.held as u64, rate }
     }
 }
--- a/crates/pool/src/limits/ledger.rs
+++ b/crates/pool/src/limits/ledger.rs
@@ -4,9 +4,9 @@
 
 use citronrill_base::{Map, Millis};
 use citronrill_decide::LogEvent;
-use citronrill_wire::{CreditReply, CreditReport, OrganisationUse};
+use citronrill_wire::{CreditReply, CreditReport, LimitUse};
 
-use super::LimitBounds;
+use super::{LimitBounds, bounds::BucketTerms, endpoint_credit::EndpointAccount, key::LimitKey};
 use crate::{decaying_count::DecayingCount, organisation::UsageLimit};
 
 /// Milliseconds between two reports to the issuer when nothing changes.
@@ -26,6 +26,8 @@
 const LOW_SHARE: f64 = 0.4;
 /// Decay time of the rate of use, in milliseconds.
 const USE_DECAY_MS: f64 = 1_000.0;
+/// Recent requests below which credit for an endpoint is returned: one request, half a second ago.
+const UNWANTED: f64 = 0.6;
 /// Milliseconds without a refusal after which an organisation is within its limit again.
 const WITHIN_MS: u64 = 2_000;
 /// Longest retry time, in milliseconds.
@@ -72,11 +74,11 @@
     pub left: u64,
 }
 
-/// The credit that an entry holds, by organisation.
+/// The credit that an entry holds, by limit.
 #[derive(Debug, Default)]
 pub struct CreditLedger {
     bounds: LimitBounds,
-    accounts: Map<Arc<str>, Account>,
+    pub(super) accounts: Map<LimitKey, Account>,
     issuer: Option<SocketAddr>,
     /// Whether the credit that is held came from another issuer.
     foreign: bool,
@@ -87,12 +89,14 @@
     /// Number of the last report that was replied to.
     replied: u64,
     /// Whether credit is needed before the next heartbeat.
-    needed: bool,
+    pub(super) needed: bool,
 }
 
 #[derive(Debug)]
-struct Account {
-    limit: UsageLimit,
+pub(super) struct Account {
+    pub(super) terms: BucketTerms,
+    /// Set if the limit is an endpoint's.
+    pub(super) endpoint: Option<EndpointAccount>,
     used: i64,
     /// `used` in the last report.
     reported: i64,
@@ -100,10 +104,10 @@
     /// configuration may not know it.
     answered: u64,
     /// Units of credit left.
-    held: f64,
-    lapses_at: Millis,
+    pub(super) held: f64,
+    pub(super) lapses_at: Millis,
     /// Units of requests that wait for credit.
-    waiting: u64,
+    pub(super) waiting: u64,
     /// Units asked for of late, and requests.
     recent_units: DecayingCount,
     recent_requests: DecayingCount,
@@ -111,7 +115,7 @@
     alone: f64,
     alone_at: Millis,
     /// Units a second that the issuer last promised.
-    rate: f64,
+    pub(super) rate: f64,
     /// Units for which refused callers were told to return.
     returning: f64,
     returning_at: Millis,
@@ -138,9 +142,10 @@
     /// Takes credit for a request; `entries` is the number of entries in the deployment.
     pub fn charge(&mut self, claim: &Claim, entries: u32, now: Millis) -> Charge {
         let Claim { limit, units, asked, .. } = *claim;
-        let name = claim.organisation.clone();
-        let account = self.accounts.entry(name).or_insert_with(|| Account::new(limit, now));
-        account.limit = limit;
+        let key = LimitKey::Organisation(claim.organisation.clone());
+        let terms = self.bounds.terms(limit);
+        let account = self.accounts.entry(key).or_insert_with(|| Account::new(terms, now));
+        account.terms = terms;
         if asked.is_none() {
             account.record_demand(units, now);
         } else {
@@ -154,7 +159,7 @@
             return Charge::Over(account.refuse(units, now));
         }
         let waited = now.since(claim.arrived);
-        if waited >= REPLY_TIMEOUT_MS && account.take_alone(units, &self.bounds, entries, now) {
+        if waited >= REPLY_TIMEOUT_MS && account.take_alone(units, entries, now) {
             return Charge::Taken;
         }
         if waited >= MAX_WAIT_MS {
@@ -167,7 +172,7 @@
 
     /// Returns the credit of a request that did not run and never will.
     pub fn refund(&mut self, organisation: &str, units: u64) {
-        if let Some(account) = self.accounts.get_mut(organisation) {
+        if let Some(account) = self.organisation(organisation) {
             account.used -= units as i64;
             account.held += units as f64;
         }
@@ -175,7 +180,7 @@
 
     /// Handles a request that stopped waiting for credit.
     pub fn withdraw(&mut self, organisation: &str, units: u64) {
-        if let Some(account) = self.accounts.get_mut(organisation) {
+        if let Some(account) = self.organisation(organisation) {
             account.remove_waiting(units);
         }
     }
@@ -195,7 +200,7 @@
         self.sent_at = Some(now);
         self.needed = false;
         let first = self.foreign;
-        let uses = self.accounts.iter_mut().map(|(name, account)| account.report(name, first, now));
+        let uses = self.accounts.iter_mut().map(|(key, account)| account.report(key, first, now));
         let uses = uses.collect();
         Some((issuer, CreditReport { number: self.number, entries, first, uses }))
     }
@@ -211,12 +216,13 @@
         self.replied = reply.number;
         self.foreign = false;
         for credit in &reply.credits {
-            if let Some(account) = self.accounts.get_mut(credit.organisation.as_str()) {
+            if let Some(account) = self.accounts.get_mut(&LimitKey::from(credit)) {
                 let used_since = (account.used - account.reported) as f64;
                 account.held = credit.units as f64 - used_since;
                 account.lapses_at = sent_at + LAPSE_MS;
                 account.answered = reply.number;
                 account.rate = credit.rate as f64;
+                account.endpoint_answered();
             }
         }
         true
@@ -224,13 +230,13 @@
 
     /// Returns the log lines for organisations that are within their limits again.
     pub fn take_recovered(&mut self, now: Millis) -> Vec<LogEvent> {
-        let recovered = self.accounts.iter_mut().filter_map(|(name, account)| {
+        let recovered = self.accounts.iter_mut().filter_map(|(key, account)| {
             let refused_at = account.refused_at?;
             if now.since(refused_at) < WITHIN_MS {
                 return None;
             }
             account.refused_at = None;
-            let event = LogEvent::new("limit_kept").with("org", name);
+            let event = LogEvent::new("limit_kept").with("org", key.name());
             Some(event.with("refused", account.refused).with("used", account.used))
         });
         recovered.collect()
@@ -238,13 +244,19 @@
 
     /// Returns whether requests of an organisation are being refused.
     pub fn is_over(&self, organisation: &str) -> bool {
-        self.accounts.get(organisation).is_some_and(|account| account.refused_at.is_some())
+        let key = LimitKey::Organisation(organisation.into());
+        self.accounts.get(&key).is_some_and(|account| account.refused_at.is_some())
+    }
+
+    fn organisation(&mut self, name: &str) -> Option<&mut Account> {
+        self.accounts.get_mut(&LimitKey::Organisation(name.into()))
     }
 
     /// Returns what was counted for each organisation.
     pub fn usage(&self) -> impl Iterator<Item = LimitUsage> {
-        self.accounts.iter().map(|(name, account)| LimitUsage {
-            organisation: name.clone(),
+        let organisations = self.accounts.iter().filter(|(key, _)| !key.is_endpoint());
+        organisations.map(|(key, account)| LimitUsage {
+            organisation: key.name().clone(),
             used: account.used.max(0) as u64,
             refused: account.refused,
             left: account.held.max(0.0) as u64,
@@ -253,9 +265,10 @@
 }
 
 impl Account {
-    fn new(limit: UsageLimit, now: Millis) -> Account {
+    pub(super) fn new(terms: BucketTerms, now: Millis) -> Account {
         Account {
-            limit,
+            terms,
+            endpoint: None,
             used: 0,
             reported: 0,
             answered: 0,
@@ -278,7 +291,7 @@
         self.waiting = self.waiting.saturating_sub(units);
     }
 
-    fn record_demand(&mut self, units: u64, now: Millis) {
+    pub(super) fn record_demand(&mut self, units: u64, now: Millis) {
         self.recent_units.add_weight(units as f64, USE_DECAY_MS, now);
         self.recent_requests.add(USE_DECAY_MS, now);
     }
@@ -291,13 +304,13 @@
         mean_units * (requests - 1.0).max(0.0) * HORIZON_MS / USE_DECAY_MS
     }
 
-    fn drop_lapsed(&mut self, now: Millis) {
+    pub(super) fn drop_lapsed(&mut self, now: Millis) {
         if now >= self.lapses_at {
             self.held = 0.0;
         }
     }
 
-    fn take(&mut self, units: u64, now: Millis) -> bool {
+    pub(super) fn take(&mut self, units: u64, now: Millis) -> bool {
         self.drop_lapsed(now);
         let enough = units as f64 <= self.held;
         if enough {
@@ -312,10 +325,11 @@
     }
 
     /// Takes units without credit, within this entry's part of the slack.
-    fn take_alone(&mut self, units: u64, bounds: &LimitBounds, entries: u32, now: Millis) -> bool {
+    fn take_alone(&mut self, units: u64, entries: u32, now: Millis) -> bool {
         // A bucket that is refilled once in a window gives at most twice its capacity in one.
-        let capacity = bounds.alone(self.limit, entries) / 2.0;
-        let refill = capacity * now.since(self.alone_at) as f64 / bounds.window_ms.max(1) as f64;
+        let capacity = self.terms.alone / f64::from(entries.max(1)) / 2.0;
+        let refill =
+            capacity * now.since(self.alone_at) as f64 / self.terms.window_ms.max(1) as f64;
         self.alone = (self.alone + refill).min(capacity);
         self.alone_at = now;
         let enough = units as f64 <= self.alone;
@@ -338,15 +352,26 @@
         (ms.ceil() as u64).clamp(1, MAX_RETRY_MS)
     }
 
-    fn report(&mut self, name: &str, foreign: bool, now: Millis) -> OrganisationUse {
+    fn report(&mut self, key: &LimitKey, foreign: bool, now: Millis) -> LimitUse {
         self.drop_lapsed(now);
+        let ahead = self.ahead(now) as u64;
+        if key.is_endpoint() && ahead == 0 && self.waiting == 0 && self.unwanted(now) {
+            // Others can use it: an endpoint's bucket holds a few requests.
+            self.held = 0.0;
+        }
         self.reported = self.used;
-        OrganisationUse {
-            organisation: name.to_owned(),
+        LimitUse {
+            name: key.name().to_string(),
+            endpoint: self.endpoint.as_ref().map(|endpoint| endpoint.limit(key.name(), now)),
             used: self.used,
             held: if foreign { 0 } else { self.held.max(0.0) as u64 },
             waiting: self.waiting,
-            ahead: self.ahead(now) as u64,
+            ahead,
         }
     }
+
+    /// Returns whether nothing has been asked for of late.
+    fn unwanted(&self, now: Millis) -> bool {
+        self.recent_requests.decayed(USE_DECAY_MS, now) < UNWANTED
+    }
 }
--- a/crates/pool/src/limits/mod.rs
+++ b/crates/pool/src/limits/mod.rs
@@ -10,16 +10,20 @@
 //! on their own.
 
 mod bounds;
+mod endpoint_credit;
 mod endpoint_rate;
 mod issuer;
+mod key;
 mod ledger;
 mod peak;
 mod retries;
 mod roster;
 mod share;
+mod told;
 
 pub use self::{
     bounds::LimitBounds,
+    endpoint_credit::Sharing,
     endpoint_rate::EndpointRate,
     issuer::{CreditIssuer, Terms},
     ledger::{Charge, Claim, CreditLedger, LimitUsage},
--- a/crates/pool/src/side/credit.rs
+++ b/crates/pool/src/side/credit.rs
@@ -3,7 +3,7 @@
 use std::net::IpAddr;
 
 use citronrill_base::Map;
-use citronrill_wire::{CreditReply, CreditReport};
+use citronrill_wire::{CreditReport, EndpointLimit};
 
 use super::{EntryLink, PoolSide, SideEffect};
 use crate::limits::{CreditIssuer, EntryRoster, LimitBounds, Terms};
@@ -37,19 +37,19 @@
         self.limits.roster.count(self.now)
     }
 
+    /// Returns the limits that endpoints have named or lifted of late.
+    pub(super) fn endpoint_limits(&self) -> Vec<EndpointLimit> {
+        self.limits.issuer.endpoint_limits(self.now)
+    }
+
     /// Replies to an entry's report with the credit that it gets.
     pub(super) fn issue_credit(&mut self, link: EntryLink, report: &CreditReport) {
         let entries = self.known_entries();
         let config = self.config.clone();
         let organisations = config.as_ref().and_then(|config| config.organisations.as_ref());
-        let reply = match organisations {
-            Some(organisations) => {
-                let Limits { bounds, issuer, .. } = &mut self.limits;
-                issuer.report(link, report, Terms { organisations, bounds, entries }, self.now)
-            }
-            // This side has an older configuration than the entry, and knows of no limits.
-            None => CreditReply { number: report.number, credits: Vec::new() },
-        };
+        let Limits { bounds, issuer, .. } = &mut self.limits;
+        let terms = Terms { organisations, bounds, entries };
+        let reply = issuer.report(link, report, terms, self.now);
         self.effects.push(SideEffect::Credit(link, reply));
     }
 }
--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -447,6 +447,7 @@
             queued: report.queued,
             kv_used_milli: report.kv_used_milli,
             entries: self.entries,
+            endpoint_limits: self.endpoint_limits(),
             healthy: self.now.since(self.reported_at) <= UNHEALTHY_MS,
             load_eta_ms: self.load_eta_ms(report),
             order_eta_ms: self.order_eta_ms(report),
--- a/crates/pool/src/side/report.rs
+++ b/crates/pool/src/side/report.rs
@@ -24,6 +24,10 @@
             .map(|model| (model.name.clone(), model.adapters.clone(), model.pinned));
         models.collect::<Vec<_>>()
     };
+    let limits = |state: &SideState| {
+        let limits = state.endpoint_limits.iter();
+        limits.map(|limit| (limit.instance.clone(), limit.milli)).collect::<Vec<_>>()
+    };
     a.sequence == b.sequence
         && a.loading == b.loading
         && a.evicting == b.evicting
@@ -34,6 +38,7 @@
         && a.instance == b.instance
         && a.started == b.started
         && a.config_version == b.config_version
+        && limits(a) == limits(b)
         && names(a) == names(b)
 }
 
--- a/crates/pool/tests/all/limits/credit.rs
+++ b/crates/pool/tests/all/limits/credit.rs
@@ -10,7 +10,7 @@
     Charge, Claim, CreditIssuer, CreditLedger, EntryLink, EntryRoster, Organisations, Terms,
     UsageLimit,
 };
-use citronrill_wire::{Credit, CreditReply, CreditReport, OrganisationUse};
+use citronrill_wire::{Credit, CreditReply, CreditReport, LimitUse};
 
 use super::fleet::{BOUNDS, limit, name, organisations};
 use crate::support::address;
@@ -50,8 +50,9 @@
         first: bool,
     ) -> u64 {
         self.number += 1;
-        let uses = held_and_waiting.map(|(held, waiting)| OrganisationUse {
-            organisation: name(0).to_string(),
+        let uses = held_and_waiting.map(|(held, waiting)| LimitUse {
+            name: name(0).to_string(),
+            endpoint: None,
             used: 0,
             held,
             waiting,
@@ -60,7 +61,7 @@
         let entries = entries as u32;
         let report =
             CreditReport { number: self.number, entries, first, uses: uses.into_iter().collect() };
-        let terms = Terms { organisations: &self.organisations, bounds: &BOUNDS, entries };
+        let terms = Terms { organisations: Some(&self.organisations), bounds: &BOUNDS, entries };
         let reply = self.issuer.report(EntryLink(entry), &report, terms, Millis(self.now));
         reply.credits.first().map_or(0, |credit| credit.units)
     }
@@ -111,7 +112,7 @@
     assert!(matches!(ledger.charge(&claim(1, now, None), 2, Millis(now)), Charge::Wait(_)));
     ledger.withdraw(&name(0), 1);
     let (_, report) = ledger.take_report(2, Millis(now)).unwrap();
-    let credits = vec![Credit { organisation: name(0).to_string(), units, rate: 1_000 }];
+    let credits = vec![Credit { endpoint: false, name: name(0).to_string(), units, rate: 1_000 }];
     assert!(ledger.apply(address(1), &CreditReply { number: report.number, credits }));
     report
 }
@@ -185,7 +186,8 @@
 fn a_reply_counts_once() {
     let mut ledger = ledger();
     let report = get_credit(&mut ledger, 500, 1_000);
-    let credits = vec![Credit { organisation: name(0).to_string(), units: 500, rate: 1_000 }];
+    let credits =
+        vec![Credit { endpoint: false, name: name(0).to_string(), units: 500, rate: 1_000 }];
     let again = CreditReply { number: report.number, credits };
     let organisation: Arc<str> = name(0);
     assert_eq!(ledger.charge(&claim(400, 1_010, None), 2, Millis(1_010)), Charge::Taken);
--- a/crates/pool/tests/all/limits/endpoints.rs
+++ b/crates/pool/tests/all/limits/endpoints.rs
@@ -165,11 +165,17 @@
     fn disconnect(&mut self, entry: usize, side: usize, silent: bool) {
         if let Some(link) = self.entries[entry].links[side].take() {
             self.step_side(side, SideEvent::EntryLost(link, silent));
+            self.count_entries(side);
             let loss = if silent { SideLoss::Silent } else { SideLoss::Closed };
             self.step_entry(entry, EntryEvent::SideLost(address(side as u8), loss));
         }
     }
 
+    fn count_entries(&mut self, side: usize) {
+        let linked = self.entries.iter().filter(|node| node.links[side].is_some()).count();
+        self.step_side(side, SideEvent::EntryCount(linked as u32));
+    }
+
     fn connect(&mut self) {
         for entry in 0..self.entries.len() {
             for side in 0..ENGINES {
@@ -184,8 +190,12 @@
                     self.entries[entry].links[side] = Some(link);
                     let connected = SideEvent::EntryConnected(link, ip(entry));
                     self.step_side(side, connected);
+                    self.count_entries(side);
                     if let Some(state) = self.sides[side].state() {
-                        self.to_entry(entry, EntryEvent::SideReport(address(side as u8), state));
+                        self.post_to_entry(
+                            entry,
+                            EntryEvent::SideReport(address(side as u8), state),
+                        );
                     }
                 }
             }
@@ -205,12 +215,12 @@
         if self.rng.random_bool(0.01) { self.rng.random_range(1..100) } else { 1 }
     }
 
-    fn to_entry(&mut self, entry: usize, event: EntryEvent) {
+    fn post_to_entry(&mut self, entry: usize, event: EntryEvent) {
         let (started, hop) = (self.entries[entry].started, self.hop());
         self.post(hop, Input::Entry(entry, started, event));
     }
 
-    fn to_side(&mut self, entry: usize, side: usize, event: impl Fn(EntryLink) -> SideEvent) {
+    fn post_to_side(&mut self, entry: usize, side: usize, event: impl Fn(EntryLink) -> SideEvent) {
         let link = self.entries[entry].links[side].filter(|_| !self.is_cut(entry, side));
         if let Some(link) = link {
             let hop = self.hop();
@@ -293,19 +303,19 @@
                     *self.refused.entry(refusal.reason.as_str()).or_default() += 1;
                 }
                 EntryEffect::Probe(at) if !self.is_cut(entry, side_at(at)) => {
-                    self.to_entry(entry, EntryEvent::ProbeReply(at));
+                    self.post_to_entry(entry, EntryEvent::ProbeReply(at));
                 }
                 EntryEffect::CreditReport(at, report) => {
                     let event = |link| SideEvent::CreditReport(link, report.clone());
-                    self.to_side(entry, side_at(at), event);
+                    self.post_to_side(entry, side_at(at), event);
                 }
                 EntryEffect::Suspects(at, message) => {
                     let event = |link| SideEvent::Suspects(link, message.clone());
-                    self.to_side(entry, side_at(at), event);
+                    self.post_to_side(entry, side_at(at), event);
                 }
                 EntryEffect::LoadRequest(at, request) => {
                     let event = |link| SideEvent::LoadRequest(link, request.clone());
-                    self.to_side(entry, side_at(at), event);
+                    self.post_to_side(entry, side_at(at), event);
                 }
                 _ => {}
             }
@@ -334,18 +344,18 @@
                         let linked = self.entries[entry].links[side].is_some();
                         if linked && !self.is_cut(entry, side) {
                             let event = EntryEvent::SideReport(from, state.clone());
-                            self.to_entry(entry, event);
+                            self.post_to_entry(entry, event);
                         }
                     }
                 }
                 SideEffect::Credit(link, reply) => {
                     if let Some(entry) = entry_of(self, link) {
-                        self.to_entry(entry, EntryEvent::Credit(from, reply));
+                        self.post_to_entry(entry, EntryEvent::Credit(from, reply));
                     }
                 }
                 SideEffect::Suspects(link, message) => {
                     if let Some(entry) = entry_of(self, link) {
-                        self.to_entry(entry, EntryEvent::Suspects(from, message));
+                        self.post_to_entry(entry, EntryEvent::Suspects(from, message));
                     }
                 }
                 _ => {}
--- a/crates/pool/tests/all/limits/entry.rs
+++ b/crates/pool/tests/all/limits/entry.rs
@@ -38,7 +38,7 @@
 /// Replies to the last report among the effects with this credit.
 fn reply(bench: &mut Bench, effects: &[EntryEffect], units: u64) -> Vec<EntryEffect> {
     let number = report(effects).unwrap().number;
-    let credits = vec![Credit { organisation: "north".to_owned(), units, rate: 1_000 }];
+    let credits = vec![Credit { endpoint: false, name: "north".to_owned(), units, rate: 1_000 }];
     bench.step(EntryEvent::Credit(address(1), CreditReply { number, credits }))
 }
 
@@ -57,7 +57,7 @@
     let (_, effects) = request(&mut bench);
     assert!(dispatch(&effects).is_none() && refusal(&effects).is_none());
     let uses = &report(&effects).unwrap().uses;
-    assert_eq!((uses[0].organisation.as_str(), uses[0].used), ("north", 0));
+    assert_eq!((uses[0].name.as_str(), uses[0].used), ("north", 0));
     assert_eq!(uses[0].waiting, 200, "a request that declares no tokens counts as 200");
     let effects = reply(&mut bench, &effects, 500);
     assert!(dispatch(&effects).is_some());
--- a/crates/pool/tests/all/limits/fleet.rs
+++ b/crates/pool/tests/all/limits/fleet.rs
@@ -338,7 +338,7 @@
                     let node = &mut self.sides[side];
                     let organisations = node.organisations.clone().unwrap();
                     let terms = Terms {
-                        organisations: &organisations,
+                        organisations: Some(&organisations),
                         bounds: &BOUNDS,
                         entries: node.roster.count(now),
                     };
--- a/crates/pool/tests/all/limits/mod.rs
+++ b/crates/pool/tests/all/limits/mod.rs
@@ -1,5 +1,6 @@
 //! Limits on the use of organisations, over all entries.
 
+mod alone;
 mod budget;
 mod credit;
 mod endpoints;
--- a/crates/wire/src/credit.rs
+++ b/crates/wire/src/credit.rs
@@ -1,4 +1,4 @@
-//! Messages about the limits on organisations' use.
+//! Messages about limits on the use of all entries together: of organisations, and of endpoints.
 
 use prost::Message;
 
@@ -14,17 +14,20 @@
     /// Whether the entry has credit of another side, or none, and gets its first credit from this side.
     #[prost(bool, tag = "4")]
     pub first: bool,
-    /// Use by organisation.
+    /// Use by limit.
     #[prost(message, repeated, tag = "3")]
-    pub uses: Vec<OrganisationUse>,
+    pub uses: Vec<LimitUse>,
 }
 
-/// An entry's use of one organisation's limit.
+/// An entry's use of one limit.
 #[derive(Clone, PartialEq, Eq, Message)]
-pub struct OrganisationUse {
-    /// The organisation's name.
+pub struct LimitUse {
+    /// Name of the organisation, or of the endpoint's instance if `endpoint` is set.
     #[prost(string, tag = "1")]
-    pub organisation: String,
+    pub name: String,
+    /// The limit that an endpoint has named; absent for an organisation.
+    #[prost(message, optional, tag = "6")]
+    pub endpoint: Option<EndpointLimit>,
     /// Units that requests have taken since the entry started, less those of requests that did not run.
     #[prost(int64, tag = "2")]
     pub used: i64,
@@ -45,21 +48,38 @@
     /// Number of the report.
     #[prost(uint64, tag = "1")]
     pub number: u64,
-    /// Credit by organisation.
+    /// Credit by limit.
     #[prost(message, repeated, tag = "2")]
     pub credits: Vec<Credit>,
 }
 
-/// What an entry may use of one organisation's limit.
+/// What an entry may use of one limit.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Credit {
-    /// The organisation's name.
+    /// Name of the organisation, or of the endpoint's instance.
     #[prost(string, tag = "1")]
-    pub organisation: String,
+    pub name: String,
+    /// Whether `name` is that of an endpoint's instance.
+    #[prost(bool, tag = "4")]
+    pub endpoint: bool,
     /// Units that the entry holds from the report on, instead of those that it reported as held.
     #[prost(uint64, tag = "2")]
     pub units: u64,
-    /// Units a second that the entry may expect while it wants as much.
+    /// Units a second that the entry may expect while it wants as much; thousandths for an endpoint.
     #[prost(uint64, tag = "3")]
     pub rate: u64,
 }
+
+/// A limit that an endpoint has named for the requests of all entries together.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct EndpointLimit {
+    /// Name of the endpoint's instance.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Thousandths of a request a second; absent if the endpoint has lifted its limit.
+    #[prost(uint64, optional, tag = "2")]
+    pub milli: Option<u64>,
+    /// Milliseconds since the endpoint said so.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use crate::{
     codec::{FRAME_LIMIT, FrameReader, WireError, encode},
-    credit::{Credit, CreditReply, CreditReport, OrganisationUse},
+    credit::{Credit, CreditReply, CreditReport, EndpointLimit, LimitUse},
     frames::{
         Accepted, Body, BodyAck, Call, Cancel, Cancelled, ConfigReply, ConfigRequest, Declined,
         Demand, DemandReply, Dump, DumpReply, FeedPull, FeedRow, FeedRows, Frame, Header, Hello,
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -3,7 +3,7 @@
 use prost::{Message, Oneof};
 
 use crate::{
-    credit::{CreditReply, CreditReport},
+    credit::{CreditReply, CreditReport, EndpointLimit},
     streams::StreamMessage,
     suspects::SuspectMessage,
 };
@@ -298,6 +298,9 @@
     /// Whether the side understands [`PoolKind::Streams`].
     #[prost(bool, tag = "26")]
     pub tracks_streams: bool,
+    /// Limits that endpoints have named, as entries have told this side of late.
+    #[prost(message, repeated, tag = "27")]
+    pub endpoint_limits: Vec<EndpointLimit>,
 }
 
 /// One loaded model of an endpoint.
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that cannot go on must fail")]
 
 mod config_transfer;
+mod endpoint_limits;
 mod events;
 mod life;
 mod members;
