--- a/crates/pool/tests/all/limits/entry.rs
+++ b/crates/pool/tests/all/limits/entry.rs
@@ -1,13 +1,13 @@
 //! Limits in the entry's state machine.
 
 use citronrill_pool::{
-    EntryEffect, EntryEvent, KeyDigest, LimitUnit, Organisation, Reason, RequestId, ResponseEnd,
-    TokenCount, UsageLimit,
+    EndpointRate, EntryEffect, EntryEvent, KeyDigest, LimitUnit, Organisation, Reason, RequestId,
+    ResponseEnd, ResponseHead, TokenCount, UsageLimit,
 };
 use citronrill_wire::{Credit, CreditReply, CreditReport, SideState};
 
 use crate::support::{
-    Bench, ENGINE, PLAIN, address, dispatch, member, not_run, organisation, refusal, state,
+    Bench, ENGINE, PLAIN, address, dispatch, member, not_run, ok, organisation, refusal, state,
     with_organisations,
 };
 
@@ -106,7 +106,7 @@
     settle(&mut bench);
     let (id, effects) = request(&mut bench);
     reply(&mut bench, &effects, 200);
-    bench.respond(id, crate::support::ok());
+    bench.respond(id, ok());
     bench.step(EntryEvent::ResponseEnded(id, ResponseEnd::Complete));
     bench.now += 20;
     assert!(dispatch(&request(&mut bench).1).is_none());
@@ -171,3 +171,23 @@
     let effects = reply(&mut bench, &effects, 2_000);
     assert_eq!(refusal(&effects).unwrap().0, Reason::OverLimit);
 }
+
+/// Guards against a limit that a response lifts which an endpoint began before it named the limit.
+#[test]
+fn an_older_response_does_not_lift_an_endpoints_limit() {
+    let mut bench = Bench::new(vec![member(2, PLAIN, &[])]);
+    let (first, _) = bench.request("/status/x", "");
+    bench.now += 20;
+    let (second, _) = bench.request("/status/x", "");
+    let rate = EndpointRate::from_per_second(0.5);
+    let logged = |effects: &[EntryEffect], part: &str| {
+        effects.iter().any(|effect| match effect {
+            EntryEffect::Log(event) => event.to_string().contains(part),
+            _ => false,
+        })
+    };
+    let named = bench.respond(second, ResponseHead { rate, ..ok() });
+    assert!(logged(&named, "event=endpoint_limit instance=i2 rate=0.5"));
+    let older = bench.respond(first, ok());
+    assert!(!logged(&older, "event=endpoint_limit"));
+}
--- a/crates/pool/tests/all/limits/mod.rs
+++ b/crates/pool/tests/all/limits/mod.rs
@@ -1,8 +1,8 @@
 //! Limits on the use of organisations, over all entries.
 
-mod alone;
 mod budget;
 mod credit;
+mod endpoint_credit;
 mod endpoints;
 mod entry;
 mod fleet;
