Let only an endpoint's own response lift its limit

A response that is not signed by the endpoint, or answers another request, carried no limit and so lifted the one that the endpoint had named (both cases failed before). One that names a limit counts as before.

--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -127,8 +127,9 @@
 
     pub(super) fn response_started(&mut self, id: RequestId, head: ResponseHead) {
         let now = self.now;
-        if !head.other_incarnation {
-            self.learn_limit(id, head.rate);
+        // Others than the endpoint itself name no limit, which lifts none.
+        if head.rate.is_some() || head.signed {
+            self.learn_limit(id, head);
         }
         let Some(request) = self.requests.get_mut(&id) else { return };
         let verdict = classify_response(head, request.retry_policy);
--- a/crates/pool/src/entry/endpoint_limits.rs
+++ b/crates/pool/src/entry/endpoint_limits.rs
@@ -7,7 +7,7 @@
 use citronrill_decide::LogEvent;
 use citronrill_wire::EndpointLimit;
 
-use super::{PoolEntry, Reason, Request, RequestId, Stage};
+use super::{PoolEntry, Reason, Request, RequestId, ResponseHead, Stage};
 use crate::{
     endpoint::{Endpoint, NamedLimit},
     limits::{EndpointRate, Sharing},
@@ -24,11 +24,14 @@
     ///
     /// Responses overtake each other: one to an earlier request does not lift or change a limit that one
     /// to a later request named.
-    pub(super) fn learn_limit(&mut self, id: RequestId, rate: Option<EndpointRate>) {
+    pub(super) fn learn_limit(&mut self, id: RequestId, head: ResponseHead) {
+        if head.other_incarnation || head.misdirected {
+            return;
+        }
         let Some(request) = self.requests.get(&id) else { return };
         let (said_at, caller_id) = (request.sent_at, request.caller_id.clone());
         let Some(instance) = request.instance.clone() else { return };
-        self.set_limit(&instance, rate, said_at, "id", &caller_id);
+        self.set_limit(&instance, head.rate, said_at, "id", &caller_id);
     }
 
     /// Takes over the limits that a side passes on.
--- a/crates/pool/tests/all/limits/entry.rs
+++ b/crates/pool/tests/all/limits/entry.rs
@@ -5,6 +5,7 @@
     ResponseEnd, ResponseHead, TokenCount, UsageLimit,
 };
 use citronrill_wire::{Credit, CreditReply, CreditReport, SideState};
+use rstest::rstest;
 
 use crate::support::{
     Bench, ENGINE, PLAIN, address, dispatch, member, not_run, ok, organisation, refusal, state,
@@ -172,6 +173,30 @@
     assert_eq!(refusal(&effects).unwrap().0, Reason::OverLimit);
 }
 
+/// Guards against a limit that a response lifts which is not the endpoint's own, or belongs to another
+/// request.
+#[rstest]
+#[case::unsigned(ResponseHead { signed: false, ..ok() })]
+#[case::of_another_request(ResponseHead { misdirected: true, ..ok() })]
+fn only_an_endpoints_own_response_lifts_its_limit(#[case] stray: ResponseHead) {
+    let mut bench = Bench::new(vec![member(2, PLAIN, &[])]);
+    let (first, _) = bench.request("/status/x", "");
+    bench.now += 20;
+    let (second, _) = bench.request("/status/x", "");
+    let (third, _) = bench.request("/status/x", "");
+    let rate = EndpointRate::from_per_second(0.5);
+    bench.respond(first, ResponseHead { rate, ..ok() });
+    assert!(!logged(&bench.respond(second, stray), "event=endpoint_limit"));
+    assert!(logged(&bench.respond(third, ok()), "event=endpoint_limit instance=i2 rate=none"));
+}
+
+fn logged(effects: &[EntryEffect], part: &str) -> bool {
+    effects.iter().any(|effect| match effect {
+        EntryEffect::Log(event) => event.to_string().contains(part),
+        _ => false,
+    })
+}
+
 /// Guards against a limit that a response lifts which an endpoint began before it named the limit.
 #[test]
 fn an_older_response_does_not_lift_an_endpoints_limit() {
@@ -180,12 +205,6 @@
     bench.now += 20;
     let (second, _) = bench.request("/status/x", "");
     let rate = EndpointRate::from_per_second(0.5);
-    let logged = |effects: &[EntryEffect], part: &str| {
-        effects.iter().any(|effect| match effect {
-            EntryEffect::Log(event) => event.to_string().contains(part),
-            _ => false,
-        })
-    };
     let named = bench.respond(second, ResponseHead { rate, ..ok() });
     assert!(logged(&named, "event=endpoint_limit instance=i2 rate=0.5"));
     let older = bench.respond(first, ok());
