--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -330,6 +330,7 @@
                 DueCheck::Full => {
                     self.tick(EntryEvent::Tick);
                     self.metrics.set_limit_usage(self.reducer.limit_usage());
+                    self.metrics.set_retries(self.reducer.retry_counts());
                     self.metrics.streams_reconnected.set(self.reducer.streams_reconnected());
                 }
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use citronrill_pool::{LimitUsage, Reason};
+use citronrill_pool::{LimitUsage, Reason, RetryCounts};
 use hdrhistogram::Histogram;
 use http_body_util::Full;
 use hyper::{Response, StatusCode, server::conn::http1, service::service_fn};
@@ -100,6 +100,8 @@
     /// Streams of callers' earlier attempts that went on here.
     pub(crate) streams_reconnected: Counter,
     limits: Mutex<Vec<LimitUsage>>,
+    /// Further dispatches by service.
+    retries: Mutex<BTreeMap<String, RetryCounts>>,
     statuses: Mutex<BTreeMap<u16, u64>>,
     refusals: Mutex<BTreeMap<&'static str, u64>>,
     logs: Arc<LogStats>,
@@ -117,6 +119,7 @@
             credit_reports: Counter::default(),
             streams_reconnected: Counter::default(),
             limits: Mutex::default(),
+            retries: Mutex::default(),
             statuses: Mutex::default(),
             refusals: Mutex::default(),
             logs,
@@ -136,6 +139,19 @@
         limits.extend(usage);
     }
 
+    /// Sets the numbers of further dispatches by service.
+    pub(crate) fn set_retries<'a>(&self, counts: impl Iterator<Item = (&'a str, RetryCounts)>) {
+        let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
+        for (service, counts) in counts {
+            match retries.get_mut(service) {
+                Some(known) => *known = counts,
+                None => {
+                    retries.insert(service.to_owned(), counts);
+                }
+            }
+        }
+    }
+
     /// Counts a refusal.
     pub(crate) fn count_refusal(&self, reason: Reason) {
         let mut refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
@@ -172,6 +188,16 @@
             write_sample(&mut text, "citronrill_limit_refused_total", &label, usage.refused);
             write_sample(&mut text, "citronrill_limit_left", &label, usage.left);
         }
+        let retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
+        for (service, counts) in retries.iter() {
+            let RetryCounts { granted, denied, returned } = *counts;
+            for (result, count) in
+                [("granted", granted), ("denied", denied), ("returned", returned)]
+            {
+                let label = format!("{{service=\"{service}\",result=\"{result}\"}}");
+                write_sample(&mut text, "citronrill_retries_total", &label, count);
+            }
+        }
         write_log_counts(&mut text, &self.logs);
         text
     }
--- a/crates/pool/src/entry/retries.rs
+++ b/crates/pool/src/entry/retries.rs
@@ -3,9 +3,14 @@
 use citronrill_decide::LogEvent;
 
 use super::{MIN_ENTRIES, PoolEntry, Request, RequestId};
-use crate::limits::RetryBudget;
+use crate::limits::{RetryBudget, RetryCounts};
 
 impl PoolEntry {
+    /// Returns the numbers of further dispatches since the start, by service.
+    pub fn retry_counts(&self) -> impl Iterator<Item = (&str, RetryCounts)> {
+        self.budgets.iter().map(|(service, budget)| (service.as_str(), budget.counts()))
+    }
+
     /// Reserves a further dispatch in the retry budget, unless that has been done already. Returns
     /// whether the budget permits it.
     pub(super) fn reserve_retry(&mut self, id: RequestId) -> bool {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -47,7 +47,7 @@
     incarnation::StartTime,
     limits::{
         Charge, Claim, CreditIssuer, CreditLedger, EndpointRate, EntryRoster, LimitBounds,
-        LimitUsage, RetryBudget, Sharing, Terms,
+        LimitUsage, RetryBudget, RetryCounts, Sharing, Terms,
     },
     member::{HeldModel, Member, MemberChange},
     organisation::{KeyDigest, LimitUnit, Organisation, Organisations, UsageLimit},
--- a/crates/pool/src/limits/mod.rs
+++ b/crates/pool/src/limits/mod.rs
@@ -28,7 +28,7 @@
     issuer::{CreditIssuer, Terms},
     ledger::{Charge, Claim, CreditLedger, LimitUsage},
     peak::RecentPeak,
-    retries::RetryBudget,
+    retries::{RetryBudget, RetryCounts},
     roster::EntryRoster,
     share::WindowShare,
 };
--- a/crates/pool/src/limits/retries.rs
+++ b/crates/pool/src/limits/retries.rs
@@ -17,6 +17,17 @@
 /// kept in full until then.
 const JUST_EARNED_MS: u64 = 50;
 
+/// Numbers of retries since the start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct RetryCounts {
+    /// Those that the budget permitted.
+    pub granted: u64,
+    /// Those that it did not permit.
+    pub denied: u64,
+    /// Permitted ones that were not sent.
+    pub returned: u64,
+}
+
 /// Limits the retries of one service in proportion to its first attempts in a sliding window, plus a
 /// slack.
 ///
@@ -36,6 +47,7 @@
     slack: WindowShare,
     /// Retries that were reserved and not sent yet.
     reserved: u32,
+    counts: RetryCounts,
 }
 
 impl RetryBudget {
@@ -51,6 +63,7 @@
             part: 0.0,
             slack: WindowShare::new(window_ms, now + window_ms),
             reserved: 0,
+            counts: RetryCounts::default(),
         }
     }
 
@@ -76,12 +89,15 @@
     pub fn reserve(&mut self, now: Millis) -> bool {
         let granted = self.left(now) >= 1;
         self.reserved += u32::from(granted);
+        let count = if granted { &mut self.counts.granted } else { &mut self.counts.denied };
+        *count += 1;
         granted
     }
 
     /// Returns a reserved retry that will not be sent.
     pub fn cancel(&mut self) {
         self.reserved = self.reserved.saturating_sub(1);
+        self.counts.returned += 1;
     }
 
     /// Uses a reserved retry. Returns false if it may not be sent, because too many were sent since.
@@ -89,7 +105,7 @@
     /// A reserved retry may wait for seconds until an endpoint has room. It counts when it is sent:
     /// otherwise those that were reserved in several windows could all arrive in one.
     pub fn send(&mut self, now: Millis) -> bool {
-        self.cancel();
+        self.reserved = self.reserved.saturating_sub(1);
         self.update(now);
         if self.earned >= 1.0 {
             self.earned -= 1.0;
@@ -105,6 +121,11 @@
         (unused as u32).saturating_sub(self.reserved)
     }
 
+    /// Returns the numbers of retries since the start.
+    pub fn counts(&self) -> RetryCounts {
+        self.counts
+    }
+
     /// Returns the number of retries that are reserved.
     pub fn reserved(&self) -> u32 {
         self.reserved
--- a/crates/pool/tests/all/limits/budget.rs
+++ b/crates/pool/tests/all/limits/budget.rs
@@ -1,7 +1,7 @@
 //! The retry budget of one entry, by itself.
 
 use citronrill_base::Millis;
-use citronrill_pool::RetryBudget;
+use citronrill_pool::{RetryBudget, RetryCounts};
 
 const WINDOW_MS: u64 = 10_000;
 
@@ -76,6 +76,7 @@
     assert!(!budget.reserve(Millis(2)));
     budget.cancel();
     assert!(budget.reserve(Millis(3)));
+    assert_eq!(budget.counts(), RetryCounts { granted: 4, denied: 1, returned: 1 });
 }
 
 /// Guards against the whole slack at an entry that does not know how many share it.
