--- a/crates/pool/tests/all/software.rs
+++ b/crates/pool/tests/all/software.rs
@@ -167,6 +167,22 @@
     assert_eq!(refusal(&effects).is_none(), goes_on);
 }
 
+/// Guards against a stream that goes on by guess because one side remembers for long: the side that was told
+/// of its beginning may be one that has started again since.
+#[rstest]
+fn the_shortest_memory_of_the_sides_counts(#[values(0, 1, 2)] restarted: usize) {
+    let members = (1..=4).map(|index| versioned(index, "v1", &["m0"])).collect();
+    let mut bench = Bench::restarted(members);
+    report_sides(&mut bench, &[&["m0"], &["m0"], &["m0"], &["m0"]]);
+    let (_, asked) = reconnect(&mut bench, Some("first"));
+    let mut effects = Vec::new();
+    for (place, (side, query)) in queries(&asked).into_iter().enumerate() {
+        let memory_ms = if place == restarted { 0 } else { HORIZON_MS };
+        effects.extend(bench.step(EntryEvent::Streams(side, reply(query, None, memory_ms))));
+    }
+    assert_eq!(refusal(&effects).unwrap().0, Reason::VersionUnknown);
+}
+
 /// Guards against a caller that waits for a version of which no endpoint is left.
 #[test]
 fn a_stream_of_a_version_that_is_gone_is_refused_at_once() {
