Return a trial that an endpoint's limit holds back

A trial that was granted for an endpoint which had named a limit since was neither sent nor ended, so that the side went on keeping other suspects from it. The test failed before.

--- a/crates/pool/src/entry/trials.rs
+++ b/crates/pool/src/entry/trials.rs
@@ -158,7 +158,9 @@
         }
         let request = &self.requests[&id];
         let endpoint = self.pool.endpoints.get(&reply.instance);
-        let able = |endpoint: &Endpoint| request.from_copy || self.eligible(endpoint, request);
+        let able = |endpoint: &Endpoint| {
+            self.permits(endpoint) && (request.from_copy || self.eligible(endpoint, request))
+        };
         if self.quarantine_cause(request).is_none() && endpoint.is_some_and(able) {
             self.start_trial(id, &reply.instance, Some(side));
         } else {
--- a/crates/pool/tests/all/suspects.rs
+++ b/crates/pool/tests/all/suspects.rs
@@ -9,8 +9,8 @@
     ResponseHead, SideLoss, TokenCount,
 };
 use citronrill_wire::{
-    CrashRecord, SideState, SuspectKind, SuspectMessage, SuspectRecord, SuspectUpdate, TrialReply,
-    TrialRequest,
+    CrashRecord, EndpointLimit, SideState, SuspectKind, SuspectMessage, SuspectRecord,
+    SuspectUpdate, TrialReply, TrialRequest,
 };
 use rstest::rstest;
 
@@ -176,6 +176,25 @@
     assert_eq!(sent.backup, None, "no copy of a suspect's run is made");
 }
 
+/// Guards against a trial that keeps others from its endpoint although it is not sent, as the endpoint has
+/// named a limit meanwhile.
+#[test]
+fn a_trial_that_a_limit_holds_back_is_returned() {
+    let mut bench = pool(5);
+    crash_endpoints(&mut bench, 5, ONE, 2);
+    let (_, effects) = bench.attempt("/draft/x", DIGEST, ONE);
+    let (side, request) = trial_request(&effects).unwrap();
+    let instance = request.instances[0].clone();
+    let limit = EndpointLimit { instance, milli: Some(500), age_ms: 0 };
+    bench.now += 20;
+    let state = SideState { endpoint_limits: vec![limit], ..tracking() };
+    bench.step(EntryEvent::SideReport(side, state));
+    let effects = grant(&mut bench, side, &request);
+    assert!(dispatch(&effects).is_none());
+    let ended = messages(&effects);
+    assert!(ended.iter().any(|(_, kind)| matches!(kind, SuspectKind::TrialEnded(_))), "{ended:?}");
+}
+
 /// Guards against a request that goes on crashing endpoints after the third.
 #[test]
 fn a_request_is_quarantined_after_a_crash_in_a_trial() {
