--- a/crates/pool/src/entry/endpoint_limits.rs
+++ b/crates/pool/src/entry/endpoint_limits.rs
@@ -58,11 +58,10 @@
             return;
         }
         let known = endpoint.limit.and_then(|known| known.rate);
+        endpoint.limit = Some(NamedLimit { rate, said_at });
         if known.is_none() && rate.is_none() {
-            endpoint.limit = Some(NamedLimit { rate, said_at });
             return;
         }
-        endpoint.limit = Some(NamedLimit { rate, said_at });
         self.ledger.set_endpoint(instance, rate, said_at, now);
         if known == rate {
             return;
@@ -157,7 +156,7 @@
 
     /// Returns the milliseconds after which a request that limits held back may return.
     pub(super) fn limit_retry_ms(&self, request: &Request) -> u64 {
-        let waiting = self.requests.last_key_value().map_or(RequestId(0), |(id, _)| *id);
-        self.limit_wait_ms(RequestId(waiting.0 + 1), request).clamp(MIN_RETRY_MS, MAX_RETRY_MS)
+        // Behind all that wait now.
+        self.limit_wait_ms(RequestId(u64::MAX), request).clamp(MIN_RETRY_MS, MAX_RETRY_MS)
     }
 }
--- a/crates/pool/tests/all/limits/endpoints.rs
+++ b/crates/pool/tests/all/limits/endpoints.rs
@@ -8,14 +8,14 @@
 
 use citronrill_base::Millis;
 use citronrill_pool::{
-    Arrival, EndpointRate, EngineReport, EntryEffect, EntryEvent, EntryLink, EntryProfile,
-    LimitBounds, MemberChange, PoolEntry, PoolSide, Reason, RequestDigest, RequestId, ResponseEnd,
-    ResponseHead, SideEffect, SideEvent, SideLoss, TokenCount,
+    EndpointRate, EngineReport, EntryEffect, EntryEvent, EntryLink, EntryProfile, MemberChange,
+    PoolEntry, PoolSide, Reason, RequestId, ResponseEnd, ResponseHead, SideEffect, SideEvent,
+    SideLoss,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
 
-use crate::support::{ENGINE, HOST, address, config, member, ok, report, seeds_from};
+use crate::support::{ENGINE, address, arrival, config, member, ok, profile, report, seeds_from};
 
 const ENGINES: usize = 4;
 /// Milliseconds of the window in which requests of all entries are summed.
@@ -113,16 +113,8 @@
     }
 
     fn new_entry(&self, entry: usize, first_start: bool) -> EntryNode {
-        let mut started = PoolEntry::new(EntryProfile {
-            zone: "a".to_owned(),
-            seed: entry as u64 * 7_919,
-            retry_ratio: 0.2,
-            retry_slack: 50.0,
-            retry_window_ms: 10_000,
-            limits: LimitBounds::default(),
-            learn_ms: 0,
-            first_start,
-        });
+        let mut started =
+            PoolEntry::new(EntryProfile { seed: entry as u64 * 7_919, first_start, ..profile() });
         let now = Millis(self.now);
         started.step(now, EntryEvent::Config(config(1)));
         started.step(now, EntryEvent::ConfigCurrent(true));
@@ -267,22 +259,7 @@
 
     fn request(&mut self, entry: usize) {
         self.next += 1;
-        let arrival = Arrival {
-            id: RequestId(self.next),
-            caller_id: format!("c{}", self.next),
-            caller: None,
-            digest: RequestDigest(u128::from(self.next)),
-            host: HOST.to_owned(),
-            path: "/draft/x".to_owned(),
-            deadline_ms: Some(5_000),
-            model: "m0".to_owned(),
-            prefix_hash: 0,
-            shared_parts: Vec::new(),
-            tokens: TokenCount::default(),
-            reconnects: false,
-            first_attempt: None,
-            key: None,
-        };
+        let arrival = arrival(self.next, "/draft/x", "m0");
         self.sent += 1;
         self.step_entry(entry, EntryEvent::RequestArrived(arrival));
     }
--- a/crates/pool/tests/all/limits/retries.rs
+++ b/crates/pool/tests/all/limits/retries.rs
@@ -8,15 +8,14 @@
 
 use citronrill_base::Millis;
 use citronrill_pool::{
-    Arrival, EntryEffect, EntryEvent, EntryProfile, EntryRoster, LimitBounds, MemberChange,
-    PoolEntry, RequestDigest, RequestId, TokenCount,
+    EntryEffect, EntryEvent, EntryProfile, EntryRoster, MemberChange, PoolEntry, RequestId,
 };
 use citronrill_wire::SideState;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
 
 use crate::support::{
-    ENGINE, HOST, PLAIN, address, config, member, not_run, ok, seeds_from, state,
+    ENGINE, PLAIN, address, arrival, config, member, not_run, ok, profile, seeds_from, state,
 };
 
 const RATIO: f64 = 0.2;
@@ -113,14 +112,10 @@
 
     fn start_entry(&self, first_start: bool) -> PoolEntry {
         let mut entry = PoolEntry::new(EntryProfile {
-            zone: "a".to_owned(),
             seed: self.entries.len() as u64,
-            retry_ratio: RATIO,
             retry_slack: self.slack,
-            retry_window_ms: WINDOW_MS,
-            limits: LimitBounds::default(),
-            learn_ms: 0,
             first_start,
+            ..profile()
         });
         let now = Millis(self.now);
         entry.step(now, EntryEvent::Config(config(1)));
@@ -225,22 +220,7 @@
 
     fn request(&mut self, entry: usize) {
         self.next_id += 1;
-        let arrival = Arrival {
-            id: RequestId(self.next_id),
-            caller_id: format!("c{}", self.next_id),
-            caller: None,
-            digest: RequestDigest(u128::from(self.next_id)),
-            host: HOST.to_owned(),
-            path: "/status/x".to_owned(),
-            deadline_ms: Some(5_000),
-            model: String::new(),
-            prefix_hash: 0,
-            shared_parts: Vec::new(),
-            tokens: TokenCount::default(),
-            reconnects: false,
-            first_attempt: None,
-            key: None,
-        };
+        let arrival = arrival(self.next_id, "/status/x", "");
         self.step_entry(entry, EntryEvent::RequestArrived(arrival));
     }
 
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -182,6 +182,40 @@
     }
 }
 
+/// Settings of an entry that starts with the whole system and waits for nobody.
+pub(crate) fn profile() -> EntryProfile {
+    EntryProfile {
+        zone: "a".to_owned(),
+        seed: 0,
+        retry_ratio: 0.2,
+        retry_slack: 50.0,
+        retry_window_ms: 10_000,
+        limits: LimitBounds::default(),
+        learn_ms: 0,
+        first_start: true,
+    }
+}
+
+/// A request for `model` on `path` with a deadline of 5 s, which no other resembles.
+pub(crate) fn arrival(id: u64, path: &str, model: &str) -> Arrival {
+    Arrival {
+        id: RequestId(id),
+        caller_id: format!("c{id}"),
+        caller: None,
+        digest: RequestDigest(u128::from(id)),
+        host: HOST.to_owned(),
+        path: path.to_owned(),
+        deadline_ms: Some(5_000),
+        model: model.to_owned(),
+        prefix_hash: 0,
+        shared_parts: Vec::new(),
+        tokens: TokenCount::default(),
+        reconnects: false,
+        first_attempt: None,
+        key: None,
+    }
+}
+
 /// An entry and its virtual clock.
 pub(crate) struct Bench {
     pub(crate) entry: PoolEntry,
@@ -210,16 +244,7 @@
     }
 
     fn profile(learn_ms: u64) -> EntryProfile {
-        EntryProfile {
-            zone: "a".to_owned(),
-            seed: 0,
-            retry_ratio: 0.2,
-            retry_slack: 50.0,
-            retry_window_ms: 10_000,
-            limits: LimitBounds::default(),
-            learn_ms,
-            first_start: true,
-        }
+        EntryProfile { learn_ms, ..profile() }
     }
 
     /// An entry that does not know when the system started: streams may have begun before.
@@ -357,24 +382,9 @@
     }
 
     pub(crate) fn arrival(&mut self, path: &str, model: &str) -> Arrival {
-        let id = RequestId(self.next_id);
+        let id = self.next_id;
         self.next_id += 1;
-        Arrival {
-            id,
-            caller_id: format!("c{}", id.0),
-            caller: None,
-            digest: RequestDigest(u128::from(id.0)),
-            host: HOST.to_owned(),
-            path: path.to_owned(),
-            deadline_ms: Some(5_000),
-            model: model.to_owned(),
-            prefix_hash: 0,
-            shared_parts: Vec::new(),
-            tokens: TokenCount::default(),
-            reconnects: false,
-            first_attempt: None,
-            key: None,
-        }
+        arrival(id, path, model)
     }
 
     pub(crate) fn arrive(&mut self, arrival: Arrival) -> (RequestId, Vec<EntryEffect>) {
