Let the soak's workers name limits

In about every second fault of a worker it names a limit of 2.5 requests a second for 4 s, without another random draw.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -30,6 +30,11 @@
 /// faults overlap.
 const MAX_FAULT_MS: u64 = 1_500;
 const MAX_PAUSE_MS: u64 = 500;
+/// Milliseconds for which a worker names a limit: longer than other faults, as its word spreads with the
+/// responses.
+const LIMIT_MS: u64 = 4_000;
+/// Requests a second that it takes meanwhile from all entries together.
+const NAMED_LIMIT: &str = "2.5";
 /// Time after the third crash under one request within which all entries must know that request.
 const LEARN_TIME: Duration = Duration::from_secs(3);
 /// Runs of the request that are permitted after that.
@@ -77,6 +82,7 @@
     ResumeSide(usize),
     StartSide(usize),
     RestoreWorker(usize),
+    LiftLimit(usize),
     RestoreLink(usize),
     RestoreStore,
 }
@@ -181,6 +187,12 @@
                 self.log_fault(format!("worker {side} in {mode:?} for {duration_ms} ms"));
                 self.deployment.engines[side].set_mode(mode);
                 self.end_after(duration_ms, FaultEnd::RestoreWorker(side));
+                // Chosen without another random draw, so that existing seeds keep their sequence of faults.
+                if duration_ms % 2 == 0 {
+                    self.log_fault(format!("worker {side} names a limit for {LIMIT_MS} ms"));
+                    self.deployment.engines[side].set_limit(Some(NAMED_LIMIT));
+                    self.end_after(LIMIT_MS, FaultEnd::LiftLimit(side));
+                }
             }
             8 | 9 => {
                 let faults = [Fault::Delay, Fault::Hang, Fault::BlockResponses, Fault::Reset];
@@ -286,6 +298,7 @@
                 FaultEnd::RestoreWorker(side) => {
                     self.deployment.engines[side].set_mode(WorkerMode::Normal)
                 }
+                FaultEnd::LiftLimit(side) => self.deployment.engines[side].set_limit(None),
                 FaultEnd::RestoreLink(side) => self.proxies[side].set_fault(Fault::None),
                 FaultEnd::RestoreStore => self.deployment.store.set_outage(None),
             }
