--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -250,6 +250,13 @@
         said_at >= self.known_since && self.limit.is_none_or(|limit| said_at >= limit.said_at)
     }
 
+    /// Records that it named no limit at `said_at`.
+    pub(crate) fn record_no_limit(&mut self, said_at: Millis) {
+        if self.is_newer_word(said_at) {
+            self.limit = Some(NamedLimit { rate: None, said_at });
+        }
+    }
+
     /// Returns the number of requests known to run or wait at the endpoint.
     pub(crate) fn load(&self) -> u32 {
         self.load.max(self.own_requests)
--- a/crates/pool/src/entry/endpoint_limits.rs
+++ b/crates/pool/src/entry/endpoint_limits.rs
@@ -29,8 +29,16 @@
             return;
         }
         let Some(request) = self.requests.get(&id) else { return };
-        let (said_at, caller_id) = (request.sent_at, request.caller_id.clone());
-        let Some(instance) = request.instance.clone() else { return };
+        let said_at = request.sent_at;
+        let Some(instance) = request.instance.as_deref() else { return };
+        if head.rate.is_none() {
+            let endpoint = self.pool.endpoints.get_mut(instance);
+            if let Some(endpoint) = endpoint.filter(|endpoint| !endpoint.is_limited()) {
+                endpoint.record_no_limit(said_at);
+                return;
+            }
+        }
+        let (instance, caller_id) = (instance.to_owned(), request.caller_id.clone());
         self.set_limit(&instance, head.rate, said_at, "id", &caller_id);
     }
 
@@ -59,9 +67,6 @@
         }
         let known = endpoint.limit.and_then(|known| known.rate);
         endpoint.limit = Some(NamedLimit { rate, said_at });
-        if known.is_none() && rate.is_none() {
-            return;
-        }
         self.ledger.set_endpoint(instance, rate, said_at, now);
         if known == rate {
             return;
@@ -100,14 +105,16 @@
 
     /// Takes what a dispatch to an instance uses of its limit; returns false if there is nothing left.
     pub(super) fn use_limit(&mut self, instance: &str) -> bool {
-        let limited = self.pool.endpoints.get(instance).is_some_and(Endpoint::is_limited);
+        if !self.pool.endpoints.get(instance).is_some_and(Endpoint::is_limited) {
+            return true;
+        }
         let sharing = self.sharing();
-        !limited || self.ledger.take_endpoint(instance, sharing, self.now)
+        self.ledger.take_endpoint(instance, sharing, self.now)
     }
 
     /// Asks for credit for the endpoint that a request would be dispatched to, if it names a limit.
     pub(super) fn want_limited(&mut self, id: RequestId) {
-        if !self.pool.endpoints.values().any(Endpoint::is_limited) {
+        if !self.ledger.knows_endpoints() {
             return;
         }
         let Some(request) = self.requests.get(&id) else { return };
--- a/crates/pool/src/limits/endpoint_credit.rs
+++ b/crates/pool/src/limits/endpoint_credit.rs
@@ -86,13 +86,18 @@
         self.accounts.retain(|key, _| !key.is_endpoint() || keep(key.name()));
     }
 
+    /// Returns whether the limit of any endpoint is known.
+    pub fn knows_endpoints(&self) -> bool {
+        self.accounts.keys().any(LimitKey::is_endpoint)
+    }
+
     /// Returns whether an endpoint names a limit, or has lifted it of late.
     pub fn has_endpoints(&mut self, now: Millis) -> bool {
         self.accounts.retain(|_, account| {
             let lifted = account.endpoint.filter(|endpoint| endpoint.rate.is_none());
             lifted.is_none_or(|endpoint| now.since(endpoint.said_at) < LIFTED_MS)
         });
-        self.accounts.keys().any(LimitKey::is_endpoint)
+        self.knows_endpoints()
     }
 
     /// Returns whether a request may be dispatched to an endpoint that names a limit.
