--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -130,6 +130,7 @@
             has_progress: false,
             limit_wanted: false,
             retry_reserved: false,
+            retry_denied: false,
             queued: false,
             lost_runs: 0,
             trial: None,
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -127,7 +127,7 @@
 
     pub(super) fn response_started(&mut self, id: RequestId, head: ResponseHead) {
         let now = self.now;
-        // Others than the endpoint itself name no limit, which lifts none.
+        // An unsigned response is not the endpoint's own: it lifts no limit.
         if head.rate.is_some() || head.signed {
             self.learn_limit(id, head);
         }
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -175,6 +175,8 @@
     limit_wanted: bool,
     /// Whether its next dispatch is reserved in the retry budget.
     retry_reserved: bool,
+    /// Whether the budget did not permit it when it was last asked for.
+    retry_denied: bool,
     /// Number of runs whose connection broke.
     lost_runs: u32,
     /// Progress of its trial, if it may run only as one.
--- a/crates/pool/src/entry/retries.rs
+++ b/crates/pool/src/entry/retries.rs
@@ -20,10 +20,19 @@
             return true;
         }
         let service = request.service.clone();
-        let granted = self.budget(&service).reserve(now);
+        let denied_before = request.retry_denied;
+        let budget = self.budget(&service);
+        let granted = budget.reserve(now);
+        // An unanswered request asks at each check of its deadline.
+        if !granted && denied_before {
+            return false;
+        }
+        if !granted {
+            budget.count_denied();
+        }
         self.log_retry(id, granted);
         if let Some(request) = self.requests.get_mut(&id) {
-            request.retry_reserved = granted;
+            (request.retry_reserved, request.retry_denied) = (granted, !granted);
         }
         granted
     }
--- a/crates/pool/src/limits/retries.rs
+++ b/crates/pool/src/limits/retries.rs
@@ -22,7 +22,7 @@
 pub struct RetryCounts {
     /// Those that the budget permitted.
     pub granted: u64,
-    /// Those that it did not permit.
+    /// Requests for which it did not permit one.
     pub denied: u64,
     /// Permitted ones that were not sent.
     pub returned: u64,
@@ -89,11 +89,15 @@
     pub fn reserve(&mut self, now: Millis) -> bool {
         let granted = self.left(now) >= 1;
         self.reserved += u32::from(granted);
-        let count = if granted { &mut self.counts.granted } else { &mut self.counts.denied };
-        *count += 1;
+        self.counts.granted += u64::from(granted);
         granted
     }
 
+    /// Counts a request that got no retry.
+    pub fn count_denied(&mut self) {
+        self.counts.denied += 1;
+    }
+
     /// Returns a reserved retry that will not be sent.
     pub fn cancel(&mut self) {
         self.reserved = self.reserved.saturating_sub(1);
--- a/crates/pool/tests/all/limits/budget.rs
+++ b/crates/pool/tests/all/limits/budget.rs
@@ -74,6 +74,7 @@
     let mut budget = budget();
     assert!((0..3).all(|_| budget.reserve(Millis(1))));
     assert!(!budget.reserve(Millis(2)));
+    budget.count_denied();
     budget.cancel();
     assert!(budget.reserve(Millis(3)));
     assert_eq!(budget.counts(), RetryCounts { granted: 4, denied: 1, returned: 1 });
--- a/crates/pool/tests/all/retry_budget.rs
+++ b/crates/pool/tests/all/retry_budget.rs
@@ -3,7 +3,7 @@
 use citronrill_pool::{EntryEffect, EntryEvent, RequestId};
 use citronrill_wire::SideState;
 
-use crate::support::{Bench, ENGINE, address, dispatch, member, not_run, state};
+use crate::support::{Bench, ENGINE, PLAIN, address, dispatch, member, not_run, state};
 
 /// Returns whether a further dispatch was granted, for the first that the effects decide on.
 fn granted(effects: &[EntryEffect]) -> Option<bool> {
@@ -52,6 +52,21 @@
     assert_eq!(next_granted(&mut bench), Some(true));
 }
 
+/// Guards against a line in the log for each check of a request that gets no answer and no repeat.
+#[test]
+fn a_repeat_that_is_not_permitted_is_logged_once() {
+    let mut bench = Bench::new((1..=3).map(|index| member(index, PLAIN, &[])).collect());
+    let (first, _) = bench.request("/status/x", "");
+    bench.respond(first, not_run(503));
+    bench.request("/status/x", "");
+    let effects = bench.advance(3_000);
+    let denied = effects.iter().filter(|effect| match effect {
+        EntryEffect::Log(event) => event.to_string().contains("granted=false"),
+        _ => false,
+    });
+    assert_eq!(denied.count(), 2, "once for each of the two requests");
+}
+
 /// Guards against repeats that are decided on in several windows and all sent in one.
 #[test]
 fn a_repeat_that_waits_counts_until_it_is_sent() {
