Forget a lifted limit of an endpoint where organisations have limits as well

Callers saw nothing wrong; the entry went on reporting the limit to the issuer, and looked for the best endpoint twice for each request, until the endpoint left. Lifted limits were dropped in a check that is not reached where organisations have limits. They are dropped at each tick now, in one place with those of endpoints that have left, and no longer looked for at each event. The test failed before.

--- a/crates/pool/src/entry/credit.rs
+++ b/crates/pool/src/entry/credit.rs
@@ -133,7 +133,7 @@
 
     /// Sends the report on limits that is due.
     pub(super) fn report_use(&mut self) {
-        if !self.has_limits() && !self.ledger.has_endpoints(self.now) {
+        if !self.has_limits() && !self.ledger.knows_endpoints() {
             return;
         }
         self.ledger.set_issuer(self.issuer());
--- a/crates/pool/src/entry/endpoint_limits.rs
+++ b/crates/pool/src/entry/endpoint_limits.rs
@@ -87,10 +87,10 @@
         }
     }
 
-    /// Forgets the limits of endpoints that have left.
-    pub(super) fn forget_departed_limits(&mut self) {
+    /// Forgets the limits of endpoints that have left, and those that were lifted a while ago.
+    pub(super) fn forget_old_limits(&mut self) {
         let endpoints = &self.pool.endpoints;
-        self.ledger.retain_endpoints(|instance| endpoints.contains_key(instance));
+        self.ledger.retain_endpoints(|instance| endpoints.contains_key(instance), self.now);
     }
 
     fn sharing(&self) -> Sharing {
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -40,7 +40,7 @@
         self.handle_membership(outcome);
         self.check_suspects();
         self.log_limits_kept();
-        self.forget_departed_limits();
+        self.forget_old_limits();
         self.schedule_waiting();
         self.add_replicas();
         self.load_missed();
--- a/crates/pool/src/limits/endpoint_credit.rs
+++ b/crates/pool/src/limits/endpoint_credit.rs
@@ -36,6 +36,11 @@
             age_ms: now.since(self.said_at),
         }
     }
+
+    /// Returns whether the limit was lifted so long ago that nobody has to be told.
+    fn has_lapsed(&self, now: Millis) -> bool {
+        self.rate.is_none() && now.since(self.said_at) >= LIFTED_MS
+    }
 }
 
 /// Who shares an endpoint's limit with this entry.
@@ -81,25 +86,18 @@
         self.accounts.remove(&LimitKey::Endpoint(instance.into()));
     }
 
-    /// Forgets the limits of all endpoints but those to keep.
-    pub fn retain_endpoints(&mut self, keep: impl Fn(&str) -> bool) {
-        self.accounts.retain(|key, _| !key.is_endpoint() || keep(key.name()));
+    /// Forgets the limits that were lifted a while ago, and those of all endpoints but the ones to keep.
+    pub fn retain_endpoints(&mut self, keep: impl Fn(&str) -> bool, now: Millis) {
+        self.accounts.retain(|key, account| {
+            account.endpoint.is_none_or(|endpoint| keep(key.name()) && !endpoint.has_lapsed(now))
+        });
     }
 
-    /// Returns whether the limit of any endpoint is known.
+    /// Returns whether any endpoint names a limit, or has lifted it of late.
     pub fn knows_endpoints(&self) -> bool {
         self.accounts.keys().any(LimitKey::is_endpoint)
     }
 
-    /// Returns whether an endpoint names a limit, or has lifted it of late.
-    pub fn has_endpoints(&mut self, now: Millis) -> bool {
-        self.accounts.retain(|_, account| {
-            let lifted = account.endpoint.filter(|endpoint| endpoint.rate.is_none());
-            lifted.is_none_or(|endpoint| now.since(endpoint.said_at) < LIFTED_MS)
-        });
-        self.knows_endpoints()
-    }
-
     /// Returns whether a request may be dispatched to an endpoint that names a limit.
     pub fn permits_endpoint(&self, instance: &str, sharing: Sharing, now: Millis) -> bool {
         let account = self.accounts.get(&LimitKey::Endpoint(instance.into()));
--- a/crates/pool/tests/all/limits/entry.rs
+++ b/crates/pool/tests/all/limits/entry.rs
@@ -4,12 +4,12 @@
     EndpointRate, EntryEffect, EntryEvent, KeyDigest, LimitUnit, Organisation, Reason, RequestId,
     ResponseEnd, ResponseHead, TokenCount, UsageLimit,
 };
-use citronrill_wire::{Credit, CreditReply, CreditReport, SideState};
+use citronrill_wire::{Credit, CreditReply, CreditReport, EndpointLimit, SideState};
 use rstest::rstest;
 
 use crate::support::{
-    Bench, ENGINE, PLAIN, address, dispatch, member, not_run, ok, organisation, refusal, state,
-    with_organisations,
+    Bench, ENGINE, PLAIN, address, config, dispatch, member, not_run, ok, organisation, refusal,
+    state, with_organisations,
 };
 
 const LIMIT: UsageLimit = UsageLimit { rate: 1_000, burst: 2_000, unit: LimitUnit::Tokens(200) };
@@ -197,6 +197,36 @@
     })
 }
 
+/// Guards against an endpoint's limit that is reported, and asked about for each request, long after it was
+/// lifted, where organisations have limits as well.
+#[test]
+fn a_lifted_limit_is_forgotten_after_a_while() {
+    let mut bench = bench();
+    bench.step(EntryEvent::Config(config(3)));
+    let rate = EndpointRate::from_per_second(0.5);
+    let (first, _) = bench.request("/status/x", "");
+    bench.respond(first, ResponseHead { rate, ..ok() });
+    let limited = Organisation { limit: Some(LIMIT), ..organisation("north", &[1]) };
+    bench.step(EntryEvent::Config(with_organisations(4, vec![limited])));
+    let reported = |effects: &[EntryEffect]| {
+        let uses = &report(effects).unwrap().uses;
+        uses.iter().any(|limit_use| limit_use.name == "i2")
+    };
+    let effects = bench.advance(600);
+    assert!(reported(&effects));
+    let lifted = EndpointLimit { instance: "i2".to_owned(), milli: None, age_ms: 0 };
+    let state = SideState {
+        issues_credit: true,
+        tracks_suspects: true,
+        endpoint_limits: vec![lifted],
+        ..state(1, &["m0"])
+    };
+    bench.step(EntryEvent::SideReport(address(1), state.clone()));
+    bench.advance(6_000);
+    bench.step(EntryEvent::SideReport(address(1), SideState { endpoint_limits: vec![], ..state }));
+    assert!(!reported(&bench.advance(600)));
+}
+
 /// Guards against a limit that a response lifts which an endpoint began before it named the limit.
 #[test]
 fn an_older_response_does_not_lift_an_endpoints_limit() {
