Do once what the entry did twice for each request, and count who waits ahead in one place

The runs of a service were summed twice for each choice, all endpoints ranked where one that can run the request is enough, the sides asked for the number of entries three times for each logged repeat, a backup chosen before it was known whether the request may leave, and an organisation's name copied for each look into the ledger. Who waits ahead of a request stood in the queue and again in the wait for an endpoint's limit; when a response may say something of a limit stood in two places; the metrics of repeats are filled as those of limits are.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -142,14 +142,8 @@
     /// Sets the numbers of further dispatches by service.
     pub(crate) fn set_retries<'a>(&self, counts: impl Iterator<Item = (&'a str, RetryCounts)>) {
         let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
-        for (service, counts) in counts {
-            match retries.get_mut(service) {
-                Some(known) => *known = counts,
-                None => {
-                    retries.insert(service.to_owned(), counts);
-                }
-            }
-        }
+        retries.clear();
+        retries.extend(counts.map(|(service, counts)| (service.to_owned(), counts)));
     }
 
     /// Counts a refusal.
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -73,7 +73,7 @@
     /// Selects the best endpoint for `request`, or what to do instead.
     pub(super) fn choose(&self, request: &Request) -> Choice {
         let runs = self.service_runs(&request.service);
-        let best = self.best_endpoint(request, |endpoint| self.permits(endpoint));
+        let best = self.best_endpoint(request, runs, |endpoint| self.permits(endpoint));
         let full = match request.required {
             Some(_) if request.is_late(self.now) => LATE_FULL,
             Some(_) => ENGINE_FULL,
@@ -93,19 +93,27 @@
                 Choice::Dispatch(endpoint.member.instance.clone())
             }
             Some(_) => Choice::Full,
-            None if self.best_endpoint(request, |_| true).is_some() => Choice::Limited,
+            None if self
+                .pool
+                .endpoints
+                .values()
+                .any(|endpoint| self.eligible(endpoint, request)) =>
+            {
+                Choice::Limited
+            }
             None if request.required.is_some() => Choice::Load,
             None => Choice::Refuse(Reason::NoEndpoint),
         }
     }
 
-    /// Returns the endpoint of the lowest cost of those that can run a request and are `admitted`.
+    /// Returns the endpoint of the lowest cost of those that can run a request and are `admitted`; `runs` is
+    /// the total of its service.
     pub(super) fn best_endpoint(
         &self,
         request: &Request,
+        runs: u32,
         admitted: impl Fn(&Endpoint) -> bool,
     ) -> Option<&Endpoint> {
-        let runs = self.service_runs(&request.service);
         let endpoints = self.pool.endpoints.values();
         let eligible =
             endpoints.filter(|endpoint| self.eligible(endpoint, request) && admitted(endpoint));
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -39,14 +39,7 @@
     /// its KV cache.
     pub(super) fn dispatch(&mut self, id: RequestId, instance: &str, copy: bool) {
         let now = self.now;
-        let backup = self.requests.get(&id).and_then(|request| self.backup_for(request, instance));
-        let backup_address = backup.as_ref().and_then(|backup| self.pool.endpoints.get(backup));
-        let backup_address = backup_address.map(|endpoint| endpoint.member.address);
-        let (eligible, fleet_load) = self.alternatives(id);
-        if !self.pool.endpoints.contains_key(instance) {
-            return;
-        }
-        if !self.use_limit(instance) {
+        if !self.pool.endpoints.contains_key(instance) || !self.use_limit(instance) {
             // It waits on.
             return;
         }
@@ -54,6 +47,10 @@
             self.refuse(id, Reason::Full);
             return;
         }
+        let backup = self.requests.get(&id).and_then(|request| self.backup_for(request, instance));
+        let backup_address = backup.as_ref().and_then(|backup| self.pool.endpoints.get(backup));
+        let backup_address = backup_address.map(|endpoint| endpoint.member.address);
+        let (eligible, fleet_load) = self.alternatives(id);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(endpoint) = self.pool.endpoints.get_mut(instance) else { return };
         request.backup = backup;
@@ -127,10 +124,7 @@
 
     pub(super) fn response_started(&mut self, id: RequestId, head: ResponseHead) {
         let now = self.now;
-        // An unsigned response is not the endpoint's own: it lifts no limit.
-        if head.rate.is_some() || head.signed {
-            self.learn_limit(id, head);
-        }
+        self.learn_limit(id, head);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let verdict = classify_response(head, request.retry_policy);
         // Once the caller has the head of a successful response, an endpoint's error response can
--- a/crates/pool/src/entry/endpoint_limits.rs
+++ b/crates/pool/src/entry/endpoint_limits.rs
@@ -7,7 +7,7 @@
 use citronrill_decide::LogEvent;
 use citronrill_wire::EndpointLimit;
 
-use super::{PoolEntry, Reason, Request, RequestId, ResponseHead, Stage};
+use super::{PoolEntry, Reason, Request, RequestId, ResponseHead};
 use crate::{
     endpoint::{Endpoint, NamedLimit},
     limits::{EndpointRate, Sharing},
@@ -25,7 +25,9 @@
     /// Responses overtake each other: one to an earlier request does not lift or change a limit that one
     /// to a later request named.
     pub(super) fn learn_limit(&mut self, id: RequestId, head: ResponseHead) {
-        if head.other_incarnation || head.misdirected {
+        // An unsigned response is not the endpoint's own: it lifts no limit.
+        let unproven = head.rate.is_none() && !head.signed;
+        if unproven || head.other_incarnation || head.misdirected {
             return;
         }
         let Some(request) = self.requests.get(&id) else { return };
@@ -118,7 +120,9 @@
             return;
         }
         let Some(request) = self.requests.get(&id) else { return };
-        let best = self.best_endpoint(request, |_| true).filter(|endpoint| endpoint.is_limited());
+        let runs = self.service_runs(&request.service);
+        let best = self.best_endpoint(request, runs, |_| true);
+        let best = best.filter(|endpoint| endpoint.is_limited());
         let Some(instance) = best.map(|endpoint| endpoint.member.instance.clone()) else { return };
         let first = !request.limit_wanted;
         self.ledger.want_endpoint(&instance, first, self.now);
@@ -142,13 +146,7 @@
     /// Returns the milliseconds until the limits of the endpoints that could run a request permit it, behind
     /// those that wait here already.
     fn limit_wait_ms(&self, id: RequestId, request: &Request) -> u64 {
-        let key = request.schedule_key(self.now);
-        let ahead = self.requests.range(..id).filter(|(_, other)| {
-            other.stage == Stage::Waiting
-                && other.service == request.service
-                && other.base == request.base
-                && other.schedule_key(self.now) <= key
-        });
+        let ahead = self.requests_ahead(id, request) as f64;
         let sharing = self.sharing();
         let limited = self
             .pool
@@ -157,7 +155,6 @@
             .filter(|endpoint| endpoint.is_limited() && self.eligible(endpoint, request));
         let rates =
             limited.map(|endpoint| self.ledger.endpoint_rate(&endpoint.member.instance, sharing));
-        let ahead = ahead.count() as f64;
         (ahead * 1_000.0 / rates.sum::<f64>().max(0.001)) as u64
     }
 
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -597,14 +597,7 @@
             self.count_miss(id, base);
         }
         let Some(request) = self.requests.get(&id) else { return };
-        let schedule_key = request.schedule_key(self.now);
-        let same = |other: &&Request| {
-            other.stage == Stage::Waiting
-                && other.service == request.service
-                && other.base == request.base
-                && other.schedule_key(self.now) <= schedule_key
-        };
-        let ahead = self.requests.range(..id).map(|(_, other)| other).filter(same).count();
+        let ahead = self.requests_ahead(id, request);
         let holders = self.pool.endpoints.values().filter(|endpoint| {
             endpoint.accepts_requests()
                 && endpoint.member.service == request.service
@@ -620,6 +613,18 @@
         }
     }
 
+    /// Returns how many requests before `id` wait for the same endpoints as `request` and go first.
+    fn requests_ahead(&self, id: RequestId, request: &Request) -> usize {
+        let schedule_key = request.schedule_key(self.now);
+        let same = |other: &&Request| {
+            other.stage == Stage::Waiting
+                && other.service == request.service
+                && other.base == request.base
+                && other.schedule_key(self.now) <= schedule_key
+        };
+        self.requests.range(..id).map(|(_, other)| other).filter(same).count()
+    }
+
     /// Returns the number of entries that the sides report.
     fn entries(&self) -> u32 {
         let sides = self.pool.endpoints.values().filter_map(|endpoint| endpoint.side.as_ref());
--- a/crates/pool/src/entry/retries.rs
+++ b/crates/pool/src/entry/retries.rs
@@ -19,7 +19,7 @@
         if request.retry_reserved {
             return true;
         }
-        let service = request.service.clone();
+        let (caller_id, service) = (request.caller_id.clone(), request.service.clone());
         let denied_before = request.retry_denied;
         let budget = self.budget(&service);
         let granted = budget.reserve(now);
@@ -30,7 +30,10 @@
         if !granted {
             budget.count_denied();
         }
-        self.log_retry(id, granted);
+        let event = LogEvent::new("retry").with("id", caller_id).with("service", &service);
+        let event = event.with("granted", granted).with("left", budget.left(now));
+        let event = event.with("reserved", budget.reserved());
+        self.log(event.with("entries", self.shared_among().unwrap_or(0)));
         if let Some(request) = self.requests.get_mut(&id) {
             (request.retry_reserved, request.retry_denied) = (granted, !granted);
         }
@@ -55,6 +58,7 @@
     }
 
     pub(super) fn budget(&mut self, service: &str) -> &mut RetryBudget {
+        self.record_entries();
         let entries = self.shared_among();
         let profile = &self.profile;
         let started = self.started.unwrap_or(self.now);
@@ -66,22 +70,14 @@
         budget
     }
 
-    /// Returns the highest number of entries that sides have reported of late; `None` if none has.
-    fn shared_among(&mut self) -> Option<u32> {
+    fn record_entries(&mut self) {
         let sides = self.pool.endpoints.values().filter_map(|endpoint| endpoint.side.as_ref());
         let known = sides.map(|side| side.known_entries.max(side.entry_count)).max();
-        let peak = self.entry_peak.record(known.unwrap_or(0), self.now);
-        peak.map(|entries| entries.max(MIN_ENTRIES))
+        self.entry_peak.record(known.unwrap_or(0), self.now);
     }
 
-    fn log_retry(&mut self, id: RequestId, granted: bool) {
-        let (now, entries) = (self.now, self.shared_among());
-        let Some(request) = self.requests.get(&id) else { return };
-        let (caller_id, service) = (request.caller_id.clone(), request.service.clone());
-        let budget = self.budget(&service);
-        let (left, reserved) = (budget.left(now), budget.reserved());
-        let event = LogEvent::new("retry").with("id", caller_id).with("service", service);
-        let event = event.with("granted", granted).with("left", left).with("reserved", reserved);
-        self.log(event.with("entries", entries.unwrap_or(0)));
+    /// Returns the highest number of entries that sides have reported of late; `None` if none has.
+    fn shared_among(&self) -> Option<u32> {
+        self.entry_peak.highest().map(|entries| entries.max(MIN_ENTRIES))
     }
 }
--- a/crates/pool/src/limits/ledger.rs
+++ b/crates/pool/src/limits/ledger.rs
@@ -171,7 +171,7 @@
     }
 
     /// Returns the credit of a request that did not run and never will.
-    pub fn refund(&mut self, organisation: &str, units: u64) {
+    pub fn refund(&mut self, organisation: &Arc<str>, units: u64) {
         if let Some(account) = self.organisation(organisation) {
             account.used -= units as i64;
             account.held += units as f64;
@@ -179,7 +179,7 @@
     }
 
     /// Handles a request that stopped waiting for credit.
-    pub fn withdraw(&mut self, organisation: &str, units: u64) {
+    pub fn withdraw(&mut self, organisation: &Arc<str>, units: u64) {
         if let Some(account) = self.organisation(organisation) {
             account.remove_waiting(units);
         }
@@ -243,13 +243,13 @@
     }
 
     /// Returns whether requests of an organisation are being refused.
-    pub fn is_over(&self, organisation: &str) -> bool {
-        let key = LimitKey::Organisation(organisation.into());
+    pub fn is_over(&self, organisation: &Arc<str>) -> bool {
+        let key = LimitKey::Organisation(organisation.clone());
         self.accounts.get(&key).is_some_and(|account| account.refused_at.is_some())
     }
 
-    fn organisation(&mut self, name: &str) -> Option<&mut Account> {
-        self.accounts.get_mut(&LimitKey::Organisation(name.into()))
+    fn organisation(&mut self, name: &Arc<str>) -> Option<&mut Account> {
+        self.accounts.get_mut(&LimitKey::Organisation(name.clone()))
     }
 
     /// Returns what was counted for each organisation.
--- a/crates/pool/src/limits/peak.rs
+++ b/crates/pool/src/limits/peak.rs
@@ -14,8 +14,8 @@
 }
 
 impl RecentPeak {
-    /// Adds a value; returns the highest one, or `None` if all were 0.
-    pub fn record(&mut self, value: u32, now: Millis) -> Option<u32> {
+    /// Adds a value.
+    pub fn record(&mut self, value: u32, now: Millis) {
         let elapsed = now.since(self.since);
         if elapsed >= SPAN_MS {
             self.previous = if elapsed < 2 * SPAN_MS { self.current } else { 0 };
@@ -23,6 +23,10 @@
             self.since = now;
         }
         self.current = self.current.max(value);
+    }
+
+    /// Returns the highest value; `None` if all were 0.
+    pub fn highest(&self) -> Option<u32> {
         Some(self.current.max(self.previous)).filter(|peak| *peak > 0)
     }
 }
