Decode that an endpoint leaves from its responses, and log it

What an endpoint says is kept apart from its row in the member list, in one record with the limit that it names; nothing acts on it yet.

A 421 teaches nothing: whatever listens at the address by now may have sent it.

--- /dev/null
+++ b/crates/pool/src/advertised.rs
@@ -0,0 +1,44 @@
+//! What an endpoint says of itself in its responses.
+
+use citronrill_base::Millis;
+
+use crate::limits::EndpointRate;
+
+/// What an endpoint has said of a limit on the requests of all entries together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct NamedLimit {
+    /// `None` if it names none.
+    pub(crate) rate: Option<EndpointRate>,
+    /// When the request was dispatched whose response said so.
+    pub(crate) said_at: Millis,
+}
+
+/// What an incarnation of an endpoint has said of itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Advertised {
+    /// Whether it has said that it leaves, which no incarnation takes back.
+    leaving: bool,
+    /// What it last said of a limit, if anything is known.
+    limit: Option<NamedLimit>,
+}
+
+impl Advertised {
+    /// Records that it leaves; returns false if that was known.
+    pub(crate) fn record_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.leaving, true)
+    }
+
+    /// Returns the limit that it names.
+    pub(crate) fn limit(&self) -> Option<EndpointRate> {
+        self.limit.and_then(|limit| limit.rate)
+    }
+
+    /// Records what it said of a limit; returns false if something newer is known.
+    pub(crate) fn record_limit(&mut self, limit: NamedLimit) -> bool {
+        let newer = self.limit.is_none_or(|known| limit.said_at >= known.said_at);
+        if newer {
+            self.limit = Some(limit);
+        }
+        newer
+    }
+}
--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -4,8 +4,8 @@
 use citronrill_wire::SideState;
 
 use crate::{
+    advertised::Advertised,
     incarnation::{KnownIncarnation, StartTime},
-    limits::EndpointRate,
     liveness::Liveness,
     member::{Member, full_name},
     software::SoftwareKey,
@@ -131,15 +131,6 @@
     }
 }
 
-/// What an endpoint has said of a limit on the requests of all entries together.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct NamedLimit {
-    /// `None` if it names none.
-    pub(crate) rate: Option<EndpointRate>,
-    /// When the request was dispatched whose response said so.
-    pub(crate) said_at: Millis,
-}
-
 /// One endpoint.
 #[derive(Debug, Clone)]
 pub(crate) struct Endpoint {
@@ -157,8 +148,8 @@
     pub(crate) load: u32,
     /// Dispatches of this entry since the load was last reported.
     pub(crate) unreported: u32,
-    /// What the endpoint last said of a limit, if anything is known.
-    pub(crate) limit: Option<NamedLimit>,
+    /// What it has said of itself in its responses.
+    pub(crate) advertised: Advertised,
     pub(crate) avoid_until: Millis,
     /// Until when its side gets no further load requests, because it has just declined one.
     pub(crate) declined_until: Millis,
@@ -192,7 +183,7 @@
             own_requests: 0,
             load: 0,
             unreported: 0,
-            limit: None,
+            advertised: Advertised::default(),
             avoid_until: Millis(0),
             declined_until: Millis(0),
             failure_rate: 0.0,
@@ -241,20 +232,12 @@
 
     /// Returns whether it names a limit.
     pub(crate) fn is_limited(&self) -> bool {
-        self.limit.is_some_and(|limit| limit.rate.is_some())
+        self.advertised.limit().is_some()
     }
 
-    /// Returns whether what it said at `said_at` is newer than what is known of its limit, and of this
-    /// incarnation.
-    pub(crate) fn is_newer_word(&self, said_at: Millis) -> bool {
-        said_at >= self.known_since && self.limit.is_none_or(|limit| said_at >= limit.said_at)
-    }
-
-    /// Records that it named no limit at `said_at`.
-    pub(crate) fn record_no_limit(&mut self, said_at: Millis) {
-        if self.is_newer_word(said_at) {
-            self.limit = Some(NamedLimit { rate: None, said_at });
-        }
+    /// Returns whether the response to a request that was dispatched at `sent_at` can be of this incarnation.
+    pub(crate) fn may_have_answered(&self, sent_at: Millis) -> bool {
+        sent_at >= self.known_since
     }
 
     /// Returns the number of requests known to run or wait at the endpoint.
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -124,7 +124,7 @@
 
     pub(super) fn response_started(&mut self, id: RequestId, head: ResponseHead) {
         let now = self.now;
-        self.learn_limit(id, head);
+        self.learn_from_response(id, head);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let verdict = classify_response(head, request.retry_policy);
         // Once the caller has the head of a successful response, an endpoint's error response can
--- a/crates/pool/src/entry/endpoint_limits.rs
+++ b/crates/pool/src/entry/endpoint_limits.rs
@@ -7,9 +7,10 @@
 use citronrill_decide::LogEvent;
 use citronrill_wire::EndpointLimit;
 
-use super::{PoolEntry, Reason, Request, RequestId, ResponseHead};
+use super::{PoolEntry, Reason, Request, RequestId, advertised::Statement};
 use crate::{
-    endpoint::{Endpoint, NamedLimit},
+    advertised::NamedLimit,
+    endpoint::Endpoint,
     limits::{EndpointRate, Sharing},
 };
 
@@ -20,28 +21,24 @@
 const MAX_RETRY_MS: u64 = 8_000;
 
 impl PoolEntry {
-    /// Takes over the limit that the endpoint named in its response to a request, or that it names none.
+    /// Takes over the limit that the endpoint named in a response, or that it names none.
     ///
     /// Responses overtake each other: one to an earlier request does not lift or change a limit that one
     /// to a later request named.
-    pub(super) fn learn_limit(&mut self, id: RequestId, head: ResponseHead) {
+    pub(super) fn learn_limit(&mut self, statement: &Statement<'_>) {
+        let Statement { instance, said_at, head, .. } = *statement;
         // An unsigned response is not the endpoint's own: it lifts no limit.
-        let unproven = head.rate.is_none() && !head.signed;
-        if unproven || head.other_incarnation || head.misdirected {
+        if head.rate.is_none() && !head.signed {
             return;
         }
-        let Some(request) = self.requests.get(&id) else { return };
-        let said_at = request.sent_at;
-        let Some(instance) = request.instance.as_deref() else { return };
         if head.rate.is_none() {
             let endpoint = self.pool.endpoints.get_mut(instance);
             if let Some(endpoint) = endpoint.filter(|endpoint| !endpoint.is_limited()) {
-                endpoint.record_no_limit(said_at);
+                endpoint.advertised.record_limit(NamedLimit { rate: None, said_at });
                 return;
             }
         }
-        let (instance, caller_id) = (instance.to_owned(), request.caller_id.clone());
-        self.set_limit(&instance, head.rate, said_at, "id", &caller_id);
+        self.set_limit(instance, head.rate, said_at, "id", statement.caller_id);
     }
 
     /// Takes over the limits that a side passes on.
@@ -64,11 +61,12 @@
     ) {
         let now = self.now;
         let Some(endpoint) = self.pool.endpoints.get_mut(instance) else { return };
-        if !endpoint.is_newer_word(said_at) {
+        let known = endpoint.advertised.limit();
+        let heard = endpoint.may_have_answered(said_at)
+            && endpoint.advertised.record_limit(NamedLimit { rate, said_at });
+        if !heard {
             return;
         }
-        let known = endpoint.limit.and_then(|known| known.rate);
-        endpoint.limit = Some(NamedLimit { rate, said_at });
         self.ledger.set_endpoint(instance, rate, said_at, now);
         if known == rate {
             return;
@@ -84,9 +82,6 @@
     /// Forgets the limit of the previous incarnation of an endpoint.
     pub(super) fn forget_limit(&mut self, instance: &str) {
         self.ledger.forget_endpoint(instance);
-        if let Some(endpoint) = self.pool.endpoints.get_mut(instance) {
-            endpoint.limit = None;
-        }
     }
 
     /// Forgets the limits of endpoints that have left, and those that were lifted a while ago.
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! State machine of the entry role: handles each request from arrival to completion.
 
 mod admit;
+mod advertised;
 mod choose;
 mod crashes;
 mod credit;
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -106,6 +106,8 @@
     pub load: Option<u32>,
     /// Requests a second that the endpoint takes from all entries together, if it names a limit.
     pub rate: Option<EndpointRate>,
+    /// Whether the endpoint says that it leaves.
+    pub leaving: bool,
 }
 
 impl ResponseHead {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -8,6 +8,7 @@
 //! because nothing here is agreed through the platform table: a side is the only process that gives
 //! orders to its endpoint, and entries act on views that each carry a sequence number.
 
+mod advertised;
 mod cause;
 mod check_timer;
 mod completed;
--- a/crates/pool/tests/all/resume.rs
+++ b/crates/pool/tests/all/resume.rs
@@ -18,6 +18,7 @@
     other_incarnation: false,
     load: None,
     rate: None,
+    leaving: false,
 };
 
 /// An entry with engines that all have `m0` loaded and whose sides have reported.
