--- a/crates/pool/src/advertised.rs
+++ b/crates/pool/src/advertised.rs
@@ -20,6 +20,8 @@
     leaving: bool,
     /// What it last said of a limit, if anything is known.
     limit: Option<NamedLimit>,
+    /// Until when it wants no requests.
+    backoff_until: Option<Millis>,
 }
 
 impl Advertised {
@@ -28,6 +30,15 @@
         !std::mem::replace(&mut self.leaving, true)
     }
 
+    /// Records until when it wants no requests; returns false if it has asked for a longer time before.
+    pub(crate) fn record_backoff(&mut self, until: Millis) -> bool {
+        let longer = self.backoff_until.is_none_or(|known| until > known);
+        if longer {
+            self.backoff_until = Some(until);
+        }
+        longer
+    }
+
     /// Returns the limit that it names.
     pub(crate) fn limit(&self) -> Option<EndpointRate> {
         self.limit.and_then(|limit| limit.rate)
--- a/crates/pool/src/entry/advertised.rs
+++ b/crates/pool/src/entry/advertised.rs
@@ -37,6 +37,7 @@
         let statement = Statement { instance: &instance, caller_id: &caller_id, said_at, head };
         self.learn_limit(&statement);
         self.learn_leaving(&statement);
+        self.learn_backoff(&statement);
     }
 
     fn learn_leaving(&mut self, statement: &Statement<'_>) {
@@ -49,4 +50,14 @@
             self.log(event.with("id", statement.caller_id));
         }
     }
+
+    fn learn_backoff(&mut self, statement: &Statement<'_>) {
+        let Some(backoff_ms) = statement.head.backoff_ms else { return };
+        let until = self.now + backoff_ms;
+        let Some(endpoint) = self.pool.endpoints.get_mut(statement.instance) else { return };
+        if endpoint.advertised.record_backoff(until) {
+            let event = LogEvent::new("endpoint_backoff").with("instance", statement.instance);
+            self.log(event.with("backoff_ms", backoff_ms).with("id", statement.caller_id));
+        }
+    }
 }
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -108,6 +108,9 @@
     pub rate: Option<EndpointRate>,
     /// Whether the endpoint says that it leaves.
     pub leaving: bool,
+    /// Milliseconds for which the endpoint wants no request of this entry, if it turned the request away
+    /// and says so.
+    pub backoff_ms: Option<u64>,
 }
 
 impl ResponseHead {
--- a/crates/pool/tests/all/resume.rs
+++ b/crates/pool/tests/all/resume.rs
@@ -19,6 +19,7 @@
     load: None,
     rate: None,
     leaving: false,
+    backoff_ms: None,
 };
 
 /// An entry with engines that all have `m0` loaded and whose sides have reported.
