--- /dev/null
+++ b/crates/pool/tests/all/advertised/mod.rs
@@ -0,0 +1,4 @@
+//! What endpoints say of themselves in their responses.
+
+mod leaving;
+mod series;
--- /dev/null
+++ b/crates/pool/tests/all/advertised/series.rs
@@ -0,0 +1,340 @@
+//! Random series of what endpoints say, beside lists that are out of date, entries that start again and
+//! stand still, and messages that take their time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use citronrill_base::Millis;
+use citronrill_pool::{
+    EntryEffect, EntryEvent, EntryProfile, Member, MemberChange, PoolEntry, RequestId, ResponseEnd,
+    ResponseHead,
+};
+use citronrill_wire::SideState;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+
+use crate::support::{
+    ENGINE, PLAIN, address, arrival, config, member, ok, profile, seeds_from, state,
+};
+
+const ENDPOINTS: usize = 6;
+/// Number of these that are engines; the others are plain.
+const ENGINES: usize = 3;
+/// Milliseconds after which an entry that was told that an endpoint leaves sends nothing there. The platform
+/// permits 2,000.
+const LEFT_MS: u64 = 200;
+/// Milliseconds that a series lasts, of which callers send requests until the last two seconds.
+const SERIES_MS: u64 = 20_000;
+/// Milliseconds that a run takes.
+const RUN_MS: u64 = 60;
+/// Requests a second of all callers.
+const RATE: f64 = 150.0;
+
+/// One endpoint, and how its incarnations differ.
+struct Endpoint {
+    name: String,
+    leaving: bool,
+    /// Whether the list has its row, and what the row says of it.
+    listed: Option<bool>,
+}
+
+struct EntryNode {
+    entry: PoolEntry,
+    started: u64,
+    frozen_until: u64,
+    /// When it was told that an incarnation leaves.
+    told_leaving: BTreeMap<String, u64>,
+}
+
+enum Input {
+    Entry(usize, u64, EntryEvent),
+    /// A request reaches an endpoint: the endpoint, the incarnation that it is meant for, the entry and its
+    /// start, when it was sent, and the request.
+    Received {
+        endpoint: usize,
+        name: String,
+        from: (usize, u64),
+        sent: u64,
+        id: (RequestId, u32),
+    },
+}
+
+struct Series {
+    now: u64,
+    rng: SmallRng,
+    entries: Vec<EntryNode>,
+    endpoints: Vec<Endpoint>,
+    list_version: u64,
+    inputs: BTreeMap<(u64, u64), Input>,
+    next: u64,
+    served: u32,
+    violations: Vec<String>,
+}
+
+impl Series {
+    fn new(seed: u64, entries: usize) -> Series {
+        let endpoint =
+            |index| Endpoint { name: format!("i{index}-0"), leaving: false, listed: Some(false) };
+        let mut series = Series {
+            now: 1_000,
+            rng: SmallRng::seed_from_u64(seed),
+            entries: Vec::new(),
+            endpoints: (0..ENDPOINTS).map(endpoint).collect(),
+            list_version: 1,
+            inputs: BTreeMap::new(),
+            next: 0,
+            served: 0,
+            violations: Vec::new(),
+        };
+        for entry in 0..entries {
+            let node = series.start_entry(entry);
+            series.entries.push(node);
+        }
+        series
+    }
+
+    fn start_entry(&self, entry: usize) -> EntryNode {
+        let seed = entry as u64 * 7_919;
+        let mut started = PoolEntry::new(EntryProfile { seed, ..profile() });
+        let now = Millis(self.now);
+        started.step(now, EntryEvent::Config(config(1)));
+        started.step(now, EntryEvent::ConfigCurrent(true));
+        started.step(now, EntryEvent::Members(self.list()));
+        EntryNode {
+            entry: started,
+            started: self.now,
+            frozen_until: 0,
+            told_leaving: BTreeMap::new(),
+        }
+    }
+
+    fn service(endpoint: usize) -> &'static str {
+        if endpoint < ENGINES { ENGINE } else { PLAIN }
+    }
+
+    fn row(&self, endpoint: usize, leaving: bool) -> Member {
+        Member {
+            instance: self.endpoints[endpoint].name.clone(),
+            leaving,
+            ..member(endpoint as u8, Series::service(endpoint), &["m0"])
+        }
+    }
+
+    fn list(&self) -> MemberChange {
+        let listed = (0..ENDPOINTS).filter_map(|index| {
+            let leaving = self.endpoints[index].listed?;
+            Some((self.endpoints[index].name.clone(), Some(self.row(index, leaving))))
+        });
+        MemberChange { complete: true, version: self.list_version, rows: listed.collect() }
+    }
+
+    fn post(&mut self, delay: u64, input: Input) {
+        self.next += 1;
+        self.inputs.insert((self.now + delay, self.next), input);
+    }
+
+    fn hop(&mut self) -> u64 {
+        if self.rng.random_bool(0.02) { self.rng.random_range(1..100) } else { 1 }
+    }
+
+    fn step(&mut self) {
+        self.now += 1;
+        if self.now < SERIES_MS - 2_000 && self.rng.random_bool(RATE / 1_000.0) {
+            self.request();
+        }
+        while let Some(next) = self.inputs.first_entry().filter(|next| next.key().0 <= self.now) {
+            let input = next.remove();
+            self.handle(input);
+        }
+        if self.now.is_multiple_of(20) {
+            (0..self.entries.len()).for_each(|entry| self.step_entry(entry, EntryEvent::Tick));
+        }
+        if self.now.is_multiple_of(400) {
+            self.report();
+        }
+        if self.now.is_multiple_of(900) {
+            self.send_list();
+        }
+        if self.now.is_multiple_of(250) {
+            self.change();
+        }
+    }
+
+    fn handle(&mut self, input: Input) {
+        match input {
+            Input::Entry(entry, started, event) => {
+                let node = &self.entries[entry];
+                if node.started != started {
+                    return;
+                }
+                if self.now < node.frozen_until {
+                    let delay = node.frozen_until - self.now;
+                    self.post(delay, Input::Entry(entry, started, event));
+                    return;
+                }
+                self.step_entry(entry, event);
+            }
+            Input::Received { endpoint, name, from, sent, id } => {
+                self.receive(endpoint, &name, from, sent, id);
+            }
+        }
+    }
+
+    fn request(&mut self) {
+        self.next += 1;
+        let entry = self.rng.random_range(0..self.entries.len());
+        let (path, model) =
+            if self.rng.random_bool(0.5) { ("/chat/x", "m0") } else { ("/status/x", "") };
+        let arrived = EntryEvent::RequestArrived(arrival(self.next, path, model));
+        let started = self.entries[entry].started;
+        self.post(0, Input::Entry(entry, started, arrived));
+    }
+
+    fn step_entry(&mut self, entry: usize, event: EntryEvent) {
+        if self.now < self.entries[entry].frozen_until {
+            return;
+        }
+        let started = self.entries[entry].started;
+        let effects = self.entries[entry].entry.step(Millis(self.now), event);
+        for effect in effects {
+            match effect {
+                EntryEffect::Dispatch(id, dispatch) => {
+                    let endpoint = (0..ENDPOINTS)
+                        .find(|index| address(*index as u8) == dispatch.address)
+                        .unwrap();
+                    let (name, id) = (dispatch.instance, (id, dispatch.number));
+                    let (from, sent, hop) = ((entry, started), self.now, self.hop());
+                    self.post(hop, Input::Received { endpoint, name, from, sent, id });
+                }
+                EntryEffect::Probe(at) => {
+                    let event = EntryEvent::ProbeReply(at);
+                    self.post(1, Input::Entry(entry, started, event));
+                }
+                EntryEffect::Forward(_) => self.served += 1,
+                _ => {}
+            }
+        }
+    }
+
+    /// Handles a request that reaches an endpoint.
+    fn receive(
+        &mut self,
+        index: usize,
+        name: &str,
+        (entry, started): (usize, u64),
+        sent: u64,
+        (id, number): (RequestId, u32),
+    ) {
+        let endpoint = &self.endpoints[index];
+        if endpoint.name != name {
+            let head = ResponseHead { status: 421, other_incarnation: true, ..ok() };
+            self.post(1, Input::Entry(entry, started, EntryEvent::ResponseHead(id, number, head)));
+            return;
+        }
+        let head = ResponseHead { leaving: endpoint.leaving, ..ok() };
+        let node = &self.entries[entry];
+        if node.started == started {
+            let told = node.told_leaving.get(name);
+            if told.is_some_and(|told| sent > told + LEFT_MS && sent >= node.frozen_until) {
+                let (now, told) = (self.now, told.copied().unwrap_or_default());
+                self.violations
+                    .push(format!("{now}: entry {entry} sent to {name}, told at {told}"));
+            }
+        }
+        let hop = self.hop();
+        if head.leaving && node_is(&self.entries[entry], started) {
+            let heard = (self.now + hop).max(self.entries[entry].frozen_until);
+            let told = self.entries[entry].told_leaving.entry(name.to_owned()).or_insert(heard);
+            *told = heard.min(*told);
+        }
+        self.post(hop, Input::Entry(entry, started, EntryEvent::ResponseHead(id, number, head)));
+        let ended = EntryEvent::ResponseEnded(id, ResponseEnd::Complete);
+        self.post(RUN_MS.max(hop + 1), Input::Entry(entry, started, ended));
+    }
+
+    /// Lets the sides report, which know nothing of what their endpoints say.
+    fn report(&mut self) {
+        for entry in 0..self.entries.len() {
+            for index in 0..ENGINES {
+                let instance = self.endpoints[index].name.clone();
+                let reported = SideState { instance, ..state(1, &["m0"]) };
+                let event = EntryEvent::SideReport(address(index as u8), reported);
+                let (started, hop) = (self.entries[entry].started, self.hop());
+                self.post(hop, Input::Entry(entry, started, event));
+            }
+        }
+    }
+
+    /// Lets the entries read the list, which some of them cannot.
+    fn send_list(&mut self) {
+        self.list_version += 1;
+        for entry in 0..self.entries.len() {
+            if self.rng.random_bool(0.7) {
+                let (started, hop) = (self.entries[entry].started, self.hop());
+                let event = EntryEvent::Members(self.list());
+                self.post(hop, Input::Entry(entry, started, event));
+            }
+        }
+    }
+
+    /// Changes one thing.
+    fn change(&mut self) {
+        let index = self.rng.random_range(0..ENDPOINTS);
+        let entry = self.rng.random_range(0..self.entries.len());
+        match self.rng.random_range(0..8) {
+            0 | 1 => self.endpoints[index].leaving = true,
+            2 => self.restart_endpoint(index),
+            // The row lapses, though the endpoint lives.
+            3 => self.endpoints[index].listed = None,
+            // The store accepts a row, or shows an old one again.
+            4 => self.endpoints[index].listed = Some(false),
+            5 => self.endpoints[index].listed = Some(self.endpoints[index].leaving),
+            6 => {
+                let node = self.start_entry(entry);
+                self.entries[entry] = node;
+            }
+            _ => {
+                let until = self.now + self.rng.random_range(100..3_000);
+                self.entries[entry].frozen_until = until;
+            }
+        }
+        let leaving = self.endpoints.iter().filter(|endpoint| endpoint.leaving).count();
+        if leaving > ENDPOINTS / 2 {
+            let gone = self.endpoints.iter().position(|endpoint| endpoint.leaving).unwrap();
+            self.restart_endpoint(gone);
+        }
+    }
+
+    /// Replaces an endpoint by another one at its address.
+    fn restart_endpoint(&mut self, index: usize) {
+        self.next += 1;
+        let name = format!("i{index}-{}", self.next);
+        self.endpoints[index] = Endpoint { name, leaving: false, listed: Some(false) };
+    }
+}
+
+fn node_is(node: &EntryNode, started: u64) -> bool {
+    node.started == started
+}
+
+/// Guards against an endpoint that gets requests of an entry that it has told that it leaves, whatever lists
+/// and sides say, and whichever entries start again or stand still.
+/// `CITRONRILL_ADVERTISED_SEEDS=FIRST:COUNT` sets the seeds.
+#[rstest]
+#[case(4)]
+#[case(21)]
+#[case(68)]
+fn no_entry_sends_to_an_endpoint_that_has_told_it_that_it_leaves(#[case] entries: usize) {
+    let (first_seed, count) = seeds_from("CITRONRILL_ADVERTISED_SEEDS", "1:4");
+    let mut broken = BTreeSet::new();
+    for seed in first_seed..first_seed + count {
+        let mut series = Series::new(seed, entries);
+        while series.now < SERIES_MS {
+            series.step();
+        }
+        assert!(series.served > 1_000, "seed {seed}: {} served", series.served);
+        if let Some(first) = series.violations.first() {
+            broken.insert((seed, series.violations.len(), first.clone()));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that cannot go on must fail")]
 
+mod advertised;
 mod collector;
 mod config_transfer;
 mod entry;
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -5,6 +5,7 @@
 mod config_transfer;
 mod endpoint_limits;
 mod events;
+mod leaving;
 mod life;
 mod members;
 mod organisations;
