--- a/crates/pool/tests/all/advertised/series.rs
+++ b/crates/pool/tests/all/advertised/series.rs
@@ -46,7 +46,7 @@
 }
 
 enum Input {
-    Entry(usize, u64, EntryEvent),
+    Entry(usize, u64, Box<EntryEvent>),
     /// A request reaches an endpoint: the endpoint, the incarnation that it is meant for, the entry and its
     /// start, when it was sent, and the request.
     Received {
@@ -132,6 +132,10 @@
         self.inputs.insert((self.now + delay, self.next), input);
     }
 
+    fn post_event(&mut self, delay: u64, entry: usize, started: u64, event: EntryEvent) {
+        self.post(delay, Input::Entry(entry, started, Box::new(event)));
+    }
+
     fn hop(&mut self) -> u64 {
         if self.rng.random_bool(0.02) { self.rng.random_range(1..100) } else { 1 }
     }
@@ -171,7 +175,7 @@
                     self.post(delay, Input::Entry(entry, started, event));
                     return;
                 }
-                self.step_entry(entry, event);
+                self.step_entry(entry, *event);
             }
             Input::Received { endpoint, name, from, sent, id } => {
                 self.receive(endpoint, &name, from, sent, id);
@@ -186,7 +190,7 @@
             if self.rng.random_bool(0.5) { ("/chat/x", "m0") } else { ("/status/x", "") };
         let arrived = EntryEvent::RequestArrived(arrival(self.next, path, model));
         let started = self.entries[entry].started;
-        self.post(0, Input::Entry(entry, started, arrived));
+        self.post_event(0, entry, started, arrived);
     }
 
     fn step_entry(&mut self, entry: usize, event: EntryEvent) {
@@ -207,7 +211,7 @@
                 }
                 EntryEffect::Probe(at) => {
                     let event = EntryEvent::ProbeReply(at);
-                    self.post(1, Input::Entry(entry, started, event));
+                    self.post_event(1, entry, started, event);
                 }
                 EntryEffect::Forward(_) => self.served += 1,
                 _ => {}
@@ -227,28 +231,28 @@
         let endpoint = &self.endpoints[index];
         if endpoint.name != name {
             let head = ResponseHead { status: 421, other_incarnation: true, ..ok() };
-            self.post(1, Input::Entry(entry, started, EntryEvent::ResponseHead(id, number, head)));
+            self.post_event(1, entry, started, EntryEvent::ResponseHead(id, number, head));
             return;
         }
         let head = ResponseHead { leaving: endpoint.leaving, ..ok() };
         let node = &self.entries[entry];
         if node.started == started {
             let told = node.told_leaving.get(name);
-            if told.is_some_and(|told| sent > told + LEFT_MS && sent >= node.frozen_until) {
+            if told.is_some_and(|told| sent > told + LEFT_MS) {
                 let (now, told) = (self.now, told.copied().unwrap_or_default());
                 self.violations
                     .push(format!("{now}: entry {entry} sent to {name}, told at {told}"));
             }
         }
         let hop = self.hop();
-        if head.leaving && node_is(&self.entries[entry], started) {
+        if head.leaving && self.entries[entry].started == started {
             let heard = (self.now + hop).max(self.entries[entry].frozen_until);
             let told = self.entries[entry].told_leaving.entry(name.to_owned()).or_insert(heard);
             *told = heard.min(*told);
         }
-        self.post(hop, Input::Entry(entry, started, EntryEvent::ResponseHead(id, number, head)));
+        self.post_event(hop, entry, started, EntryEvent::ResponseHead(id, number, head));
         let ended = EntryEvent::ResponseEnded(id, ResponseEnd::Complete);
-        self.post(RUN_MS.max(hop + 1), Input::Entry(entry, started, ended));
+        self.post_event(RUN_MS.max(hop + 1), entry, started, ended);
     }
 
     /// Lets the sides report, which know nothing of what their endpoints say.
@@ -259,7 +263,7 @@
                 let reported = SideState { instance, ..state(1, &["m0"]) };
                 let event = EntryEvent::SideReport(address(index as u8), reported);
                 let (started, hop) = (self.entries[entry].started, self.hop());
-                self.post(hop, Input::Entry(entry, started, event));
+                self.post_event(hop, entry, started, event);
             }
         }
     }
@@ -271,7 +275,7 @@
             if self.rng.random_bool(0.7) {
                 let (started, hop) = (self.entries[entry].started, self.hop());
                 let event = EntryEvent::Members(self.list());
-                self.post(hop, Input::Entry(entry, started, event));
+                self.post_event(hop, entry, started, event);
             }
         }
     }
@@ -312,10 +316,6 @@
     }
 }
 
-fn node_is(node: &EntryNode, started: u64) -> bool {
-    node.started == started
-}
-
 /// Guards against an endpoint that gets requests of an entry that it has told that it leaves, whatever lists
 /// and sides say, and whichever entries start again or stand still.
 /// `CITRONRILL_ADVERTISED_SEEDS=FIRST:COUNT` sets the seeds.
