Add failing tests of endpoints that want no requests for a while

What callers see: before two engines of which one turns away, callers get 503 although the other one is free, as each of their requests costs a repeat and the retry budget is used up.

--- a/crates/pool/tests/all/advertised/mod.rs
+++ b/crates/pool/tests/all/advertised/mod.rs
@@ -1,4 +1,5 @@
 //! What endpoints say of themselves in their responses.
 
+mod backoff;
 mod leaving;
 mod series;
--- a/crates/pool/tests/all/advertised/series.rs
+++ b/crates/pool/tests/all/advertised/series.rs
@@ -13,7 +13,7 @@
 use rstest::rstest;
 
 use crate::support::{
-    ENGINE, PLAIN, address, arrival, config, member, ok, profile, seeds_from, state,
+    ENGINE, PLAIN, address, arrival, config, member, not_run, ok, profile, seeds_from, state,
 };
 
 const ENDPOINTS: usize = 6;
@@ -22,6 +22,10 @@
 /// Milliseconds after which an entry that was told that an endpoint leaves sends nothing there. The platform
 /// permits 2,000.
 const LEFT_MS: u64 = 200;
+/// Milliseconds after an endpoint has asked for a backoff from which requests count, and the number that may
+/// reach it in that time.
+const ON_THE_WAY_MS: u64 = 500;
+const MAX_IN_BACKOFF: u32 = 2;
 /// Milliseconds that a series lasts, of which callers send requests until the last two seconds.
 const SERIES_MS: u64 = 20_000;
 /// Milliseconds that a run takes.
@@ -33,6 +37,8 @@
 struct Endpoint {
     name: String,
     leaving: bool,
+    /// Until when it turns requests away, and for how long it then wants no others.
+    turns_away: Option<(u64, u64)>,
     /// Whether the list has its row, and what the row says of it.
     listed: Option<bool>,
 }
@@ -43,6 +49,18 @@
     frozen_until: u64,
     /// When it was told that an incarnation leaves.
     told_leaving: BTreeMap<String, u64>,
+    /// The backoffs that incarnations have asked it for.
+    backoffs: Vec<Backoff>,
+}
+
+/// A backoff that an endpoint has asked an entry for.
+struct Backoff {
+    name: String,
+    /// When it asked.
+    asked: u64,
+    end: u64,
+    /// Requests that it got of the entry in that time, from half a second on.
+    received: u32,
 }
 
 enum Input {
@@ -58,7 +76,15 @@
     },
 }
 
+/// What endpoints say in a series.
+#[derive(Debug, Clone, Copy)]
+struct Says {
+    leaving: bool,
+    backoffs: bool,
+}
+
 struct Series {
+    says: Says,
     now: u64,
     rng: SmallRng,
     entries: Vec<EntryNode>,
@@ -71,10 +97,15 @@
 }
 
 impl Series {
-    fn new(seed: u64, entries: usize) -> Series {
-        let endpoint =
-            |index| Endpoint { name: format!("i{index}-0"), leaving: false, listed: Some(false) };
+    fn new(seed: u64, entries: usize, says: Says) -> Series {
+        let endpoint = |index| Endpoint {
+            name: format!("i{index}-0"),
+            leaving: false,
+            turns_away: None,
+            listed: Some(false),
+        };
         let mut series = Series {
+            says,
             now: 1_000,
             rng: SmallRng::seed_from_u64(seed),
             entries: Vec::new(),
@@ -104,6 +135,7 @@
             started: self.now,
             frozen_until: 0,
             told_leaving: BTreeMap::new(),
+            backoffs: Vec::new(),
         }
     }
 
@@ -234,7 +266,16 @@
             self.post_event(1, entry, started, EntryEvent::ResponseHead(id, number, head));
             return;
         }
-        let head = ResponseHead { leaving: endpoint.leaving, ..ok() };
+        let turned_away = endpoint.turns_away.filter(|(until, _)| self.now < *until);
+        let head = match turned_away {
+            Some((_, backoff_ms)) => ResponseHead {
+                leaving: endpoint.leaving,
+                backoff_ms: Some(backoff_ms),
+                ..not_run(503)
+            },
+            None => ResponseHead { leaving: endpoint.leaving, ..ok() },
+        };
+        self.count_backoffs(entry, started, name, head.backoff_ms);
         let node = &self.entries[entry];
         if node.started == started {
             let told = node.told_leaving.get(name);
@@ -251,10 +292,38 @@
             *told = heard.min(*told);
         }
         self.post_event(hop, entry, started, EntryEvent::ResponseHead(id, number, head));
+        if turned_away.is_some() {
+            return;
+        }
         let ended = EntryEvent::ResponseEnded(id, ResponseEnd::Complete);
         self.post_event(RUN_MS.max(hop + 1), entry, started, ended);
     }
 
+    /// Counts a request in the backoffs that the endpoint has asked the entry for, and adds the one that it
+    /// asks for now.
+    fn count_backoffs(&mut self, entry: usize, started: u64, name: &str, asks: Option<u64>) {
+        let now = self.now;
+        let node = &mut self.entries[entry];
+        if node.started != started {
+            return;
+        }
+        let running = |backoff: &&mut Backoff| {
+            backoff.name == name && now >= backoff.asked + ON_THE_WAY_MS && now < backoff.end
+        };
+        for backoff in node.backoffs.iter_mut().filter(running) {
+            backoff.received += 1;
+            if backoff.received == MAX_IN_BACKOFF + 1 {
+                let asked = backoff.asked;
+                self.violations
+                    .push(format!("{now}: entry {entry} sent to {name}, asked at {asked}"));
+            }
+        }
+        if let Some(backoff_ms) = asks {
+            let (name, end) = (name.to_owned(), now + backoff_ms);
+            node.backoffs.push(Backoff { name, asked: now, end, received: 0 });
+        }
+    }
+
     /// Lets the sides report, which know nothing of what their endpoints say.
     fn report(&mut self) {
         for entry in 0..self.entries.len() {
@@ -285,7 +354,7 @@
         let index = self.rng.random_range(0..ENDPOINTS);
         let entry = self.rng.random_range(0..self.entries.len());
         match self.rng.random_range(0..8) {
-            0 | 1 => self.endpoints[index].leaving = true,
+            0 | 1 => self.endpoints[index].leaving |= self.says.leaving,
             2 => self.restart_endpoint(index),
             // The row lapses, though the endpoint lives.
             3 => self.endpoints[index].listed = None,
@@ -299,8 +368,15 @@
             _ => {
                 let until = self.now + self.rng.random_range(100..3_000);
                 self.entries[entry].frozen_until = until;
+                // An entry that stands still is excused.
+                self.entries[entry].backoffs.clear();
             }
         }
+        if self.says.backoffs && self.rng.random_bool(0.3) {
+            let until = self.now + self.rng.random_range(100..4_000);
+            let backoff_ms = self.rng.random_range(300..4_000);
+            self.endpoints[index].turns_away = Some((until, backoff_ms));
+        }
         let leaving = self.endpoints.iter().filter(|endpoint| endpoint.leaving).count();
         if leaving > ENDPOINTS / 2 {
             let gone = self.endpoints.iter().position(|endpoint| endpoint.leaving).unwrap();
@@ -312,22 +388,17 @@
     fn restart_endpoint(&mut self, index: usize) {
         self.next += 1;
         let name = format!("i{index}-{}", self.next);
-        self.endpoints[index] = Endpoint { name, leaving: false, listed: Some(false) };
+        self.endpoints[index] =
+            Endpoint { name, leaving: false, turns_away: None, listed: Some(false) };
     }
 }
 
-/// Guards against an endpoint that gets requests of an entry that it has told that it leaves, whatever lists
-/// and sides say, and whichever entries start again or stand still.
-/// `CITRONRILL_ADVERTISED_SEEDS=FIRST:COUNT` sets the seeds.
-#[rstest]
-#[case(4)]
-#[case(21)]
-#[case(68)]
-fn no_entry_sends_to_an_endpoint_that_has_told_it_that_it_leaves(#[case] entries: usize) {
+/// Plays series and returns the first violation of each that has one, with how many there are.
+fn broken(entries: usize, says: Says) -> BTreeSet<(u64, usize, String)> {
     let (first_seed, count) = seeds_from("CITRONRILL_ADVERTISED_SEEDS", "1:4");
     let mut broken = BTreeSet::new();
     for seed in first_seed..first_seed + count {
-        let mut series = Series::new(seed, entries);
+        let mut series = Series::new(seed, entries, says);
         while series.now < SERIES_MS {
             series.step();
         }
@@ -336,5 +407,28 @@
             broken.insert((seed, series.violations.len(), first.clone()));
         }
     }
+    broken
+}
+
+/// Guards against an endpoint that gets requests of an entry that it has told that it leaves, whatever lists
+/// and sides say, and whichever entries start again or stand still.
+/// `CITRONRILL_ADVERTISED_SEEDS=FIRST:COUNT` sets the seeds of these tests.
+#[rstest]
+#[case(4)]
+#[case(21)]
+#[case(68)]
+fn no_entry_sends_to_an_endpoint_that_has_told_it_that_it_leaves(#[case] entries: usize) {
+    let broken = broken(entries, Says { leaving: true, backoffs: false });
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Guards against an endpoint that gets more than two requests of an entry in a time for which it wants
+/// none.
+#[rstest]
+#[case(4)]
+#[case(21)]
+#[case(68)]
+fn no_entry_sends_to_an_endpoint_in_its_backoff(#[case] entries: usize) {
+    let broken = broken(entries, Says { leaving: false, backoffs: true });
     assert!(broken.is_empty(), "{broken:?}");
 }
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that cannot go on must fail")]
 
+mod backoff;
 mod config_transfer;
 mod endpoint_limits;
 mod events;
