Send nothing to an endpoint that has said that it leaves

Callers saw nothing until the endpoint ended, and then broken requests: an entry went on sending to it for as long as the member list said ready, up to the end of the store's outage and the next read.

Cause: what an endpoint says of itself was part of its row in the list, so that only the list told that it leaves, and each row replaced what was known.

Now it is a record of its own for each incarnation: set by a response, by the side beside the endpoint (whose polls carry the header as well: all entries know within a poll, 200 ms) and by the row; nothing takes it back but the next incarnation. The limit that an endpoint names is part of the record and no longer lost with the row.

All ways to an endpoint ask accepts_requests: first dispatches, repeats, trials, copies, loads.

A state message has a flag more; a side that is older tells nothing, an entry that is older ignores it. Tests' enums box the entry's events: they have grown by that flag.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -177,6 +177,9 @@
     /// Returns the name of the endpoint's incarnation from the headers of its response.
     fn incarnation_name(&self, headers: &HeaderMap) -> Option<String>;
 
+    /// Returns whether an endpoint says that it leaves, from the headers of its response.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Returns the path of an endpoint's state report.
     fn report_path(&self) -> &'static str;
 
--- a/crates/gateway/src/side/endpoint_client.rs
+++ b/crates/gateway/src/side/endpoint_client.rs
@@ -79,7 +79,8 @@
             if response.status() != StatusCode::OK {
                 return Err(GatewayError::Status(response.status().as_u16()));
             }
-            Ok(self.dialect.decode_report(response.body())?)
+            let leaving = self.dialect.is_leaving(response.headers());
+            Ok(EngineReport { leaving, ..self.dialect.decode_report(response.body())? })
         };
         match read.await {
             Ok(report) => Some(report),
--- a/crates/gateway/src/side/mod.rs
+++ b/crates/gateway/src/side/mod.rs
@@ -174,7 +174,7 @@
                 EndpointCall::Order(order)
             }
             SideEffect::Publish(state) => {
-                self.states.send_replace(Some(state));
+                self.states.send_replace(Some(*state));
                 return;
             }
             SideEffect::Decline(link, name) => {
--- a/crates/pool/src/advertised.rs
+++ b/crates/pool/src/advertised.rs
@@ -1,4 +1,7 @@
-//! What an endpoint says of itself in its responses.
+//! What an endpoint says of itself: in its responses, by its side, and in its row of the member list.
+//!
+//! It holds for an incarnation, and nothing older takes it back: a row that was written before, a list read
+//! from a copy, the report of a side that has not heard it yet.
 
 use citronrill_base::Millis;
 
@@ -25,6 +28,11 @@
 }
 
 impl Advertised {
+    /// Returns whether it has said that it leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Records that it leaves; returns false if that was known.
     pub(crate) fn record_leaving(&mut self) -> bool {
         !std::mem::replace(&mut self.leaving, true)
--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -5,7 +5,8 @@
 
 use crate::{
     advertised::Advertised,
-    incarnation::{KnownIncarnation, StartTime},
+    delisted::Delisted,
+    incarnation::{IncarnationChange, KnownIncarnation, StartTime},
     liveness::Liveness,
     member::{Member, full_name},
     software::SoftwareKey,
@@ -166,7 +167,7 @@
     /// Whether only its side has reported this incarnation so far.
     pub(crate) unlisted: bool,
     /// When this entry first recorded this incarnation.
-    known_since: Millis,
+    pub(crate) known_since: Millis,
     /// When it was first listed, unless it has restarted since.
     first_listed: Option<Millis>,
 }
@@ -207,10 +208,28 @@
     /// Applies an entry of the member list.
     pub(crate) fn set_member(&mut self, member: Member) {
         self.software = SoftwareKey::new(&member.service, &member.software);
+        if member.leaving {
+            self.advertised.record_leaving();
+        }
         self.member = member;
         self.unlisted = false;
     }
 
+    /// Restores what was kept of it since it was last removed.
+    pub(crate) fn restore(&mut self, delisted: Delisted) {
+        self.advertised = delisted.advertised;
+        self.incarnation = delisted.incarnation;
+        self.known_since = delisted.known_since;
+    }
+
+    /// Applies the start time in the row with which it is listed again.
+    pub(crate) fn set_first_start(&mut self, started: Option<StartTime>, now: Millis) {
+        if self.incarnation.update(started, now) == IncarnationChange::New {
+            self.advertised = Advertised::default();
+            self.known_since = now;
+        }
+    }
+
     /// Discards the state of the previous incarnation, except the instance's liveness and the count of
     /// this entry's requests.
     pub(crate) fn reset_for_restart(&mut self, now: Millis) {
@@ -227,7 +246,7 @@
 
     /// Returns whether new requests may be dispatched to the endpoint.
     pub(crate) fn accepts_requests(&self) -> bool {
-        !self.member.leaving
+        !self.member.leaving && !self.advertised.is_leaving()
     }
 
     /// Returns whether it names a limit.
@@ -235,11 +254,6 @@
         self.advertised.limit().is_some()
     }
 
-    /// Returns whether the response to a request that was dispatched at `sent_at` can be of this incarnation.
-    pub(crate) fn may_have_answered(&self, sent_at: Millis) -> bool {
-        sent_at >= self.known_since
-    }
-
     /// Returns the number of requests known to run or wait at the endpoint.
     pub(crate) fn load(&self) -> u32 {
         self.load.max(self.own_requests)
--- a/crates/pool/src/entry/advertised.rs
+++ b/crates/pool/src/entry/advertised.rs
@@ -4,6 +4,7 @@
 use citronrill_decide::LogEvent;
 
 use super::{PoolEntry, RequestId, ResponseHead};
+use crate::advertised::Advertised;
 
 /// Status of a response to a request that was meant for another endpoint, or for a model that is not there.
 const MISDIRECTED_STATUS: u16 = 421;
@@ -30,8 +31,7 @@
         let Some(request) = self.requests.get(&id) else { return };
         let Some(instance) = request.instance.clone() else { return };
         let (caller_id, said_at) = (request.caller_id.clone(), request.sent_at);
-        let endpoint = self.pool.endpoints.get(&instance);
-        if !endpoint.is_some_and(|endpoint| endpoint.may_have_answered(said_at)) {
+        if self.pool.advertised_mut(&instance, said_at).is_none() {
             return;
         }
         let statement = Statement { instance: &instance, caller_id: &caller_id, said_at, head };
@@ -41,21 +41,27 @@
     }
 
     fn learn_leaving(&mut self, statement: &Statement<'_>) {
-        if !statement.head.leaving {
-            return;
+        let Statement { instance, said_at, head, .. } = *statement;
+        let advertised = self.pool.advertised_mut(instance, said_at).filter(|_| head.leaving);
+        if advertised.is_some_and(Advertised::record_leaving) {
+            self.endpoint_departed(instance, "id", statement.caller_id);
         }
-        let Some(endpoint) = self.pool.endpoints.get_mut(statement.instance) else { return };
-        if endpoint.advertised.record_leaving() {
-            let event = LogEvent::new("endpoint_leaving").with("instance", statement.instance);
-            self.log(event.with("id", statement.caller_id));
+    }
+
+    /// Handles that an endpoint has said that it leaves, before the member list shows it.
+    pub(super) fn endpoint_departed(&mut self, instance: &str, source: &'static str, name: &str) {
+        let event = LogEvent::new("endpoint_leaving").with("instance", instance);
+        self.log(event.with(source, name));
+        if let Some(endpoint) = self.pool.endpoints.get(instance) {
+            self.preload.count_departure(&endpoint.member.service, self.now);
         }
     }
 
     fn learn_backoff(&mut self, statement: &Statement<'_>) {
         let Some(backoff_ms) = statement.head.backoff_ms else { return };
         let until = self.now + backoff_ms;
-        let Some(endpoint) = self.pool.endpoints.get_mut(statement.instance) else { return };
-        if endpoint.advertised.record_backoff(until) {
+        let advertised = self.pool.advertised_mut(statement.instance, statement.said_at);
+        if advertised.is_some_and(|advertised| advertised.record_backoff(until)) {
             let event = LogEvent::new("endpoint_backoff").with("instance", statement.instance);
             self.log(event.with("backoff_ms", backoff_ms).with("id", statement.caller_id));
         }
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -171,7 +171,7 @@
                 self.retry_or_end(id, false, head.status, false);
                 if let Some(instance) = stale {
                     self.log(LogEvent::new("superseded").with("instance", &instance));
-                    self.pool.remove(&instance);
+                    self.pool.remove(&instance, now);
                     self.update_sides();
                 }
             }
--- a/crates/pool/src/entry/endpoint_limits.rs
+++ b/crates/pool/src/entry/endpoint_limits.rs
@@ -32,9 +32,9 @@
             return;
         }
         if head.rate.is_none() {
-            let endpoint = self.pool.endpoints.get_mut(instance);
-            if let Some(endpoint) = endpoint.filter(|endpoint| !endpoint.is_limited()) {
-                endpoint.advertised.record_limit(NamedLimit { rate: None, said_at });
+            let advertised = self.pool.advertised_mut(instance, said_at);
+            if let Some(advertised) = advertised.filter(|known| known.limit().is_none()) {
+                advertised.record_limit(NamedLimit { rate: None, said_at });
                 return;
             }
         }
@@ -60,11 +60,9 @@
         name: &str,
     ) {
         let now = self.now;
-        let Some(endpoint) = self.pool.endpoints.get_mut(instance) else { return };
-        let known = endpoint.advertised.limit();
-        let heard = endpoint.may_have_answered(said_at)
-            && endpoint.advertised.record_limit(NamedLimit { rate, said_at });
-        if !heard {
+        let Some(advertised) = self.pool.advertised_mut(instance, said_at) else { return };
+        let known = advertised.limit();
+        if !advertised.record_limit(NamedLimit { rate, said_at }) {
             return;
         }
         self.ledger.set_endpoint(instance, rate, said_at, now);
@@ -86,8 +84,8 @@
 
     /// Forgets the limits of endpoints that have left, and those that were lifted a while ago.
     pub(super) fn forget_old_limits(&mut self) {
-        let endpoints = &self.pool.endpoints;
-        self.ledger.retain_endpoints(|instance| endpoints.contains_key(instance), self.now);
+        let pool = &self.pool;
+        self.ledger.retain_endpoints(|instance| pool.remembers(instance), self.now);
     }
 
     fn sharing(&self) -> Sharing {
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -475,6 +475,10 @@
             if let Some(instance) = restarted.map(|endpoint| endpoint.member.instance.clone()) {
                 self.handle_restart(&instance, "side");
             }
+            if let Some(endpoint) = self.pool.endpoint_at(address).filter(|_| outcome.departed) {
+                let instance = endpoint.member.instance.clone();
+                self.endpoint_departed(&instance, "side", &address.to_string());
+            }
             if let Some(ended) = outcome.ended {
                 let event = LogEvent::new("superseded").with("instance", &ended);
                 self.prove_crash(&ended, "superseded");
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -40,6 +40,7 @@
         self.handle_membership(outcome);
         self.check_suspects();
         self.log_limits_kept();
+        self.pool.delisted.expire(self.now);
         self.forget_old_limits();
         self.schedule_waiting();
         self.add_replicas();
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -15,6 +15,7 @@
 mod config;
 mod config_transfer;
 mod decaying_count;
+mod delisted;
 mod digest;
 mod endpoint;
 mod entry;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -6,6 +6,8 @@
 use citronrill_wire::SideState;
 
 use crate::{
+    advertised::Advertised,
+    delisted::DelistedEndpoints,
     endpoint::{Endpoint, ModelInventory, SideView},
     incarnation::{IncarnationChange, OLDER_START_DELAY_MS, StartTime},
     member::{Member, MemberChange},
@@ -18,6 +20,8 @@
     pub(crate) ended: Option<String>,
     /// Whether the endpoint has restarted under the same name.
     pub(crate) restarted: bool,
+    /// Whether the side says for the first time that the endpoint leaves.
+    pub(crate) departed: bool,
 }
 
 /// Result of applying a change of the member list.
@@ -41,6 +45,7 @@
 pub(crate) struct Pool {
     pub(crate) endpoints: Map<String, Endpoint>,
     by_address: Map<SocketAddr, String>,
+    pub(crate) delisted: DelistedEndpoints,
     /// Incarnations known to have ended that the member list may still name.
     ended: Set<String>,
     /// The services in the configuration; `None` while no configuration is known.
@@ -76,7 +81,7 @@
                 }
                 member => {
                     self.ended.remove(&id);
-                    self.remove_unlisted(&id, &mut outcome);
+                    self.remove_unlisted(&id, now, &mut outcome);
                     self.unserved.remove(&id);
                     if let Some(member) = member {
                         outcome.unserved.push((id.clone(), member.service.clone()));
@@ -103,17 +108,17 @@
         let gone =
             self.endpoints.iter().filter(|(id, endpoint)| !listed(id) && !reported(endpoint));
         let gone = gone.map(|(id, _)| id.clone()).collect::<Vec<_>>();
-        gone.iter().for_each(|id| self.remove_unlisted(id, outcome));
+        gone.iter().for_each(|id| self.remove_unlisted(id, now, outcome));
     }
 
     /// Removes an endpoint that is no longer listed.
-    fn remove_unlisted(&mut self, id: &str, outcome: &mut ListOutcome) {
+    fn remove_unlisted(&mut self, id: &str, now: Millis, outcome: &mut ListOutcome) {
         let Some(endpoint) = self.endpoints.get(id) else { return };
         if endpoint.accepts_requests() {
             outcome.departed.push(endpoint.member.service.clone());
         }
         outcome.usable_changed = true;
-        self.remove(id);
+        self.remove(id, now);
     }
 
     /// Returns whether the configuration names a service; any service counts while no configuration
@@ -144,7 +149,7 @@
         let served = served.map(|(_, member)| member.clone()).collect::<Vec<_>>();
         self.services = Some(services);
         for (id, member) in unserved {
-            self.remove(&id);
+            self.remove(&id, now);
             outcome.usable_changed = true;
             outcome.unserved.push((id.clone(), member.service.clone()));
             self.unserved.insert(id, member);
@@ -157,12 +162,42 @@
     }
 
     /// Removes an endpoint; another one listed at its address takes over the address.
-    pub(crate) fn remove(&mut self, id: &str) {
-        if let Some(endpoint) = self.endpoints.remove(id) {
+    pub(crate) fn remove(&mut self, id: &str, now: Millis) {
+        if let Some(endpoint) = self.take_out(id, now) {
             self.release_address(endpoint.member.address, id);
         }
     }
 
+    /// Takes an endpoint out, and keeps what it has said of itself.
+    fn take_out(&mut self, id: &str, now: Millis) -> Option<Endpoint> {
+        let endpoint = self.endpoints.remove(id)?;
+        self.delisted.keep(&endpoint, now);
+        Some(endpoint)
+    }
+
+    /// Returns what an endpoint has said of itself, listed or not, if the response to a request that was
+    /// dispatched at `sent_at` can be of its incarnation.
+    pub(crate) fn advertised_mut(
+        &mut self,
+        instance: &str,
+        sent_at: Millis,
+    ) -> Option<&mut Advertised> {
+        let listed = self.endpoints.get_mut(instance);
+        let (advertised, known_since) = match listed {
+            Some(endpoint) => (&mut endpoint.advertised, endpoint.known_since),
+            None => {
+                let delisted = self.delisted.get_mut(instance)?;
+                (&mut delisted.advertised, delisted.known_since)
+            }
+        };
+        (sent_at >= known_since).then_some(advertised)
+    }
+
+    /// Returns whether an endpoint is listed, or was until recently.
+    pub(crate) fn remembers(&self, instance: &str) -> bool {
+        self.endpoints.contains_key(instance) || self.delisted.contains(instance)
+    }
+
     /// Reassigns the address of an endpoint to another one that is listed there.
     fn release_address(&mut self, address: SocketAddr, id: &str) {
         if self.by_address.get(&address).is_none_or(|held| held != id) {
@@ -196,17 +231,19 @@
         // Only one can be at the address, and it is the one that was listed last.
         let previous = self.by_address.get(&member.address).filter(|held| **held != id).cloned();
         if let Some(previous) = previous.filter(|_| !known && !complete) {
-            self.endpoints.remove(&previous);
+            self.take_out(&previous, now);
         }
         let old_address = self.endpoints.get(&id).map(|endpoint| endpoint.member.address);
         if let Some(old_address) = old_address.filter(|address| *address != member.address) {
             self.release_address(old_address, &id);
         }
         self.by_address.insert(member.address, id.clone());
+        let delisted = self.delisted.take(&id);
         let endpoint =
             self.endpoints.entry(id).or_insert_with(|| Endpoint::new(member.clone(), now));
         if !known {
-            endpoint.incarnation.update(member.started, now);
+            delisted.into_iter().for_each(|delisted| endpoint.restore(delisted));
+            endpoint.set_first_start(member.started, now);
         }
         // The list is seconds behind. While the side reports, its reports take precedence: a list
         // that still names a model that is being evicted would attract requests that are then
@@ -214,11 +251,12 @@
         if endpoint.fresh_side(now).is_none() {
             endpoint.inventory = ModelInventory::from_member(&member, names);
         }
-        outcome.usable_changed |= !known || endpoint.member.leaving != member.leaving;
-        if known && endpoint.accepts_requests() && member.leaving {
+        let (accepted, leaves) = (endpoint.accepts_requests(), member.leaving);
+        if known && accepted && leaves {
             outcome.departed.push(member.service.clone());
         }
         endpoint.set_member(member);
+        outcome.usable_changed |= !known || accepted != endpoint.accepts_requests();
     }
 
     /// Applies the start time of a list entry to a known endpoint. Returns false if the entry is
@@ -307,6 +345,8 @@
         if state.healthy {
             endpoint.inventory = ModelInventory::from_state(state, names);
         }
+        let leaves = state.leaving && state.instance == endpoint.member.instance;
+        let departed = leaves && endpoint.advertised.record_leaving();
         endpoint.liveness.mark_connected();
         endpoint.liveness.record_traffic(now);
         endpoint.set_load(state.active + state.queued);
@@ -341,7 +381,7 @@
             pinned,
             rates,
         });
-        Some(ReportOutcome { ended, restarted })
+        Some(ReportOutcome { ended, restarted, departed })
     }
 
     /// Registers the incarnation that the side names at `address`; returns the one that has ended.
@@ -357,14 +397,17 @@
         if !valid || previous == state.instance {
             return None;
         }
-        let mut member = self.endpoints.remove(&previous)?.member;
+        let mut member = self.take_out(&previous, now)?.member;
         member.instance.clone_from(&state.instance);
         member.leaving = false;
         member.software.clear();
+        let known = self.endpoints.contains_key(&state.instance);
+        let delisted = self.delisted.take(&state.instance).filter(|_| !known);
         let endpoint = self
             .endpoints
             .entry(state.instance.clone())
             .or_insert_with(|| Endpoint::unlisted(member, now));
+        delisted.into_iter().for_each(|delisted| endpoint.restore(delisted));
         endpoint.member.address = address;
         self.by_address.insert(address, state.instance.clone());
         self.ended.remove(&state.instance);
--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -416,7 +416,7 @@
         };
         if changed {
             self.published = Some((self.now, state.clone()));
-            self.effects.push(SideEffect::Publish(state));
+            self.effects.push(SideEffect::Publish(Box::new(state)));
         }
     }
 
@@ -464,6 +464,7 @@
             issues_credit: true,
             tracks_streams: true,
             known_entries: self.known_entries(),
+            leaving: report.leaving,
         })
     }
 
--- a/crates/pool/src/side/report.rs
+++ b/crates/pool/src/side/report.rs
@@ -32,6 +32,7 @@
         && a.loading == b.loading
         && a.evicting == b.evicting
         && a.healthy == b.healthy
+        && a.leaving == b.leaving
         && a.store_loads == b.store_loads
         && a.store_slowdown == b.store_slowdown
         && a.store_overdue == b.store_overdue
--- a/crates/pool/src/side/types.rs
+++ b/crates/pool/src/side/types.rs
@@ -33,6 +33,8 @@
     pub in_memory: Vec<String>,
     /// Models with cached weights on the instance's disk.
     pub on_disk: Vec<String>,
+    /// Whether it says that it leaves.
+    pub leaving: bool,
 }
 
 impl EngineReport {
@@ -136,7 +138,7 @@
     /// Send an order to the endpoint.
     Order(Order),
     /// Send the state to all entries.
-    Publish(SideState),
+    Publish(Box<SideState>),
     /// Tell one entry that its load request is declined.
     Decline(EntryLink, ModelName),
     /// Send one entry a message about suspects.
--- a/crates/pool/tests/all/advertised/leaving.rs
+++ b/crates/pool/tests/all/advertised/leaving.rs
@@ -179,3 +179,14 @@
     let (_, effects) = bench.request(PLAIN_PATH, "");
     assert!(refusal(&effects).is_some_and(|(reason, _)| reason.status() == 503));
 }
+/// Guards against a side that knows that its endpoint leaves and tells no entry.
+#[test]
+fn an_entry_learns_from_a_side_that_its_endpoint_leaves() {
+    let mut bench = bench(ENGINE);
+    let reported = SideState { instance: "i1".to_owned(), leaving: true, ..state(1, &["m0"]) };
+    bench.step(EntryEvent::SideReport(address(1), reported));
+    bench.now += 20;
+    report(&mut bench, 1);
+    let used = used(&mut bench, ENGINE);
+    assert!(used.iter().all(|instance| instance == "i2"), "{used:?}");
+}
--- a/crates/pool/tests/all/limits/endpoints.rs
+++ b/crates/pool/tests/all/limits/endpoints.rs
@@ -43,12 +43,18 @@
 
 #[derive(Clone)]
 enum Input {
-    Entry(usize, u64, EntryEvent),
+    Entry(usize, u64, Box<EntryEvent>),
     Side(usize, SideEvent),
     Received(usize, usize, u64, RequestId, u32),
     RunEnds(usize, u64, RequestId),
 }
 
+impl Input {
+    fn entry(entry: usize, started: u64, event: EntryEvent) -> Input {
+        Input::Entry(entry, started, Box::new(event))
+    }
+}
+
 /// A request that an engine received.
 struct Received {
     at: u64,
@@ -207,7 +213,7 @@
 
     fn post_to_entry(&mut self, entry: usize, event: EntryEvent) {
         let (started, hop) = (self.entries[entry].started, self.hop());
-        self.post(hop, Input::Entry(entry, started, event));
+        self.post(hop, Input::entry(entry, started, event));
     }
 
     fn post_to_side(&mut self, entry: usize, side: usize, event: impl Fn(EntryLink) -> SideEvent) {
@@ -241,7 +247,7 @@
         match input {
             Input::Entry(entry, started, event) => {
                 if self.entries[entry].started == started {
-                    self.step_entry(entry, event);
+                    self.step_entry(entry, *event);
                 }
             }
             Input::Side(side, event) => self.step_side(side, event),
@@ -250,7 +256,7 @@
             }
             Input::RunEnds(entry, started, id) => {
                 let event = EntryEvent::ResponseEnded(id, ResponseEnd::Complete);
-                self.handle(Input::Entry(entry, started, event));
+                self.handle(Input::entry(entry, started, event));
             }
         }
     }
@@ -318,7 +324,7 @@
                     for entry in 0..self.entries.len() {
                         let linked = self.entries[entry].links[side].is_some();
                         if linked && !self.is_cut(entry, side) {
-                            let event = EntryEvent::SideReport(from, state.clone());
+                            let event = EntryEvent::SideReport(from, (*state).clone());
                             self.post_to_entry(entry, event);
                         }
                     }
@@ -350,7 +356,7 @@
         self.received[engine].push(Received { at: self.now, counts });
         let rate = rate.and_then(|(rate, _)| EndpointRate::from_per_second(rate));
         let head = ResponseHead { rate, ..ok() };
-        self.post(1, Input::Entry(entry, started, EntryEvent::ResponseHead(id, number, head)));
+        self.post(1, Input::entry(entry, started, EntryEvent::ResponseHead(id, number, head)));
         self.post(RUN_MS, Input::RunEnds(entry, started, id));
     }
 
--- a/crates/pool/tests/all/side.rs
+++ b/crates/pool/tests/all/side.rs
@@ -56,7 +56,7 @@
 
 fn published(effects: &[SideEffect]) -> Option<&SideState> {
     effects.iter().rev().find_map(|effect| match effect {
-        SideEffect::Publish(state) => Some(state),
+        SideEffect::Publish(state) => Some(&**state),
         _ => None,
     })
 }
--- a/crates/pool/tests/all/simulation/engines.rs
+++ b/crates/pool/tests/all/simulation/engines.rs
@@ -196,7 +196,7 @@
             None
         };
         if let Some(answer) = answer {
-            self.after_hop(SimEvent::EntryInput(entry, answer));
+            self.after_hop(SimEvent::entry_input(entry, answer));
             return;
         }
         self.stats.resumed_from_copy += u32::from(run.copy);
@@ -253,7 +253,7 @@
             let head = ResponseHead { status: 200, signed: true, ..ResponseHead::default() };
             EntryEvent::ResponseHead(id, number, head)
         };
-        self.after_hop(SimEvent::EntryInput(entry, event));
+        self.after_hop(SimEvent::entry_input(entry, event));
     }
 
     pub(super) fn end_run(&mut self, index: usize, incarnation: u32, id: RequestId, number: u32) {
@@ -264,7 +264,7 @@
         let place = runs.iter().position(|run| run.id == id && run.number == number);
         if let Some(place) = place {
             let run = runs.remove(place);
-            self.after_hop(SimEvent::EntryInput(
+            self.after_hop(SimEvent::entry_input(
                 run.entry,
                 EntryEvent::ResponseEnded(id, ResponseEnd::Complete),
             ));
@@ -296,7 +296,7 @@
             } else {
                 EntryEvent::DispatchFailed(run.id, run.number, FailureKind::Broken)
             };
-            self.after_hop(SimEvent::EntryInput(run.entry, event));
+            self.after_hop(SimEvent::entry_input(run.entry, event));
         }
     }
 }
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -133,7 +133,7 @@
     PoisonArrives(usize, u64),
     Poisoned(usize, u32, usize),
     RestartProcess(Process),
-    EntryInput(usize, EntryEvent),
+    EntryInput(usize, Box<EntryEvent>),
     SideInput(usize, SideEvent),
     RequestReceived(usize, Run, String),
     FirstToken(usize, u32, RequestId, u32),
@@ -152,6 +152,12 @@
     PowerLoss,
 }
 
+impl SimEvent {
+    fn entry_input(entry: usize, event: EntryEvent) -> SimEvent {
+        SimEvent::EntryInput(entry, Box::new(event))
+    }
+}
+
 pub(crate) struct Simulation {
     now: u64,
     rng: SmallRng,
@@ -259,7 +265,7 @@
         let start = 2_000;
         self.load_ends = start + load.seconds * 1_000;
         for entry in 0..self.entries.len() {
-            self.schedule(0, SimEvent::EntryInput(entry, EntryEvent::Config(self.config.clone())));
+            self.schedule(0, SimEvent::entry_input(entry, EntryEvent::Config(self.config.clone())));
         }
         for side in 0..self.sides.len() {
             self.schedule(0, SimEvent::SideInput(side, SideEvent::Config(self.config.clone())));
@@ -328,7 +334,7 @@
             SimEvent::Poisoned(engine, incarnation, cause) => {
                 self.poison_engine(engine, incarnation, cause)
             }
-            SimEvent::EntryInput(entry, event) => self.step_entry(entry, event),
+            SimEvent::EntryInput(entry, event) => self.step_entry(entry, *event),
             SimEvent::SideInput(side, event) => self.step_side(side, event),
             SimEvent::RequestReceived(engine, run, instance) => {
                 self.receive_request(engine, run, &instance)
@@ -345,13 +351,13 @@
             }
             SimEvent::ProbeReceived(side, entry) => {
                 let reply = EntryEvent::ProbeReply(address(side as u8));
-                self.after_hop(SimEvent::EntryInput(entry, reply));
+                self.after_hop(SimEvent::entry_input(entry, reply));
             }
             SimEvent::EndpointCheck(engine, entry) => {
                 let up = self.engines[engine].up;
                 let check = if up { EndpointCheck::Accepted } else { EndpointCheck::Refused };
                 let event = EntryEvent::EndpointChecked(address(engine as u8), check);
-                self.after_hop(SimEvent::EntryInput(entry, event));
+                self.after_hop(SimEvent::entry_input(entry, event));
             }
             SimEvent::RunCancelled(engine, entry, id) => self.cancel_run(engine, entry, id),
             SimEvent::CallerLeaves(entry, id) => self.caller_leaves(entry, id),
@@ -519,7 +525,7 @@
             EntryEffect::SaveQuarantined(record) => self.stored.push(record),
             EntryEffect::Disconnect(id) => {
                 self.cancel(entry, id);
-                self.after_hop(SimEvent::EntryInput(entry, EntryEvent::StreamBroken(id, Some(0))));
+                self.after_hop(SimEvent::entry_input(entry, EntryEvent::StreamBroken(id, Some(0))));
             }
             EntryEffect::Forward(_) | EntryEffect::ConnectSides(_) | EntryEffect::Log(_) => {}
         }
@@ -566,26 +572,27 @@
                 SideEffect::Publish(state) => {
                     for entry in 0..self.entries.len() {
                         if !self.rng.random_bool(self.faults.lost_states) {
-                            let event = EntryEvent::SideReport(address(side as u8), state.clone());
-                            self.after_hop(SimEvent::EntryInput(entry, event));
+                            let event =
+                                EntryEvent::SideReport(address(side as u8), (*state).clone());
+                            self.after_hop(SimEvent::entry_input(entry, event));
                         }
                     }
                 }
                 SideEffect::Decline(link, name) => {
                     let event = EntryEvent::LoadDeclined(address(side as u8), name);
-                    self.after_hop(SimEvent::EntryInput(link.0 as usize, event));
+                    self.after_hop(SimEvent::entry_input(link.0 as usize, event));
                 }
                 SideEffect::Suspects(link, message) => {
                     let event = EntryEvent::Suspects(address(side as u8), message);
-                    self.after_hop(SimEvent::EntryInput(link.0 as usize, event));
+                    self.after_hop(SimEvent::entry_input(link.0 as usize, event));
                 }
                 SideEffect::Streams(link, message) => {
                     let event = EntryEvent::Streams(address(side as u8), message);
-                    self.after_hop(SimEvent::EntryInput(link.0 as usize, event));
+                    self.after_hop(SimEvent::entry_input(link.0 as usize, event));
                 }
                 SideEffect::Credit(link, reply) => {
                     let event = EntryEvent::Credit(address(side as u8), reply);
-                    self.after_hop(SimEvent::EntryInput(link.0 as usize, event));
+                    self.after_hop(SimEvent::entry_input(link.0 as usize, event));
                 }
                 SideEffect::Log(_) => {}
             }
@@ -648,7 +655,7 @@
             let change =
                 MemberChange { complete: true, version: self.list_version, rows: rows.clone() };
             let late = self.now + self.rng.random_range(5..300);
-            self.schedule(late, SimEvent::EntryInput(entry, EntryEvent::Members(change)));
+            self.schedule(late, SimEvent::entry_input(entry, EntryEvent::Members(change)));
         }
         self.schedule(self.now + 700, SimEvent::MemberList);
     }
--- a/crates/pool/tests/all/simulation/poison.rs
+++ b/crates/pool/tests/all/simulation/poison.rs
@@ -269,7 +269,7 @@
                 self.sides[side] = PoolSide::new(ENGINE);
                 for entry in 0..self.entries.len() {
                     let lost = EntryEvent::SideLost(address(side as u8), SideLoss::Closed);
-                    self.after_hop(SimEvent::EntryInput(entry, lost));
+                    self.after_hop(SimEvent::entry_input(entry, lost));
                 }
                 let entries = self.entries.len() as u32;
                 self.after_hop(SimEvent::SideInput(side, SideEvent::Config(self.config.clone())));
@@ -290,10 +290,10 @@
         let profile = EntryProfile { seed: entry as u64 * 7_919, ..self.profile.clone() };
         self.entries[entry] = PoolEntry::new(profile);
         let config = EntryEvent::Config(self.config.clone());
-        self.after_hop(SimEvent::EntryInput(entry, config));
+        self.after_hop(SimEvent::entry_input(entry, config));
         let stored = SuspectUpdate { suspects: self.stored.clone() };
         let read = EntryEvent::QuarantineRead(stored);
-        self.schedule(self.now + STORE_MS, SimEvent::EntryInput(entry, read));
+        self.schedule(self.now + STORE_MS, SimEvent::entry_input(entry, read));
         for side in 0..self.sides.len() {
             let lost = SideEvent::EntryLost(EntryLink(entry as u64), false);
             self.after_hop(SimEvent::SideInput(side, lost));
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -301,6 +301,9 @@
     /// Limits that endpoints have named, as entries have told this side of late.
     #[prost(message, repeated, tag = "27")]
     pub endpoint_limits: Vec<EndpointLimit>,
+    /// Whether the endpoint has told its side that it leaves.
+    #[prost(bool, tag = "28")]
+    pub leaving: bool,
 }
 
 /// One loaded model of an endpoint.
