Send nothing to an endpoint that wants no requests until its backoff ends

Callers saw repeats of their requests, and 503 where another endpoint was free: an endpoint that turns requests away at once looks idle, got four times its usual requests, and each of them cost a repeat of the retry budget.

It is the class of the limit that endpoints name and of leaving: what an endpoint says of itself binds who hears it. The backoff is part of the same record: for one incarnation, the longest time asked for counts, and neither a later response, a shorter time nor a list ends it.

Nothing is dispatched before its end, whatever leads there (one check in dispatch, for trials and copies too). Then one request at a time goes first, until one was taken, so that those who have waited do not reach an endpoint together that still turns them away. Other holders of the model come first; an adapter, or a model that is cached, is loaded at another endpoint where that is sooner; callers wait for the first end if it comes in time and are refused at once with that time otherwise. A dispatch that the backoff forbids uses nothing of the retry budget.

--- a/crates/pool/src/advertised.rs
+++ b/crates/pool/src/advertised.rs
@@ -7,6 +7,9 @@
 
 use crate::limits::EndpointRate;
 
+/// Milliseconds between two requests to an endpoint after a backoff, until it has taken one.
+const FIRST_DISPATCHES_MS: u64 = 200;
+
 /// What an endpoint has said of a limit on the requests of all entries together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct NamedLimit {
@@ -23,8 +26,16 @@
     leaving: bool,
     /// What it last said of a limit, if anything is known.
     limit: Option<NamedLimit>,
-    /// Until when it wants no requests.
-    backoff_until: Option<Millis>,
+    /// A backoff that it has asked for, until a response shows that it takes requests again.
+    backoff: Option<Backoff>,
+}
+
+/// A time in which an endpoint that turned a request away wants no others of this entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Backoff {
+    until: Millis,
+    /// When the next request may be dispatched: at the end, then one at a time.
+    next_dispatch: Millis,
 }
 
 impl Advertised {
@@ -40,13 +51,32 @@
 
     /// Records until when it wants no requests; returns false if it has asked for a longer time before.
     pub(crate) fn record_backoff(&mut self, until: Millis) -> bool {
-        let longer = self.backoff_until.is_none_or(|known| until > known);
+        let longer = self.backoff.is_none_or(|known| until > known.until);
         if longer {
-            self.backoff_until = Some(until);
+            self.backoff = Some(Backoff { until, next_dispatch: until });
         }
         longer
     }
 
+    /// Returns the milliseconds until a request may be dispatched to it, as far as backoffs are concerned.
+    pub(crate) fn backoff_ms(&self, now: Millis) -> u64 {
+        self.backoff.map_or(0, |backoff| backoff.next_dispatch.since(now))
+    }
+
+    /// Records a dispatch. Right after a backoff the next one follows only after a pause, so that not all
+    /// requests that have waited reach an endpoint that still turns them away.
+    pub(crate) fn record_dispatch(&mut self, now: Millis) {
+        if let Some(backoff) = &mut self.backoff {
+            backoff.next_dispatch = backoff.next_dispatch.max(now + FIRST_DISPATCHES_MS);
+        }
+    }
+
+    /// Records that it took a request that was dispatched at `sent_at`. Returns whether that ended a
+    /// backoff: one that had not passed by then goes on.
+    pub(crate) fn record_accepted(&mut self, sent_at: Millis) -> bool {
+        self.backoff.take_if(|backoff| backoff.until <= sent_at).is_some()
+    }
+
     /// Returns the limit that it names.
     pub(crate) fn limit(&self) -> Option<EndpointRate> {
         self.limit.and_then(|limit| limit.rate)
--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -249,6 +249,11 @@
         !self.member.leaving && !self.advertised.is_leaving()
     }
 
+    /// Returns whether it wants no requests of this entry now.
+    pub(crate) fn backs_off(&self, now: Millis) -> bool {
+        self.advertised.backoff_ms(now) > 0
+    }
+
     /// Returns whether it names a limit.
     pub(crate) fn is_limited(&self) -> bool {
         self.advertised.limit().is_some()
--- a/crates/pool/src/entry/advertised.rs
+++ b/crates/pool/src/entry/advertised.rs
@@ -58,12 +58,18 @@
     }
 
     fn learn_backoff(&mut self, statement: &Statement<'_>) {
-        let Some(backoff_ms) = statement.head.backoff_ms else { return };
-        let until = self.now + backoff_ms;
-        let advertised = self.pool.advertised_mut(statement.instance, statement.said_at);
-        if advertised.is_some_and(|advertised| advertised.record_backoff(until)) {
-            let event = LogEvent::new("endpoint_backoff").with("instance", statement.instance);
-            self.log(event.with("backoff_ms", backoff_ms).with("id", statement.caller_id));
+        let Statement { instance, said_at, head, .. } = *statement;
+        let until = head.backoff_ms.map(|ms| self.now + ms);
+        let Some(advertised) = self.pool.advertised_mut(instance, said_at) else { return };
+        let changed = match until {
+            Some(until) => advertised.record_backoff(until),
+            None if head.not_run => false,
+            None => advertised.record_accepted(said_at),
+        };
+        if changed {
+            let event = LogEvent::new("endpoint_backoff").with("instance", instance);
+            let event = event.with("backoff_ms", head.backoff_ms.unwrap_or(0));
+            self.log(event.with("id", statement.caller_id));
         }
     }
 }
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -19,6 +19,8 @@
     Full,
     /// Wait: all endpoints that can run it have got what they take, by the limits that they name.
     Limited,
+    /// Wait: all endpoints that can run it want no requests for a while.
+    Backoff,
     /// Wait: the best endpoint has already received this entry's share of its free slots.
     Throttle,
     /// Refuse it: no endpoint can run it in time.
@@ -93,14 +95,8 @@
                 Choice::Dispatch(endpoint.member.instance.clone())
             }
             Some(_) => Choice::Full,
-            None if self
-                .pool
-                .endpoints
-                .values()
-                .any(|endpoint| self.eligible(endpoint, request)) =>
-            {
-                Choice::Limited
-            }
+            None if self.backoff_ms(request).is_some_and(|ms| ms > 0) => Choice::Backoff,
+            None if self.backoff_ms(request).is_some() => Choice::Limited,
             None if request.required.is_some() => Choice::Load,
             None => Choice::Refuse(Reason::NoEndpoint),
         }
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -39,7 +39,7 @@
     /// its KV cache.
     pub(super) fn dispatch(&mut self, id: RequestId, instance: &str, copy: bool) {
         let now = self.now;
-        if !self.pool.endpoints.contains_key(instance) || !self.use_limit(instance) {
+        if !self.use_permit(instance) {
             // It waits on.
             return;
         }
@@ -367,10 +367,10 @@
     /// is not loaded, callers retry when it should be ready: earlier retries are refused again, and
     /// most callers retry only once.
     fn retry_after(&self, reason: Reason, request: &Request) -> Option<u64> {
-        let soon = request.target_ms / 2;
+        let soon = (request.target_ms / 2).max(self.backoff_retry_ms(request));
         let spread = |ms: u64| hash_bytes(request.caller_id.as_bytes()) % (ms + 1);
         match reason {
-            Reason::Full => Some(soon + spread(request.target_ms / 4)),
+            Reason::Full | Reason::Backoff => Some(soon + spread(request.target_ms / 4)),
             Reason::NoEndpoint | Reason::TooLate => {
                 let ms = self.ready_ms(request).unwrap_or(0).max(soon);
                 Some(ms + spread((request.target_ms / 4).max(ms / RETRY_SPREAD)))
--- a/crates/pool/src/entry/endpoint_limits.rs
+++ b/crates/pool/src/entry/endpoint_limits.rs
@@ -92,19 +92,27 @@
         Sharing { entries: self.known_entries(), seed: self.profile.seed }
     }
 
-    /// Returns whether a request may be dispatched to an endpoint now, as far as its limit is concerned.
+    /// Returns whether a request may be dispatched to an endpoint now, as far as its limit and backoffs are
+    /// concerned.
     pub(super) fn permits(&self, endpoint: &Endpoint) -> bool {
-        !endpoint.is_limited()
-            || self.ledger.permits_endpoint(&endpoint.member.instance, self.sharing(), self.now)
+        let limited = endpoint.is_limited()
+            && !self.ledger.permits_endpoint(&endpoint.member.instance, self.sharing(), self.now);
+        !limited && !endpoint.backs_off(self.now)
     }
 
-    /// Takes what a dispatch to an instance uses of its limit; returns false if there is nothing left.
-    pub(super) fn use_limit(&mut self, instance: &str) -> bool {
-        if !self.pool.endpoints.get(instance).is_some_and(Endpoint::is_limited) {
-            return true;
+    /// Takes what a dispatch to an instance uses of its limit; returns false if there is nothing left, or the
+    /// endpoint wants no requests.
+    pub(super) fn use_permit(&mut self, instance: &str) -> bool {
+        let (now, sharing) = (self.now, self.sharing());
+        let Some(endpoint) = self.pool.endpoints.get_mut(instance) else { return false };
+        if endpoint.backs_off(now) || !endpoint.accepts_requests() {
+            return false;
         }
-        let sharing = self.sharing();
-        self.ledger.take_endpoint(instance, sharing, self.now)
+        let taken = !endpoint.is_limited() || self.ledger.take_endpoint(instance, sharing, now);
+        if taken {
+            endpoint.advertised.record_dispatch(now);
+        }
+        taken
     }
 
     /// Asks for credit for the endpoint that a request would be dispatched to, if it names a limit.
@@ -114,7 +122,7 @@
         }
         let Some(request) = self.requests.get(&id) else { return };
         let runs = self.service_runs(&request.service);
-        let best = self.best_endpoint(request, runs, |_| true);
+        let best = self.best_endpoint(request, runs, |endpoint| !endpoint.backs_off(self.now));
         let best = best.filter(|endpoint| endpoint.is_limited());
         let Some(instance) = best.map(|endpoint| endpoint.member.instance.clone()) else { return };
         let first = !request.limit_wanted;
--- a/crates/pool/src/entry/load_requests.rs
+++ b/crates/pool/src/entry/load_requests.rs
@@ -179,7 +179,7 @@
     }
 
     /// Requests the adapter of a request at a holder of its model; returns whether there is one.
-    fn request_adapter(&mut self, id: RequestId, required: ModelKey) -> bool {
+    pub(super) fn request_adapter(&mut self, id: RequestId, required: ModelKey) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
         let Some(instance) = self.adapter_place(request) else { return false };
         let wait_ms = request.wait_ms(self.now);
@@ -206,6 +206,7 @@
             && endpoint.member.service == request.service
             && request.fits_software(endpoint)
             && endpoint.is_responsive(self.now)
+            && !endpoint.backs_off(self.now)
             && endpoint.fresh_side(self.now).is_some_and(|side| !side.evicting.contains(&base))
     }
 
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod advertised;
+mod backoff;
 mod choose;
 mod crashes;
 mod credit;
@@ -583,6 +584,7 @@
                 self.mark_queued(id);
                 self.await_limit_or_refuse(id);
             }
+            Choice::Backoff => self.await_backoff_or_refuse(id),
             Choice::Refuse(reason) => self.refuse(id, reason),
         }
     }
@@ -605,6 +607,7 @@
         let ahead = self.requests_ahead(id, request);
         let holders = self.pool.endpoints.values().filter(|endpoint| {
             endpoint.accepts_requests()
+                && !endpoint.backs_off(self.now)
                 && endpoint.member.service == request.service
                 && request.base.is_none_or(|base| endpoint.inventory.models.contains(&base))
         });
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -121,6 +121,7 @@
         let ModelLoad { spec, model, .. } = load;
         let side = endpoint.fresh_side(self.now).filter(|side| side.healthy)?;
         let unavailable = endpoint.avoided(self.now)
+            || endpoint.backs_off(self.now)
             || endpoint.liveness.is_stalled(self.now)
             || self.now < endpoint.declined_until;
         if unavailable || endpoint.inventory.models.contains(&model) {
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -275,6 +275,8 @@
     LimitUnknown,
     /// Every endpoint that could run it has got what it takes, by the limit that it names.
     EndpointLimit,
+    /// Every endpoint that could run it wants no requests for a while.
+    Backoff,
 }
 
 impl Reason {
@@ -299,6 +301,7 @@
             Reason::OverLimit => "over_limit",
             Reason::LimitUnknown => "limit_unknown",
             Reason::EndpointLimit => "endpoint_limit",
+            Reason::Backoff => "endpoint_backoff",
         }
     }
 
@@ -321,6 +324,7 @@
             | Reason::VersionGone
             | Reason::LimitUnknown
             | Reason::EndpointLimit
+            | Reason::Backoff
             | Reason::Expired => 503,
             Reason::TimedOut => 504,
             Reason::Broken => 502,
--- a/crates/pool/tests/all/advertised/backoff.rs
+++ b/crates/pool/tests/all/advertised/backoff.rs
@@ -182,11 +182,10 @@
     report(&mut bench, 2, &[]);
     let (id, effects) = bench.request("/draft/x", "m0/a1");
     assert_eq!(instance(&effects), Some("i1".to_owned()));
-    bench.respond(id, turned_away(BACKOFF_MS));
+    let mut effects = bench.respond(id, turned_away(BACKOFF_MS));
     bench.now += 20;
-    let (_, effects) = bench.request("/draft/x", "m0/a1");
+    effects.extend(bench.request("/draft/x", "m0/a1").1);
     assert!(refusal(&effects).is_none());
-    let mut effects = effects;
     effects.extend(bench.advance(40));
     let loads = effects.iter().any(|effect| match effect {
         EntryEffect::LoadRequest(at, load) => *at == address(2) && load.adapter == "a1",
