Decode the era of the store's history, carry it with its versions, and log what is left out as older

Versions of the store are a type of their own with the era, in every process and message; all comparisons are as before, by the version alone.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -119,6 +119,9 @@
     /// Encodes a call that writes quarantined requests by key, or removes those without a value.
     fn encode_quarantine(&self, rows: &[(String, Option<Vec<u8>>)]) -> WriteCall;
 
+    /// Returns the era of the store's history, from the headers of its response.
+    fn store_era(&self, headers: &HeaderMap) -> Option<u64>;
+
     /// Decodes the response to a call of either path.
     ///
     /// # Errors
--- a/crates/gateway/src/platform_view.rs
+++ b/crates/gateway/src/platform_view.rs
@@ -8,13 +8,13 @@
     sync::{Arc, Mutex, PoisonError},
 };
 
-use citronrill_pool::{ConfigFetchEvent, EntryEvent, Member, MemberChange};
+use citronrill_pool::{ConfigFetchEvent, EntryEvent, Member, MemberChange, StoreVersion};
 use citronrill_wire::{ConfigChunk, ConfigChunkRequest, EncodedConfig, MemberRow, Snapshot};
 use tokio::sync::watch;
 
 use crate::{
     config_transfer::ConfigTransfer,
-    dialect::{Dialect, RowPage, RowValue, StoreRow, Table},
+    dialect::{Dialect, RowValue, StoreRow, Table},
     entry::{EventSender, LoadedConfig},
 };
 
@@ -39,8 +39,8 @@
 /// The member list, encoded as in the platform store.
 #[derive(Default)]
 struct MemberList {
-    /// 0 until the list has been read from the store or a peer.
-    version: u64,
+    /// Unknown until the list has been read from the store or a peer.
+    version: StoreVersion,
     rows: BTreeMap<String, Vec<u8>>,
     /// Keys of undecodable rows that were logged.
     unreadable: BTreeSet<String>,
@@ -112,10 +112,16 @@
     }
 
     /// Applies rows from the store; with `complete`, they are the whole table.
-    pub(crate) fn apply_rows(&self, table: Table, page: RowPage, complete: bool) {
+    pub(crate) fn apply_rows(
+        &self,
+        table: Table,
+        version: StoreVersion,
+        rows: Vec<StoreRow>,
+        complete: bool,
+    ) {
         match table {
             Table::Text => {
-                let configs = page.rows.iter().filter(|row| self.dialect.is_config_key(&row.key));
+                let configs = rows.iter().filter(|row| self.dialect.is_config_key(&row.key));
                 for row in configs {
                     match &row.value {
                         RowValue::Bytes(bytes) => self.offer_store_config(bytes),
@@ -126,7 +132,7 @@
                     }
                 }
             }
-            Table::Members => self.apply_members(page.version, complete, page.rows),
+            Table::Members => self.apply_members(version, complete, rows),
         }
     }
 
@@ -162,12 +168,14 @@
     }
 
     /// Applies rows of the member list; with `complete`, members without a row are removed.
-    fn apply_members(&self, version: u64, complete: bool, rows: Vec<StoreRow>) {
+    fn apply_members(&self, version: StoreVersion, complete: bool, rows: Vec<StoreRow>) {
         let mut members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
         if complete {
             members.rows.clear();
         }
-        members.version = members.version.max(version);
+        if members.version.version < version.version {
+            members.version = version;
+        }
         let rows = rows.into_iter().map(|row| self.apply_row(&mut members, row)).collect();
         drop(members);
         self.events.send(EntryEvent::Members(MemberChange { complete, version, rows }));
@@ -204,7 +212,8 @@
 
     /// Returns whether both the configuration and the member list are known.
     pub(crate) fn is_complete(&self) -> bool {
-        let members_known = self.members.lock().unwrap_or_else(PoisonError::into_inner).version > 0;
+        let members_known =
+            self.members.lock().unwrap_or_else(PoisonError::into_inner).version.is_known();
         members_known && self.config.borrow().is_some()
     }
 
@@ -232,24 +241,27 @@
     pub(crate) fn snapshot(&self) -> Option<Snapshot> {
         let config = self.config_version();
         let members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
-        let complete = config > 0 && members.version > 0;
+        let complete = config > 0 && members.version.is_known();
         let rows = members.rows.iter();
         let rows = rows.map(|(name, bytes)| MemberRow { name: name.clone(), bytes: bytes.clone() });
         complete.then(|| Snapshot {
             config_version: config,
-            list_version: members.version,
+            list_version: members.version.version,
+            list_era: members.version.era,
             members: rows.collect(),
         })
     }
 
     /// Applies a peer's member list if none is known yet.
     pub(crate) fn apply_snapshot(&self, snapshot: Snapshot, peer: SocketAddr) {
-        let (version, count) = (snapshot.list_version, snapshot.members.len());
-        if version == 0 {
+        let count = snapshot.members.len();
+        let version = StoreVersion { era: snapshot.list_era, version: snapshot.list_version };
+        if !version.is_known() {
             return;
         }
         log::info!("event=snapshot_read peer={peer} list={version} members={count}");
-        let unread = self.members.lock().unwrap_or_else(PoisonError::into_inner).version == 0;
+        let unread = self.members.lock().unwrap_or_else(PoisonError::into_inner).version;
+        let unread = !unread.is_known();
         if unread {
             let rows = snapshot.members.into_iter();
             let rows =
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use citronrill_base::hash_bytes;
 use citronrill_config::PoolSettings;
-use citronrill_pool::{FollowerProfile, StoreQuery, TableFollower};
-use hyper::StatusCode;
+use citronrill_pool::{FollowerProfile, StoreQuery, StoreVersion, TableFollower};
+use hyper::{HeaderMap, StatusCode};
 use tokio::time::sleep;
 
 use crate::{
@@ -51,7 +51,7 @@
     let store = settings.store;
     let (client, follower) =
         (ControlClient::new(store), TableFollower::new(follower_profile(settings, table)));
-    let watcher = TableWatcher { store, table, dialect, view, client, follower };
+    let watcher = TableWatcher { store, era: 0, table, dialect, view, client, follower };
     watcher.run()
 }
 
@@ -81,6 +81,8 @@
 
 struct TableWatcher {
     store: SocketAddr,
+    /// The era of the store's last response.
+    era: u64,
     table: Table,
     dialect: Arc<dyn Dialect>,
     view: PlatformView,
@@ -164,8 +166,9 @@
                 break;
             }
         }
-        let pause_ms = self.follower.answered(table.version, millis_since(sent_at));
-        self.view.apply_rows(self.table, table, true);
+        let version = self.dated(table.version);
+        let pause_ms = self.follower.answered(version, millis_since(sent_at));
+        self.view.apply_rows(self.table, version, table.rows, true);
         Ok(pause_ms)
     }
 
@@ -187,9 +190,10 @@
             return Err(GatewayError::Status(status.as_u16()));
         }
         let page = self.dialect.decode_rows(&body)?;
-        let pause_ms = self.follower.answered(page.version, millis_since(sent_at));
+        let version = self.dated(page.version);
+        let pause_ms = self.follower.answered(version, millis_since(sent_at));
         if !page.rows.is_empty() {
-            self.view.apply_rows(self.table, page, false);
+            self.view.apply_rows(self.table, version, page.rows, false);
         }
         Ok(pause_ms)
     }
@@ -209,6 +213,22 @@
         let regained = self.view.wait_regained();
         let request = get(self.store, path)?;
         let response = self.client.fetch(request, head_timeout_ms, regained, progress).await?;
+        self.note_era(response.headers());
         Ok((response.status(), response.into_body()))
     }
+
+    /// Notes the era of a response; one without an era is of the same.
+    fn note_era(&mut self, headers: &HeaderMap) {
+        let Some(era) = self.dialect.store_era(headers).filter(|era| *era != self.era) else {
+            return;
+        };
+        let (table, before) = (self.table, self.era);
+        log::info!("event=store_era table={table:?} era={era} before={before}");
+        self.era = era;
+    }
+
+    /// Returns this version in the current era.
+    fn dated(&self, version: u64) -> StoreVersion {
+        StoreVersion { era: self.era, version }
+    }
 }
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -68,6 +68,7 @@
     pool::{ListOutcome, Pool},
     prompt::PromptPart,
     software::{SoftwareKey, StreamKey},
+    store_version::StoreVersion,
 };
 
 /// Entry count assumed until a side has reported one. Too high a count gives each entry too small a
@@ -314,7 +315,7 @@
 
     /// Returns whether requests can be served: configuration and member list are known.
     pub fn ready(&self) -> bool {
-        self.config.is_some() && self.pool.list_version > 0
+        self.config.is_some() && self.pool.list_version.is_known()
     }
 
     /// Returns the version of the active configuration; 0 if none is known.
@@ -323,7 +324,7 @@
     }
 
     /// Returns the version of the member list.
-    pub fn members_version(&self) -> u64 {
+    pub fn members_version(&self) -> StoreVersion {
         self.pool.list_version
     }
 
@@ -412,6 +413,10 @@
     /// Handles the effects of a membership change.
     fn handle_membership(&mut self, outcome: ListOutcome) {
         let version = self.pool.list_version;
+        if let Some(outdated) = outcome.outdated {
+            let event = LogEvent::new("list_left_out").with("version", outdated);
+            self.log(event.with("known", version));
+        }
         for instance in outcome.restarted {
             self.handle_restart(&instance, "list");
         }
--- a/crates/pool/src/entry/streams.rs
+++ b/crates/pool/src/entry/streams.rs
@@ -112,7 +112,7 @@
     /// a second version comes.
     pub(super) fn track_software(&mut self) {
         let (now, horizon_ms) = (self.now, self.horizon_ms());
-        if self.pool.list_version == 0 {
+        if !self.pool.list_version.is_known() {
             return;
         }
         self.resolve_listed();
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -29,6 +29,7 @@
 mod rate;
 mod side;
 mod software;
+mod store_version;
 mod suspects;
 mod table_follower;
 
@@ -58,5 +59,6 @@
         EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
     },
     software::{SoftwareKey, StreamKey},
+    store_version::StoreVersion,
     table_follower::{FollowerProfile, StoreCall, StoreQuery, TableFollower},
 };
--- a/crates/pool/src/member.rs
+++ b/crates/pool/src/member.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::incarnation::StartTime;
+use crate::{incarnation::StartTime, store_version::StoreVersion};
 
 /// One endpoint as the member list describes it.
 #[derive(Debug, Clone, PartialEq)]
@@ -46,7 +46,7 @@
     /// Whether `rows` is the complete list, so that endpoints not in it are gone.
     pub complete: bool,
     /// The list's version after the change.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Instances by name; `None` if the instance is gone.
     pub rows: Vec<(String, Option<Member>)>,
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -11,6 +11,7 @@
     endpoint::{Endpoint, ModelInventory, SideView},
     incarnation::{IncarnationChange, OLDER_START_DELAY_MS, StartTime},
     member::{Member, MemberChange},
+    store_version::StoreVersion,
 };
 
 /// Result of applying a side's report.
@@ -29,6 +30,8 @@
 pub(crate) struct ListOutcome {
     /// Whether the set of usable endpoints has changed.
     pub(crate) usable_changed: bool,
+    /// The version of the list, if it is older than the one that is known and was left out.
+    pub(crate) outdated: Option<StoreVersion>,
     /// Endpoints that have restarted under the same name.
     pub(crate) restarted: Vec<String>,
     /// Endpoints whose list entry was deferred because it belongs to an incarnation that has
@@ -52,7 +55,7 @@
     services: Option<Set<String>>,
     /// List entries of services that the configuration does not name.
     unserved: Map<String, Member>,
-    pub(crate) list_version: u64,
+    pub(crate) list_version: StoreVersion,
 }
 
 impl Pool {
@@ -66,7 +69,8 @@
         let mut outcome = ListOutcome::default();
         // A list that was read earlier can arrive later; it must not bring back endpoints that have
         // left.
-        if change.version < self.list_version {
+        if change.version.version < self.list_version.version {
+            outcome.outdated = Some(change.version);
             return outcome;
         }
         self.list_version = change.version;
--- a/crates/pool/src/table_follower.rs
+++ b/crates/pool/src/table_follower.rs
@@ -7,6 +7,8 @@
 
 use citronrill_base::hash_bytes;
 
+use crate::store_version::StoreVersion;
+
 /// Minimum timeout for an answer in milliseconds, for a store 50 times slower than usual (4 ms).
 const MIN_ANSWER_MS: u64 = 600;
 /// Minimum milliseconds for which the store holds a call for changes, however short the allowed
@@ -63,7 +65,7 @@
 pub struct TableFollower {
     profile: FollowerProfile,
     /// The version up to which everything is known; `None` if the whole table is to be read.
-    known_version: Option<u64>,
+    known_version: Option<StoreVersion>,
     /// Whether the last call failed.
     last_failed: bool,
     /// Milliseconds to wait for an answer, in addition to the time for which the call is held.
@@ -94,17 +96,19 @@
             return StoreCall { query: StoreQuery::Table, timeout_ms: 2 * self.answer_timeout_ms };
         };
         self.held_ms = if self.may_hold() { self.hold_ms() } else { 0 };
-        let query = StoreQuery::Changes { after, hold_ms: self.held_ms };
+        let query = StoreQuery::Changes { after: after.version, hold_ms: self.held_ms };
         StoreCall { query, timeout_ms: self.held_ms + self.answer_timeout_ms }
     }
 
     /// Records that the call was answered after `waited_ms`, and that everything up to `version` is
     /// known. Returns the milliseconds until the next call.
-    pub fn answered(&mut self, version: u64, waited_ms: u64) -> u64 {
+    pub fn answered(&mut self, version: StoreVersion, waited_ms: u64) -> u64 {
         let took_ms = waited_ms.saturating_sub(self.held_ms);
         self.answer_timeout_ms = (2 * took_ms).clamp(MIN_ANSWER_MS, self.max_timeout_ms());
         self.last_failed = false;
-        self.known_version = self.known_version.max(Some(version));
+        if self.known_version.is_none_or(|known| known.version < version.version) {
+            self.known_version = Some(version);
+        }
         self.profile.poll_pause_ms
     }
 
--- a/crates/pool/tests/all/advertised/series.rs
+++ b/crates/pool/tests/all/advertised/series.rs
@@ -13,7 +13,8 @@
 use rstest::rstest;
 
 use crate::support::{
-    ENGINE, PLAIN, address, arrival, config, member, not_run, ok, profile, seeds_from, state,
+    ENGINE, PLAIN, address, arrival, config, first_era, member, not_run, ok, profile, seeds_from,
+    state,
 };
 
 const ENDPOINTS: usize = 6;
@@ -156,7 +157,11 @@
             let leaving = self.endpoints[index].listed?;
             Some((self.endpoints[index].name.clone(), Some(self.row(index, leaving))))
         });
-        MemberChange { complete: true, version: self.list_version, rows: listed.collect() }
+        MemberChange {
+            complete: true,
+            version: first_era(self.list_version),
+            rows: listed.collect(),
+        }
     }
 
     fn post(&mut self, delay: u64, input: Input) {
--- a/crates/pool/tests/all/limits/endpoints.rs
+++ b/crates/pool/tests/all/limits/endpoints.rs
@@ -13,7 +13,9 @@
 use rstest::rstest;
 
 use super::fleet::ip;
-use crate::support::{ENGINE, address, arrival, config, member, ok, profile, report, seeds_from};
+use crate::support::{
+    ENGINE, address, arrival, config, first_era, member, ok, profile, report, seeds_from,
+};
 
 const ENGINES: usize = 4;
 /// Milliseconds of the window in which requests of all entries are summed.
@@ -124,7 +126,7 @@
         started.step(now, EntryEvent::ConfigCurrent(true));
         let engine = |index| member(index as u8, ENGINE, self.models(index));
         let rows = (0..ENGINES).map(engine).map(|member| (member.instance.clone(), Some(member)));
-        let change = MemberChange { complete: true, version: 1, rows: rows.collect() };
+        let change = MemberChange { complete: true, version: first_era(1), rows: rows.collect() };
         started.step(now, EntryEvent::Members(change));
         EntryNode {
             entry: started,
--- a/crates/pool/tests/all/limits/retries.rs
+++ b/crates/pool/tests/all/limits/retries.rs
@@ -16,7 +16,8 @@
 
 use super::fleet::ip;
 use crate::support::{
-    ENGINE, PLAIN, address, arrival, config, member, not_run, ok, profile, seeds_from, state,
+    ENGINE, PLAIN, address, arrival, config, first_era, member, not_run, ok, profile, seeds_from,
+    state,
 };
 
 const RATIO: f64 = 0.2;
@@ -124,7 +125,7 @@
         let engines = (0..SIDES).map(|index| member(index as u8, ENGINE, &["m0"]));
         let plain = (0..6).map(|index| member(100 + index, PLAIN, &[]));
         let rows = engines.chain(plain).map(|member| (member.instance.clone(), Some(member)));
-        let change = MemberChange { complete: true, version: 1, rows: rows.collect() };
+        let change = MemberChange { complete: true, version: first_era(1), rows: rows.collect() };
         entry.step(now, EntryEvent::Members(change));
         entry
     }
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -33,7 +33,7 @@
     poison::{Poison, PoisonCause, PoisonStats, Process},
     stall::{Stall, StallStats},
 };
-use crate::support::{ENGINE, address, arrival, config, model, profile};
+use crate::support::{ENGINE, address, arrival, config, first_era, model, profile};
 
 const SLOTS: usize = 24;
 const WEIGHTS_MB: f64 = 60_000.0;
@@ -652,8 +652,11 @@
         let rows = engines.map(|(index, engine)| member(index, engine));
         let rows = rows.map(|member| (member.instance.clone(), Some(member))).collect::<Vec<_>>();
         for entry in 0..self.entries.len() {
-            let change =
-                MemberChange { complete: true, version: self.list_version, rows: rows.clone() };
+            let change = MemberChange {
+                complete: true,
+                version: first_era(self.list_version),
+                rows: rows.clone(),
+            };
             let late = self.now + self.rng.random_range(5..300);
             self.schedule(late, SimEvent::entry_input(entry, EntryEvent::Members(change)));
         }
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -10,7 +10,7 @@
     Arrival, CallerLimits, Dispatch, EngineReport, EngineSpec, EntryEffect, EntryEvent,
     EntryProfile, HeldModel, KeyDigest, LimitBounds, Member, MemberChange, ModelSpec, Organisation,
     Organisations, PoolEntry, Reason, RequestDigest, RequestId, ResponseHead, RetryPolicy, Route,
-    Service, ServingConfig, TokenCount,
+    Service, ServingConfig, StoreVersion, TokenCount,
 };
 use citronrill_wire::{LoadRequest, ModelState, SideState};
 
@@ -182,6 +182,11 @@
     }
 }
 
+/// A version of a store that has never come back from a copy.
+pub(crate) fn first_era(version: u64) -> StoreVersion {
+    StoreVersion { era: 1, version }
+}
+
 /// Settings of an entry that starts with the whole system and waits for nobody.
 pub(crate) fn profile() -> EntryProfile {
     EntryProfile {
@@ -267,6 +272,7 @@
     pub(crate) fn set_members(&mut self, version: u64, members: Vec<Member>) -> Vec<EntryEffect> {
         let rows =
             members.into_iter().map(|member| (member.instance.clone(), Some(member))).collect();
+        let version = first_era(version);
         self.step(EntryEvent::Members(MemberChange { complete: true, version, rows }))
     }
 
@@ -358,6 +364,7 @@
         member: Option<Member>,
     ) -> Vec<EntryEffect> {
         let rows = vec![(name.to_owned(), member)];
+        let version = first_era(version);
         self.step(EntryEvent::Members(MemberChange { complete: false, version, rows }))
     }
 
--- a/crates/pool/tests/all/table_follower.rs
+++ b/crates/pool/tests/all/table_follower.rs
@@ -3,6 +3,8 @@
 use citronrill_pool::{FollowerProfile, StoreQuery, TableFollower};
 use rstest::rstest;
 
+use crate::support::first_era;
+
 /// A store that answers no call from `down_at` to `up_at`, in milliseconds. Calls that are open or
 /// held meanwhile are never answered. Changes made during the outage are available at its end.
 struct SilentStore {
@@ -32,7 +34,7 @@
             }
             version += 1;
             let waited_ms = answered - now;
-            now = answered + follower.answered(version, waited_ms);
+            now = answered + follower.answered(first_era(version), waited_ms);
         }
     }
 }
@@ -64,19 +66,19 @@
 fn timeout_grows_with_a_slow_store() {
     let profile = FollowerProfile { seed: 1, recover_ms: 3_000, poll_pause_ms: 900 };
     let mut follower = TableFollower::new(profile);
-    follower.answered(1, 5);
+    follower.answered(first_era(1), 5);
     let failed = |follower: &mut TableFollower| {
         let call = follower.call();
         let late = call.timeout_ms < 900;
         if late {
             follower.failed(call.timeout_ms)
         } else {
-            follower.answered(2, 900)
+            follower.answered(first_era(2), 900)
         };
         late
     };
     let failures = (0..20).filter(|_| failed(&mut follower)).count();
     assert_eq!(failures, 1);
-    follower.answered(3, 5);
+    follower.answered(first_era(3), 5);
     assert_eq!(follower.call().timeout_ms, 600);
 }
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -86,6 +86,9 @@
     /// The members.
     #[prost(message, repeated, tag = "3")]
     pub members: Vec<MemberRow>,
+    /// The era of the store's history in which the list has this version; 0 for none.
+    #[prost(uint64, tag = "5")]
+    pub list_era: u64,
 }
 
 /// One row of the member list.
