--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -26,6 +26,7 @@
 mod skew;
 mod software;
 mod stalls;
+mod store_era;
 mod stream_ends;
 mod support;
 mod suspects;
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -15,5 +15,6 @@
 mod responses;
 mod resume;
 mod software;
+mod store_era;
 mod support;
 mod truncated;
