Order what the platform store says by its era, then by its version

Callers see requests that fail when an endpoint ends which had said in its row that it leaves: its row was not read for as long as the versions of the store stayed below those from before it came back from a copy (2 s and more), and never if the store had the known version again by the next call, as that is no gap to it.

Cause: an order that rests on a counter which its owner can set back. Evidence: list_left_out lines with version 2.x below 1.y in the failing tests; in the third case no 410 and no such line, and the row is missed for good.

Now the pair of era and version is compared, in one type, in the reader of a table, the view, the pool and what peers are sent. Changes of a new era lead to the whole table, whether or not the store has the version that they follow; a refusal of a new era does, too; pages of two eras are no table; what an older era says is left out.

A complete list of a new era is not yet the truth, so for three seconds an endpoint that it lacks is kept (it writes its row again), and the row of one that was not listed any more before the return is held back until it is written again, or for five seconds. The order of configurations is the operator's own version and does not follow the era.

--- a/crates/gateway/src/platform_view.rs
+++ b/crates/gateway/src/platform_view.rs
@@ -173,9 +173,7 @@
         if complete {
             members.rows.clear();
         }
-        if members.version.version < version.version {
-            members.version = version;
-        }
+        members.version = members.version.max(version);
         let rows = rows.into_iter().map(|row| self.apply_row(&mut members, row)).collect();
         drop(members);
         self.events.send(EntryEvent::Members(MemberChange { complete, version, rows }));
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -51,7 +51,7 @@
     let store = settings.store;
     let (client, follower) =
         (ControlClient::new(store), TableFollower::new(follower_profile(settings, table)));
-    let watcher = TableWatcher { store, era: 0, table, dialect, view, client, follower };
+    let watcher = TableWatcher { store, era: None, table, dialect, view, client, follower };
     watcher.run()
 }
 
@@ -82,7 +82,7 @@
 struct TableWatcher {
     store: SocketAddr,
     /// The era of the store's last response.
-    era: u64,
+    era: Option<u64>,
     table: Table,
     dialect: Arc<dyn Dialect>,
     view: PlatformView,
@@ -148,7 +148,7 @@
 
     async fn read_table(&mut self, timeout_ms: u64) -> Result<u64, GatewayError> {
         let sent_at = Instant::now();
-        let mut from = None;
+        let (mut from, mut era) = (None, None);
         let mut table = RowPage::default();
         loop {
             let path = self.dialect.read_path(self.table, from.as_deref());
@@ -160,6 +160,10 @@
             // The lowest version of all pages: the next poll returns every change after it.
             let first_page = table.version == 0;
             table.version = if first_page { page.version } else { table.version.min(page.version) };
+            // Pages of two histories are no table.
+            if *era.get_or_insert(self.era) != self.era {
+                return Ok(self.follower.history_gone());
+            }
             from = page.rows.last().map(|row| format!("{}\0", row.key));
             table.rows.extend(page.rows);
             if !page.truncated {
@@ -167,9 +171,11 @@
             }
         }
         let version = self.dated(table.version);
-        let pause_ms = self.follower.answered(version, millis_since(sent_at));
-        self.view.apply_rows(self.table, version, table.rows, true);
-        Ok(pause_ms)
+        let answer = self.follower.answered(version, millis_since(sent_at));
+        if answer.usable {
+            self.view.apply_rows(self.table, version, table.rows, true);
+        }
+        Ok(answer.pause_ms)
     }
 
     async fn read_changes(
@@ -191,11 +197,11 @@
         }
         let page = self.dialect.decode_rows(&body)?;
         let version = self.dated(page.version);
-        let pause_ms = self.follower.answered(version, millis_since(sent_at));
-        if !page.rows.is_empty() {
+        let answer = self.follower.answered(version, millis_since(sent_at));
+        if answer.usable && !page.rows.is_empty() {
             self.view.apply_rows(self.table, version, page.rows, false);
         }
-        Ok(pause_ms)
+        Ok(answer.pause_ms)
     }
 
     /// Makes a call whose response head must arrive within `head_timeout_ms`.
@@ -214,21 +220,23 @@
         let request = get(self.store, path)?;
         let response = self.client.fetch(request, head_timeout_ms, regained, progress).await?;
         self.note_era(response.headers());
+        if let (false, Some(era)) = (response.status() == StatusCode::OK, self.era) {
+            self.follower.note_era(era);
+        }
         Ok((response.status(), response.into_body()))
     }
 
     /// Notes the era of a response; one without an era is of the same.
     fn note_era(&mut self, headers: &HeaderMap) {
-        let Some(era) = self.dialect.store_era(headers).filter(|era| *era != self.era) else {
-            return;
-        };
-        let (table, before) = (self.table, self.era);
+        let era = self.dialect.store_era(headers);
+        let Some(era) = era.filter(|era| Some(*era) != self.era) else { return };
+        let (table, before) = (self.table, self.era.unwrap_or(0));
         log::info!("event=store_era table={table:?} era={era} before={before}");
-        self.era = era;
+        self.era = Some(era);
     }
 
     /// Returns this version in the current era.
     fn dated(&self, version: u64) -> StoreVersion {
-        StoreVersion { era: self.era, version }
+        StoreVersion { era: self.era.unwrap_or(0), version }
     }
 }
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -38,6 +38,8 @@
         self.expire_load_requests();
         let outcome = self.pool.apply_deferred(&mut self.names, self.now);
         self.handle_membership(outcome);
+        let outcome = self.pool.end_rewrite(&mut self.names, self.now);
+        self.handle_membership(outcome);
         self.check_suspects();
         self.log_limits_kept();
         self.pool.delisted.expire(self.now);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -27,6 +27,7 @@
 mod pool;
 mod prompt;
 mod rate;
+mod rewrite;
 mod side;
 mod software;
 mod store_version;
@@ -60,5 +61,5 @@
     },
     software::{SoftwareKey, StreamKey},
     store_version::StoreVersion,
-    table_follower::{FollowerProfile, StoreCall, StoreQuery, TableFollower},
+    table_follower::{FollowerProfile, StoreAnswer, StoreCall, StoreQuery, TableFollower},
 };
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -11,6 +11,7 @@
     endpoint::{Endpoint, ModelInventory, SideView},
     incarnation::{IncarnationChange, OLDER_START_DELAY_MS, StartTime},
     member::{Member, MemberChange},
+    rewrite::Rewrite,
     store_version::StoreVersion,
 };
 
@@ -49,6 +50,7 @@
     pub(crate) endpoints: Map<String, Endpoint>,
     by_address: Map<SocketAddr, String>,
     pub(crate) delisted: DelistedEndpoints,
+    rewrite: Rewrite,
     /// Incarnations known to have ended that the member list may still name.
     ended: Set<String>,
     /// The services in the configuration; `None` while no configuration is known.
@@ -69,16 +71,25 @@
         let mut outcome = ListOutcome::default();
         // A list that was read earlier can arrive later; it must not bring back endpoints that have
         // left.
-        if change.version.version < self.list_version.version {
+        if change.version < self.list_version {
             outcome.outdated = Some(change.version);
             return outcome;
         }
+        if self.list_version.is_known() && change.version.era > self.list_version.era {
+            self.rewrite.begin(now);
+        }
         self.list_version = change.version;
+        let restored = change.complete && self.rewrite.is_under_way(now);
         if change.complete {
             self.drop_unlisted(&change.rows, now, &mut outcome);
         }
         for (id, member) in change.rows {
+            self.rewrite.listed(&id, !change.complete);
             match member {
+                Some(member) if restored && self.may_have_ended(&id) => {
+                    self.remove_unlisted(&id, now, &mut outcome);
+                    self.rewrite.hold(member);
+                }
                 Some(member) if self.is_served(&member.service) => {
                     self.unserved.remove(&id);
                     self.upsert(member, change.complete, names, now, &mut outcome);
@@ -97,6 +108,11 @@
         outcome
     }
 
+    /// Returns whether an endpoint was not listed any more before the store came back from a copy.
+    fn may_have_ended(&self, id: &str) -> bool {
+        self.delisted.contains(id) || self.rewrite.is_doubtful(id)
+    }
+
     /// Removes endpoints that a complete member list does not contain.
     fn drop_unlisted(
         &mut self,
@@ -112,9 +128,32 @@
         let gone =
             self.endpoints.iter().filter(|(id, endpoint)| !listed(id) && !reported(endpoint));
         let gone = gone.map(|(id, _)| id.clone()).collect::<Vec<_>>();
+        if self.rewrite.is_under_way(now) {
+            self.rewrite.await_rows(gone);
+            return;
+        }
         gone.iter().for_each(|id| self.remove_unlisted(id, now, outcome));
     }
 
+    /// Removes the endpoints that have not written their rows again in time after the store came back from a
+    /// copy, and takes over the rows of the copy that nothing has contradicted.
+    pub(crate) fn end_rewrite(
+        &mut self,
+        names: &mut Interner<ModelKey>,
+        now: Millis,
+    ) -> ListOutcome {
+        let mut outcome = ListOutcome::default();
+        for id in self.rewrite.take_missing(now) {
+            self.remove_unlisted(&id, now, &mut outcome);
+        }
+        for member in self.rewrite.take_held(now) {
+            if self.is_served(&member.service) {
+                self.upsert(member, true, names, now, &mut outcome);
+            }
+        }
+        outcome
+    }
+
     /// Removes an endpoint that is no longer listed.
     fn remove_unlisted(&mut self, id: &str, now: Millis, outcome: &mut ListOutcome) {
         let Some(endpoint) = self.endpoints.get(id) else { return };
--- a/crates/pool/src/store_version.rs
+++ b/crates/pool/src/store_version.rs
@@ -5,8 +5,9 @@
 /// A moment in the history of the platform store.
 ///
 /// The store may come back from a copy that is some seconds old. What was written since is gone then, and
-/// its versions are given out again; each time its era rises by one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+/// its versions are given out again; each time its era rises by one. Versions of different eras are compared
+/// by their eras.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct StoreVersion {
     /// The era of the history; 0 for a store that names none.
     pub era: u64,
--- a/crates/pool/src/table_follower.rs
+++ b/crates/pool/src/table_follower.rs
@@ -48,6 +48,15 @@
     pub timeout_ms: u64,
 }
 
+/// What follows from an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreAnswer {
+    /// Whether its rows are to be applied.
+    pub usable: bool,
+    /// Milliseconds until the next call.
+    pub pause_ms: u64,
+}
+
 /// Parameters for reading one table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FollowerProfile {
@@ -66,6 +75,10 @@
     profile: FollowerProfile,
     /// The version up to which everything is known; `None` if the whole table is to be read.
     known_version: Option<StoreVersion>,
+    /// The newest era that a response was of.
+    era: u64,
+    /// Whether the last call was for the whole table.
+    reads_table: bool,
     /// Whether the last call failed.
     last_failed: bool,
     /// Milliseconds to wait for an answer, in addition to the time for which the call is held.
@@ -82,6 +95,8 @@
         TableFollower {
             profile,
             known_version: None,
+            era: 0,
+            reads_table: true,
             last_failed: false,
             answer_timeout_ms: MIN_ANSWER_MS,
             held_ms: 0,
@@ -92,6 +107,7 @@
     /// Returns the call to make now.
     pub fn call(&mut self) -> StoreCall {
         self.calls += 1;
+        self.reads_table = self.known_version.is_none();
         let Some(after) = self.known_version else {
             return StoreCall { query: StoreQuery::Table, timeout_ms: 2 * self.answer_timeout_ms };
         };
@@ -100,16 +116,34 @@
         StoreCall { query, timeout_ms: self.held_ms + self.answer_timeout_ms }
     }
 
-    /// Records that the call was answered after `waited_ms`, and that everything up to `version` is
-    /// known. Returns the milliseconds until the next call.
-    pub fn answered(&mut self, version: StoreVersion, waited_ms: u64) -> u64 {
+    /// Records that the call was answered after `waited_ms`, as of `version`.
+    ///
+    /// The rows of an older era are out of date. Changes of a newer one are not all that changed: the store
+    /// came back from a copy, and the version that they follow means something else there, even if the store
+    /// has it again. The whole table is to be read then.
+    pub fn answered(&mut self, version: StoreVersion, waited_ms: u64) -> StoreAnswer {
         let took_ms = waited_ms.saturating_sub(self.held_ms);
         self.answer_timeout_ms = (2 * took_ms).clamp(MIN_ANSWER_MS, self.max_timeout_ms());
         self.last_failed = false;
-        if self.known_version.is_none_or(|known| known.version < version.version) {
-            self.known_version = Some(version);
+        if version.era < self.era {
+            return StoreAnswer { usable: false, pause_ms: self.jittered(FAILED_PAUSE_MS) };
+        }
+        if self.note_era(version.era) && !self.reads_table {
+            return StoreAnswer { usable: false, pause_ms: 0 };
+        }
+        self.known_version = self.known_version.max(Some(version));
+        StoreAnswer { usable: true, pause_ms: self.profile.poll_pause_ms }
+    }
+
+    /// Records the era of a response, whatever its status. Returns whether it is newer than the known one;
+    /// the whole table is to be read then.
+    pub fn note_era(&mut self, era: u64) -> bool {
+        let newer = era > self.era;
+        if newer {
+            self.era = era;
+            self.known_version = None;
         }
-        self.profile.poll_pause_ms
+        newer
     }
 
     /// Records that the store no longer has the changes after the known version, so that the whole
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -27,6 +27,7 @@
 mod software;
 mod stalls;
 mod store_era;
+mod store_era_series;
 mod stream_ends;
 mod support;
 mod suspects;
--- a/crates/pool/tests/all/table_follower.rs
+++ b/crates/pool/tests/all/table_follower.rs
@@ -1,6 +1,6 @@
 //! Following a table of a store that stops responding and recovers.
 
-use citronrill_pool::{FollowerProfile, StoreQuery, TableFollower};
+use citronrill_pool::{FollowerProfile, StoreAnswer, StoreQuery, StoreVersion, TableFollower};
 use rstest::rstest;
 
 use crate::support::first_era;
@@ -34,7 +34,7 @@
             }
             version += 1;
             let waited_ms = answered - now;
-            now = answered + follower.answered(first_era(version), waited_ms);
+            now = answered + follower.answered(first_era(version), waited_ms).pause_ms;
         }
     }
 }
@@ -73,7 +73,7 @@
         if late {
             follower.failed(call.timeout_ms)
         } else {
-            follower.answered(first_era(2), 900)
+            follower.answered(first_era(2), 900).pause_ms
         };
         late
     };
@@ -82,3 +82,51 @@
     follower.answered(first_era(3), 5);
     assert_eq!(follower.call().timeout_ms, 600);
 }
+
+fn era(era: u64, version: u64) -> StoreVersion {
+    StoreVersion { era, version }
+}
+
+/// A follower that has read the table at version 50 of era 2.
+fn follower() -> TableFollower {
+    let profile = FollowerProfile { seed: 1, recover_ms: 3_000, poll_pause_ms: 900 };
+    let mut follower = TableFollower::new(profile);
+    follower.call();
+    assert!(follower.answered(era(2, 50), 5).usable);
+    follower
+}
+
+/// Guards against changes that are missed after the store came back from a copy: it has the known version
+/// again, and what it answers follows another history.
+#[rstest]
+fn changes_of_a_new_era_lead_to_the_whole_table(#[values(10, 50, 90)] version: u64) {
+    let mut follower = follower();
+    assert!(matches!(follower.call().query, StoreQuery::Changes { after: 50, .. }));
+    assert_eq!(follower.answered(era(3, version), 5), StoreAnswer { usable: false, pause_ms: 0 });
+    assert_eq!(follower.call().query, StoreQuery::Table);
+    assert!(follower.answered(era(3, version), 5).usable);
+    let StoreQuery::Changes { after, .. } = follower.call().query else { panic!("reads on") };
+    assert_eq!(after, version);
+}
+
+/// Guards against rows of an older era that are taken for the newest ones by their version, and against a
+/// follower that goes back with them.
+#[test]
+fn an_answer_of_an_older_era_is_left_out() {
+    let mut follower = follower();
+    follower.call();
+    assert!(!follower.answered(era(1, 900), 5).usable);
+    let StoreQuery::Changes { after, .. } = follower.call().query else { panic!("reads on") };
+    assert_eq!(after, 50);
+}
+
+/// Guards against changes that are asked for although an answer without rows, such as a refusal, was of a
+/// new era.
+#[test]
+fn a_refusal_of_a_new_era_leads_to_the_whole_table() {
+    let mut follower = follower();
+    follower.call();
+    assert!(follower.note_era(3));
+    follower.failed(5);
+    assert_eq!(follower.call().query, StoreQuery::Table);
+}
