Cut off responses without end

The users' new term: bytes that are no answer may come without end, in a head or a body, until the caller closes.

- an event without end was kept whole until it would be complete, in memory without a bound;
- interim responses (100) without end kept the entry's one thread busy until the deadline, so that streams of other endpoints were cut as well;
- comments without end were taken for progress of a stream.

Garbage and endless heads were cut off before, by the HTTP library. A plain body without end is forwarded under back pressure until the deadline, as before, and then cut.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -9,6 +9,13 @@
 /// First byte of a comment line.
 const COMMENT: u8 = b':';
 
+/// Maximum bytes of an event, and of comments between two events: an event has a few tokens.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// A stream has sent more than [`MAX_EVENT_BYTES`] without an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct EventTooLarge;
+
 /// A stream ended in the middle of an event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct InsideEvent {
@@ -27,6 +34,8 @@
     partial: BytesMut,
     /// Length of the lines of `partial` that were examined.
     examined: usize,
+    /// Bytes of the current attempt since its last event.
+    since_event: usize,
     /// Whether the current attempt has produced an event.
     has_events: bool,
     /// ID of the last event that was forwarded.
@@ -49,14 +58,24 @@
     /// Begins the next attempt and discards the incomplete event of the previous one.
     pub(crate) fn start_attempt(&mut self) {
         self.take_partial();
+        self.since_event = 0;
         self.has_events = false;
         self.resumed_after = self.last_id;
     }
 
     /// Adds bytes of the current attempt; returns its new whole events.
-    pub(crate) fn push(&mut self, bytes: Bytes) -> Bytes {
+    ///
+    /// # Errors
+    /// The attempt goes on without an event.
+    pub(crate) fn push(&mut self, bytes: Bytes) -> Result<Bytes, EventTooLarge> {
+        self.since_event += bytes.len();
+        let events = self.take_events(bytes);
+        if self.since_event > MAX_EVENT_BYTES { Err(EventTooLarge) } else { Ok(events) }
+    }
+
+    fn take_events(&mut self, bytes: Bytes) -> Bytes {
         if self.partial.is_empty() && self.resumed_after.is_none() && bytes.ends_with(EVENT_END) {
-            self.has_events |= is_inside_event(&bytes);
+            self.note_event(&bytes);
             self.record_id(&bytes);
             return bytes;
         }
@@ -64,7 +83,7 @@
         let mut complete = BytesMut::new();
         while let Some(end) = self.event_end() {
             let event = self.partial.split_to(end);
-            self.has_events |= is_inside_event(&event);
+            self.note_event(&event);
             if self.is_new(&event) {
                 self.record_id(&event);
                 complete.extend_from_slice(&event);
@@ -73,6 +92,14 @@
         complete.freeze()
     }
 
+    /// Records that the attempt has produced an event, unless these are only comments.
+    fn note_event(&mut self, bytes: &[u8]) {
+        if is_inside_event(bytes) {
+            self.has_events = true;
+            self.since_event = 0;
+        }
+    }
+
     /// Ends the current attempt; returns the bytes after its last event if they belong to none.
     ///
     /// # Errors
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -17,7 +17,10 @@
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
-use crate::error::GatewayError;
+use crate::{
+    error::GatewayError,
+    head_limit::{HeadLimit, LimitedStream},
+};
 
 /// Milliseconds to connect: a round trip between zones takes under 5 ms, and TCP resends a lost
 /// first packet only after a second, when another endpoint would already have been reached.
@@ -75,6 +78,7 @@
 /// An HTTP/1 client connection.
 pub(crate) struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     guard: ConnectionGuard,
 }
 
@@ -82,13 +86,14 @@
     /// Connects to `address`.
     pub(crate) async fn open(address: SocketAddr) -> Result<HttpConnection, GatewayError> {
         let stream = connect(address, CONNECT_TIMEOUT_MS).await?;
+        let (stream, head_limit) = LimitedStream::new(stream);
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::trace!("event=connection_ended error=\"{error}\"");
             }
         });
-        Ok(HttpConnection { sender, guard: ConnectionGuard(task) })
+        Ok(HttpConnection { sender, head_limit, guard: ConnectionGuard(task) })
     }
 
     /// Sends a request and returns the head of its response.
@@ -97,7 +102,10 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, GatewayError> {
         self.sender.ready().await?;
-        Ok(self.sender.send_request(request).await?)
+        self.head_limit.begin();
+        let response = self.sender.send_request(request).await?;
+        self.head_limit.lift();
+        Ok(response)
     }
 
     /// Returns the guard that keeps the connection open.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod event_splitter;
 mod exchange;
 mod framing;
+mod head_limit;
 mod http_client;
 mod logs;
 mod metrics;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,7 +15,7 @@
     body_end::BodyEnd,
     body_framing::Framing,
     entry::{Command, EventSender},
-    event_splitter::EventSplitter,
+    event_splitter::{EventSplitter, EventTooLarge},
     exchange::{Exchange, Outcome},
     http_client::ConnectionGuard,
 };
@@ -90,9 +90,17 @@
         if let Source::Endpoint(_, exchange, _) = &self.source {
             exchange.progress.increment();
         }
-        let frame = match &mut self.splitter {
-            Some(splitter) => frame.map_data(|bytes| splitter.push(bytes)),
-            None => frame,
+        let frame = match (&mut self.splitter, frame.into_data()) {
+            (Some(splitter), Ok(bytes)) => match splitter.push(bytes) {
+                Ok(events) => Frame::data(events),
+                Err(EventTooLarge) => {
+                    self.log_without_events();
+                    self.fail_over();
+                    return None;
+                }
+            },
+            (None, Ok(bytes)) => Frame::data(bytes),
+            (_, Err(frame)) => frame,
         };
         let empty = frame.data_ref().is_some_and(Bytes::is_empty);
         (!empty).then_some(Some(Ok(frame)))
@@ -127,6 +135,13 @@
         }
     }
 
+    /// Logs that a stream goes on without an event.
+    fn log_without_events(&self) {
+        if let Source::Endpoint(_, exchange, _) = &self.source {
+            log::info!("event=stream_without_events id={}", exchange.outgoing.caller_id);
+        }
+    }
+
     /// Logs that a stream ended without an error after `bytes` bytes of an event.
     fn log_unfinished(&self, bytes: usize) {
         if let Source::Endpoint(_, exchange, _) = &self.source {
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -34,7 +34,7 @@
 fn whole_events_are_forwarded_unchanged() {
     let mut splitter = EventSplitter::default();
     let bytes = Bytes::from(produced(0, 2));
-    assert_eq!(splitter.push(bytes.clone()), bytes);
+    assert_eq!(splitter.push(bytes.clone()).unwrap(), bytes);
     assert_eq!(splitter.last_id(), Some(1));
 }
 
@@ -45,10 +45,10 @@
     let mut splitter = EventSplitter::default();
     let mut bytes = produced(0, 2);
     bytes.extend_from_slice(b"id: 2\ndata: tok");
-    assert_eq!(splitter.push(Bytes::from(bytes)), produced(0, 2));
+    assert_eq!(splitter.push(Bytes::from(bytes)).unwrap(), produced(0, 2));
     splitter.start_attempt();
     assert_eq!(splitter.last_id(), Some(1));
-    assert_eq!(splitter.push(Bytes::from(produced(2, 4))), produced(2, 4));
+    assert_eq!(splitter.push(Bytes::from(produced(2, 4))).unwrap(), produced(2, 4));
 }
 
 /// The attempt that resumes the stream begins with events that the caller has already received; they
@@ -56,16 +56,16 @@
 #[test]
 fn repeated_events_are_dropped() {
     let mut splitter = EventSplitter::default();
-    splitter.push(Bytes::from(produced(0, 5)));
+    splitter.push(Bytes::from(produced(0, 5))).unwrap();
     splitter.start_attempt();
-    assert_eq!(splitter.push(Bytes::from(produced(3, 8))), produced(5, 8));
+    assert_eq!(splitter.push(Bytes::from(produced(3, 8))).unwrap(), produced(5, 8));
 }
 
 /// Comments after the last event of an attempt that ended normally belong to the response.
 #[test]
 fn trailing_comments_are_forwarded() {
     let mut splitter = EventSplitter::default();
-    assert_eq!(splitter.push(Bytes::from_static(b"data: x\n\n: end\n")), "data: x\n\n");
+    assert_eq!(splitter.push(Bytes::from_static(b"data: x\n\n: end\n")).unwrap(), "data: x\n\n");
     assert_eq!(splitter.finish(), Ok(Bytes::from_static(b": end\n")));
     assert_eq!(splitter.finish(), Ok(Bytes::new()));
 }
@@ -75,7 +75,7 @@
 fn an_unfinished_event_is_reported_and_not_forwarded() {
     for rest in ["d", "data: [DONE]", "data: [DONE]\n", "data: x\r\n", ": c\ndata: x\n"] {
         let mut splitter = EventSplitter::default();
-        assert!(splitter.push(Bytes::from(rest.to_owned())).is_empty());
+        assert!(splitter.push(Bytes::from(rest.to_owned())).unwrap().is_empty());
         assert_eq!(splitter.finish(), Err(InsideEvent { bytes: rest.len() }), "{rest:?}");
         assert_eq!(splitter.finish(), Ok(Bytes::new()));
     }
@@ -92,7 +92,7 @@
     let mut splitter = EventSplitter::default();
     let mut forwarded = Vec::new();
     for bytes in stream.as_bytes().chunks(chunk) {
-        forwarded.extend_from_slice(&splitter.push(Bytes::copy_from_slice(bytes)));
+        forwarded.extend_from_slice(&splitter.push(Bytes::copy_from_slice(bytes)).unwrap());
     }
     assert_eq!(String::from_utf8(forwarded).unwrap(), stream);
     assert_eq!(splitter.last_id(), Some(3));
@@ -116,7 +116,7 @@
 ) {
     let splitter = || {
         let mut splitter = EventSplitter::default();
-        splitter.push(Bytes::from(stream.to_owned()));
+        splitter.push(Bytes::from(stream.to_owned())).unwrap();
         splitter
     };
     assert_eq!(BodyEnd::classify(framing, Some(&mut splitter()), false), end);
@@ -129,7 +129,7 @@
 #[test]
 fn a_resumed_attempt_without_an_event_is_truncated() {
     let mut splitter = EventSplitter::default();
-    splitter.push(Bytes::from(produced(0, 2)));
+    splitter.push(Bytes::from(produced(0, 2))).unwrap();
     splitter.start_attempt();
     let end = BodyEnd::classify(Framing::UntilClose, Some(&mut splitter), false);
     assert_eq!(end, BodyEnd::Truncated(0));
@@ -153,13 +153,31 @@
         for (length, chunk) in breaks {
             let attempt = produced(next, 20);
             for bytes in attempt[..length.min(attempt.len())].chunks(chunk) {
-                forwarded.extend_from_slice(&splitter.push(Bytes::copy_from_slice(bytes)));
+                forwarded.extend_from_slice(&splitter.push(Bytes::copy_from_slice(bytes)).unwrap());
             }
             splitter.start_attempt();
             // An attempt may begin with the last event of the previous one.
             next = splitter.last_id().unwrap_or(0);
         }
-        forwarded.extend_from_slice(&splitter.push(Bytes::from(produced(next, 20))));
+        forwarded.extend_from_slice(&splitter.push(Bytes::from(produced(next, 20))).unwrap());
         prop_assert_eq!(forwarded, produced(0, 20));
     }
 }
+
+/// Guards against memory that an event without end fills, and against comments without end that are taken for
+/// a stream.
+#[test]
+fn a_stream_without_events_is_an_error() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(Bytes::from(produced(0, 2))).unwrap();
+    let whole = format!("data: {}\n\n", "x".repeat(200 << 10));
+    assert_eq!(splitter.push(Bytes::from(whole.clone())).unwrap(), whole);
+    for part in ["data: x\n", ": x\n\n"] {
+        splitter.start_attempt();
+        let mut pushed = 0;
+        while splitter.push(Bytes::from(part.repeat(1_000))).is_ok() {
+            pushed += part.len() * 1_000;
+            assert!(pushed < 1 << 20);
+        }
+    }
+}
--- /dev/null
+++ b/tests/pool/endless.rs
@@ -0,0 +1,57 @@
+//! Endpoints whose responses have no end.
+
+use citronrill_platform_standin::{Endless, EndlessWorker};
+use rstest::rstest;
+
+use crate::support::{Deployment, Request, Response};
+
+/// Memory in kB that an entry may take for the responses of one such endpoint; it has 160 MB in all.
+const MAX_MEMORY_KB: u64 = 16_384;
+const REQUESTS: usize = 12;
+/// Batches of requests until one of them reaches the endpoint.
+const MAX_BATCHES: usize = 20;
+
+/// Guards against an entry whose memory is filled by a response without end, or which reads one for good; and
+/// against callers who get no answer, or one that is not true.
+#[rstest]
+fn a_response_without_end_is_cut_off(
+    #[values(
+        Endless::Garbage,
+        Endless::HeadField,
+        Endless::HeadFields,
+        Endless::Interim,
+        Endless::Event,
+        Endless::Comments
+    )]
+    endless: Endless,
+    #[values("/chat/x", "/draft/x")] path: &str,
+) {
+    let pool = Deployment::start(&[("e1", &["m0"]), ("e2", &["m0"])]);
+    let endless = EndlessWorker::start(pool.engines[0].address().ip(), endless);
+    pool.engines[0].register_at(endless.address());
+    let before = pool.entry.peak_kb();
+    for batch in 0.. {
+        send_batch(&pool, path, batch);
+        if endless.begun() > 0 {
+            break;
+        }
+        assert!(batch < MAX_BATCHES, "the endpoint is not used");
+    }
+    pool.wait_until("each response is cut off", || endless.closed() == endless.begun());
+    let taken = pool.entry.peak_kb().saturating_sub(before);
+    assert!(taken < MAX_MEMORY_KB, "{taken} kB");
+}
+
+/// Sends requests at the same time, and checks that each is answered truly.
+fn send_batch(pool: &Deployment, path: &str, batch: usize) {
+    let send = |number| pool.send(&Request::stream(path, &format!("id-{batch}-{number}"), "m0"));
+    let connections = (0..REQUESTS).map(send).collect::<Vec<_>>();
+    for mut connection in connections {
+        let response = Response::read(&mut connection);
+        let whole = response.status == 200 && response.complete;
+        let ids = response.event_ids();
+        assert!(!whole || ids == (0..20).collect::<Vec<_>>(), "{ids:?}");
+        assert!(whole || path == "/draft/x", "{}", response.status);
+        assert!(matches!(response.status, 200 | 502 | 504), "{}", response.status);
+    }
+}
--- a/tests/pool/support/process.rs
+++ b/tests/pool/support/process.rs
@@ -70,6 +70,13 @@
         values.filter_map(|value| value.parse().ok()).collect()
     }
 
+    /// Returns the highest resident memory of the process so far, in kB.
+    pub(crate) fn peak_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Prints the log.
     pub(crate) fn print_log(&self) {
         let lines = self.lines.lock().unwrap();
