Write quarantines again that the store has lost

Quarantined requests were written once, and read at the start only; after the loss of all processes that followed, such a request would crash three endpoints again.

When the era of the store rises, each entry reads the table within five seconds, at its own moment, and writes what the copy lacks of the rows that it has read or written; later ones find them there. Rows that were removed as expired and are there again are removed again. A row whose only writer has ended by then is not written again: the sides and entries go on knowing it, but not its row (open).

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -200,7 +200,7 @@
         for table in [Table::Text, Table::Members] {
             tokio::spawn(watch_table(settings, table, dialect.clone(), view.clone()));
         }
-        let port = settings.peers.port();
+        let (port, era) = (settings.peers.port(), view.subscribe_era());
         if let Some(address) = settings.snapshots {
             tokio::spawn(serve_snapshots(listen(address).await?, view.clone()));
         }
@@ -212,11 +212,7 @@
         tokio::spawn(fetch_config(&settings.name, transfer_events, chunk_requests, view.clone()));
         tokio::spawn(run_sides(port, side_receiver, view, transfer, events.clone()));
         tokio::spawn(run_endpoint_checks(checks, events.clone()));
-        let quarantine = QuarantineStore {
-            address: settings.store,
-            dialect: dialect.clone(),
-            events: events.clone(),
-        };
+        let quarantine = QuarantineStore::new(settings, era, dialect.clone(), events.clone());
         tokio::spawn(quarantine.run(quarantined));
         tokio::spawn(serve_metrics(settings.metrics, metrics.clone()));
         let server = CallerServer { dialect, events, status, metrics, limits };
--- a/crates/gateway/src/platform_view.rs
+++ b/crates/gateway/src/platform_view.rs
@@ -33,6 +33,8 @@
     config: Arc<watch::Sender<Option<LoadedConfig>>>,
     /// Notified when the store answers again for a table after an outage.
     regained: Arc<watch::Sender<()>>,
+    /// The newest era of the store's history; 0 before anything was read.
+    era: Arc<watch::Sender<u64>>,
     members: Arc<Mutex<MemberList>>,
 }
 
@@ -66,7 +68,8 @@
     ) -> PlatformView {
         let config = Arc::new(watch::Sender::new(None));
         let regained = Arc::new(watch::Sender::new(()));
-        PlatformView { dialect, events, transfer, config, regained, members: Arc::default() }
+        let era = Arc::new(watch::Sender::new(0));
+        PlatformView { dialect, events, transfer, config, regained, era, members: Arc::default() }
     }
 
     /// Decodes a configuration without API keys and keeps it if it is newer.
@@ -157,6 +160,20 @@
         }
     }
 
+    /// Records the era of a response of the store.
+    pub(crate) fn note_era(&self, era: u64) {
+        self.era.send_if_modified(|known| {
+            let newer = era > *known;
+            *known = era.max(*known);
+            newer
+        });
+    }
+
+    /// Subscribes to the era of the store's history.
+    pub(crate) fn subscribe_era(&self) -> watch::Receiver<u64> {
+        self.era.subscribe()
+    }
+
     /// Reports that the configuration is arriving from the store, so no peer needs to be asked for it.
     pub(crate) fn report_store_progress(&self) {
         self.transfer.send_event(ConfigFetchEvent::StoreProgress);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -233,6 +233,7 @@
         let (table, before) = (self.table, self.era.unwrap_or(0));
         log::info!("event=store_era table={table:?} era={era} before={before}");
         self.era = Some(era);
+        self.view.note_era(era);
     }
 
     /// Returns this version in the current era.
--- a/tests/pool/poison.rs
+++ b/tests/pool/poison.rs
@@ -27,6 +27,23 @@
     pool.request_at(entry, &request)
 }
 
+/// Guards against a quarantine that ends because the store came back from a copy without it, and all
+/// processes were lost after that.
+#[test]
+fn a_quarantine_is_written_again_after_the_store_came_back() {
+    let pool = Deployment::start(&[("e1", &["m0"]), ("e2", &["m0"]), ("e3", &["m0"])]);
+    let copy = pool.store.copy();
+    for number in 0..8 {
+        attempt(&pool, pool.caller_address, "/chat/poison", &format!("poison-{number}"));
+        thread::sleep(PAUSE);
+    }
+    pool.wait_until("the quarantine is saved", || pool.entry.logged(&["event=quarantine_saved"]));
+    let saved = pool.store.count("quarantine");
+    pool.store.restore(&copy);
+    assert_eq!(pool.store.count("quarantine"), 0);
+    pool.wait_until("the quarantine is written again", || pool.store.count("quarantine") == saved);
+}
+
 /// Guards against a quarantine that ends when all processes are lost at once.
 #[test]
 fn a_quarantine_outlives_all_processes() {
