Let the soak's workers leave and ask for backoffs, and its store come back from copies

A worker that leaves says so in its responses for 4 s and comes back as the next incarnation; one that is full may ask for 1.5 s without requests; the store comes back from a copy that is up to four faults old, and what operators and workers wrote is written again 300 ms later.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -1,17 +1,17 @@
 //! Injects overlapping faults into the processes, the connections and the store.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
     },
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use citronrill_platform_standin::{Fault, Outage, Proxy, Worker, WorkerMode};
+use citronrill_platform_standin::{Fault, Outage, Proxy, StoreCopy, Worker, WorkerMode};
 use rand::{Rng, rngs::SmallRng};
 
 use crate::{
@@ -35,6 +35,14 @@
 const LIMIT_MS: u64 = 4_000;
 /// Requests a second that it takes meanwhile from all entries together.
 const NAMED_LIMIT: &str = "2.5";
+/// Seconds for which a worker that turns requests away wants no others.
+const BACKOFF_S: &str = "1.5";
+/// Milliseconds from a worker's first word that it leaves to its next incarnation.
+const LEAVING_MS: u64 = 4_000;
+/// Milliseconds after the store came back from a copy until operators and workers write again.
+const WRITE_AGAIN_MS: u64 = 300;
+/// Number of faults between a copy of the store and its use.
+const COPY_AGE: usize = 4;
 /// Time after the third crash under one request within which all entries must know that request.
 const LEARN_TIME: Duration = Duration::from_secs(3);
 /// Runs of the request that are permitted after that.
@@ -83,8 +91,12 @@
     StartSide(usize),
     RestoreWorker(usize),
     LiftLimit(usize),
+    ReplaceWorker(usize),
     RestoreLink(usize),
     RestoreStore,
+    RestoreCopy,
+    /// What operators and workers wrote is written again.
+    WriteAgain,
 }
 
 /// Pool with proxies in front of its workers, and the faults injected into it.
@@ -98,6 +110,10 @@
     proxies: Vec<Proxy>,
     rng: SmallRng,
     pending_ends: Vec<(Instant, FaultEnd)>,
+    /// Copies of the store, one before each of the last faults.
+    copies: VecDeque<StoreCopy>,
+    /// The configuration that was written last.
+    config: Vec<u8>,
     version: u64,
     started: Instant,
     fault_log: Vec<String>,
@@ -120,6 +136,8 @@
             proxies,
             rng,
             pending_ends: Vec::new(),
+            copies: VecDeque::new(),
+            config: config(1, &[]),
             version: 1,
             started: Instant::now(),
             fault_log: Vec::new(),
@@ -142,6 +160,10 @@
         self.advance(500);
         for _ in 0..FAULTS {
             let fault = self.rng.random_range(0..13);
+            self.copies.push_back(self.deployment.store.copy());
+            if self.copies.len() > COPY_AGE {
+                self.copies.pop_front();
+            }
             self.inject(fault);
             let pause = self.rng.random_range(0..MAX_PAUSE_MS);
             self.advance(pause);
@@ -185,7 +207,11 @@
                 ];
                 let mode = modes[self.rng.random_range(0..modes.len())];
                 self.log_fault(format!("worker {side} in {mode:?} for {duration_ms} ms"));
-                self.deployment.engines[side].set_mode(mode);
+                let backoff_s = (duration_ms % 4 < 2).then_some(BACKOFF_S);
+                match mode {
+                    WorkerMode::Full => self.deployment.engines[side].turn_away(backoff_s),
+                    mode => self.deployment.engines[side].set_mode(mode),
+                }
                 self.end_after(duration_ms, FaultEnd::RestoreWorker(side));
                 // Chosen without another random draw, so that existing seeds keep their sequence of faults.
                 if duration_ms % 2 == 0 {
@@ -202,13 +228,23 @@
                 ));
                 self.proxies[side].set_fault(fault);
                 self.end_after(duration_ms, FaultEnd::RestoreLink(side));
+                let leaves = duration_ms % 3 == 0 && !self.is_leaving(side);
+                if leaves {
+                    self.log_fault(format!("worker {side} leaves"));
+                    self.deployment.engines[side].set_leaving(true);
+                    self.end_after(LEAVING_MS, FaultEnd::ReplaceWorker(side));
+                }
             }
             10 => {
                 // Chosen without another random draw, so that existing seeds keep their sequence of faults.
                 let outage = if duration_ms % 2 == 0 { Outage::Refuse } else { Outage::Hang };
                 self.log_fault(format!("store down for {duration_ms} ms: {outage:?}"));
                 self.deployment.store.set_outage(Some(outage));
-                self.end_after(duration_ms, FaultEnd::RestoreStore);
+                let end = match duration_ms % 4 {
+                    0 | 1 => FaultEnd::RestoreCopy,
+                    _ => FaultEnd::RestoreStore,
+                };
+                self.end_after(duration_ms, end);
             }
             11 => self.write_config("new configuration", |version| config(version, &["/added/"])),
             _ => self
@@ -255,11 +291,34 @@
             .any(|(_, end)| matches!(end, FaultEnd::StartSide(killed) if *killed == side))
     }
 
+    fn is_leaving(&self, side: usize) -> bool {
+        let replaced = |end: &FaultEnd| matches!(end, FaultEnd::ReplaceWorker(of) if *of == side);
+        self.pending_ends.iter().any(|(_, end)| replaced(end))
+    }
+
+    /// Lets the store come back from a copy.
+    fn restore_copy(&mut self) {
+        self.log_fault("the store comes back from a copy".to_owned());
+        if let Some(copy) = self.copies.front() {
+            self.deployment.store.restore(copy);
+        }
+        self.copies.clear();
+        self.deployment.store.set_outage(None);
+        self.end_after(WRITE_AGAIN_MS, FaultEnd::WriteAgain);
+    }
+
+    fn write_again(&self) {
+        let workers = self.deployment.engines.iter().chain([&self.deployment.ledger]);
+        workers.for_each(|worker| worker.register("ready"));
+        self.deployment.store.put("op", "config", Some(self.config.clone()));
+    }
+
     fn write_config(&mut self, what: &str, make: impl FnOnce(u64) -> Vec<u8>) {
         self.version += 3;
         let version = self.version;
         self.log_fault(format!("{what}, version {version}"));
-        self.deployment.store.put("op", "config", Some(make(version)));
+        self.config = make(version);
+        self.deployment.store.put("op", "config", Some(self.config.clone()));
         if self.rng.random_bool(0.3) {
             self.log_fault("the store drops its history".to_owned());
             self.deployment.store.truncate_history();
@@ -301,6 +360,14 @@
                 FaultEnd::LiftLimit(side) => self.deployment.engines[side].set_limit(None),
                 FaultEnd::RestoreLink(side) => self.proxies[side].set_fault(Fault::None),
                 FaultEnd::RestoreStore => self.deployment.store.set_outage(None),
+                FaultEnd::RestoreCopy => self.restore_copy(),
+                FaultEnd::WriteAgain => self.write_again(),
+                FaultEnd::ReplaceWorker(side) => {
+                    let worker = &self.deployment.engines[side];
+                    worker.set_leaving(false);
+                    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+                    worker.restart(now.as_millis() as u64);
+                }
             }
         }
     }
