--- a/crates/pool/tests/all/advertised/series.rs
+++ b/crates/pool/tests/all/advertised/series.rs
@@ -437,3 +437,13 @@
     let broken = broken(entries, Says { leaving: false, backoffs: true });
     assert!(broken.is_empty(), "{broken:?}");
 }
+
+/// Guards against what an endpoint says of one thing that hides what it says of the other.
+#[rstest]
+#[case(4)]
+#[case(21)]
+#[case(68)]
+fn no_entry_sends_to_an_endpoint_that_says_both(#[case] entries: usize) {
+    let broken = broken(entries, Says { leaving: true, backoffs: true });
+    assert!(broken.is_empty(), "{broken:?}");
+}
