--- a/crates/pool/tests/all/advertised/leaving.rs
+++ b/crates/pool/tests/all/advertised/leaving.rs
@@ -170,6 +170,20 @@
     assert!(used(&mut bench, PLAIN).contains(&format!("i{index}")));
 }
 
+/// Guards against an endpoint that gets no requests because its previous incarnation said that it leaves in a
+/// response that arrives after the list shows the next one.
+#[test]
+fn a_late_response_of_the_previous_incarnation_marks_no_endpoint() {
+    let started = |at| Member { started: Some(StartTime(at)), ..member(1, PLAIN, &[]) };
+    let mut bench = Bench::new(vec![started(1)]);
+    let (id, _) = send(&mut bench, PLAIN);
+    bench.now += 500;
+    bench.update_row(2, "i1", Some(started(2)));
+    bench.respond(id, leaving(ok()));
+    bench.now += 20;
+    assert_eq!(used(&mut bench, PLAIN), vec!["i1"; 8]);
+}
+
 /// Guards against a request that waits for an endpoint that leaves, and is dispatched there.
 #[test]
 fn a_request_waits_for_no_endpoint_that_leaves() {
--- a/crates/pool/tests/all/limits/entry.rs
+++ b/crates/pool/tests/all/limits/entry.rs
@@ -240,3 +240,17 @@
     let older = bench.respond(first, ok());
     assert!(!logged(&older, "event=endpoint_limit"));
 }
+
+/// Guards against an endpoint that gets more than its limit because its row lapsed and came back.
+#[test]
+fn a_limit_outlives_the_row_of_its_endpoint() {
+    let mut bench = bench();
+    let (id, _) = bench.request("/status/x", "");
+    let rate = EndpointRate::from_per_second(0.5);
+    bench.respond(id, ResponseHead { rate, ..ok() });
+    bench.update_row(2, "i2", None);
+    bench.advance(2_000);
+    bench.update_row(3, "i2", Some(member(2, PLAIN, &[])));
+    let (_, effects) = bench.request("/status/x", "");
+    assert!(dispatch(&effects).is_none(), "it waits for credit");
+}
