--- a/crates/gateway/src/platform_view.rs
+++ b/crates/gateway/src/platform_view.rs
@@ -225,11 +225,15 @@
         }
     }
 
+    /// Returns whether the member list is known.
+    fn members_known(&self) -> bool {
+        let members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        members.version.is_known()
+    }
+
     /// Returns whether both the configuration and the member list are known.
     pub(crate) fn is_complete(&self) -> bool {
-        let members_known =
-            self.members.lock().unwrap_or_else(PoisonError::into_inner).version.is_known();
-        members_known && self.config.borrow().is_some()
+        self.members_known() && self.config.borrow().is_some()
     }
 
     /// Returns the version of the configuration; 0 if none is known.
@@ -275,9 +279,7 @@
             return;
         }
         log::info!("event=snapshot_read peer={peer} list={version} members={count}");
-        let unread = self.members.lock().unwrap_or_else(PoisonError::into_inner).version;
-        let unread = !unread.is_known();
-        if unread {
+        if !self.members_known() {
             let rows = snapshot.members.into_iter();
             let rows =
                 rows.map(|row| StoreRow { key: row.name, value: RowValue::Bytes(row.bytes) });
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -72,7 +72,7 @@
     /// Runs until the control thread ends.
     pub(crate) async fn run(mut self, mut records: UnboundedReceiver<SuspectRecord>) {
         let mut client = ControlClient::new(self.address);
-        let rows = self.read_surely(&mut client).await;
+        let rows = self.read_with_retries(&mut client).await;
         self.apply(&mut client, rows).await;
         let mut era = *self.era.borrow_and_update();
         loop {
@@ -100,14 +100,14 @@
         let (key, bytes) = (cause.row_key(), row.encode_to_vec());
         self.known.retain(|_, bytes| valid_row(bytes).is_some());
         self.known.insert(key.clone(), bytes.clone());
-        self.write_surely(client, &[(key, Some(bytes))]).await;
+        self.write_with_retries(client, &[(key, Some(bytes))]).await;
         log::info!("event=quarantine_saved row={}", cause.row_key());
     }
 
     /// Writes the known rows again that a store which came back from a copy lacks, and removes the void ones
     /// that it has again.
     async fn rewrite(&mut self, client: &mut ControlClient) {
-        let rows = self.read_surely(client).await;
+        let rows = self.read_with_retries(client).await;
         let listed = rows.iter().map(|row| row.key.clone()).collect::<BTreeSet<_>>();
         self.apply(client, rows).await;
         let known = self.known.iter();
@@ -115,12 +115,12 @@
             known.filter(|(key, bytes)| !listed.contains(*key) && valid_row(bytes).is_some());
         let lost = known.map(|(key, bytes)| (key.clone(), Some(bytes.clone()))).collect::<Vec<_>>();
         for part in lost.chunks(ROWS_PER_WRITE) {
-            self.write_surely(client, part).await;
+            self.write_with_retries(client, part).await;
         }
         log::info!("event=quarantine_rewritten rows={}", lost.len());
     }
 
-    async fn read_surely(&self, client: &mut ControlClient) -> Vec<StoreRow> {
+    async fn read_with_retries(&self, client: &mut ControlClient) -> Vec<StoreRow> {
         loop {
             match self.read(client).await {
                 Ok(rows) => return rows,
@@ -129,7 +129,11 @@
         }
     }
 
-    async fn write_surely(&self, client: &mut ControlClient, rows: &[(String, Option<Vec<u8>>)]) {
+    async fn write_with_retries(
+        &self,
+        client: &mut ControlClient,
+        rows: &[(String, Option<Vec<u8>>)],
+    ) {
         while let Err(error) = self.write(client, rows).await {
             self.pause("write", &error).await;
         }
