Seek the side of an endpoint at its new address

Found by the test of responses without end, which failed by chance: an endpoint whose row names another address under the same name counted as stalled for good (stands_still, no request in 21 batches), since the set of sides to connect to was not updated, and probes went to a side without a connection. The listed address is part of what updates it now; the unit test failed before. On the users' platform a name is new at each start, so that this is not known to happen there.

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -277,7 +277,8 @@
             self.take_out(&previous, now);
         }
         let old_address = self.endpoints.get(&id).map(|endpoint| endpoint.member.address);
-        if let Some(old_address) = old_address.filter(|address| *address != member.address) {
+        let moved = old_address.filter(|address| *address != member.address);
+        if let Some(old_address) = moved {
             self.release_address(old_address, &id);
         }
         self.by_address.insert(member.address, id.clone());
@@ -299,7 +300,8 @@
             outcome.departed.push(member.service.clone());
         }
         endpoint.set_member(member);
-        outcome.usable_changed |= !known || accepted != endpoint.accepts_requests();
+        let changed = moved.is_some() || accepted != endpoint.accepts_requests();
+        outcome.usable_changed |= !known || changed;
     }
 
     /// Applies the start time of a list entry to a known endpoint. Returns false if the entry is
--- a/crates/pool/tests/all/member_list.rs
+++ b/crates/pool/tests/all/member_list.rs
@@ -1,6 +1,6 @@
 //! Use of the member list before a side has reported.
 
-use citronrill_pool::EntryEvent;
+use citronrill_pool::{EntryEffect, EntryEvent, Member};
 use citronrill_wire::SideState;
 use rstest::rstest;
 
@@ -38,3 +38,13 @@
     effects.extend(bench.advance(ms));
     assert_eq!(dispatch(&effects).map(|dispatch| dispatch.instance.as_str()), Some("i1"));
 }
+
+/// Guards against an endpoint that counts as stalled for good after its row names another address, as nobody
+/// connects to its side there.
+#[test]
+fn the_side_of_an_endpoint_is_sought_at_its_new_address() {
+    let mut bench = Bench::new(vec![member(1, ENGINE, &["m0"])]);
+    let moved = Member { address: address(9), ..member(1, ENGINE, &["m0"]) };
+    let effects = bench.update_row(2, "i1", Some(moved));
+    assert!(effects.contains(&EntryEffect::ConnectSides(vec![address(9)])));
+}
