--- a/tests/pool/endless.rs
+++ b/tests/pool/endless.rs
@@ -7,7 +7,7 @@
 
 /// Memory in kB that an entry may take for the responses of one such endpoint; it has 160 MB in all.
 const MAX_MEMORY_KB: u64 = 16_384;
-const REQUESTS: usize = 4;
+const REQUESTS: usize = 12;
 /// Batches of requests until one of them reaches the endpoint.
 const MAX_BATCHES: usize = 20;
 
