--- a/crates/pool/tests/all/advertised/backoff.rs
+++ b/crates/pool/tests/all/advertised/backoff.rs
@@ -1,5 +1,7 @@
 //! Endpoints that turn requests away and want no others for a while.
 
+use std::net::SocketAddr;
+
 use citronrill_pool::{
     EntryEffect, EntryEvent, Member, RequestId, ResponseEnd, ResponseHead, StartTime,
 };
@@ -167,17 +169,28 @@
     assert_eq!(sent(&effects) + sent(&bench.advance(40)), 4, "the others follow its answer");
 }
 
+/// Lets a side report that its endpoint has `m0` and these adapters.
+fn report(bench: &mut Bench, index: u8, adapters: &[&str]) -> Vec<EntryEffect> {
+    let mut reported = SideState { instance: format!("i{index}"), ..state(1, &["m0"]) };
+    reported.models[0].adapters = adapters.iter().map(|name| (*name).to_owned()).collect();
+    bench.step(EntryEvent::SideReport(address(index), reported))
+}
+
+/// Returns where an adapter is requested.
+fn adapter_loads(effects: &[EntryEffect]) -> Vec<SocketAddr> {
+    let loads = effects.iter().filter_map(|effect| match effect {
+        EntryEffect::LoadRequest(at, load) if load.adapter == "a1" => Some(*at),
+        _ => None,
+    });
+    loads.collect()
+}
+
 /// Guards against callers of an adapter who wait for its holder's backoff, although another holder of its
 /// model could load it at once.
 #[test]
 fn an_adapter_is_loaded_elsewhere_while_its_holder_backs_off() {
     let engines = (1..=2).map(|index| member(index, ENGINE, &["m0"])).collect();
     let mut bench = Bench::new(engines);
-    let report = |bench: &mut Bench, index: u8, adapters: &[&str]| {
-        let mut reported = SideState { instance: format!("i{index}"), ..state(1, &["m0"]) };
-        reported.models[0].adapters = adapters.iter().map(|name| (*name).to_owned()).collect();
-        bench.step(EntryEvent::SideReport(address(index), reported))
-    };
     report(&mut bench, 1, &["a1"]);
     report(&mut bench, 2, &[]);
     let (id, effects) = bench.request("/draft/x", "m0/a1");
@@ -187,15 +200,30 @@
     effects.extend(bench.request("/draft/x", "m0/a1").1);
     assert!(refusal(&effects).is_none());
     effects.extend(bench.advance(40));
-    let loads = effects.iter().any(|effect| match effect {
-        EntryEffect::LoadRequest(at, load) => *at == address(2) && load.adapter == "a1",
-        _ => false,
-    });
+    let loads = adapter_loads(&effects);
     report(&mut bench, 2, &["a1"]);
     effects.extend(bench.advance(40));
     let used = effects.iter().filter_map(|effect| match effect {
         EntryEffect::Dispatch(_, dispatch) => Some(dispatch.instance.as_str()),
         _ => None,
     });
-    assert!(loads && !used.collect::<Vec<_>>().contains(&"i1"));
+    assert!(loads.contains(&address(2)) && !used.collect::<Vec<_>>().contains(&"i1"));
+}
+
+/// Guards against an adapter that is loaded at an endpoint that turns requests away as well.
+#[test]
+fn no_adapter_is_loaded_where_requests_are_turned_away() {
+    let engines = (1..=2).map(|index| member(index, ENGINE, &["m0"])).collect();
+    let mut bench = Bench::new(engines);
+    (1..=2).for_each(|index| drop(report(&mut bench, index, &[])));
+    let (id, _) = bench.request("/draft/x", "m0");
+    bench.respond(id, turned_away(BACKOFF_MS));
+    bench.step(EntryEvent::ResponseHead(id, 2, turned_away(BACKOFF_MS)));
+    bench.now += 20;
+    bench.update_row(2, "i3", Some(member(3, ENGINE, &["m0"])));
+    report(&mut bench, 3, &[]);
+    let (_, mut effects) = bench.request("/draft/x", "m0/a1");
+    effects.extend(bench.advance(100));
+    assert!(adapter_loads(&effects).iter().all(|at| *at == address(3)), "{effects:?}");
+    assert!(!adapter_loads(&effects).is_empty());
 }
--- a/crates/pool/tests/all/advertised/leaving.rs
+++ b/crates/pool/tests/all/advertised/leaving.rs
@@ -204,3 +204,13 @@
     let used = used(&mut bench, ENGINE);
     assert!(used.iter().all(|instance| instance == "i2"), "{used:?}");
 }
+
+/// Guards against an endpoint that gets no requests because of what a side says that does not know its name.
+#[test]
+fn a_side_that_names_no_endpoint_marks_none() {
+    let mut bench = bench(ENGINE);
+    let reported = SideState { leaving: true, ..state(1, &["m0"]) };
+    bench.step(EntryEvent::SideReport(address(1), reported));
+    bench.update_row(2, "i2", None);
+    assert_eq!(used(&mut bench, ENGINE), vec!["i1"; 8]);
+}
