Take the whole load that endpoints state, and ask in one place who is scheduled by wait

What endpoints state of their load was decoded as one sum, and could overflow; the slots and how long work takes there at this moment were dropped.

--- a/crates/config/src/pool.rs
+++ b/crates/config/src/pool.rs
@@ -60,6 +60,8 @@
     pub limit_tolerance: f64,
     /// Timeout of a planned stop, in milliseconds.
     pub stop_ms: u64,
+    /// The rules of the platform that are in force, by its own names; empty if the settings do not say.
+    pub rules: Vec<String>,
 }
 
 impl Value for f64 {
@@ -92,6 +94,18 @@
     }
 }
 
+/// Comma-separated words; may be empty.
+#[derive(Default)]
+struct Words(Vec<String>);
+
+impl Value for Words {
+    const EXPECTED: &'static str = "comma-separated words";
+    fn parse(text: &str) -> Option<Words> {
+        let words = text.split(',').map(str::trim).filter(|word| !word.is_empty());
+        Some(Words(words.map(str::to_owned).collect()))
+    }
+}
+
 fn maybe<V: Value>(fields: &mut Fields<'_>, key: &str) -> Option<V> {
     fields.optional::<Maybe<V>>(key).and_then(|value| value.0)
 }
@@ -103,7 +117,7 @@
     /// All problems, each with file, line, section and key.
     pub fn parse(file: &str, text: &str) -> Result<PoolSettings, ConfigErrors> {
         let required = ["process", "listen", "platform", "endpoint", "retry"];
-        let mut reader = Reader::new(file, text, &required, &["limit"]);
+        let mut reader = Reader::new(file, text, &required, &["limit", "scheduling"]);
         let mut fields = reader.fields("process");
         let name = fields.required::<String>("name");
         let zone = fields.required::<String>("zone");
@@ -136,6 +150,9 @@
         let limit_overage = maybe(&mut fields, "overage").unwrap_or(DEFAULT_LIMIT_OVERAGE);
         let limit_tolerance = maybe(&mut fields, "tolerance").unwrap_or(0.0);
         fields.finish();
+        let mut fields = reader.fields("scheduling");
+        let rules = fields.optional::<Words>("rules").unwrap_or_default();
+        fields.finish();
         reader.finish(|| {
             Some(PoolSettings {
                 name: name?,
@@ -158,6 +175,7 @@
                 limit_overage,
                 limit_tolerance,
                 stop_ms: millis(stop_s?),
+                rules: rules.0,
             })
         })
     }
--- a/crates/config/tests/pool.rs
+++ b/crates/config/tests/pool.rs
@@ -29,3 +29,13 @@
     let errors = PoolSettings::parse("entry.ini", &settings("recover_ms = soon\n")).unwrap_err();
     assert!(errors.to_string().contains("recover_ms"), "{errors}");
 }
+
+/// Guards against a process that does not start without the section, or with an empty list.
+#[rstest]
+#[case::left_out("", &[])]
+#[case::left_empty("[scheduling]\nrules =\n", &[])]
+#[case::named("[scheduling]\nrules = base, fleet,drain\n", &["base", "fleet", "drain"])]
+fn rules_in_force_are_optional(#[case] section: &str, #[case] expected: &[&str]) {
+    let text = settings("") + section;
+    assert_eq!(PoolSettings::parse("entry.ini", &text).unwrap().rules, expected);
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -107,6 +107,9 @@
 
 /// HTTP calls, headers and encodings of a platform.
 pub trait Dialect: Send + Sync {
+    /// Returns whether, by the rules that the settings say are in force, organisations compete for room.
+    fn contended(&self, rules: &[String]) -> bool;
+
     /// Returns the path that reads a table from key `from`, or from its beginning.
     fn read_path(&self, table: Table, from: Option<&str>) -> String;
 
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -177,6 +177,7 @@
         limits: limit_bounds(settings),
         learn_ms: LEARN_MS,
         first_start: settings.first_start,
+        contended: dialect.contended(&settings.rules),
     };
     let control = ControlThread {
         reducer: PoolEntry::new(profile),
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -144,7 +144,8 @@
         if let Some(endpoint) = endpoint {
             endpoint.liveness.record_traffic(now);
             if let Some(load) = head.load {
-                endpoint.set_load(load);
+                endpoint.set_load(load.requests());
+                self.paced.record(&endpoint.member.service, load);
             }
             if verdict == Verdict::Forward {
                 request.head_ms = now.since(request.sent_at);
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -18,6 +18,7 @@
 mod resume;
 mod retries;
 mod rules;
+mod shares;
 mod stalls;
 mod store_limit;
 mod store_loads;
@@ -27,6 +28,7 @@
 mod timers;
 mod trials;
 mod types;
+mod waits;
 
 use std::{collections::BTreeMap, net::IpAddr, sync::Arc};
 
@@ -54,6 +56,7 @@
     streams::{Origin, StreamTracker},
     suspects::Suspects,
     trials::Trial,
+    waits::PacedServices,
 };
 use crate::{
     cause::Cause,
@@ -280,6 +283,7 @@
     suspects: Suspects,
     streams: StreamTracker,
     ledger: CreditLedger,
+    paced: PacedServices,
     stop: Option<Stop>,
     effects: Vec<EntryEffect>,
 }
@@ -308,6 +312,7 @@
             crashes: Crashes::default(),
             suspects: Suspects::default(),
             streams: StreamTracker::default(),
+            paced: PacedServices::default(),
             stop: None,
             effects: Vec::new(),
         }
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -19,6 +19,7 @@
     member::MemberChange,
     organisation::KeyDigest,
     prompt::PromptPart,
+    server_load::ServerLoad,
 };
 
 /// Identifies a request within one process.
@@ -45,6 +46,8 @@
     pub learn_ms: u64,
     /// Whether the whole system starts for the first time: no stream has begun before.
     pub first_start: bool,
+    /// Whether the settings say that organisations compete for room.
+    pub contended: bool,
 }
 
 /// A request that was received completely.
@@ -102,8 +105,8 @@
     pub misdirected: bool,
     /// Whether the response comes from another incarnation of the endpoint than the intended one.
     pub other_incarnation: bool,
-    /// Requests running or queued at the endpoint, if reported.
-    pub load: Option<u32>,
+    /// The endpoint's load, if stated.
+    pub load: Option<ServerLoad>,
     /// Requests a second that the endpoint takes from all entries together, if it names a limit.
     pub rate: Option<EndpointRate>,
     /// Whether the endpoint says that it leaves.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -28,6 +28,7 @@
 mod prompt;
 mod rate;
 mod rewrite;
+mod server_load;
 mod side;
 mod software;
 mod store_version;
@@ -56,6 +57,7 @@
     member::{HeldModel, Member, MemberChange},
     organisation::{KeyDigest, LimitUnit, Organisation, Organisations, UsageLimit},
     prompt::PromptPart,
+    server_load::{Pace, ServerLoad},
     side::{
         EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
     },
--- a/crates/pool/tests/all/load_priority.rs
+++ b/crates/pool/tests/all/load_priority.rs
@@ -140,6 +140,7 @@
             limits: LimitBounds::default(),
             learn_ms: 0,
             first_start: true,
+            contended: false,
         };
         let mut bench = bench_of_twenty();
         bench.entry = PoolEntry::new(profile);
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -198,6 +198,7 @@
         limits: LimitBounds::default(),
         learn_ms: 0,
         first_start: true,
+        contended: false,
     }
 }
 
