Use plain endpoints again that an entry last saw full

The load of a plain endpoint is known from responses only. An entry that saw more than three times the slots at each of them sent nothing there any more, so no response told it that the queue had been worked off. The reported load counts for 300 ms now; then only the entry's own requests do. The test fails without it.

--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -24,6 +24,9 @@
 /// Milliseconds after an endpoint is first listed within which its side reports, if it is up: a
 /// lost connection and a reconnect take 250 ms.
 const FIRST_REPORT_MS: u64 = 1_200;
+/// Milliseconds for which the load that a response reports counts, if no side reports it: the queue of
+/// a plain endpoint is worked off in less.
+const RESPONSE_LOAD_MS: u64 = 300;
 /// Weight of the latest answer in the moving average of the time to first byte.
 const TTFB_WEIGHT: f64 = 0.25;
 /// Decay time in milliseconds of the average time to first byte: a backlog of prompts is processed
@@ -147,6 +150,8 @@
     /// Requests in flight at the endpoint from all entries as last reported, plus later dispatches
     /// of this entry.
     pub(crate) load: u32,
+    /// When the load was last reported.
+    load_at: Millis,
     /// Dispatches of this entry since the load was last reported.
     pub(crate) unreported: u32,
     /// What it has said of itself in its responses.
@@ -183,6 +188,7 @@
             liveness: Liveness::default(),
             own_requests: 0,
             load: 0,
+            load_at: now,
             unreported: 0,
             advertised: Advertised::default(),
             avoid_until: Millis(0),
@@ -265,11 +271,22 @@
     }
 
     /// Stores the number of running and queued requests that the endpoint or its side reported.
-    pub(crate) fn set_load(&mut self, load: u32) {
+    pub(crate) fn set_load(&mut self, load: u32, now: Millis) {
         self.load = load;
+        self.load_at = now;
         self.unreported = 0;
     }
 
+    /// Forgets the load that a response reported a while ago, if no side reports it.
+    ///
+    /// An entry that last saw such an endpoint full sends it nothing and so gets no response with a
+    /// newer load. Without this, it refuses all callers of the service from then on.
+    pub(crate) fn expire_load(&mut self, now: Millis) {
+        if self.side.is_none() && now.since(self.load_at) >= RESPONSE_LOAD_MS {
+            self.load = self.own_requests;
+        }
+    }
+
     /// Returns the load as a fraction of the slots.
     pub(crate) fn load_ratio(&self) -> f64 {
         f64::from(self.load()) / f64::from(self.member.slots.max(1))
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -144,7 +144,7 @@
         if let Some(endpoint) = endpoint {
             endpoint.liveness.record_traffic(now);
             if let Some(load) = head.load {
-                endpoint.set_load(load.requests());
+                endpoint.set_load(load.requests(), now);
                 self.paced.record(&endpoint.member.service, load);
             }
             if verdict == Verdict::Forward {
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -44,6 +44,7 @@
         self.log_limits_kept();
         self.pool.delisted.expire(self.now);
         self.forget_old_limits();
+        self.pool.endpoints.values_mut().for_each(|endpoint| endpoint.expire_load(self.now));
         self.schedule_waiting();
         self.add_replicas();
         self.load_missed();
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -394,7 +394,7 @@
         let departed = leaves && endpoint.advertised.record_leaving();
         endpoint.liveness.mark_connected();
         endpoint.liveness.record_traffic(now);
-        endpoint.set_load(state.active + state.queued);
+        endpoint.set_load(state.active + state.queued, now);
         let rates = state
             .models
             .iter()
--- a/crates/pool/tests/all/overload.rs
+++ b/crates/pool/tests/all/overload.rs
@@ -1,9 +1,11 @@
 //! A model that receives more requests than its replicas can serve.
 
-use citronrill_pool::{Dispatch, EntryEffect, EntryEvent, Reason, RequestId};
+use citronrill_pool::{
+    Dispatch, EntryEffect, EntryEvent, Reason, RequestId, ResponseEnd, ResponseHead, ServerLoad,
+};
 use citronrill_wire::SideState;
 
-use crate::support::{Bench, ENGINE, address, dispatch, member, refusal, state};
+use crate::support::{Bench, ENGINE, PLAIN, address, dispatch, member, ok, refusal, state};
 
 /// An entry with one engine of 24 slots that runs `active` requests.
 fn bench(active: u32) -> Bench {
@@ -99,3 +101,17 @@
     let effects = bench.step(EntryEvent::SideReport(address(1), loaded_state(&["m0", "m5"], 12)));
     assert_eq!(dispatches(&effects).len(), 1);
 }
+
+/// A plain endpoint's load is known from its responses only. An entry that last saw it full must not
+/// refuse all its callers for as long as it has no request there.
+#[test]
+fn a_plain_endpoint_last_seen_full_is_used_again() {
+    let mut bench = Bench::new(vec![member(1, PLAIN, &[])]);
+    let (id, _) = bench.request("/book/x", "");
+    let load = ServerLoad { running: 6, waiting: 18, slots: Some(6), pace: None };
+    bench.respond(id, ResponseHead { load: Some(load), ..ok() });
+    bench.step(EntryEvent::ResponseEnded(id, ResponseEnd::Complete));
+    bench.advance(1_000);
+    let (_, effects) = bench.request_with_deadline("/book/x", "", 800);
+    assert!(dispatch(&effects).is_some(), "{effects:?}");
+}
