Bound what an entry holds for callers by its instance's limits

Entries have 120 to 512 MB and 3,075 to 10,250 descriptors, and nothing kept them within these: 100 callers that read nothing took 17.8 MB of an entry, as the HTTP library reads 400 KB ahead for each, and connections were accepted until the descriptors were used up.

Near a bound the entry reports that it is not ready. Without the shorter read-ahead the test of slow readers fails.

--- a/crates/config/src/pool.rs
+++ b/crates/config/src/pool.rs
@@ -60,6 +60,10 @@
     pub limit_tolerance: f64,
     /// Timeout of a planned stop, in milliseconds.
     pub stop_ms: u64,
+    /// Memory of the process, in MB; `None` if it is not limited.
+    pub memory_mb: Option<u64>,
+    /// Descriptors of the process; `None` if they are not limited.
+    pub max_fds: Option<u64>,
     /// The rules of the platform that are in force, by its own names; empty if the settings do not say.
     pub rules: Vec<String>,
 }
@@ -117,7 +121,7 @@
     /// All problems, each with file, line, section and key.
     pub fn parse(file: &str, text: &str) -> Result<PoolSettings, ConfigErrors> {
         let required = ["process", "listen", "platform", "endpoint", "retry"];
-        let mut reader = Reader::new(file, text, &required, &["limit", "scheduling"]);
+        let mut reader = Reader::new(file, text, &required, &["limit", "scheduling", "resources"]);
         let mut fields = reader.fields("process");
         let name = fields.required::<String>("name");
         let zone = fields.required::<String>("zone");
@@ -153,6 +157,10 @@
         let mut fields = reader.fields("scheduling");
         let rules = fields.optional::<Words>("rules").unwrap_or_default();
         fields.finish();
+        let mut fields = reader.fields("resources");
+        let memory_mb = maybe::<u64>(&mut fields, "memory_mb");
+        let max_fds = maybe::<u64>(&mut fields, "max_fds");
+        fields.finish();
         reader.finish(|| {
             Some(PoolSettings {
                 name: name?,
@@ -175,6 +183,8 @@
                 limit_overage,
                 limit_tolerance,
                 stop_ms: millis(stop_s?),
+                memory_mb,
+                max_fds,
                 rules: rules.0,
             })
         })
--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use citronrill_pool::{Arrival, CallerLimits, EntryEvent, Refusal, RequestId};
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::{
@@ -39,6 +39,7 @@
     http_client::{ConnectionGuard, set_socket_options},
     metrics::EntryMetrics,
     relay::Relay,
+    resources::{BufferedBytes, READ_AHEAD_BYTES, Resources},
 };
 
 /// Body of a response: forwarded from an endpoint, or made by this process.
@@ -56,6 +57,11 @@
 
 /// Milliseconds before the end of a planned stop by which all requests must be answered.
 const LAST_RESPONSES_MS: u64 = 300;
+/// Time between two checks whether connections can be accepted again.
+const FULL_PAUSE: Duration = Duration::from_millis(20);
+/// Retry time in milliseconds of a request that this entry cannot buffer: the load balancer directs
+/// retries to other entries.
+const BUFFER_RETRY_MS: u64 = 50;
 /// Milliseconds for which a stopping entry waits for the first request on an accepted connection: a
 /// caller sends at once when it is connected, and TCP sends a lost packet again after 200 ms.
 const FIRST_REQUEST_MS: u64 = 300;
@@ -68,6 +74,7 @@
     pub(crate) status: Arc<EntryStatus>,
     pub(crate) metrics: Arc<EntryMetrics>,
     pub(crate) limits: watch::Receiver<CallerLimits>,
+    pub(crate) resources: Arc<Resources>,
 }
 
 /// Binds a listener to `address`.
@@ -84,7 +91,8 @@
 ) -> Result<(), GatewayError> {
     let listener = listen(callers).await?;
     let readiness_listener = listen(readiness).await?;
-    tokio::spawn(serve_readiness(readiness_listener, server.status.clone()));
+    let resources = server.resources.clone();
+    tokio::spawn(serve_readiness(readiness_listener, server.status.clone(), resources));
     log::info!("event=started role=entry callers={callers} readiness={readiness}");
     let (closing, closed) = watch::channel(false);
     let mut connections = JoinSet::new();
@@ -105,9 +113,17 @@
         tokio::select! {
             () = &mut shutdown => break,
             Some(_) = connections.join_next(), if !connections.is_empty() => {}
-            accepted = listener.accept() => match accepted {
+            // A connection that is not accepted is not read: its caller tries another entry.
+            () = sleep(FULL_PAUSE), if server.resources.is_full() => {}
+            accepted = listener.accept(), if !server.resources.is_full() => match accepted {
                 Ok((stream, _)) => {
-                    connections.spawn(serve_connection(stream, server.clone(), closed.clone()));
+                    // Counted here, so that the next one is accepted only if there is room for it.
+                    let counted = server.resources.connect();
+                    let connection = serve_connection(stream, server.clone(), closed.clone());
+                    connections.spawn(async move {
+                        connection.await;
+                        drop(counted);
+                    });
                 }
                 Err(error) => {
                     log::warn!("event=accept_failed error=\"{error}\"");
@@ -148,17 +164,22 @@
     }
 }
 
-async fn serve_readiness(listener: TcpListener, status: Arc<EntryStatus>) {
+async fn serve_readiness(
+    listener: TcpListener,
+    status: Arc<EntryStatus>,
+    resources: Arc<Resources>,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let status = status.clone();
+        let (status, resources) = (status.clone(), resources.clone());
         tokio::spawn(async move {
             let service = service_fn(move |_| {
                 let ready = status.ready.load(Ordering::Relaxed)
-                    && !status.stopping.load(Ordering::Relaxed);
+                    && !status.stopping.load(Ordering::Relaxed)
+                    && !resources.is_busy();
                 let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
                 async move {
                     let mut response = Response::new(Full::<Bytes>::default());
@@ -261,14 +282,10 @@
         let meta = self.dialect.request_meta(&parts.headers);
         let limit = self.limits.borrow().body_bytes;
         let body_timeout = Duration::from_millis(meta.deadline_ms.unwrap_or(BODY_TIMEOUT_MS));
-        let body = match timeout(body_timeout, Limited::new(body, limit).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                return problem_response(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", None);
-            }
-            Ok(Err(_)) => {
-                return problem_response(StatusCode::BAD_REQUEST, "body_unreadable", None);
-            }
+        let mut buffered = self.resources.buffer();
+        let body = match timeout(body_timeout, read_body(body, limit, &mut buffered)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => return error.response(),
             Err(_) => return problem_response(StatusCode::REQUEST_TIMEOUT, "body_too_slow", None),
         };
         let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
@@ -297,6 +314,7 @@
             headers: parts.headers,
             body,
             caller_id: meta.caller_id,
+            buffered,
         };
         let (sender, commands) = unbounded_channel();
         let progress = ProgressCounter::default();
@@ -346,6 +364,62 @@
     }
 }
 
+/// Why a request's body was not read whole.
+enum BodyError {
+    /// It is larger than callers may send.
+    TooLarge,
+    /// It broke off or is malformed.
+    Unreadable,
+    /// This entry holds too many bytes already.
+    NoBuffer,
+}
+
+impl BodyError {
+    fn response(&self) -> Response<ResponseBody> {
+        match self {
+            BodyError::TooLarge => {
+                problem_response(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", None)
+            }
+            BodyError::Unreadable => {
+                problem_response(StatusCode::BAD_REQUEST, "body_unreadable", None)
+            }
+            BodyError::NoBuffer => {
+                let retry_ms = Some(BUFFER_RETRY_MS);
+                problem_response(StatusCode::SERVICE_UNAVAILABLE, "entry_full", retry_ms)
+            }
+        }
+    }
+}
+
+/// Reads a request's body of at most `limit` bytes, and counts them and what may be read ahead of its
+/// response as buffered.
+async fn read_body(
+    body: Incoming,
+    limit: usize,
+    buffered: &mut BufferedBytes,
+) -> Result<Bytes, BodyError> {
+    if !buffered.add(READ_AHEAD_BYTES as u64) {
+        return Err(BodyError::NoBuffer);
+    }
+    let mut body = Limited::new(body, limit);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
+            true => BodyError::TooLarge,
+            false => BodyError::Unreadable,
+        })?;
+        let Ok(data) = frame.into_data() else { continue };
+        if !buffered.add(data.len() as u64) {
+            return Err(BodyError::NoBuffer);
+        }
+        if body.is_end_stream() && bytes.is_empty() {
+            return Ok(data);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.freeze())
+}
+
 /// Returns whether a response is an event stream without a fixed length.
 ///
 /// No other response can be resumed: the attempt that resumes it may produce a response of another
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -32,6 +32,7 @@
     metrics::{EntryMetrics, serve_metrics},
     platform_view::PlatformView,
     quarantine::QuarantineStore,
+    resources::{InstanceLimits, Resources},
     seeds::{bootstrap_from_seeds, serve_snapshots},
     sides::{SideCommand, run_sides},
     store::watch_table,
@@ -161,7 +162,8 @@
     let (sender, inputs) = unbounded();
     let events = EventSender(sender);
     let status = Arc::new(EntryStatus::default());
-    let metrics = Arc::new(EntryMetrics::new(logs));
+    let resources = Resources::new(instance_limits(settings));
+    let metrics = Arc::new(EntryMetrics::new(resources.clone(), logs));
     let (side_sender, side_receiver) = mpsc::unbounded_channel();
     let (check_sender, checks) = mpsc::unbounded_channel();
     let (quarantine_sender, quarantined) = mpsc::unbounded_channel();
@@ -216,7 +218,7 @@
         let quarantine = QuarantineStore::new(settings, era, dialect.clone(), events.clone());
         tokio::spawn(quarantine.run(quarantined));
         tokio::spawn(serve_metrics(settings.metrics, metrics.clone()));
-        let server = CallerServer { dialect, events, status, metrics, limits };
+        let server = CallerServer { dialect, events, status, metrics, limits, resources };
         serve(callers, readiness, server, stop_plan(stop, settings.stop_ms)).await
     });
     // Dropping the runtime ends every task that holds a sender to the control thread; its channel
@@ -237,6 +239,14 @@
     }
 }
 
+/// Returns the limits of the instance, as far as the settings name them.
+fn instance_limits(settings: &PoolSettings) -> InstanceLimits {
+    InstanceLimits {
+        memory_bytes: settings.memory_mb.map(|mb| mb.saturating_mul(1 << 20)),
+        descriptors: settings.max_fds,
+    }
+}
+
 /// Fetches the configuration from sides while the platform store is unavailable.
 fn fetch_config(
     name: &str,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,6 +23,7 @@
     error::GatewayError,
     http_client::{ConnectionGuard, HttpConnection},
     metrics::EntryMetrics,
+    resources::BufferedBytes,
 };
 
 /// A request as it is sent to endpoints, once or several times.
@@ -33,6 +34,9 @@
     pub(crate) body: Bytes,
     /// The request ID assigned by the caller.
     pub(crate) caller_id: String,
+    /// Counts what is buffered for the request while it is in flight.
+    #[allow(dead_code, reason = "held for its end")]
+    pub(crate) buffered: BufferedBytes,
 }
 
 /// Final decision of the control thread for a request.
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -20,6 +20,7 @@
 use crate::{
     error::GatewayError,
     head_limit::{HeadLimit, LimitedStream},
+    resources::READ_AHEAD_BYTES,
 };
 
 /// Milliseconds to connect: a round trip between zones takes under 5 ms, and TCP resends a lost
@@ -87,7 +88,10 @@
     pub(crate) async fn open(address: SocketAddr) -> Result<HttpConnection, GatewayError> {
         let stream = connect(address, CONNECT_TIMEOUT_MS).await?;
         let (stream, head_limit) = LimitedStream::new(stream);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_AHEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::trace!("event=connection_ended error=\"{error}\"");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod platform_view;
 mod quarantine;
 mod relay;
+mod resources;
 mod seeds;
 mod side;
 mod sides;
@@ -38,5 +39,6 @@
     entry::run_entry,
     error::GatewayError,
     logs::{LogHandle, LogPipe, LogRateLimit, LogStats},
+    resources::{BufferedBytes, ConnectionCount, InstanceLimits, Resources},
     side::run_side,
 };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,7 +20,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpListener, time::sleep};
 
-use crate::logs::LogStats;
+use crate::{logs::LogStats, resources::Resources};
 
 /// Upper bound of the histograms in milliseconds: no route allows a longer request.
 const MAX_MS: u64 = 60_000;
@@ -104,12 +104,14 @@
     retries: Mutex<BTreeMap<String, RetryCounts>>,
     statuses: Mutex<BTreeMap<u16, u64>>,
     refusals: Mutex<BTreeMap<&'static str, u64>>,
+    resources: Arc<Resources>,
     logs: Arc<LogStats>,
 }
 
 impl EntryMetrics {
-    pub(crate) fn new(logs: Arc<LogStats>) -> EntryMetrics {
+    pub(crate) fn new(resources: Arc<Resources>, logs: Arc<LogStats>) -> EntryMetrics {
         EntryMetrics {
+            resources,
             requests: Counter::default(),
             load_requests: Counter::default(),
             crash_checks: Counter::default(),
@@ -192,6 +194,9 @@
                 write_sample(&mut text, "citronrill_retries_total", &label, count);
             }
         }
+        let (connections, bytes) = (self.resources.connections(), self.resources.buffered_bytes());
+        write_sample(&mut text, "citronrill_caller_connections", "", connections);
+        write_sample(&mut text, "citronrill_buffered_bytes", "", bytes);
         write_log_counts(&mut text, &self.logs);
         text
     }
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -13,6 +13,7 @@
 mod organisations;
 mod poison;
 mod requests;
+mod resources;
 mod responses;
 mod resume;
 mod software;
--- a/tests/pool/support/mod.rs
+++ b/tests/pool/support/mod.rs
@@ -228,7 +228,12 @@
 
     /// Kills and restarts the entry, as the platform does.
     pub(crate) fn restart_entry(&mut self) {
-        self.entry.restart();
+        self.restart_entry_with("");
+    }
+
+    /// Kills and restarts the entry with another section of settings.
+    pub(crate) fn restart_entry_with(&mut self, section: &str) {
+        self.entry.restart_with(section);
         self.wait_until("the entry is started", || self.entry.logged(&["event=started"]));
     }
 
@@ -268,6 +273,14 @@
         stream
     }
 
+    /// Sends a request and waits for the first byte of its response.
+    pub(crate) fn request_head(&self, request: &Request<'_>) -> TcpStream {
+        let stream = self.send(request);
+        // A connection that closes without a response is told by the next read.
+        let _ = stream.peek(&mut [0]);
+        stream
+    }
+
     /// Returns whether the entry reports that it is ready.
     pub(crate) fn ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(self.readiness_address) else { return false };
--- a/tests/pool/support/process.rs
+++ b/tests/pool/support/process.rs
@@ -48,8 +48,13 @@
 
     /// Kills and restarts the process with the same settings, as the platform does; clears its log.
     pub(crate) fn restart(&mut self) {
+        self.restart_with("");
+    }
+
+    /// Kills and restarts the process with another section of settings; clears its log.
+    pub(crate) fn restart_with(&mut self, section: &str) {
         let settings = fs::read_to_string(&self.settings).unwrap();
-        let settings = settings.replace("first_start = yes", "first_start = no");
+        let settings = settings.replace("first_start = yes", "first_start = no") + section;
         self.kill();
         *self = Process::start(&self.role, &settings);
     }
