Queue loads from the weight store at one side

No process owned a store load across all entries: refused callers did not count, three entries began the same model in one millisecond, and a load that never ended blocked its model. Entries of services that are scheduled by wait now report what they want to the first collector, whose side grants one load a model.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -18,7 +18,9 @@
     EntryEffect, EntryEvent, EntryProfile, LimitBounds, PoolEntry, Refusal, RequestId,
     ServingConfig,
 };
-use citronrill_wire::{EncodedConfig, PoolKind, Probe, SuspectRecord};
+use citronrill_wire::{
+    EncodedConfig, PoolKind, Probe, StoreLoadKind, StoreLoadMessage, SuspectRecord,
+};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use tokio::sync::{mpsc, watch};
 
@@ -422,6 +424,12 @@
                     Box::new(PoolKind::CreditReport(report)),
                 ));
             }
+            EntryEffect::StoreLoads(address, report) => {
+                self.metrics.store_reports.increment();
+                let kind = Some(StoreLoadKind::Report(report));
+                let message = PoolKind::StoreLoads(StoreLoadMessage { kind });
+                self.send_to_sides(SideCommand::Send(address, Box::new(message)));
+            }
             EntryEffect::SaveQuarantined(record) => {
                 self.metrics.quarantined.increment();
                 if self.quarantined.send(record).is_err() {
--- a/crates/gateway/src/side/mod.rs
+++ b/crates/gateway/src/side/mod.rs
@@ -8,7 +8,7 @@
 use citronrill_base::{Millis, hash_bytes};
 use citronrill_config::PoolSettings;
 use citronrill_pool::{PoolSide, SideEffect, SideEvent};
-use citronrill_wire::{PoolKind, SideState};
+use citronrill_wire::{PoolKind, SideState, StoreLoadKind, StoreLoadMessage};
 use crossbeam::channel::{Receiver, RecvTimeoutError, unbounded};
 use tokio::{
     net::TcpListener,
@@ -37,6 +37,8 @@
     configs: Counter,
     /// Replies to entries' reports on limits.
     credit_replies: Counter,
+    /// Grants of loads from the weight store.
+    store_grants: Counter,
     logs: Arc<LogStats>,
 }
 
@@ -49,6 +51,8 @@
         write_sample(&mut text, "citronrill_texts_total", "", self.configs.value());
         let replies = self.credit_replies.value();
         write_sample(&mut text, "citronrill_credit_replies_total", "", replies);
+        let grants = self.store_grants.value();
+        write_sample(&mut text, "citronrill_store_grants_total", "", grants);
         write_log_counts(&mut text, &self.logs);
         text
     }
@@ -74,6 +78,7 @@
         load_requests: Counter::default(),
         configs: Counter::default(),
         credit_replies: Counter::default(),
+        store_grants: Counter::default(),
         logs,
     });
     let connections = Arc::new(EntryConnections::default());
@@ -194,6 +199,12 @@
                 self.connections.send(link, PoolKind::CreditReply(reply));
                 return;
             }
+            SideEffect::StoreLoads(link, reply) => {
+                reply.grants.iter().for_each(|_| self.metrics.store_grants.increment());
+                let kind = Some(StoreLoadKind::Reply(reply));
+                self.connections.send(link, PoolKind::StoreLoads(StoreLoadMessage { kind }));
+                return;
+            }
             SideEffect::Log(event) => {
                 let now_ms = self.start.elapsed().as_millis() as u64;
                 if self.log_limit.allow(event.event, now_ms) {
--- a/crates/insight/src/explain.rs
+++ b/crates/insight/src/explain.rs
@@ -12,7 +12,7 @@
 const STATE_WINDOW_MS: u64 = 2_500;
 
 /// Events of sides and entries about loading and unloading models.
-const ORDER_EVENTS: [&str; 8] = [
+const ORDER_EVENTS: [&str; 11] = [
     "want",
     "want_declined",
     "planned",
@@ -21,6 +21,9 @@
     "order_ended",
     "order_repeated",
     "no_room",
+    "store_load_granted",
+    "store_load_stuck",
+    "store_grant_unused",
 ];
 /// Events that change the known state or the log of a process and so concern all its requests.
 const STATE_EVENTS: [&str; 10] = [
--- a/crates/pool/src/config.rs
+++ b/crates/pool/src/config.rs
@@ -143,6 +143,8 @@
     pub slots: u32,
     /// Memory for weights and adapters, in MB.
     pub weights_mb: f64,
+    /// Disk of the instance for cached weights, in MB; 0 if unknown.
+    pub disk_mb: f64,
     /// Maximum number of adapters held at once.
     pub adapter_limit: u32,
     /// Loads a second that the weight store allows, over all engines.
--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -124,6 +124,10 @@
     pub(crate) missed: Vec<(ModelKey, f64)>,
     /// Models that must not be evicted now.
     pub(crate) pinned: Vec<ModelKey>,
+    /// Whether the side queues loads from the weight store.
+    pub(crate) queues_store_loads: bool,
+    /// Models that a recent load from the weight store brought.
+    pub(crate) from_store: Vec<ModelKey>,
     /// Requests a second by model.
     pub(crate) rates: Vec<(ModelKey, f64)>,
 }
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -28,7 +28,7 @@
 /// Divisor of the time until a model is loaded: the retries of its callers are spread over this
 /// fraction of that time. An endpoint accepts a whole batch at once, and processes the prompts of
 /// one batch while the next batch arrives.
-const RETRY_SPREAD: u64 = 8;
+pub(super) const RETRY_SPREAD: u64 = 8;
 /// Characters of a path that are logged.
 const LOGGED_PATH: usize = 80;
 /// Parts of a prompt that are logged.
@@ -325,6 +325,7 @@
         }
         self.release(id);
         let Some(request) = self.requests.remove(&id) else { return };
+        self.count_refused(&request, reason);
         self.cancel_retry(&request);
         // If the first run broke off and no second endpoint is found, the request may have run: a
         // status that guarantees that it has not would be wrong, whatever prevented the second run.
--- a/crates/pool/src/entry/load_requests.rs
+++ b/crates/pool/src/entry/load_requests.rs
@@ -356,6 +356,7 @@
             waiting: waiting.count() as u32,
             started: endpoint.started().map(|start| start.0),
             store_loads: if from_store { self.store_loads() + 1 } else { 0 },
+            residency_ms: if from_store { self.residency_ms(service, model) } else { 0 },
         };
         let rates =
             evictions.iter().map(|key| format!("{:.2}", self.rate(*key))).collect::<Vec<_>>();
--- a/crates/pool/src/entry/membership.rs
+++ b/crates/pool/src/entry/membership.rs
@@ -121,6 +121,7 @@
     pub(super) fn side_lost(&mut self, address: SocketAddr, loss: SideLoss) {
         let now = self.now;
         self.desync_suspects(address);
+        self.store_claims.disconnect(address);
         let Some(endpoint) = self.pool.endpoint_at(address) else { return };
         match loss {
             SideLoss::Closed => endpoint.liveness.mark_disconnected(),
@@ -138,6 +139,7 @@
         let full = full_name(&name.model, &name.adapter);
         let key = self.names.intern(&full);
         if name.adapter.is_empty() {
+            self.decline_grant(key);
             // Another side may have room right away.
             self.load_requests
                 .retain(|held, load_request| *held != key || !load_request.sent_to(address));
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -20,6 +20,7 @@
 mod rules;
 mod shares;
 mod stalls;
+mod store_claims;
 mod store_limit;
 mod store_loads;
 mod stream_end;
@@ -51,6 +52,7 @@
     preload::PreloadState,
     priority::Priority,
     resume::Losses,
+    store_claims::StoreClaims,
     store_limit::StoreLimit,
     stream_end::UnprovenEnd,
     streams::{Origin, StreamTracker},
@@ -279,6 +281,7 @@
     preload: PreloadState,
     losses: Losses,
     store_limit: StoreLimit,
+    store_claims: StoreClaims,
     crashes: Crashes,
     suspects: Suspects,
     streams: StreamTracker,
@@ -309,6 +312,7 @@
             preload: PreloadState::default(),
             losses: Losses::default(),
             store_limit: StoreLimit::default(),
+            store_claims: StoreClaims::default(),
             crashes: Crashes::default(),
             suspects: Suspects::default(),
             streams: StreamTracker::default(),
@@ -357,6 +361,9 @@
             EntryEvent::Suspects(address, message) => self.handle_suspects(address, message),
             EntryEvent::Streams(address, message) => self.handle_streams(address, &message),
             EntryEvent::Credit(address, reply) => self.apply_credit(address, &reply),
+            EntryEvent::StoreLoads(address, message) => {
+                self.apply_store_reply(address, message);
+            }
             EntryEvent::QuarantineRead(update) => self.apply_quarantine(&update),
             EntryEvent::EndpointChecked(address, check) => self.endpoint_checked(address, check),
             EntryEvent::LoadDeclined(address, name) => self.record_decline(address, &name),
@@ -388,6 +395,7 @@
             EntryEvent::Tick => self.tick(),
         }
         self.report_use();
+        self.report_store_loads();
         std::mem::take(&mut self.effects)
     }
 
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -91,7 +91,8 @@
         let candidates = members
             .filter(|endpoint| endpoint.accepts_requests() && endpoint.member.service == service)
             .filter(|endpoint| software.is_none_or(|software| endpoint.software == software));
-        let store_open = self.store_open(model) && !self.copy_unconfirmed(service, model);
+        let store_open =
+            self.may_use_store(service, model) && !self.copy_unconfirmed(service, model);
         let runs = self.service_runs(service);
         let load = ModelLoad { engine, spec, model, store_open, runs };
         let places = candidates.filter_map(|endpoint| self.place_at(endpoint, load));
@@ -128,10 +129,11 @@
             return None;
         }
         let from_store = !endpoint.inventory.has_cached_weights(model);
-        if from_store && !load.store_open {
+        if from_store && (!load.store_open || self.store_claims.avoids(&endpoint.member.instance)) {
             return None;
         }
-        let mut cost = if from_store { STORE_COST_MS } else { 0.0 };
+        let mut cost =
+            if from_store { STORE_COST_MS + self.last_copies_loss(endpoint, load) } else { 0.0 };
         let load_ms = if endpoint.inventory.in_memory.contains(&model) {
             spec.memory_ms
         } else if from_store {
@@ -177,7 +179,7 @@
         endpoint: &Endpoint,
         load: ModelLoad<'_>,
     ) -> Option<(Vec<ModelKey>, f64)> {
-        let ModelLoad { engine, spec, runs, .. } = load;
+        let ModelLoad { engine, spec, model, runs, .. } = load;
         let side = endpoint.fresh_side(self.now)?;
         let size = |key: &ModelKey| {
             engine.model(self.names.name(*key)).map_or(0.0, |model| model.weights_mb)
@@ -190,6 +192,7 @@
         let mut free = engine.weights_mb - used - adapters;
         let evictable = endpoint.inventory.models.iter().filter(|key| !side.pinned.contains(key));
         let mut order = evictable
+            .filter(|key| !self.repays_load(**key, model, endpoint))
             .map(|key| (self.eviction_loss(*key, endpoint, runs), *key))
             .collect::<Vec<_>>();
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/crates/pool/src/entry/preload.rs
+++ b/crates/pool/src/entry/preload.rs
@@ -99,6 +99,10 @@
             let Some((key, gain)) = self.scarcest(&service.name, engine) else { continue };
             let name = self.names.name(key).to_owned();
             let Some(spec) = engine.model(&name) else { continue };
+            if self.store_queued(&service.name) {
+                self.ask_preload(key, gain);
+                continue;
+            }
             let Some(place) = self.preload_place(&service.name, engine, spec, key, gain) else {
                 continue;
             };
@@ -114,11 +118,12 @@
     fn scarcest(&self, service: &str, engine: &EngineSpec) -> Option<(ModelKey, f64)> {
         let loads = self.store_loads();
         let limit = self.store_limit.limit();
-        if loads >= limit || !self.has_store_turn() {
+        let queued = self.store_queued(service);
+        if !queued && (loads >= limit || !self.has_store_turn()) {
             return None;
         }
         // The last load slot of the weight store is reserved for models that many callers miss.
-        let last_slot = loads + 1 >= limit && limit > 1;
+        let last_slot = !queued && loads + 1 >= limit && limit > 1;
         let leaving = self.leaving_rate(service);
         let copies = self.copies(service);
         let keys = self.preload.requests.keys().copied();
@@ -176,7 +181,7 @@
 
     /// Returns the cheapest endpoint for one more copy that needs no eviction and delays other
     /// callers by less than the copy is worth.
-    fn preload_place(
+    pub(super) fn preload_place(
         &self,
         service: &str,
         engine: &EngineSpec,
--- a/crates/pool/src/entry/replicas.rs
+++ b/crates/pool/src/entry/replicas.rs
@@ -52,7 +52,7 @@
 pub(super) const SPREAD_GAIN_MS: f64 = 1_500.0;
 /// Milliseconds for which another replica is still useful: a load from the weight store takes at
 /// least six seconds.
-const REPLICA_TTL_MS: u64 = 8_000;
+pub(super) const REPLICA_TTL_MS: u64 = 8_000;
 
 impl PoolEntry {
     /// Requests one more replica of each model that has too few for its demand.
@@ -62,6 +62,9 @@
             let Some(engine) = &service.engine else { continue };
             for (key, rate) in self.busy_models() {
                 let place = self.replica_place(&service.name, engine, key, rate);
+                if place.is_none() {
+                    self.ask_replica(&service.name, engine, key, rate);
+                }
                 if let Some(place) = place {
                     let ready_ms = place.ready_ms as u64;
                     self.send_load_request(
@@ -77,7 +80,7 @@
     }
 
     /// Returns the place for one more replica of a model, if it is worth its cost.
-    fn replica_place(
+    pub(super) fn replica_place(
         &self,
         service: &str,
         engine: &EngineSpec,
--- a/crates/pool/src/entry/store_loads.rs
+++ b/crates/pool/src/entry/store_loads.rs
@@ -4,7 +4,7 @@
 use citronrill_decide::LogEvent;
 
 use super::{PoolEntry, demand::MIN_LOCAL_RATE, replicas::CROWDED_FILL};
-use crate::endpoint::Endpoint;
+use crate::{config::LATE_LOAD_MILLI, endpoint::Endpoint};
 
 /// Requests per second above which a model without any cached weights is loaded before its first
 /// miss.
@@ -111,6 +111,13 @@
             .iter()
             .filter_map(|(id, endpoint)| Some((id, endpoint.side.as_ref()?)));
         for (id, side) in sides {
+            // A load alone that is late says nothing about how many the store carries.
+            let late = side.store_overdue > 0 || side.store_slowdown >= LATE_LOAD_MILLI;
+            let alone = late && side.store_concurrent == 1;
+            if alone && self.pool.endpoints.get(id).is_some_and(|e| self.by_wait(&e.member.service))
+            {
+                continue;
+            }
             if side.store_overdue > 0 {
                 self.store_limit.record_late(side.store_overdue, side.store_concurrent, self.now);
             } else {
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -7,8 +7,8 @@
 
 use citronrill_decide::LogEvent;
 use citronrill_wire::{
-    CreditReply, CreditReport, LoadRequest, ModelName, SideState, StreamMessage, SuspectMessage,
-    SuspectRecord, SuspectUpdate, UsageReport,
+    CreditReply, CreditReport, LoadRequest, ModelName, SideState, StoreLoadMessage,
+    StoreLoadReport, StreamMessage, SuspectMessage, SuspectRecord, SuspectUpdate, UsageReport,
 };
 
 use super::crashes::EndpointCheck;
@@ -175,6 +175,8 @@
     Suspects(SocketAddr, SuspectMessage),
     /// The side of the endpoint at this address replied to a report on limits.
     Credit(SocketAddr, CreditReply),
+    /// The side of the endpoint at this address sent a message about loads from the weight store.
+    StoreLoads(SocketAddr, StoreLoadMessage),
     /// The side of the endpoint at this address sent a message about streams.
     Streams(SocketAddr, StreamMessage),
     /// The quarantined requests were read from the platform store.
@@ -371,6 +373,8 @@
     Streams(SocketAddr, StreamMessage),
     /// Send a report on limits to the side of the endpoint at this address.
     CreditReport(SocketAddr, CreditReport),
+    /// Send a report on loads from the weight store to the side of the endpoint at this address.
+    StoreLoads(SocketAddr, StoreLoadReport),
     /// Write a quarantined request to the platform store.
     SaveQuarantined(SuspectRecord),
     /// Check whether the process of the endpoint at this address accepts connections.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -31,6 +31,7 @@
 mod server_load;
 mod side;
 mod software;
+mod store_queue;
 mod store_version;
 mod suspects;
 mod table_follower;
@@ -62,6 +63,7 @@
         EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
     },
     software::{SoftwareKey, StreamKey},
+    store_queue::{StoreGrant, StoreQueue, StuckLoad},
     store_version::StoreVersion,
     table_follower::{FollowerProfile, StoreAnswer, StoreCall, StoreQuery, TableFollower},
 };
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -406,6 +406,8 @@
             .collect();
         let pinned = state.models.iter().filter(|model| model.pinned);
         let pinned = pinned.map(|model| names.intern(&model.name)).collect();
+        let from_store = state.models.iter().filter(|model| model.from_store);
+        let from_store = from_store.map(|model| names.intern(&model.name)).collect();
         endpoint.side = Some(SideView {
             received_at: now,
             loading: state.loading.iter().map(|name| names.intern(name)).collect(),
@@ -422,6 +424,8 @@
             issues_credit: state.issues_credit,
             tracks_streams: state.tracks_streams,
             known_entries: state.known_entries,
+            queues_store_loads: state.queues_store_loads,
+            from_store,
             missed,
             pinned,
             rates,
--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -11,6 +11,7 @@
 mod orders;
 mod plan;
 mod report;
+mod store_queue;
 mod streams;
 mod suspects;
 mod types;
@@ -29,6 +30,7 @@
     incarnation_name::IncarnationName,
     missed::MissRates,
     report::{holds, load_moved, order_result, same_except_load},
+    store_queue::StoreLoads,
     streams::StreamRegistry,
     suspects::SuspectRegistry,
 };
@@ -122,6 +124,7 @@
     streams: StreamRegistry,
     suspects: SuspectRegistry,
     limits: Limits,
+    store_queue: StoreLoads,
     effects: Vec<SideEffect>,
 }
 
@@ -154,6 +157,7 @@
             published: None,
             suspects: SuspectRegistry::default(),
             limits: Limits::default(),
+            store_queue: StoreLoads::default(),
             streams: StreamRegistry::default(),
             effects: Vec::new(),
         }
@@ -195,9 +199,10 @@
             SideEvent::EntryConnected(link, ip) => self.entry_connected(link, ip),
             SideEvent::EntryLost(link, silent) => self.entry_lost(link, silent),
             SideEvent::CreditReport(link, report) => self.issue_credit(link, &report),
+            SideEvent::StoreLoads(link, message) => self.queue_store_loads(link, message),
             SideEvent::Suspects(link, message) => self.handle_suspects(link, message),
             SideEvent::Streams(link, message) => self.handle_streams(link, message),
-            SideEvent::Tick => {}
+            SideEvent::Tick => self.grant_store_loads(),
         }
         self.issue_orders();
         self.poll();
@@ -240,6 +245,7 @@
         let newly_loaded = report.models.iter().filter(|model| !held(&model.name));
         let newly_loaded = newly_loaded.map(|model| model.name.clone()).collect::<Vec<_>>();
         for name in newly_loaded {
+            self.record_store_load(&name);
             self.loaded_at.insert(name, self.now);
         }
         self.token.get_or_insert(first_token(&report));
@@ -273,6 +279,7 @@
         self.adapter_order = None;
         self.plan.clear();
         self.loaded_at.clear();
+        self.store_queue.clear_residents();
         // An order for the previous incarnation that is still in flight may be carried out by this
         // one, which may have the same name. Tokens that increase across incarnations prevent this.
         let last_token = self.token.filter(|_| report.started.is_some());
@@ -429,6 +436,7 @@
             adapters: model.adapters.clone(),
             rate_milli: (usage(&model.name).rate.per_s(self.now) * 1_000.0) as u32,
             pinned: self.is_protected(&model.name),
+            from_store: self.came_from_store(&model.name),
         });
         let store_overdue = self.store_overdue();
         let late = self.model_order.as_ref().filter(|_| store_overdue > 0);
@@ -465,6 +473,7 @@
             tracks_streams: true,
             known_entries: self.known_entries(),
             leaving: report.leaving,
+            queues_store_loads: true,
         })
     }
 
--- a/crates/pool/src/side/plan.rs
+++ b/crates/pool/src/side/plan.rs
@@ -129,6 +129,7 @@
     pub(super) fn is_protected(&self, model: &str) -> bool {
         let loaded_at = self.loaded_at.get(model);
         loaded_at.is_some_and(|at| self.now.since(*at) < MIN_RESIDENCY_MS)
+            || self.store_resident(model)
             || self.plan.iter().any(|planned| planned.request.model == model)
     }
 }
--- a/crates/pool/src/side/report.rs
+++ b/crates/pool/src/side/report.rs
@@ -18,10 +18,9 @@
 /// Returns whether two states differ only in fields that change all the time.
 pub(super) fn same_except_load(a: &SideState, b: &SideState) -> bool {
     let names = |state: &SideState| {
-        let models = state
-            .models
-            .iter()
-            .map(|model| (model.name.clone(), model.adapters.clone(), model.pinned));
+        let models = state.models.iter().map(|model| {
+            (model.name.clone(), model.adapters.clone(), model.pinned, model.from_store)
+        });
         models.collect::<Vec<_>>()
     };
     let limits = |state: &SideState| {
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -21,7 +21,7 @@
     MemberChange, Order, PoolEntry, PoolSide, RequestDigest, RequestId, ResponseEnd, ServingConfig,
     SideEffect, SideEvent,
 };
-use citronrill_wire::SuspectRecord;
+use citronrill_wire::{StoreLoadKind, StoreLoadMessage, SuspectRecord};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use self::{
@@ -518,6 +518,12 @@
                 let event = SideEvent::CreditReport(EntryLink(entry as u64), report);
                 self.after_hop(SimEvent::SideInput(side, event));
             }
+            EntryEffect::StoreLoads(address, report) => {
+                let side = self.engine_at(address);
+                let message = StoreLoadMessage { kind: Some(StoreLoadKind::Report(report)) };
+                let event = SideEvent::StoreLoads(EntryLink(entry as u64), message);
+                self.after_hop(SimEvent::SideInput(side, event));
+            }
             EntryEffect::CheckEndpoint(address) => {
                 let engine = self.engine_at(address);
                 self.after_hop(SimEvent::EndpointCheck(engine, entry));
@@ -594,6 +600,11 @@
                     let event = EntryEvent::Credit(address(side as u8), reply);
                     self.after_hop(SimEvent::entry_input(link.0 as usize, event));
                 }
+                SideEffect::StoreLoads(link, reply) => {
+                    let message = StoreLoadMessage { kind: Some(StoreLoadKind::Reply(reply)) };
+                    let event = EntryEvent::StoreLoads(address(side as u8), message);
+                    self.after_hop(SimEvent::entry_input(link.0 as usize, event));
+                }
                 SideEffect::Log(_) => {}
             }
         }
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -69,6 +69,7 @@
                 engine: Some(EngineSpec {
                     slots: 24,
                     weights_mb: 200_000.0,
+                    disk_mb: 0.0,
                     adapter_limit: 2,
                     loads_per_s: 7.0,
                     backups: true,
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     credit::{CreditReply, CreditReport, EndpointLimit},
+    store_loads::StoreLoadMessage,
     streams::StreamMessage,
     suspects::SuspectMessage,
 };
@@ -12,7 +13,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PoolFrame {
     /// The message.
-    #[prost(oneof = "PoolKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
+    #[prost(oneof = "PoolKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
     pub kind: Option<PoolKind>,
 }
 
@@ -64,6 +65,10 @@
     /// whose state says that it tracks them, and for an entry that has sent one.
     #[prost(message, tag = "15")]
     Streams(StreamMessage),
+    /// A message about loads from the weight store, in either direction. Only for a side whose state says
+    /// that it queues them, and for an entry that has sent one.
+    #[prost(message, tag = "16")]
+    StoreLoads(StoreLoadMessage),
 }
 
 /// A liveness probe.
@@ -178,6 +183,9 @@
     /// Loads from the weight store, including this one; 0 if this load is not from the weight store.
     #[prost(uint32, tag = "9")]
     pub store_loads: u32,
+    /// Milliseconds for which the model must stay loaded once the load has ended; 0 for the side's own minimum.
+    #[prost(uint64, tag = "10")]
+    pub residency_ms: u64,
 }
 
 /// The name of a model, or of an adapter of one.
@@ -307,6 +315,9 @@
     /// Whether the endpoint has told its side that it leaves.
     #[prost(bool, tag = "28")]
     pub leaving: bool,
+    /// Whether the side understands [`PoolKind::StoreLoads`].
+    #[prost(bool, tag = "29")]
+    pub queues_store_loads: bool,
 }
 
 /// One loaded model of an endpoint.
@@ -324,4 +335,7 @@
     /// Whether it must not be evicted now: it was just loaded for a request, or is about to be used.
     #[prost(bool, tag = "4")]
     pub pinned: bool,
+    /// Whether it came from the weight store no longer ago than such a load takes.
+    #[prost(bool, tag = "5")]
+    pub from_store: bool,
 }
