--- a/crates/pool/src/entry/store_claims.rs
+++ b/crates/pool/src/entry/store_claims.rs
@@ -26,6 +26,8 @@
 const MIN_REPORT_MS: u64 = 100;
 /// Longest interval between two reports, in milliseconds.
 const MAX_REPORT_MS: u64 = 500;
+/// Milliseconds after which a report without a reply is sent again: a message there and back takes a few.
+const REPEAT_MS: u64 = 200;
 /// Milliseconds without a reply after which the entries take turns on their own: three report intervals.
 const UNHEARD_MS: u64 = 1_500;
 /// Milliseconds between two events above which this process was stopped: a timer fires at least every
@@ -148,9 +150,12 @@
         self.sent.iter().find(|(sent, _)| *sent == number).map(|(_, at)| *at)
     }
 
-    /// Returns whether a report is due: at once if something other than a rate has changed.
+    /// Returns whether a report is due: at once if something other than a rate has changed, and early if the
+    /// last one got no reply.
     fn is_due(&self, digest: &ReportDigest, now: Millis) -> bool {
-        self.reported_at.is_none_or(|at| now.since(at) >= MAX_REPORT_MS || *digest != self.reported)
+        let answered = self.heard_at >= self.reported_at;
+        let interval_ms = if answered { MAX_REPORT_MS } else { REPEAT_MS };
+        self.reported_at.is_none_or(|at| now.since(at) >= interval_ms || *digest != self.reported)
     }
 }
 
--- a/crates/pool/src/store_queue.rs
+++ b/crates/pool/src/store_queue.rs
@@ -194,7 +194,8 @@
     }
 
     /// Follows the loads that entries see, and how much time the loads beside each may have cost it: with
-    /// `n` loads at once, the store gives each at least an `n`th of its speed.
+    /// `n` loads at once, the store gives each at least an `n`th of its speed. A load that does not end may
+    /// still take its share.
     fn update_loads(&mut self, now: Millis) {
         let mut current = Map::<(String, String), StoreLoadSeen>::default();
         for seen in self.seen() {
@@ -204,8 +205,7 @@
             load.concurrent = load.concurrent.max(seen.concurrent);
         }
         self.loads.retain(|key, _| current.contains_key(key));
-        let running = current.keys().filter(|key| !self.loads.get(*key).is_some_and(|l| l.stuck));
-        let lost_share = 1.0 - 1.0 / running.count().max(1) as f64;
+        let lost_share = 1.0 - 1.0 / current.len().max(1) as f64;
         for (key, seen) in current {
             let load_ms = seen.load_ms.max(MIN_LOAD_MS) as f64;
             let load = self.loads.entry(key).or_insert_with(|| {
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -28,6 +28,7 @@
 mod stalls;
 mod store_era;
 mod store_era_series;
+mod store_queue;
 mod stream_ends;
 mod support;
 mod suspects;
