--- a/crates/insight/tests/logs.rs
+++ b/crates/insight/tests/logs.rs
@@ -82,3 +82,12 @@
     }
     assert!(matches!(report(&Log::default()), Err(ReportError::NoTimes)));
 }
+
+/// A request that waits for a model from the weight store is explained by the grant of its load, too.
+#[test]
+fn explanation_contains_the_grant_of_a_store_load() {
+    let mut log = log();
+    log.add("owner", "time=990 event=store_load_granted model=m9 grant=4 to=link-3 rank=0\n");
+    let explanation = explain(&log, "late").unwrap();
+    assert!(explanation.lines().iter().any(|line| line.event == "store_load_granted"));
+}
--- a/crates/pool/src/entry/demand.rs
+++ b/crates/pool/src/entry/demand.rs
@@ -193,7 +193,8 @@
         };
         // Only models missed at this entry: if every entry requested the models that all of them
         // miss, engines, which load one model at a time, would load the same ones twice.
-        let missed = self.demand.missed.keys().filter(|key| !is_covered(key));
+        let missed = self.demand.missed.keys();
+        let missed = missed.filter(|key| !is_covered(key) && !self.awaits_grant(**key));
         let missed = missed.map(|key| (self.miss_rate(*key), *key));
         let most = missed.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
         let Some((rate, key)) = most else { return };
--- a/crates/pool/src/entry/store_claims.rs
+++ b/crates/pool/src/entry/store_claims.rs
@@ -199,6 +199,15 @@
         !self.pool.endpoints.values().any(has)
     }
 
+    /// Returns whether a model can only be loaded by a grant of the side that queues the loads.
+    pub(super) fn awaits_grant(&self, key: ModelKey) -> bool {
+        let Some(config) = &self.config else { return false };
+        let model = self.queued_model(&config.services, key);
+        model.is_some_and(|(service, _)| {
+            self.store_queued(&service.name) && self.is_missing(&service.name, key)
+        })
+    }
+
     /// Asks for one more replica from the weight store, if cached weights give no place for one.
     pub(super) fn ask_replica(
         &mut self,
--- a/crates/pool/tests/all/store_queue/failures.rs
+++ b/crates/pool/tests/all/store_queue/failures.rs
@@ -1,5 +1,8 @@
 //! One failure each, in a fleet with a model in demand that no endpoint has.
 
+use citronrill_pool::SideLoss;
+use rstest::rstest;
+
 use super::fleet::Fleet;
 
 const MODEL: &str = "m1";
@@ -10,16 +13,18 @@
     fleet
 }
 
-/// The owner is killed while a load is in progress: the next collector sees the load and grants it no second
-/// time.
-#[test]
-fn a_new_owner_does_not_repeat_a_load() {
+/// The owner is killed or cut off while a load is in progress: the next collector sees the load and grants it
+/// no second time.
+#[rstest]
+fn a_new_owner_does_not_repeat_a_load(
+    #[values(SideLoss::Closed, SideLoss::Silent)] loss: SideLoss,
+) {
     let mut fleet = fleet(20.0);
     let owner = fleet.queue();
     fleet.run(1_000);
     assert_eq!(fleet.loads_of(MODEL).len(), 1);
     assert_ne!(fleet.begun[0].engine, owner, "the test kills the side of another engine");
-    fleet.kill_side(owner);
+    fleet.lose_side(owner, loss);
     assert_ne!(fleet.queue(), owner);
     fleet.run(8_000);
     assert_eq!(fleet.loads_of(MODEL).len(), 1, "{:?}", fleet.begun);
@@ -32,7 +37,7 @@
 fn a_new_owner_grants_after_it_has_heard_all_entries() {
     let mut fleet = fleet(0.0);
     let owner = fleet.queue();
-    fleet.kill_side(owner);
+    fleet.lose_side(owner, SideLoss::Closed);
     fleet.load = vec![(MODEL.to_owned(), 20.0)];
     fleet.run(8_000);
     assert_eq!(fleet.loads_of(MODEL).len(), 1, "{:?}", fleet.begun);
--- a/crates/pool/tests/all/store_queue/fleet.rs
+++ b/crates/pool/tests/all/store_queue/fleet.rs
@@ -54,9 +54,9 @@
 }
 
 enum Message {
-    ToEntry(usize, EntryEvent),
-    ToSide(usize, SideEvent),
-    ToEngine(usize, Order),
+    Entry(usize, EntryEvent),
+    Side(usize, SideEvent),
+    Engine(usize, Order),
 }
 
 pub(crate) struct Fleet {
@@ -164,12 +164,12 @@
         }
     }
 
-    /// Ends a side, which stays down.
-    pub(crate) fn kill_side(&mut self, side: usize) {
+    /// Ends a side, which stays down, or cuts it off from all entries.
+    pub(crate) fn lose_side(&mut self, side: usize, loss: SideLoss) {
         self.sides[side] = None;
         for entry in 0..self.entries.len() {
-            let lost = EntryEvent::SideLost(address(side as u8), SideLoss::Closed);
-            self.send(Message::ToEntry(entry, lost));
+            let lost = EntryEvent::SideLost(address(side as u8), loss);
+            self.send(Message::Entry(entry, lost));
         }
     }
 
@@ -255,9 +255,9 @@
             self.messages.first_entry().filter(|entry| entry.key().0 <= self.now)
         {
             match entry.remove() {
-                Message::ToEntry(entry, event) => self.step_entry(entry, event),
-                Message::ToSide(side, event) => self.step_side(side, event),
-                Message::ToEngine(engine, order) => self.receive_order(engine, order),
+                Message::Entry(entry, event) => self.step_entry(entry, event),
+                Message::Side(side, event) => self.step_side(side, event),
+                Message::Engine(engine, order) => self.receive_order(engine, order),
             }
         }
     }
@@ -299,7 +299,7 @@
         self.entries[entry] = None;
         for side in 0..self.sides.len() {
             let lost = SideEvent::EntryLost(EntryLink(entry as u64), false);
-            self.send(Message::ToSide(side, lost));
+            self.send(Message::Side(side, lost));
         }
     }
 
@@ -309,9 +309,9 @@
             EntryEffect::Dispatch(id, dispatch) => {
                 let head = ResponseHead { status: 200, signed: true, ..ResponseHead::default() };
                 let head = EntryEvent::ResponseHead(id, dispatch.number, head);
-                self.send(Message::ToEntry(entry, head));
+                self.send(Message::Entry(entry, head));
                 let ended = EntryEvent::ResponseEnded(id, ResponseEnd::Complete);
-                self.send_after(RUN_MS, Message::ToEntry(entry, ended));
+                self.send_after(RUN_MS, Message::Entry(entry, ended));
             }
             EntryEffect::Refuse(id, _) => {
                 let Some(model) = self.models.remove(&(entry, id)) else { return };
@@ -344,17 +344,15 @@
                     self.send_to_side(at, SideEvent::StoreLoads(link, message));
                 }
             }
-            EntryEffect::Probe(at) => {
-                if self.sides[engine_at(at)].is_some() {
-                    self.send(Message::ToEntry(entry, EntryEvent::ProbeReply(at)));
-                }
+            EntryEffect::Probe(at) if self.sides[engine_at(at)].is_some() => {
+                self.send(Message::Entry(entry, EntryEvent::ProbeReply(at)));
             }
             _ => {}
         }
     }
 
     fn send_to_side(&mut self, at: SocketAddr, event: SideEvent) {
-        self.send(Message::ToSide(engine_at(at), event));
+        self.send(Message::Side(engine_at(at), event));
     }
 
     fn step_side(&mut self, side: usize, event: SideEvent) {
@@ -370,35 +368,35 @@
         match effect {
             SideEffect::Poll => {
                 let report = SideEvent::Report(Some(self.report(side)));
-                self.send(Message::ToSide(side, report));
+                self.send(Message::Side(side, report));
             }
             SideEffect::QueryName(_) => {
                 let named = SideEvent::NameReported(format!("i{side}"));
-                self.send(Message::ToSide(side, named));
+                self.send(Message::Side(side, named));
             }
-            SideEffect::Order(order) => self.send(Message::ToEngine(side, order)),
+            SideEffect::Order(order) => self.send(Message::Engine(side, order)),
             SideEffect::Publish(state) => {
                 for entry in 0..self.entries.len() {
                     let report = EntryEvent::SideReport(at, (*state).clone());
-                    self.send(Message::ToEntry(entry, report));
+                    self.send(Message::Entry(entry, report));
                 }
             }
             SideEffect::Decline(link, name) => {
                 let declined = EntryEvent::LoadDeclined(at, name);
-                self.send(Message::ToEntry(link.0 as usize, declined));
+                self.send(Message::Entry(link.0 as usize, declined));
             }
             SideEffect::Suspects(link, message) => {
                 let event = EntryEvent::Suspects(at, message);
-                self.send(Message::ToEntry(link.0 as usize, event));
+                self.send(Message::Entry(link.0 as usize, event));
             }
             SideEffect::Streams(link, message) => {
                 let event = EntryEvent::Streams(at, message);
-                self.send(Message::ToEntry(link.0 as usize, event));
+                self.send(Message::Entry(link.0 as usize, event));
             }
             SideEffect::StoreLoads(link, reply) if !self.replies_lost => {
                 let message = StoreLoadMessage { kind: Some(StoreLoadKind::Reply(reply)) };
                 let event = EntryEvent::StoreLoads(at, message);
-                self.send(Message::ToEntry(link.0 as usize, event));
+                self.send(Message::Entry(link.0 as usize, event));
             }
             _ => {}
         }
@@ -440,7 +438,7 @@
                 self.begun.push(Begun { at: now, model, engine: index, concurrent });
             }
         }
-        self.send(Message::ToSide(index, answer));
+        self.send(Message::Side(index, answer));
     }
 
     fn store_loads(&self) -> usize {
--- a/crates/pool/tests/all/store_queue/queue.rs
+++ b/crates/pool/tests/all/store_queue/queue.rs
@@ -254,3 +254,22 @@
         bench.now += 500;
     }
 }
+
+/// Two sides take themselves for the owner for a moment, and each hears half of the entries. Each counts the
+/// loads that are seen, so that a model is loaded twice at most, and not at all once one load is seen.
+#[test]
+fn two_owners_start_one_load_more_at_most() {
+    let (mut first, mut second) = (Bench::new(), Bench::new());
+    first.report(1, vec![want("a", 5, 0)], vec![]);
+    assert_eq!(first.granted(), pairs(&[("a", 1)]));
+    second.report(2, vec![want("a", 5, 0)], vec![]);
+    assert_eq!(second.granted(), pairs(&[("a", 2)]), "neither knows the other's grant");
+    for (bench, link) in [(&mut first, 1), (&mut second, 2)] {
+        bench.report(link, vec![want("a", 5, 0)], vec![seen("a", "i1", 0), seen("a", "i2", 0)]);
+        assert_eq!(bench.granted(), pairs(&[]));
+    }
+    let (mut first, mut second) = (Bench::new(), Bench::new());
+    first.report(1, vec![want("a", 5, 0)], vec![seen("a", "i1", 0)]);
+    second.report(2, vec![want("a", 5, 0)], vec![seen("a", "i1", 0)]);
+    assert_eq!((first.granted(), second.granted()), (pairs(&[]), pairs(&[])));
+}
--- a/crates/pool/tests/all/store_queue/residency.rs
+++ b/crates/pool/tests/all/store_queue/residency.rs
@@ -12,7 +12,7 @@
     PoolSide, ServingConfig, SideEffect, SideEvent,
 };
 use citronrill_wire::{
-    LoadRequest, ModelState, SideState, StoreLoadGrant, StoreLoadKind, StoreLoadMessage,
+    LoadRequest, ModelName, ModelState, SideState, StoreLoadGrant, StoreLoadKind, StoreLoadMessage,
     StoreLoadReply,
 };
 
@@ -164,6 +164,42 @@
     assert_eq!(unknown, places(700_000.0, &last, &others), "a disk with room gives up nothing");
 }
 
+/// A process that was stopped for seconds has not heard from the owner, which is no sign that there is none:
+/// with a turn of its own, it would load what another entry is loading.
+#[test]
+fn a_pause_is_no_time_without_an_owner() {
+    let mut bench = contended(config(1), &[]);
+    let refresh = |bench: &mut Bench| (1..4).for_each(|index| report(bench, index, vec![], &[]));
+    refresh(&mut bench);
+    bench.advance(700);
+    bench.now += 5_000;
+    bench.step(EntryEvent::Tick);
+    refresh(&mut bench);
+    let (_, effects) = bench.request("/draft/x", "m7");
+    assert!(requested_load(&effects).is_none(), "{effects:?}");
+    assert!(requested_load(&bench.advance(500)).is_none());
+    refresh(&mut bench);
+    let effects = bench.advance(1_000);
+    assert!(requested_load(&effects).is_some(), "no reply for 1.5 s: {effects:?}");
+}
+
+/// A model that waits for a grant must not keep models with cached weights from being loaded.
+#[test]
+fn cached_models_are_loaded_while_others_wait_for_a_grant() {
+    let mut bench = contended(config(1), &[]);
+    report(&mut bench, 1, vec![], &["m8"]);
+    report(&mut bench, 2, vec![], &[]);
+    for _ in 0..5 {
+        bench.request_with_deadline("/draft/x", "m7", 500);
+    }
+    bench.request_with_deadline("/draft/x", "m8", 500);
+    let name = ModelName { model: "m8".to_owned(), adapter: String::new() };
+    bench.step(EntryEvent::LoadDeclined(address(1), name));
+    let effects = bench.advance(400);
+    let requested = requested_load(&effects).map(|(_, request)| request.model.clone());
+    assert_eq!(requested.as_deref(), Some("m8"));
+}
+
 /// A grant that was delayed for longer than its lease may have gone to another entry: it is given back.
 #[test]
 fn a_grant_past_its_lease_is_not_used() {
