Estimate how long a request waits at an endpoint, and choose by it

Endpoints of different speed, or on shared hosts, were chosen by the number of their requests and the time to first byte. Both say little about the wait there: a slow endpoint with few requests ranked before a fast one with more, and all entries chose the endpoint that they saw idle at once.

An entry now keeps, for each incarnation of an endpoint, what it states of its load and pace with the age of that, its own dispatches since, and how long work takes there. Where by_wait says so, it draws two endpoints with room by a hash of the request and takes the one that works off its backlog sooner. Failover waits for what was expected, and another replica is requested when the first event would exceed the objective. Sides pass the pace of their engines on (SideState tag 31). Elsewhere the code decides as before.

Real processes: a plain endpoint five times as slow gets less than half of the calls of the other one.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,7 +3,7 @@
 use std::borrow::Cow;
 
 use citronrill_pool::{
-    Dispatch, EngineReport, KeyDigest, Member, Order, OrderOutcome, PromptPart, ResponseHead,
+    Dispatch, EngineReport, KeyDigest, Member, Order, OrderOutcome, Pace, PromptPart, ResponseHead,
     ServingConfig, TokenCount,
 };
 use hyper::{HeaderMap, StatusCode};
@@ -186,6 +186,10 @@
     /// Returns whether an endpoint says that it leaves, from the headers of its response.
     fn is_leaving(&self, headers: &HeaderMap) -> bool;
 
+    /// Returns how long work takes at an endpoint at this moment, from the headers of its response; `None`
+    /// if it does not state that.
+    fn pace(&self, headers: &HeaderMap) -> Option<Pace>;
+
     /// Returns the path of an endpoint's state report.
     fn report_path(&self) -> &'static str;
 
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -328,6 +328,7 @@
                     self.tick(EntryEvent::Tick);
                     self.metrics.set_limit_usage(self.reducer.limit_usage());
                     self.metrics.set_retries(self.reducer.retry_counts());
+                    self.metrics.set_waits(self.reducer.wait_counts());
                     self.metrics.streams_reconnected.set(self.reducer.streams_reconnected());
                 }
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use citronrill_pool::{LimitUsage, Reason, RetryCounts};
+use citronrill_pool::{LimitUsage, Reason, RetryCounts, WaitCounts};
 use hdrhistogram::Histogram;
 use http_body_util::Full;
 use hyper::{Response, StatusCode, server::conn::http1, service::service_fn};
@@ -102,6 +102,8 @@
     limits: Mutex<Vec<LimitUsage>>,
     /// Further dispatches by service.
     retries: Mutex<BTreeMap<String, RetryCounts>>,
+    /// Dispatches by expected wait, by service.
+    waits: Mutex<BTreeMap<String, WaitCounts>>,
     statuses: Mutex<BTreeMap<u16, u64>>,
     refusals: Mutex<BTreeMap<&'static str, u64>>,
     logs: Arc<LogStats>,
@@ -120,6 +122,7 @@
             streams_reconnected: Counter::default(),
             limits: Mutex::default(),
             retries: Mutex::default(),
+            waits: Mutex::default(),
             statuses: Mutex::default(),
             refusals: Mutex::default(),
             logs,
@@ -146,6 +149,13 @@
         retries.extend(counts.map(|(service, counts)| (service.to_owned(), counts)));
     }
 
+    /// Sets the dispatches by expected wait by service.
+    pub(crate) fn set_waits<'a>(&self, counts: impl Iterator<Item = (&'a str, WaitCounts)>) {
+        let mut waits = self.waits.lock().unwrap_or_else(PoisonError::into_inner);
+        waits.clear();
+        waits.extend(counts.map(|(service, counts)| (service.to_owned(), counts)));
+    }
+
     /// Counts a refusal.
     pub(crate) fn count_refusal(&self, reason: Reason) {
         let mut refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
@@ -192,6 +202,12 @@
                 write_sample(&mut text, "citronrill_retries_total", &label, count);
             }
         }
+        let waits = self.waits.lock().unwrap_or_else(PoisonError::into_inner);
+        for (service, counts) in waits.iter() {
+            let label = format!("{{service=\"{service}\"}}");
+            write_sample(&mut text, "citronrill_expected_wait_ms_count", &label, counts.dispatches);
+            write_sample(&mut text, "citronrill_expected_wait_ms_sum", &label, counts.wait_ms);
+        }
         write_log_counts(&mut text, &self.logs);
         text
     }
--- a/crates/gateway/src/side/endpoint_client.rs
+++ b/crates/gateway/src/side/endpoint_client.rs
@@ -80,7 +80,8 @@
                 return Err(GatewayError::Status(response.status().as_u16()));
             }
             let leaving = self.dialect.is_leaving(response.headers());
-            Ok(EngineReport { leaving, ..self.dialect.decode_report(response.body())? })
+            let pace = self.dialect.pace(response.headers());
+            Ok(EngineReport { leaving, pace, ..self.dialect.decode_report(response.body())? })
         };
         match read.await {
             Ok(report) => Some(report),
--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -6,6 +6,7 @@
 use crate::{
     advertised::Advertised,
     delisted::Delisted,
+    expected_wait::LoadView,
     incarnation::{IncarnationChange, KnownIncarnation, StartTime},
     liveness::Liveness,
     member::{Member, full_name},
@@ -38,6 +39,8 @@
 /// Weight of the latest result in the failure average: six failures in a row raise it above one
 /// half.
 const FAILURE_WEIGHT: f64 = 0.12;
+/// Failure rate below which an endpoint is considered healthy: single failures are normal.
+pub(crate) const FAILURE_TOLERANCE: f64 = 0.2;
 
 /// Models that an endpoint holds, with the sequence number of that information.
 #[derive(Debug, Clone, Default)]
@@ -154,6 +157,8 @@
     load_at: Millis,
     /// Dispatches of this entry since the load was last reported.
     pub(crate) unreported: u32,
+    /// What it states of its load and pace, and how long its work takes.
+    pub(crate) load_view: LoadView,
     /// What it has said of itself in its responses.
     pub(crate) advertised: Advertised,
     pub(crate) avoid_until: Millis,
@@ -190,6 +195,7 @@
             load: 0,
             load_at: now,
             unreported: 0,
+            load_view: LoadView::default(),
             advertised: Advertised::default(),
             avoid_until: Millis(0),
             declined_until: Millis(0),
@@ -348,6 +354,11 @@
         self.failure_rate += FAILURE_WEIGHT * (f64::from(u8::from(failed)) - self.failure_rate);
     }
 
+    /// Returns whether it fails more than single requests.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.failure_rate > FAILURE_TOLERANCE
+    }
+
     /// Avoids the endpoint for a while, because it could not be reached.
     pub(crate) fn avoid(&mut self, now: Millis) {
         self.avoid_until = now + AVOID_MS;
--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -11,6 +11,7 @@
 };
 use crate::{
     config::{Route, ServingConfig},
+    expected_wait::WaitEstimate,
     organisation::Organisation,
     software::StreamKey,
 };
@@ -110,6 +111,7 @@
             idle_deadline: self.now + allowed.min(idle_timeout),
             stage: Stage::Waiting,
             sent_at: self.now,
+            expected: WaitEstimate::default(),
             head_ms: 0,
             instance: None,
             tried: Vec::new(),
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -3,7 +3,10 @@
 use citronrill_base::{ModelKey, hash_bytes};
 
 use super::{PoolEntry, Reason, Request};
-use crate::endpoint::Endpoint;
+use crate::{
+    endpoint::{Endpoint, FAILURE_TOLERANCE},
+    expected_wait::{Candidate, choose_by_wait},
+};
 
 /// Decision for a waiting request.
 pub(super) enum Choice {
@@ -33,8 +36,6 @@
 /// Weight of the failure rate above [`FAILURE_TOLERANCE`]. An endpoint that fails half of its
 /// requests ranks as if it ran 1.2 more batches.
 const FAILURE_COST: f64 = 4.0;
-/// Failure rate below which an endpoint is considered healthy: single failures are normal.
-const FAILURE_TOLERANCE: f64 = 0.2;
 /// Cost of an endpoint that could not be reached: it ranks after all others.
 const UNREACHABLE_COST: f64 = 100.0;
 /// Cost of an engine whose side is silent or cannot reach it, or that may be stalled. The instance
@@ -120,6 +121,16 @@
         let endpoints = self.pool.endpoints.values();
         let eligible =
             endpoints.filter(|endpoint| self.eligible(endpoint, request) && admitted(endpoint));
+        if self.by_wait(&request.service) {
+            let key = hash_bytes(request.caller_id.as_bytes());
+            let candidates = eligible.map(|endpoint| Candidate {
+                item: endpoint,
+                cost: self.cost(endpoint, request, runs),
+                has_room: self.has_room_now(endpoint, request),
+                draw: endpoint_hash(key, endpoint),
+            });
+            return choose_by_wait(&candidates.collect::<Vec<_>>());
+        }
         let costs = eligible.map(|endpoint| (self.cost(endpoint, request, runs), endpoint));
         costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, endpoint)| endpoint)
     }
@@ -241,15 +252,22 @@
         CONCENTRATION_COST * (share - CONCENTRATION_FREE_SHARE).max(0.0)
     }
 
+    /// Returns the cost of an endpoint's load and of the time that it takes to respond.
+    fn load_cost(&self, endpoint: &Endpoint, request: &Request) -> f64 {
+        if self.by_wait(&request.service) {
+            return self.wait_cost(endpoint, request);
+        }
+        endpoint.load_ratio() + endpoint.ttfb_ms(self.now) / request.target_ms.max(1) as f64
+    }
+
     /// Returns the cost of dispatching to an endpoint, in shares of its slots; `runs` is the total
     /// of its service.
     pub(super) fn cost(&self, endpoint: &Endpoint, request: &Request, runs: u32) -> f64 {
-        let mut cost = endpoint.load_ratio();
+        let mut cost = self.load_cost(endpoint, request);
         cost += FAILURE_COST * (endpoint.failure_rate - FAILURE_TOLERANCE).max(0.0);
         if endpoint.member.zone != self.profile.zone {
             cost += ZONE_COST;
         }
-        cost += endpoint.ttfb_ms(self.now) / request.target_ms.max(1) as f64;
         if request.required.is_some() {
             cost += self.concentration_cost(endpoint, runs);
             if endpoint.side_silent(self.now) || endpoint.liveness.maybe_stalled(self.now) {
@@ -273,6 +291,10 @@
 /// Returns the place of an endpoint in the order of a key, from 0 to 1. Each entry computes the same
 /// order from the instance names, without communication.
 fn affinity(key: u64, endpoint: &Endpoint) -> f64 {
+    endpoint_hash(key, endpoint) as f64 / u64::MAX as f64
+}
+
+fn endpoint_hash(key: u64, endpoint: &Endpoint) -> u64 {
     let mixed = hash_bytes(endpoint.member.instance.as_bytes()) ^ key;
-    hash_bytes(&mixed.to_le_bytes()) as f64 / u64::MAX as f64
+    hash_bytes(&mixed.to_le_bytes())
 }
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -51,6 +51,9 @@
         let backup_address = backup.as_ref().and_then(|backup| self.pool.endpoints.get(backup));
         let backup_address = backup_address.map(|endpoint| endpoint.member.address);
         let (eligible, fleet_load) = self.alternatives(id);
+        let expected = self.pool.endpoints.get(instance).map(|to| self.wait_estimate(to));
+        let expected = expected.unwrap_or_default();
+        let wait_ms = self.count_wait(id, expected);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(endpoint) = self.pool.endpoints.get_mut(instance) else { return };
         request.backup = backup;
@@ -58,9 +61,11 @@
         endpoint.own_requests += 1;
         endpoint.load += 1;
         endpoint.unreported += 1;
+        endpoint.load_view.record_dispatch();
         request.stage = Stage::Sent;
         request.has_progress = false;
         request.sent_at = now;
+        request.expected = expected;
         request.instance = Some(instance.to_owned());
         request.sent_software = Some(endpoint.software);
         request.dispatches += 1;
@@ -90,6 +95,10 @@
             .with("copy", copy)
             .with("list", self.pool.list_version)
             .with("sequence", endpoint.inventory.sequence);
+        let event = match wait_ms {
+            Some(wait_ms) => event.with("wait_ms", wait_ms),
+            None => event,
+        };
         if request.required.is_some() {
             let (model, adapter) = (request.model.clone(), request.adapter.clone());
             let usage = UsageReport { model, adapter, missed: false };
@@ -125,6 +134,7 @@
     pub(super) fn response_started(&mut self, id: RequestId, head: ResponseHead) {
         let now = self.now;
         self.learn_from_response(id, head);
+        self.learn_load(id, head);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let verdict = classify_response(head, request.retry_policy);
         // Once the caller has the head of a successful response, an endpoint's error response can
@@ -145,7 +155,6 @@
             endpoint.liveness.record_traffic(now);
             if let Some(load) = head.load {
                 endpoint.set_load(load.requests(), now);
-                self.paced.record(&endpoint.member.service, load);
             }
             if verdict == Verdict::Forward {
                 request.head_ms = now.since(request.sent_at);
@@ -165,6 +174,7 @@
             Verdict::Forward => {
                 // Told first: this process may end as soon as the caller has the first event.
                 self.record_origin(id);
+                self.record_call_time(id);
                 self.forward(id);
             }
             Verdict::NotRun => {
@@ -261,6 +271,9 @@
 
     pub(super) fn response_ended(&mut self, id: RequestId, end: ResponseEnd) {
         let complete = matches!(end, ResponseEnd::Complete | ResponseEnd::Unverified);
+        if end == ResponseEnd::Complete {
+            self.record_stream_time(id);
+        }
         let instance = self.requests.get(&id).and_then(|request| request.instance.clone());
         if let Some(endpoint) = instance.and_then(|instance| self.pool.endpoints.get_mut(&instance))
         {
@@ -315,6 +328,7 @@
         if let Some(endpoint) = endpoint {
             endpoint.own_requests = endpoint.own_requests.saturating_sub(1);
             endpoint.load = endpoint.load.saturating_sub(1);
+            endpoint.load_view.record_end();
         }
     }
 
--- a/crates/pool/src/entry/membership.rs
+++ b/crates/pool/src/entry/membership.rs
@@ -105,6 +105,7 @@
             self.add_collector();
             self.learn_told_limits(&state.endpoint_limits);
             self.update_store_limit();
+            self.learn_pace(address);
             self.resolve_load_requests(address);
             self.schedule_waiting();
         }
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -41,6 +41,7 @@
     Arrival, Dispatch, EntryEffect, EntryEvent, EntryProfile, FailureKind, Reason, Refusal,
     RequestId, ResponseEnd, ResponseHead, Resume, SideLoss, TokenCount, Verdict,
 };
+pub use self::waits::WaitCounts;
 use self::{
     choose::Choice,
     crashes::Crashes,
@@ -56,12 +57,13 @@
     streams::{Origin, StreamTracker},
     suspects::Suspects,
     trials::Trial,
-    waits::PacedServices,
+    waits::{PacedServices, WaitRecords},
 };
 use crate::{
     cause::Cause,
     config::{RetryPolicy, ServingConfig},
     digest::RequestDigest,
+    expected_wait::WaitEstimate,
     limits::{CreditLedger, LimitUsage, RecentPeak, RetryBudget},
     pool::Pool,
     prompt::PromptPart,
@@ -133,6 +135,8 @@
     stage: Stage,
     /// Time of the last dispatch.
     sent_at: Millis,
+    /// How long it was expected to wait at the endpoint at its last dispatch.
+    expected: WaitEstimate,
     /// Milliseconds from the last dispatch to the response head.
     head_ms: u64,
     /// Instance that the request is dispatched to; `None` while it waits.
@@ -284,6 +288,7 @@
     streams: StreamTracker,
     ledger: CreditLedger,
     paced: PacedServices,
+    waits: WaitRecords,
     stop: Option<Stop>,
     effects: Vec<EntryEffect>,
 }
@@ -313,6 +318,7 @@
             suspects: Suspects::default(),
             streams: StreamTracker::default(),
             paced: PacedServices::default(),
+            waits: WaitRecords::default(),
             stop: None,
             effects: Vec::new(),
         }
--- a/crates/pool/src/entry/replicas.rs
+++ b/crates/pool/src/entry/replicas.rs
@@ -168,6 +168,9 @@
         let target = running.map(|request| request.target_ms).min();
         let Some(target) = target else { return false };
         let overload = |endpoint: &Endpoint| {
+            if self.by_wait(&endpoint.member.service) {
+                return self.late_first_event(endpoint, target);
+            }
             (endpoint.load_ratio() / CROWDED_FILL)
                 .max(endpoint.ttfb_ms(self.now) / target.max(1) as f64 / SLOW_TTFB)
         };
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -108,6 +108,7 @@
     fn fail_over_unanswered(&mut self) {
         let unanswered = self.requests.iter().filter(|(_, request)| {
             let limit_ms = (UNANSWERED_TARGETS * request.target_ms).max(UNANSWERED_MIN_MS);
+            let limit_ms = self.unanswered_limit_ms(request, limit_ms);
             request.stage == Stage::Sent
                 && request.trial.is_none()
                 && request.retry_policy.may_retry()
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -19,6 +19,7 @@
 mod digest;
 mod endpoint;
 mod entry;
+mod expected_wait;
 mod incarnation;
 mod limits;
 mod liveness;
@@ -47,7 +48,10 @@
     entry::{
         Arrival, Dispatch, EndpointCheck, EntryEffect, EntryEvent, EntryProfile, FailureKind,
         PoolEntry, Reason, Refusal, RequestId, ResponseEnd, ResponseHead, Resume, SideLoss,
-        TokenCount, Verdict, classify_response,
+        TokenCount, Verdict, WaitCounts, classify_response,
+    },
+    expected_wait::{
+        BadLoad, Candidate, LoadView, OwnView, WaitEstimate, WorkTime, choose_by_wait,
     },
     incarnation::StartTime,
     limits::{
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -12,6 +12,8 @@
     incarnation::{IncarnationChange, OLDER_START_DELAY_MS, StartTime},
     member::{Member, MemberChange},
     rewrite::Rewrite,
+    server_load::Pace,
+    side::LOAD_INTERVAL_MS,
     store_version::StoreVersion,
 };
 
@@ -394,7 +396,10 @@
         let departed = leaves && endpoint.advertised.record_leaving();
         endpoint.liveness.mark_connected();
         endpoint.liveness.record_traffic(now);
-        endpoint.set_load(state.active + state.queued, now);
+        let load = state.active.saturating_add(state.queued);
+        endpoint.set_load(load, now);
+        let pace = Pace::from_percent(state.pace);
+        endpoint.load_view.record_report(load, pace, LOAD_INTERVAL_MS, now);
         let rates = state
             .models
             .iter()
--- a/crates/pool/src/server_load.rs
+++ b/crates/pool/src/server_load.rs
@@ -33,6 +33,11 @@
         (1..=MAX_PERCENT).contains(&percent).then_some(Pace(percent))
     }
 
+    /// Returns the pace in per cent.
+    pub fn percent(self) -> u32 {
+        self.0
+    }
+
     /// Returns the factor by which work takes longer than usual.
     pub fn factor(self) -> f64 {
         f64::from(self.0) / 100.0
--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -38,6 +38,7 @@
     limits::LimitBounds,
     member::full_name,
     rate::Rate,
+    server_load::Pace,
 };
 
 /// Milliseconds between polls of the endpoint while an order is in progress: a load takes
@@ -48,7 +49,7 @@
 /// Milliseconds between published states that contain no change.
 const PUBLISH_INTERVAL_MS: u64 = 500;
 /// Minimum milliseconds between two states that are published because of the load alone.
-const LOAD_INTERVAL_MS: u64 = 100;
+pub(crate) const LOAD_INTERVAL_MS: u64 = 100;
 /// Typical milliseconds of an unload: 20 to 70 ms without running requests, 400 ms with them.
 const TYPICAL_UNLOAD_MS: u64 = 150;
 /// Typical milliseconds of an adapter load, including the poll that shows it.
@@ -465,6 +466,7 @@
             tracks_streams: true,
             known_entries: self.known_entries(),
             leaving: report.leaving,
+            pace: report.pace.map_or(0, Pace::percent),
         })
     }
 
--- a/crates/pool/src/side/report.rs
+++ b/crates/pool/src/side/report.rs
@@ -12,7 +12,7 @@
 /// Change of the number of requests at an endpoint that is published at once: one request more or
 /// less changes no choice.
 const MIN_LOAD_CHANGE: u32 = 2;
-/// Part of a larger load by which it must change to be published at once.
+/// Part of a larger load, or of the pace, by which it must change to be published at once.
 const LOAD_CHANGE_DIVISOR: u32 = 4;
 
 /// Returns whether two states differ only in fields that change all the time.
@@ -43,12 +43,14 @@
         && names(a) == names(b)
 }
 
-/// Returns whether the load has changed so much that entries would misjudge the endpoint: between
+/// Returns whether the load or the pace has changed so much that entries would misjudge the endpoint: between
 /// two states, several entries that see the same idle endpoint dispatch their next streams there.
 pub(super) fn load_moved(published: &SideState, state: &SideState) -> bool {
     let load = |state: &SideState| state.active + state.queued;
     let (old, new) = (load(published), load(state));
-    old.abs_diff(new) >= MIN_LOAD_CHANGE.max(old / LOAD_CHANGE_DIVISOR)
+    let pace_moved =
+        published.pace.abs_diff(state.pace) > published.pace.min(state.pace) / LOAD_CHANGE_DIVISOR;
+    pace_moved || old.abs_diff(new) >= MIN_LOAD_CHANGE.max(old / LOAD_CHANGE_DIVISOR)
 }
 
 /// Returns how an order has ended (`true` if it succeeded), or `None` if it has not ended.
--- a/crates/pool/src/side/types.rs
+++ b/crates/pool/src/side/types.rs
@@ -8,7 +8,7 @@
     UsageReport,
 };
 
-use crate::{config::ServingConfig, incarnation::StartTime, member::HeldModel};
+use crate::{config::ServingConfig, incarnation::StartTime, member::HeldModel, server_load::Pace};
 
 /// State that the endpoint reports.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -35,6 +35,8 @@
     pub on_disk: Vec<String>,
     /// Whether it says that it leaves.
     pub leaving: bool,
+    /// How long work takes there at this moment, if stated.
+    pub pace: Option<Pace>,
 }
 
 impl EngineReport {
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod collector;
 mod config_transfer;
 mod entry;
+mod expected_wait;
 mod exposure;
 mod incarnation;
 mod limits;
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -307,6 +307,10 @@
     /// Whether the endpoint has told its side that it leaves.
     #[prost(bool, tag = "28")]
     pub leaving: bool,
+    /// How long work takes at the endpoint at this moment, in per cent of the usual time; 0 if it does not
+    /// state that.
+    #[prost(uint32, tag = "31")]
+    pub pace: u32,
 }
 
 /// One loaded model of an endpoint.
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -7,6 +7,7 @@
 mod endless;
 mod endpoint_limits;
 mod events;
+mod expected_wait;
 mod leaving;
 mod life;
 mod members;
--- a/tests/pool/support/mod.rs
+++ b/tests/pool/support/mod.rs
@@ -184,6 +184,19 @@
         self.engines.iter().map(proxy).collect()
     }
 
+    /// Starts another worker of the plain service.
+    pub(crate) fn add_ledger(&self, instance: &'static str) -> Worker {
+        let spec = WorkerSpec {
+            service: "ledger",
+            software: "v1",
+            instance,
+            models: Vec::new(),
+            on_disk: Vec::new(),
+            load_ms: 0,
+        };
+        self.platform.worker(&self.store, SocketAddr::from((next_ip(), 0)), spec)
+    }
+
     /// Starts another entry.
     pub(crate) fn add_entry(&self) -> Process {
         self.add_entry_with_seeds("")
