--- a/crates/pool/tests/all/expected_wait/model.rs
+++ b/crates/pool/tests/all/expected_wait/model.rs
@@ -147,7 +147,7 @@
                 self.add(offset, Event::Report { endpoint });
             }
         }
-        // The last ones, so that some slow and some fast endpoints have them in large settings only.
+        // The slow endpoints are the first ones.
         let shared = (self.setting.endpoints as f64 * SHARED_SHARE).ceil() as usize;
         for endpoint in self.setting.endpoints - shared..self.setting.endpoints {
             self.add(0, Event::Shared { endpoint, busy: true });
