--- a/crates/pool/tests/all/expected_wait.rs
+++ b/crates/pool/tests/all/expected_wait.rs
@@ -260,6 +260,26 @@
     }
 }
 
+/// Guards against a draw of two full endpoints while a third one is idle.
+#[test]
+fn an_endpoint_with_room_is_drawn_before_full_ones() {
+    let members = (1..=4).map(|index| member(index, PLAIN, &[])).collect::<Vec<_>>();
+    let mut bench = Bench::new(members);
+    let mut idle = Vec::new();
+    for _ in 0..40 {
+        let (id, effects) = bench.request("/status/x", "");
+        let instance = dispatch(&effects).unwrap().instance.clone();
+        let stated = if instance == "i3" { load(0, 0, 6, 100) } else { load(6, 6, 6, 100) };
+        bench.now += 5;
+        bench.respond(id, ResponseHead { load: Some(stated), ..ok() });
+        bench.step(EntryEvent::ResponseEnded(id, ResponseEnd::Complete));
+        idle.push(instance == "i3");
+    }
+    // The queues of the others drain in the view of the entry: each is tried again now and then.
+    let count = idle[20..].iter().filter(|idle| **idle).count();
+    assert!(count >= 15, "{count} of 20 at the idle endpoint");
+}
+
 /// Guards against figures of an incarnation that has ended: the new one has neither its queue nor its speed.
 #[test]
 fn figures_of_an_earlier_incarnation_are_dropped() {
