--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -40,6 +40,7 @@
     limits::LimitBounds,
     member::full_name,
     rate::Rate,
+    server_load::Pace,
 };
 
 /// Milliseconds between polls of the endpoint while an order is in progress: a load takes
@@ -50,7 +51,7 @@
 /// Milliseconds between published states that contain no change.
 const PUBLISH_INTERVAL_MS: u64 = 500;
 /// Minimum milliseconds between two states that are published because of the load alone.
-const LOAD_INTERVAL_MS: u64 = 100;
+pub(crate) const LOAD_INTERVAL_MS: u64 = 100;
 /// Typical milliseconds of an unload: 20 to 70 ms without running requests, 400 ms with them.
 const TYPICAL_UNLOAD_MS: u64 = 150;
 /// Typical milliseconds of an adapter load, including the poll that shows it.
@@ -474,6 +475,7 @@
             known_entries: self.known_entries(),
             leaving: report.leaving,
             queues_store_loads: true,
+            pace: report.pace.map_or(0, Pace::percent),
         })
     }
 
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -318,6 +318,10 @@
     /// Whether the side understands [`PoolKind::StoreLoads`].
     #[prost(bool, tag = "29")]
     pub queues_store_loads: bool,
+    /// How long work takes at the endpoint at this moment, in per cent of the usual time; 0 if it does not
+    /// state that.
+    #[prost(uint32, tag = "31")]
+    pub pace: u32,
 }
 
 /// One loaded model of an endpoint.
