--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Dispatch, EntryEffect, FailureKind, LimitedUse, PoolEntry, Reason, Refusal, Request, RequestId,
-    ResponseEnd, ResponseHead, Resume, Stage, Verdict, classify_response,
+    ResponseEnd, ResponseHead, Resume, Stage, Verdict, classify_response, queue::Forecast,
 };
 use crate::{prompt::join_parts, software::SoftwareKey};
 
@@ -330,7 +330,9 @@
         // status that guarantees that it has not would be wrong, whatever prevented the second run.
         let contradicts = request.runs > 0 && reason.status() == NOT_RUN_STATUS;
         let reason = if contradicts { Reason::Broken } else { reason };
-        let retry_ms = self.retry_after(reason, &request);
+        let full = matches!(reason, Reason::Full | Reason::Displaced);
+        let forecast = full.then(|| self.forecast(&request)).flatten();
+        let retry_ms = self.retry_after(reason, &request, forecast.as_ref());
         self.return_credit(&request, reason);
         let (holders, copies, loading) =
             request.base.map_or((0, 0, 0), |base| self.availability(base));
@@ -341,6 +343,12 @@
             Some(cause) => event.with(cause.field(), cause),
             None => event,
         };
+        let event = match forecast {
+            Some(Forecast { wait_ms, left_ms }) => {
+                event.with("wait_ms", wait_ms).with("left_ms", left_ms)
+            }
+            None => event,
+        };
         self.log(
             event
                 .with("reason", reason.as_str())
@@ -367,11 +375,23 @@
     /// again after half of it. A hash of the caller's request ID spreads the retries. If the model
     /// is not loaded, callers retry when it should be ready: earlier retries are refused again, and
     /// most callers retry only once.
-    fn retry_after(&self, reason: Reason, request: &Request) -> Option<u64> {
+    ///
+    /// Where requests are scheduled by expected wait, a `forecast` says when the queue has drained.
+    fn retry_after(
+        &self,
+        reason: Reason,
+        request: &Request,
+        forecast: Option<&Forecast>,
+    ) -> Option<u64> {
+        if let Some(forecast) = forecast {
+            return Some(self.drained_ms(request, forecast));
+        }
         let soon = || (request.target_ms / 2).max(self.backoff_retry_ms(request));
         let spread = |ms: u64| hash_bytes(request.caller_id.as_bytes()) % (ms + 1);
         match reason {
-            Reason::Full | Reason::Backoff => Some(soon() + spread(request.target_ms / 4)),
+            Reason::Full | Reason::Displaced | Reason::Backoff => {
+                Some(soon() + spread(request.target_ms / 4))
+            }
             Reason::NoEndpoint | Reason::TooLate => {
                 let ms = self.ready_ms(request).unwrap_or(0).max(soon());
                 Some(ms + spread((request.target_ms / 4).max(ms / RETRY_SPREAD)))
--- a/crates/pool/src/entry/shares.rs
+++ b/crates/pool/src/entry/shares.rs
@@ -4,7 +4,6 @@
 
 impl PoolEntry {
     /// Returns whether a request is beyond its organisation's fair share of its service.
-    #[allow(dead_code, reason = "the decisions that ask it follow")]
     pub(super) fn over_share(&self, _request: &Request) -> bool {
         false
     }
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -256,6 +256,8 @@
     NoEndpoint,
     /// Every endpoint that could run it is full.
     Full,
+    /// Every endpoint that could run it is full, and a more urgent request took its place in the queue.
+    Displaced,
     /// The model cannot be ready in time.
     TooLate,
     /// Its deadline has passed and it has not run.
@@ -293,6 +295,7 @@
             Reason::StaleConfig => "old_text",
             Reason::NoEndpoint => "no_endpoint",
             Reason::Full => "full",
+            Reason::Displaced => "displaced",
             Reason::TooLate => "too_far",
             Reason::Expired => "expired",
             Reason::Stopping => "stopping",
@@ -320,6 +323,7 @@
             | Reason::StaleConfig
             | Reason::NoEndpoint
             | Reason::Full
+            | Reason::Displaced
             | Reason::TooLate
             | Reason::Stopping
             | Reason::Quarantined
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -8,6 +8,7 @@
 //! because nothing here is agreed through the platform table: a side is the only process that gives
 //! orders to its endpoint, and entries act on views that each carry a sequence number.
 
+mod admission;
 mod advertised;
 mod cause;
 mod check_timer;
@@ -19,6 +20,7 @@
 mod digest;
 mod endpoint;
 mod entry;
+mod expected_wait;
 mod incarnation;
 mod limits;
 mod liveness;
@@ -36,6 +38,7 @@
 mod table_follower;
 
 pub use crate::{
+    admission::{Admission, Candidate, QueueState, admit, has_room},
     cause::Cause,
     check_timer::{CheckTimer, DueCheck},
     config::{CallerLimits, EngineSpec, ModelSpec, RetryPolicy, Route, Service, ServingConfig},
