--- a/crates/pool/src/entry/queue.rs
+++ b/crates/pool/src/entry/queue.rs
@@ -38,6 +38,8 @@
     least: u32,
     /// No more requests are dispatched of those that have waited.
     most: u32,
+    /// No more requests are dispatched at all: the endpoints turn away what goes beyond their queues.
+    room: u32,
 }
 
 /// Place of a request in the order of the waiting requests, the first in the order first.
@@ -459,11 +461,12 @@
             return has_room(wait_ms, work_ms, 0.0);
         }
         let room = has_room(wait_ms, work_ms, full - 1.0);
-        if request.required.is_some() || room && !request.awaits_slot {
+        if request.required.is_some() {
             return room;
         }
-        let Shares { own, least, most, .. } = self.room_shares(request, full);
-        own < least || room && own < most
+        let Shares { own, least, most, room: own_room, .. } = self.room_shares(request, full);
+        let limit = if request.awaits_slot { most } else { own_room };
+        own < least || room && own < limit
     }
 
     /// Returns what this entry may have at the endpoints of a plain service while requests wait for room.
@@ -478,7 +481,9 @@
         });
         let share = |full: f64| f64::from(slots) * full / f64::from(self.entries());
         let most = (share(full).ceil() as u32).max(1);
-        Shares { own, slots, least: most.min(share(PLAIN_ROOM) as u32), most }
+        let room = share(PLAIN_ROOM);
+        let (least, room) = (most.min(room as u32), (room.ceil() as u32).max(1));
+        Shares { own, slots, least, most, room }
     }
 
     /// Returns how many requests before `id` wait for the same endpoints as `request` and go first.
