--- a/crates/insight/src/explain.rs
+++ b/crates/insight/src/explain.rs
@@ -175,7 +175,9 @@
             last.get("left_ms")
         ),
         "full" => "every endpoint that could run it was full".to_owned(),
-        "displaced" => "the endpoints were full, and a more urgent request took its place".to_owned(),
+        "displaced" => {
+            "the endpoints were full, and a more urgent request took its place".to_owned()
+        }
         "too_far" => format!("{model} could not be loaded in time"),
         "version_unknown" => format!(
             "it reconnects to the stream that attempt {} began, at a software version that nobody knows",
