Decide admission by the time that callers have left

Cause: where organisations compete, requests that found the endpoints full were refused by a slot turnover of 500 ms and a multiple of the objective, although the queue clears in time. Entries with an old view of plain endpoints overfilled them. Endpoints that all ask for a backoff stood idle, and a backoff had no bound.

Change, where services are scheduled by expected wait only: the decision in admission.rs, the line of waiting requests by deadline in entry/line.rs, shares of the room at plain endpoints in entry/room.rs, order and queue in entry/queue.rs. A more urgent request displaces the least urgent one. Retry-After is the time in which the queue drains. One request at a time goes to endpoints that all back off.

--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Dispatch, EntryEffect, FailureKind, LimitedUse, PoolEntry, Reason, Refusal, Request, RequestId,
-    ResponseEnd, ResponseHead, Resume, Stage, Verdict, classify_response, queue::Forecast,
+    ResponseEnd, ResponseHead, Resume, Stage, Verdict, classify_response, line::Forecast,
 };
 use crate::{prompt::join_parts, software::SoftwareKey};
 
