--- a/crates/pool/tests/all/expected_wait/model.rs
+++ b/crates/pool/tests/all/expected_wait/model.rs
@@ -7,7 +7,7 @@
 
 use citronrill_base::{Millis, hash_bytes};
 use citronrill_pool::{
-    Candidate, LoadView, OwnView, Pace, ServerLoad, WaitEstimate, WorkTime, choose_by_wait,
+    EndpointOption, LoadView, OwnView, Pace, ServerLoad, WaitEstimate, WorkTime, choose_by_wait,
 };
 
 /// How an entry chooses the endpoint of a request.
@@ -224,7 +224,7 @@
                     let (item, own) = (*holder, self.own(entry, *holder));
                     let cost = self.entries[entry].views[item].backlog_ms(own, now);
                     let has_room = estimate(item).wait_ms <= 0.0;
-                    Candidate { item, cost, has_room, draw: mixed(key, item) }
+                    EndpointOption { item, cost, has_room, draw: mixed(key, item) }
                 };
                 choose_by_wait(&holders.iter().map(candidate).collect::<Vec<_>>()).unwrap()
             }
