Divide services among organisations by fair shares

Entries report arrivals of organisations to the first collector side, which divides services that are short of room max-min fairly and tells which part of an organisation's requests is within its share. Requests over a share get free slots only. Off unless the settings say that organisations compete and the configuration has some.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -327,6 +327,7 @@
                 DueCheck::Full => {
                     self.tick(EntryEvent::Tick);
                     self.metrics.set_limit_usage(self.reducer.limit_usage());
+                    self.metrics.over_share.set(self.reducer.over_share_requests());
                     self.metrics.set_retries(self.reducer.retry_counts());
                     self.metrics.streams_reconnected.set(self.reducer.streams_reconnected());
                 }
@@ -422,6 +423,13 @@
                     Box::new(PoolKind::CreditReport(report)),
                 ));
             }
+            EntryEffect::Shares(address, message) => {
+                self.metrics.share_reports.increment();
+                self.send_to_sides(SideCommand::Send(
+                    address,
+                    Box::new(PoolKind::Shares(message)),
+                ));
+            }
             EntryEffect::SaveQuarantined(record) => {
                 self.metrics.quarantined.increment();
                 if self.quarantined.send(record).is_err() {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -97,6 +97,10 @@
     pub(crate) ttfb: DurationHistogram,
     /// Reports to the side that issues credit for organisations' limits.
     pub(crate) credit_reports: Counter,
+    /// Reports to the side that divides organisations' shares.
+    pub(crate) share_reports: Counter,
+    /// Requests over their organisation's share.
+    pub(crate) over_share: Counter,
     /// Streams of callers' earlier attempts that went on here.
     pub(crate) streams_reconnected: Counter,
     limits: Mutex<Vec<LimitUsage>>,
@@ -117,6 +121,8 @@
             queue_time: DurationHistogram::default(),
             ttfb: DurationHistogram::default(),
             credit_reports: Counter::default(),
+            share_reports: Counter::default(),
+            over_share: Counter::default(),
             streams_reconnected: Counter::default(),
             limits: Mutex::default(),
             retries: Mutex::default(),
@@ -175,6 +181,8 @@
         let reconnects = self.streams_reconnected.value();
         write_sample(&mut text, "citronrill_streams_reconnected_total", "", reconnects);
         write_sample(&mut text, "citronrill_credit_reports_total", "", self.credit_reports.value());
+        write_sample(&mut text, "citronrill_share_reports_total", "", self.share_reports.value());
+        write_sample(&mut text, "citronrill_over_share_total", "", self.over_share.value());
         let limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
         for usage in limits.iter() {
             let label = format!("{{org=\"{}\"}}", usage.organisation);
--- a/crates/gateway/src/side/entries.rs
+++ b/crates/gateway/src/side/entries.rs
@@ -151,6 +151,7 @@
         PoolKind::Usage(usage) => SideEvent::Usage(usage),
         PoolKind::Suspects(message) => SideEvent::Suspects(link, message),
         PoolKind::Streams(message) => SideEvent::Streams(link, message),
+        PoolKind::Shares(message) => SideEvent::Shares(link, message),
         PoolKind::CreditReport(report) => SideEvent::CreditReport(link, report),
         PoolKind::ConfigVersion(config) => {
             context.transfer.send_event(ConfigFetchEvent::Offered(link, config.version));
--- a/crates/gateway/src/side/mod.rs
+++ b/crates/gateway/src/side/mod.rs
@@ -37,6 +37,8 @@
     configs: Counter,
     /// Replies to entries' reports on limits.
     credit_replies: Counter,
+    /// Replies to entries' reports on shares.
+    share_replies: Counter,
     logs: Arc<LogStats>,
 }
 
@@ -49,6 +51,8 @@
         write_sample(&mut text, "citronrill_texts_total", "", self.configs.value());
         let replies = self.credit_replies.value();
         write_sample(&mut text, "citronrill_credit_replies_total", "", replies);
+        let replies = self.share_replies.value();
+        write_sample(&mut text, "citronrill_share_replies_total", "", replies);
         write_log_counts(&mut text, &self.logs);
         text
     }
@@ -74,6 +78,7 @@
         load_requests: Counter::default(),
         configs: Counter::default(),
         credit_replies: Counter::default(),
+        share_replies: Counter::default(),
         logs,
     });
     let connections = Arc::new(EntryConnections::default());
@@ -194,6 +199,11 @@
                 self.connections.send(link, PoolKind::CreditReply(reply));
                 return;
             }
+            SideEffect::Shares(link, message) => {
+                self.metrics.share_replies.increment();
+                self.connections.send(link, PoolKind::Shares(message));
+                return;
+            }
             SideEffect::Log(event) => {
                 let now_ms = self.start.elapsed().as_millis() as u64;
                 if self.log_limit.allow(event.event, now_ms) {
--- a/crates/gateway/src/sides.rs
+++ b/crates/gateway/src/sides.rs
@@ -242,6 +242,7 @@
                 self.events.send(EntryEvent::Suspects(endpoint, message))
             }
             PoolKind::Streams(message) => self.events.send(EntryEvent::Streams(endpoint, message)),
+            PoolKind::Shares(message) => self.events.send(EntryEvent::Shares(endpoint, message)),
             PoolKind::CreditReply(reply) => self.events.send(EntryEvent::Credit(endpoint, reply)),
             PoolKind::ProbeReply(_) => self.events.send(EntryEvent::ProbeReply(endpoint)),
             PoolKind::LoadRequest(_)
--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -116,6 +116,8 @@
     pub(crate) tracks_suspects: bool,
     /// Whether the side issues credit for organisations' limits.
     pub(crate) issues_credit: bool,
+    /// Whether the side divides organisations' shares.
+    pub(crate) divides_shares: bool,
     /// Whether the side keeps the software versions at which streams began.
     pub(crate) tracks_streams: bool,
     /// Number of entries that the side knows of.
@@ -287,6 +289,11 @@
         }
     }
 
+    /// Returns the milliseconds since the load was last reported.
+    pub(crate) fn load_age_ms(&self, now: Millis) -> u64 {
+        now.since(self.load_at)
+    }
+
     /// Returns the load as a fraction of the slots.
     pub(crate) fn load_ratio(&self) -> f64 {
         f64::from(self.load()) / f64::from(self.member.slots.max(1))
--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -87,6 +87,8 @@
         }
         let allowed = arrival.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
         let idle_timeout = idle_timeout_ms(route).unwrap_or(allowed);
+        let name = organisation.map(|organisation| organisation.name.clone());
+        let over_share = self.count_share(service, name.as_ref(), route.rank);
         Ok(Request {
             caller_id: arrival.caller_id.clone(),
             caller: arrival.caller,
@@ -96,7 +98,8 @@
             retry_policy: route.retry_policy,
             priority: Priority::new(organisation, route),
             limited: LimitedUse::new(organisation, arrival.tokens),
-            organisation: organisation.map(|organisation| organisation.name.clone()),
+            organisation: name,
+            over_share,
             max_attempts: route.max_attempts.max(1),
             target_ms: route.target_ms,
             model: model.to_owned(),
@@ -110,6 +113,7 @@
             idle_deadline: self.now + allowed.min(idle_timeout),
             stage: Stage::Waiting,
             sent_at: self.now,
+            queue_rounds: 1.0,
             head_ms: 0,
             instance: None,
             tried: Vec::new(),
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -75,7 +75,14 @@
     /// Selects the best endpoint for `request`, or what to do instead.
     pub(super) fn choose(&self, request: &Request) -> Choice {
         let runs = self.service_runs(&request.service);
-        let best = self.best_endpoint(request, runs, |endpoint| self.permits(endpoint));
+        let over = self.over_share(request);
+        let best = self.best_endpoint(request, runs, |endpoint| {
+            self.permits(endpoint) && (!over || self.has_free_slot(endpoint))
+        });
+        if over && (best.is_none() || self.within_share_waits(request)) {
+            let any = self.best_endpoint(request, runs, |endpoint| self.permits(endpoint));
+            return any.map_or_else(|| self.choice_without_endpoint(request), |_| Choice::Full);
+        }
         let full = match request.required {
             Some(_) if request.is_late(self.now) => LATE_FULL,
             Some(_) => ENGINE_FULL,
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -58,6 +58,7 @@
         endpoint.own_requests += 1;
         endpoint.load += 1;
         endpoint.unreported += 1;
+        request.queue_rounds = endpoint.load_ratio().max(1.0);
         request.stage = Stage::Sent;
         request.has_progress = false;
         request.sent_at = now;
@@ -90,6 +91,7 @@
             .with("copy", copy)
             .with("list", self.pool.list_version)
             .with("sequence", endpoint.inventory.sequence);
+        let event = request.mark_over_share(event);
         if request.required.is_some() {
             let (model, adapter) = (request.model.clone(), request.adapter.clone());
             let usage = UsageReport { model, adapter, missed: false };
@@ -145,6 +147,7 @@
             endpoint.liveness.record_traffic(now);
             if let Some(load) = head.load {
                 endpoint.set_load(load.requests(), now);
+                request.queue_rounds = endpoint.load_ratio().max(1.0);
                 self.paced.record(&endpoint.member.service, load);
             }
             if verdict == Verdict::Forward {
@@ -269,6 +272,7 @@
         self.release(id);
         if let Some(request) = self.requests.remove(&id) {
             self.cancel_retry(&request);
+            self.record_occupancy(&request, end);
             // An error response does not show that anything began to run.
             if end == ResponseEnd::Complete && request.succeeded {
                 self.clear_suspect(&request);
@@ -332,6 +336,7 @@
         let reason = if contradicts { Reason::Broken } else { reason };
         let retry_ms = self.retry_after(reason, &request);
         self.return_credit(&request, reason);
+        self.record_share_refusal(&request, reason);
         let (holders, copies, loading) =
             request.base.map_or((0, 0, 0), |base| self.availability(base));
         let first_attempt = request.first_attempt.clone().unwrap_or_default();
@@ -341,6 +346,7 @@
             Some(cause) => event.with(cause.field(), cause),
             None => event,
         };
+        let event = request.mark_over_share(event);
         self.log(
             event
                 .with("reason", reason.as_str())
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -65,6 +65,7 @@
     limits::{CreditLedger, LimitUsage, RecentPeak, RetryBudget},
     pool::Pool,
     prompt::PromptPart,
+    shares::ShareAccount,
     software::{SoftwareKey, StreamKey},
     store_version::StoreVersion,
 };
@@ -110,6 +111,8 @@
     service: String,
     /// The organisation that it belongs to; `None` if its route needs no key.
     organisation: Option<Arc<str>>,
+    /// Whether it is beyond its organisation's fair share of its service, as decided at its arrival.
+    over_share: bool,
     /// What it takes of its organisation's limit; `None` if there is no limit.
     limited: Option<LimitedUse>,
     retry_policy: RetryPolicy,
@@ -133,6 +136,9 @@
     stage: Stage,
     /// Time of the last dispatch.
     sent_at: Millis,
+    /// Requests for each slot of its endpoint as it states with its response, or else as known at the last
+    /// dispatch; at least 1.
+    queue_rounds: f64,
     /// Milliseconds from the last dispatch to the response head.
     head_ms: u64,
     /// Instance that the request is dispatched to; `None` while it waits.
@@ -219,9 +225,10 @@
     }
 
     /// Returns the scheduling key among requests with the same requirements: by priority, then
-    /// those first that can still meet their latency objective.
-    fn schedule_key(&self, now: Millis) -> (Priority, bool) {
-        (self.priority, self.is_late(now))
+    /// those first that are within their organisation's share, then those that can still meet their
+    /// latency objective.
+    fn schedule_key(&self, now: Millis) -> (Priority, bool, bool) {
+        (self.priority, self.over_share, self.is_late(now))
     }
 
     /// Returns whether the request has waited for a slot for the maximum time.
@@ -236,7 +243,7 @@
 
     /// Returns the priority in the endpoint's queue, 0 first.
     fn urgency(&self, now: Millis) -> u8 {
-        self.priority.urgency(self.is_late(now))
+        self.priority.urgency(self.is_late(now) || self.over_share)
     }
 
     /// Returns the refusal reason for a request that can wait no longer: its deadline has passed,
@@ -283,6 +290,9 @@
     suspects: Suspects,
     streams: StreamTracker,
     ledger: CreditLedger,
+    shares: ShareAccount,
+    /// When shares are checked next.
+    share_check: Millis,
     paced: PacedServices,
     stop: Option<Stop>,
     effects: Vec<EntryEffect>,
@@ -293,6 +303,8 @@
     pub fn new(profile: EntryProfile) -> PoolEntry {
         PoolEntry {
             ledger: CreditLedger::new(profile.limits),
+            shares: ShareAccount::new(profile.seed),
+            share_check: Millis(0),
             profile,
             now: Millis(0),
             started: None,
@@ -357,6 +369,7 @@
             EntryEvent::Suspects(address, message) => self.handle_suspects(address, message),
             EntryEvent::Streams(address, message) => self.handle_streams(address, &message),
             EntryEvent::Credit(address, reply) => self.apply_credit(address, &reply),
+            EntryEvent::Shares(address, message) => self.handle_shares(address, &message),
             EntryEvent::QuarantineRead(update) => self.apply_quarantine(&update),
             EntryEvent::EndpointChecked(address, check) => self.endpoint_checked(address, check),
             EntryEvent::LoadDeclined(address, name) => self.record_decline(address, &name),
@@ -388,6 +401,7 @@
             EntryEvent::Tick => self.tick(),
         }
         self.report_use();
+        self.report_shares();
         std::mem::take(&mut self.effects)
     }
 
@@ -401,6 +415,7 @@
         self.log(LogEvent::new("text").with("version", config.version).with("old", old_version));
         let services = config.services.iter().map(|service| service.name.clone()).collect();
         self.config = Some(config);
+        self.retain_shares();
         let outcome = self.pool.set_services(services, &mut self.names, self.now);
         self.handle_membership(outcome);
         self.update_sides();
--- a/crates/pool/src/entry/priority.rs
+++ b/crates/pool/src/entry/priority.rs
@@ -22,6 +22,11 @@
         Priority { organisation: own.unwrap_or(0), route: route.rank, organised: own.is_some() }
     }
 
+    /// Returns the rank of the route, 0 first.
+    pub(super) fn route(self) -> u8 {
+        self.route
+    }
+
     /// Returns the priority in an endpoint's queue, 0 first. Each priority has two levels, on time and
     /// late; where organisations have priorities, the least urgent routes of one share its last level.
     pub(super) fn urgency(self, late: bool) -> u8 {
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -7,8 +7,8 @@
 
 use citronrill_decide::LogEvent;
 use citronrill_wire::{
-    CreditReply, CreditReport, LoadRequest, ModelName, SideState, StreamMessage, SuspectMessage,
-    SuspectRecord, SuspectUpdate, UsageReport,
+    CreditReply, CreditReport, LoadRequest, ModelName, ShareMessage, SideState, StreamMessage,
+    SuspectMessage, SuspectRecord, SuspectUpdate, UsageReport,
 };
 
 use super::crashes::EndpointCheck;
@@ -177,6 +177,8 @@
     Credit(SocketAddr, CreditReply),
     /// The side of the endpoint at this address sent a message about streams.
     Streams(SocketAddr, StreamMessage),
+    /// The side of the endpoint at this address sent a message about shares.
+    Shares(SocketAddr, ShareMessage),
     /// The quarantined requests were read from the platform store.
     QuarantineRead(SuspectUpdate),
     /// The endpoint at this address was checked.
@@ -371,6 +373,8 @@
     Streams(SocketAddr, StreamMessage),
     /// Send a report on limits to the side of the endpoint at this address.
     CreditReport(SocketAddr, CreditReport),
+    /// Send a message about shares to the side of the endpoint at this address.
+    Shares(SocketAddr, ShareMessage),
     /// Write a quarantined request to the platform store.
     SaveQuarantined(SuspectRecord),
     /// Check whether the process of the endpoint at this address accepts connections.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -29,6 +29,7 @@
 mod rate;
 mod rewrite;
 mod server_load;
+mod shares;
 mod side;
 mod software;
 mod store_version;
@@ -58,6 +59,7 @@
     organisation::{KeyDigest, LimitUnit, Organisation, Organisations, UsageLimit},
     prompt::PromptPart,
     server_load::{Pace, ServerLoad},
+    shares::{ShareAccount, ShareChange, ShareDivider, water_level},
     side::{
         EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
     },
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -420,6 +420,7 @@
             store_concurrent: state.store_concurrent,
             tracks_suspects: state.tracks_suspects,
             issues_credit: state.issues_credit,
+            divides_shares: state.divides_shares,
             tracks_streams: state.tracks_streams,
             known_entries: state.known_entries,
             missed,
--- a/crates/pool/src/side/credit.rs
+++ b/crates/pool/src/side/credit.rs
@@ -27,6 +27,7 @@
     pub(super) fn entry_lost(&mut self, link: EntryLink, silent: bool) {
         self.forget_entry(link);
         self.limits.issuer.remove(link);
+        self.shares.remove(link);
         if let Some(ip) = self.limits.addresses.remove(&link) {
             self.limits.roster.remove(ip, silent, self.now);
         }
--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -11,6 +11,7 @@
 mod orders;
 mod plan;
 mod report;
+mod shares;
 mod streams;
 mod suspects;
 mod types;
@@ -38,6 +39,7 @@
     limits::LimitBounds,
     member::full_name,
     rate::Rate,
+    shares::ShareDivider,
 };
 
 /// Milliseconds between polls of the endpoint while an order is in progress: a load takes
@@ -122,6 +124,7 @@
     streams: StreamRegistry,
     suspects: SuspectRegistry,
     limits: Limits,
+    shares: ShareDivider,
     effects: Vec<SideEffect>,
 }
 
@@ -154,6 +157,7 @@
             published: None,
             suspects: SuspectRegistry::default(),
             limits: Limits::default(),
+            shares: ShareDivider::default(),
             streams: StreamRegistry::default(),
             effects: Vec::new(),
         }
@@ -195,6 +199,7 @@
             SideEvent::EntryConnected(link, ip) => self.entry_connected(link, ip),
             SideEvent::EntryLost(link, silent) => self.entry_lost(link, silent),
             SideEvent::CreditReport(link, report) => self.issue_credit(link, &report),
+            SideEvent::Shares(link, message) => self.handle_shares(link, message),
             SideEvent::Suspects(link, message) => self.handle_suspects(link, message),
             SideEvent::Streams(link, message) => self.handle_streams(link, message),
             SideEvent::Tick => {}
@@ -462,6 +467,7 @@
             store_concurrent: late.map_or(self.store_concurrent, |issued| issued.concurrent),
             tracks_suspects: true,
             issues_credit: true,
+            divides_shares: true,
             tracks_streams: true,
             known_entries: self.known_entries(),
             leaving: report.leaving,
--- a/crates/pool/src/side/types.rs
+++ b/crates/pool/src/side/types.rs
@@ -4,8 +4,8 @@
 
 use citronrill_decide::LogEvent;
 use citronrill_wire::{
-    CreditReply, CreditReport, LoadRequest, ModelName, SideState, StreamMessage, SuspectMessage,
-    UsageReport,
+    CreditReply, CreditReport, LoadRequest, ModelName, ShareMessage, SideState, StreamMessage,
+    SuspectMessage, UsageReport,
 };
 
 use crate::{config::ServingConfig, incarnation::StartTime, member::HeldModel};
@@ -120,6 +120,8 @@
     EntryLost(EntryLink, bool),
     /// An entry reported what it uses of organisations' limits.
     CreditReport(EntryLink, CreditReport),
+    /// An entry sent a message about shares.
+    Shares(EntryLink, ShareMessage),
     /// An entry sent a message about suspects.
     Suspects(EntryLink, SuspectMessage),
     /// An entry sent a message about streams.
@@ -147,6 +149,8 @@
     Streams(EntryLink, StreamMessage),
     /// Send one entry a reply to its report on limits.
     Credit(EntryLink, CreditReply),
+    /// Send one entry a message about shares.
+    Shares(EntryLink, ShareMessage),
     /// Write a log line.
     Log(LogEvent),
 }
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod preload;
 mod resume;
 mod retry_budget;
+mod shares;
 mod side;
 mod simulated_loads;
 mod simulation;
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -518,6 +518,11 @@
                 let event = SideEvent::CreditReport(EntryLink(entry as u64), report);
                 self.after_hop(SimEvent::SideInput(side, event));
             }
+            EntryEffect::Shares(address, message) => {
+                let side = self.engine_at(address);
+                let event = SideEvent::Shares(EntryLink(entry as u64), message);
+                self.after_hop(SimEvent::SideInput(side, event));
+            }
             EntryEffect::CheckEndpoint(address) => {
                 let engine = self.engine_at(address);
                 self.after_hop(SimEvent::EndpointCheck(engine, entry));
@@ -594,6 +599,10 @@
                     let event = EntryEvent::Credit(address(side as u8), reply);
                     self.after_hop(SimEvent::entry_input(link.0 as usize, event));
                 }
+                SideEffect::Shares(link, message) => {
+                    let event = EntryEvent::Shares(address(side as u8), message);
+                    self.after_hop(SimEvent::entry_input(link.0 as usize, event));
+                }
                 SideEffect::Log(_) => {}
             }
         }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod frames;
 mod handshake;
 mod pool;
+mod shares;
 mod streams;
 mod suspects;
 
@@ -27,6 +28,10 @@
         ModelName, ModelRate, ModelState, PoolFrame, PoolKind, Probe, ProbeReply, SideState,
         Snapshot, UsageReport,
     },
+    shares::{
+        OrganisationDemand, OverShare, ServiceDemand, ServiceShares, ShareKind, ShareMessage,
+        ShareReply, ShareReport,
+    },
     streams::{StreamKind, StreamMessage, StreamOrigin, StreamQuery, StreamReply, StreamsBegun},
     suspects::{
         CrashRecord, QuarantineRow, SuspectCleared, SuspectKind, SuspectMessage, SuspectRecord,
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     credit::{CreditReply, CreditReport, EndpointLimit},
+    shares::ShareMessage,
     streams::StreamMessage,
     suspects::SuspectMessage,
 };
@@ -12,7 +13,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PoolFrame {
     /// The message.
-    #[prost(oneof = "PoolKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
+    #[prost(oneof = "PoolKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 17")]
     pub kind: Option<PoolKind>,
 }
 
@@ -64,6 +65,10 @@
     /// whose state says that it tracks them, and for an entry that has sent one.
     #[prost(message, tag = "15")]
     Streams(StreamMessage),
+    /// A message about organisations' shares of services, in either direction. Only for a side whose state
+    /// says that it divides them, and for an entry that has sent one.
+    #[prost(message, tag = "17")]
+    Shares(ShareMessage),
 }
 
 /// A liveness probe.
@@ -307,6 +312,9 @@
     /// Whether the endpoint has told its side that it leaves.
     #[prost(bool, tag = "28")]
     pub leaving: bool,
+    /// Whether the side understands [`PoolKind::Shares`].
+    #[prost(bool, tag = "30")]
+    pub divides_shares: bool,
 }
 
 /// One loaded model of an endpoint.
