--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -425,10 +425,7 @@
             }
             EntryEffect::Shares(address, message) => {
                 self.metrics.share_reports.increment();
-                self.send_to_sides(SideCommand::Send(
-                    address,
-                    Box::new(PoolKind::Shares(message)),
-                ));
+                self.send_to_sides(SideCommand::Send(address, Box::new(PoolKind::Shares(message))));
             }
             EntryEffect::SaveQuarantined(record) => {
                 self.metrics.quarantined.increment();
--- a/crates/pool/src/entry/shares.rs
+++ b/crates/pool/src/entry/shares.rs
@@ -201,11 +201,7 @@
 }
 
 /// Returns the slots of the endpoints of a service that take requests.
-fn slots<'a>(
-    endpoints: impl Iterator<Item = &'a Endpoint>,
-    service: &str,
-    now: Millis,
-) -> u32 {
+fn slots<'a>(endpoints: impl Iterator<Item = &'a Endpoint>, service: &str, now: Millis) -> u32 {
     let usable = endpoints.filter(|endpoint| {
         endpoint.member.service == service
             && endpoint.accepts_requests()
--- a/crates/pool/src/shares/account.rs
+++ b/crates/pool/src/shares/account.rs
@@ -5,7 +5,7 @@
 use citronrill_base::{Map, Millis, hash_bytes};
 use citronrill_wire::{OrganisationDemand, ServiceDemand, ServiceShares, ShareReply, ShareReport};
 
-use super::level::{Demand, Rest, divide};
+use super::level::{Demand, RATE_DECAY_MS, Rest, divide};
 use crate::{decaying_count::DecayingCount, organisation::Organisations};
 
 /// Milliseconds between two reports while a service is short of room.
@@ -16,13 +16,11 @@
 const SHORT_MS: u64 = 1_000;
 /// Milliseconds without a reply after which an entry divides its own room alone.
 const ALONE_MS: u64 = 1_500;
-/// Decay time of the rate of arrivals, in milliseconds: two report intervals.
-const RATE_DECAY_MS: f64 = 500.0;
 /// Milliseconds after its last request for which an organisation is remembered.
 const FORGET_MS: u64 = 60_000;
 /// Largest number of organisations that a report lists for a service.
 const MAX_LISTED: usize = 64;
-/// Arrivals a second below which an organisation counts as without any: one request, 2.5 s ago.
+/// Arrivals a second below which an organisation counts as without any: one request, 1.5 s ago.
 const MIN_RATE: f64 = 0.01;
 /// Weight of the latest request in the average time for which a request occupies a slot.
 const OCCUPANCY_WEIGHT: f64 = 0.05;
@@ -68,6 +66,8 @@
     /// Milliseconds for which a request occupies a slot; `None` until one has ended.
     occupancy_ms: Option<f64>,
     short_at: Option<Millis>,
+    /// Whether it is short of room at any entry, by the last reply.
+    told_short: bool,
     /// Parts of their requests that are within the share, of organisations that are over it.
     parts: Map<Arc<str>, f64>,
 }
@@ -247,7 +247,8 @@
 
     /// Returns whether a report is due: earlier while a service is short of room.
     pub fn report_due(&self, now: Millis) -> bool {
-        let short = self.services.values().any(|account| account.is_short(now));
+        let short =
+            self.services.values().any(|account| account.told_short || account.is_short(now));
         let interval_ms = if short { SHORT_REPORT_MS } else { REPORT_MS };
         self.divider.is_some() && self.sent_at.is_none_or(|at| now.since(at) >= interval_ms)
     }
@@ -286,6 +287,7 @@
         }
         for (service, account) in &mut self.services {
             let shares = reply.services.iter().find(|shares| shares.service == *service);
+            account.told_short = shares.is_some();
             let parts = shares.map(|shares| known_parts(shares, organisations));
             account.set_parts(service, parts.unwrap_or_default(), &mut self.changes);
         }
@@ -309,13 +311,15 @@
             self.changes.push(ShareChange::Alone(silent_ms));
         }
         for (service, account) in &mut self.services {
+            account.told_short = false;
             let mut parts = Map::default();
             let capacity = account.capacity(slots(service)) / f64::from(entries.max(1));
             if account.is_short(now) && capacity > 0.0 {
                 let (named, rest) = account.demands(now);
                 let demand = |(name, rate): (Arc<str>, f64)| {
                     let priority = organisations.named(&name)?.priority.unwrap_or(0);
-                    Some(Demand { name, priority, rate })
+                    let was_over = account.parts.contains_key(&name);
+                    Some(Demand { name, priority, rate, was_over })
                 };
                 let demands = named.into_iter().filter_map(demand).collect::<Vec<_>>();
                 parts.extend(divide(&demands, rest, capacity));
--- a/crates/pool/src/shares/divider.rs
+++ b/crates/pool/src/shares/divider.rs
@@ -97,9 +97,15 @@
         let short = sums.into_iter().filter(|(_, sum)| sum.short);
         let shares = short.map(|(service, sum)| ServiceShares {
             service: service.to_owned(),
-            over: sum.divide(&priorities),
+            over: sum.divide(&priorities, self.over_names(service)),
         });
-        shares.filter(|shares| !shares.over.is_empty()).collect()
+        shares.collect()
+    }
+
+    /// Returns the organisations that were over their share of a service at the last division.
+    fn over_names(&self, service: &str) -> BTreeSet<&str> {
+        let shares = self.services.iter().filter(|shares| shares.service == service);
+        shares.flat_map(|shares| &shares.over).map(|over| over.name.as_str()).collect()
     }
 
     fn sums(&self) -> BTreeMap<&str, ServiceSum> {
@@ -133,7 +139,7 @@
     }
 
     /// Returns the organisations over their share. Those that the configuration does not have are dropped.
-    fn divide(mut self, priorities: &Map<&str, u8>) -> Vec<OverShare> {
+    fn divide(mut self, priorities: &Map<&str, u8>, was_over: BTreeSet<&str>) -> Vec<OverShare> {
         // The median: an entry that has run few requests knows little of the capacity.
         self.capacities.sort_unstable();
         let Some(capacity) = self.capacities.get(self.capacities.len() / 2) else {
@@ -141,7 +147,8 @@
         };
         let demands = self.rates.into_iter().filter_map(|(name, milli)| {
             let priority = *priorities.get(&*name)?;
-            Some(Demand { name, priority, rate: milli as f64 / MILLI })
+            let was_over = was_over.contains(&*name);
+            Some(Demand { name, priority, rate: milli as f64 / MILLI, was_over })
         });
         let demands = demands.collect::<Vec<_>>();
         let over = divide(&demands, self.rest, *capacity as f64 / MILLI);
--- a/crates/pool/src/shares/level.rs
+++ b/crates/pool/src/shares/level.rs
@@ -2,9 +2,15 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-/// Part of a service's capacity that shares are divided from. A queue that is offered all of its capacity
-/// grows without bound; requests over the shares use what is left.
-const DIVIDED_PART: f64 = 0.95;
+/// Part of a service's capacity that shares are divided from. Queues that formed before the level was known
+/// shrink by the rest, which requests over the shares use otherwise.
+const DIVIDED_PART: f64 = 0.9;
+
+/// Decay time of the rate of arrivals, in milliseconds: the shorter report interval.
+pub(super) const RATE_DECAY_MS: f64 = 250.0;
+/// Standard deviations by which the rate of an organisation must exceed the level before it counts as over
+/// it: the number of arrivals varies by chance, above all that of a small organisation.
+const DEVIATIONS: f64 = 2.0;
 
 /// Returns the level at which demands share `capacity` max-min fairly: those up to the level get all that
 /// they ask for, the others the level. Returns `None` if there is enough for all.
@@ -30,6 +36,18 @@
     /// 0 is the most urgent.
     pub(super) priority: u8,
     pub(super) rate: f64,
+    /// Whether it was over its share at the last division.
+    pub(super) was_over: bool,
+}
+
+impl Demand {
+    /// Returns whether it asks for more than `level`.
+    fn exceeds(&self, level: f64) -> bool {
+        // Of a Poisson process, observed over the decay time.
+        let deviation = (self.rate * 1_000.0 / (2.0 * RATE_DECAY_MS)).sqrt();
+        let margin = if self.was_over { 0.0 } else { DEVIATIONS * deviation };
+        self.rate > level + margin
+    }
 }
 
 /// Demand of callers that are not listed one by one; it is never over a share.
@@ -63,7 +81,7 @@
         let rates = class.iter().map(|demand| demand.rate);
         let level = water_level(rates.clone().chain(others), left);
         if let Some(level) = level {
-            let above = class.iter().filter(|demand| demand.rate > level);
+            let above = class.iter().filter(|demand| demand.exceeds(level));
             over.extend(above.map(|demand| (demand.name.clone(), level / demand.rate)));
         }
         left = (left - rates.sum::<f64>() - rate).max(0.0);
--- a/crates/pool/tests/all/shares/fleet.rs
+++ b/crates/pool/tests/all/shares/fleet.rs
@@ -12,6 +12,7 @@
     Organisation, PoolEntry, PoolSide, Reason, RequestId, ResponseEnd, ResponseHead, ServerLoad,
     ServingConfig, SideEffect, SideEvent, SideLoss,
 };
+use citronrill_wire::ShareKind;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::support::{
@@ -25,9 +26,11 @@
 const WORK_MS: u64 = 30;
 const HOP_MS: u64 = 1;
 const TICK_MS: u64 = 20;
+/// Milliseconds that callers wait.
+const PATIENCE_MS: u64 = 60_000;
 /// Requests a second that the endpoints serve.
 pub(crate) const CAPACITY: f64 = (ENDPOINTS * SLOTS) as f64 * 1_000.0 / WORK_MS as f64;
-/// Milliseconds from a cut until an entry notices it.
+/// Milliseconds until the member list shows that an endpoint is gone.
 const NOTICE_MS: u64 = 400;
 
 /// How the fleet divides shares.
@@ -48,6 +51,8 @@
     pub(crate) served: u64,
     pub(crate) full: u64,
     pub(crate) other: u64,
+    /// Longest time from an arrival to its response, in milliseconds.
+    pub(crate) slowest_ms: u64,
 }
 
 enum Happening {
@@ -75,8 +80,16 @@
     pub(crate) now: u64,
     pub(crate) rng: SmallRng,
     pub(crate) tallies: Vec<Tally>,
+    /// Requests refused `full` that had arrived before the tallies were last taken, by organisation.
+    pub(crate) full_before: Vec<u64>,
+    /// When the tallies were last taken.
+    taken_at: u64,
     /// Share messages of entries.
     pub(crate) reports: u64,
+    /// Largest number of organisations that a report lists for a service.
+    pub(crate) longest_report: usize,
+    /// The side that the last report went to.
+    last_divider: usize,
     mode: Mode,
     config: Arc<ServingConfig>,
     entries: Vec<PoolEntry>,
@@ -85,7 +98,8 @@
     workers: Vec<Worker>,
     agenda: BTreeMap<(u64, u64), Happening>,
     next: u64,
-    owners: BTreeMap<RequestId, usize>,
+    /// The organisation and the arrival of each request.
+    owners: BTreeMap<RequestId, (usize, u64)>,
 }
 
 pub(crate) fn organisations(count: usize) -> Vec<Organisation> {
@@ -93,19 +107,20 @@
 }
 
 impl Fleet {
-    pub(crate) fn new(entries: usize, orgs: usize, mode: Mode) -> Fleet {
-        Fleet::with(entries, organisations(orgs), mode)
-    }
-
-    pub(crate) fn with(entries: usize, list: Vec<Organisation>, mode: Mode) -> Fleet {
-        let tallies = vec![Tally::default(); list.len()];
+    pub(crate) fn new(entries: usize, list: Vec<Organisation>, mode: Mode) -> Fleet {
+        let count = list.len();
+        let tallies = vec![Tally::default(); count];
         let mut fleet = Fleet {
             now: 1_000,
             rng: SmallRng::seed_from_u64(17),
             tallies,
+            full_before: vec![0; count],
+            taken_at: 0,
             reports: 0,
+            longest_report: 0,
+            last_divider: 0,
             mode,
-            config: with_organisations(1, list),
+            config: patient(1, list),
             entries: Vec::new(),
             sides: (0..2).map(|_| PoolSide::new(ENGINE)).collect(),
             side_up: vec![true; 2],
@@ -128,6 +143,11 @@
         fleet
     }
 
+    pub(crate) fn with_seed(mut self, seed: u64) -> Fleet {
+        self.rng = SmallRng::seed_from_u64(seed);
+        self
+    }
+
     fn start_side(&mut self, side: usize, entries: usize) {
         self.sides[side] = PoolSide::new(ENGINE);
         self.step_side(side, SideEvent::Config(self.config.clone()));
@@ -152,8 +172,7 @@
     /// Replaces an entry by a new one that knows nothing.
     pub(crate) fn restart_entries(&mut self) {
         for entry in 0..self.entries.len() {
-            let profile =
-                EntryProfile { seed: entry as u64 * 7_919, contended: true, ..profile() };
+            let profile = EntryProfile { seed: entry as u64 * 7_919, contended: true, ..profile() };
             self.entries[entry] = PoolEntry::new(profile);
             self.set_up_entry(entry);
             for side in 0..self.sides.len() {
@@ -179,7 +198,7 @@
 
     /// Replaces the configuration at all processes.
     pub(crate) fn configure(&mut self, list: Vec<Organisation>) {
-        self.config = with_organisations(self.config.version + 1, list);
+        self.config = patient(self.config.version + 1, list);
         for side in 0..self.sides.len() {
             self.step_side(side, SideEvent::Config(self.config.clone()));
         }
@@ -205,6 +224,8 @@
     /// Returns the tallies since the last call.
     pub(crate) fn take(&mut self) -> Vec<Tally> {
         let count = self.tallies.len();
+        self.taken_at = self.now;
+        self.full_before.fill(0);
         std::mem::replace(&mut self.tallies, vec![Tally::default(); count])
     }
 
@@ -212,14 +233,19 @@
         self.entries.iter().map(PoolEntry::over_share_requests).sum()
     }
 
+    /// Returns the side that divides shares.
+    pub(crate) fn divider(&self) -> usize {
+        self.last_divider
+    }
+
     fn request(&mut self, entry: usize, org: usize) {
         self.next += 1;
         let id = RequestId(self.next);
-        self.owners.insert(id, org);
+        self.owners.insert(id, (org, self.now));
         self.tallies[org].arrived += 1;
         let path = if self.next.is_multiple_of(5) { "/status/x" } else { "/book/x" };
         let key = Some(KeyDigest(org as u128));
-        let arrival = Arrival { key, deadline_ms: Some(1_500), ..arrival(id.0, path, "") };
+        let arrival = Arrival { key, deadline_ms: Some(PATIENCE_MS), ..arrival(id.0, path, "") };
         self.step_entry(entry, EntryEvent::RequestArrived(arrival));
     }
 
@@ -257,15 +283,26 @@
                     self.after(HOP_MS, Happening::Dispatched(entry, id, dispatch));
                 }
                 EntryEffect::Refuse(id, refusal) => {
-                    let tally = &mut self.tallies[self.owners[&id]];
+                    let (org, arrived) = self.owners[&id];
+                    let tally = &mut self.tallies[org];
                     match refusal.reason {
+                        Reason::Full if arrived < self.taken_at => self.full_before[org] += 1,
                         Reason::Full => tally.full += 1,
                         _ => tally.other += 1,
                     }
                 }
-                EntryEffect::Forward(id) => self.tallies[self.owners[&id]].served += 1,
+                EntryEffect::Forward(id) => {
+                    let (org, arrived) = self.owners[&id];
+                    let tally = &mut self.tallies[org];
+                    tally.served += 1;
+                    tally.slowest_ms = tally.slowest_ms.max(self.now - arrived);
+                }
                 EntryEffect::Shares(to, message) => {
                     self.reports += 1;
+                    self.last_divider = side_at(to);
+                    let Some(ShareKind::Report(report)) = &message.kind else { panic!() };
+                    let listed = report.services.iter().map(|demand| demand.organisations.len());
+                    self.longest_report = listed.max().unwrap_or(0).max(self.longest_report);
                     if self.mode == Mode::Side {
                         let event = SideEvent::Shares(EntryLink(entry as u64), message);
                         self.after(HOP_MS, Happening::Side(side_at(to), event));
@@ -289,8 +326,7 @@
                 }
                 SideEffect::Publish(state) => {
                     for entry in 0..self.entries.len() {
-                        let event =
-                            EntryEvent::SideReport(address(side as u8), (*state).clone());
+                        let event = EntryEvent::SideReport(address(side as u8), (*state).clone());
                         self.after(HOP_MS, Happening::Entry(entry, event));
                     }
                 }
@@ -318,13 +354,14 @@
     }
 
     fn end(&mut self, index: usize, run: Run) {
+        // The load that an endpoint states includes the request that it responds to.
+        self.respond(index, run, ok());
         let worker = &mut self.workers[index];
         worker.running -= 1;
         if let Some(next) = worker.waiting.pop_front() {
             worker.running += 1;
             self.after(WORK_MS, Happening::Ended(index, next));
         }
-        self.respond(index, run, ok());
         let ended = EntryEvent::ResponseEnded(run.id, ResponseEnd::Complete);
         self.after(HOP_MS, Happening::Entry(run.entry, ended));
     }
@@ -343,6 +380,14 @@
     }
 }
 
+/// A configuration whose callers wait long enough that requests queue at the entry: the estimate of the wait
+/// there counts with streams, which occupy a slot for longer than these requests.
+fn patient(version: u64, list: Vec<Organisation>) -> Arc<ServingConfig> {
+    let mut config = (*with_organisations(version, list)).clone();
+    config.routes.iter_mut().for_each(|route| route.timeout_ms = PATIENCE_MS);
+    Arc::new(config)
+}
+
 fn side_at(at: SocketAddr) -> usize {
     (0..2).find(|side| address(*side) == at).map(usize::from).unwrap()
 }
--- a/crates/wire/src/shares.rs
+++ b/crates/wire/src/shares.rs
@@ -79,12 +79,12 @@
     /// Number of the report.
     #[prost(uint64, tag = "1")]
     pub number: u64,
-    /// The services in which organisations are over their share.
+    /// The services that are short of room at any entry.
     #[prost(message, repeated, tag = "2")]
     pub services: Vec<ServiceShares>,
 }
 
-/// The organisations over their share of one service.
+/// The organisations over their share of one service that is short of room.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct ServiceShares {
     /// The service's name.
