--- a/crates/gateway/src/sides.rs
+++ b/crates/gateway/src/sides.rs
@@ -245,6 +245,7 @@
             PoolKind::StoreLoads(message) => {
                 self.events.send(EntryEvent::StoreLoads(endpoint, message))
             }
+            PoolKind::Shares(message) => self.events.send(EntryEvent::Shares(endpoint, message)),
             PoolKind::CreditReply(reply) => self.events.send(EntryEvent::Credit(endpoint, reply)),
             PoolKind::ProbeReply(_) => self.events.send(EntryEvent::ProbeReply(endpoint)),
             PoolKind::LoadRequest(_)
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -62,6 +62,7 @@
         endpoint.load += 1;
         endpoint.unreported += 1;
         endpoint.load_view.record_dispatch();
+        request.queue_rounds = endpoint.load_ratio().max(1.0);
         request.stage = Stage::Sent;
         request.has_progress = false;
         request.sent_at = now;
@@ -99,6 +100,7 @@
             Some(wait_ms) => event.with("wait_ms", wait_ms),
             None => event,
         };
+        let event = request.mark_over_share(event);
         if request.required.is_some() {
             let (model, adapter) = (request.model.clone(), request.adapter.clone());
             let usage = UsageReport { model, adapter, missed: false };
@@ -155,6 +157,7 @@
             endpoint.liveness.record_traffic(now);
             if let Some(load) = head.load {
                 endpoint.set_load(load.requests(), now);
+                request.queue_rounds = endpoint.load_ratio().max(1.0);
             }
             if verdict == Verdict::Forward {
                 request.head_ms = now.since(request.sent_at);
@@ -282,6 +285,7 @@
         self.release(id);
         if let Some(request) = self.requests.remove(&id) {
             self.cancel_retry(&request);
+            self.record_occupancy(&request, end);
             // An error response does not show that anything began to run.
             if end == ResponseEnd::Complete && request.succeeded {
                 self.clear_suspect(&request);
@@ -349,6 +353,7 @@
         let forecast = full.then(|| self.forecast(&request)).flatten();
         let retry_ms = self.retry_after(reason, &request, forecast.as_ref());
         self.return_credit(&request, reason);
+        self.record_share_refusal(&request, reason);
         let (holders, copies, loading) =
             request.base.map_or((0, 0, 0), |base| self.availability(base));
         let first_attempt = request.first_attempt.clone().unwrap_or_default();
@@ -364,6 +369,7 @@
             }
             None => event,
         };
+        let event = request.mark_over_share(event);
         self.log(
             event
                 .with("reason", reason.as_str())
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -72,6 +72,7 @@
     limits::{CreditLedger, LimitUsage, RecentPeak, RetryBudget},
     pool::Pool,
     prompt::PromptPart,
+    shares::ShareAccount,
     software::{SoftwareKey, StreamKey},
     store_version::StoreVersion,
 };
@@ -109,6 +110,8 @@
     service: String,
     /// The organisation that it belongs to; `None` if its route needs no key.
     organisation: Option<Arc<str>>,
+    /// Whether it is beyond its organisation's fair share of its service, as decided at its arrival.
+    over_share: bool,
     /// What it takes of its organisation's limit; `None` if there is no limit.
     limited: Option<LimitedUse>,
     retry_policy: RetryPolicy,
@@ -134,6 +137,9 @@
     sent_at: Millis,
     /// How long it was expected to wait at the endpoint at its last dispatch.
     expected: WaitEstimate,
+    /// Requests for each slot of its endpoint as it states with its response, or else as known at the last
+    /// dispatch; at least 1.
+    queue_rounds: f64,
     /// Milliseconds from the last dispatch to the response head.
     head_ms: u64,
     /// Instance that the request is dispatched to; `None` while it waits.
@@ -224,7 +230,7 @@
 
     /// Returns the priority in the endpoint's queue, 0 first.
     fn urgency(&self, now: Millis) -> u8 {
-        self.priority.urgency(self.is_late(now))
+        self.priority.urgency(self.is_late(now) || self.over_share)
     }
 
     /// Returns the refusal reason for a request that can wait no longer: its deadline has passed,
@@ -272,6 +278,9 @@
     suspects: Suspects,
     streams: StreamTracker,
     ledger: CreditLedger,
+    shares: ShareAccount,
+    /// When shares are checked next.
+    share_check: Millis,
     paced: PacedServices,
     waits: WaitRecords,
     stop: Option<Stop>,
@@ -283,6 +292,8 @@
     pub fn new(profile: EntryProfile) -> PoolEntry {
         PoolEntry {
             ledger: CreditLedger::new(profile.limits),
+            shares: ShareAccount::new(profile.seed),
+            share_check: Millis(0),
             profile,
             now: Millis(0),
             started: None,
@@ -352,6 +363,7 @@
             EntryEvent::StoreLoads(address, message) => {
                 self.apply_store_reply(address, message);
             }
+            EntryEvent::Shares(address, message) => self.handle_shares(address, &message),
             EntryEvent::QuarantineRead(update) => self.apply_quarantine(&update),
             EntryEvent::EndpointChecked(address, check) => self.endpoint_checked(address, check),
             EntryEvent::LoadDeclined(address, name) => self.record_decline(address, &name),
@@ -384,6 +396,7 @@
         }
         self.report_use();
         self.report_store_loads();
+        self.report_shares();
         std::mem::take(&mut self.effects)
     }
 
@@ -397,6 +410,7 @@
         self.log(LogEvent::new("text").with("version", config.version).with("old", old_version));
         let services = config.services.iter().map(|service| service.name.clone()).collect();
         self.config = Some(config);
+        self.retain_shares();
         let outcome = self.pool.set_services(services, &mut self.names, self.now);
         self.handle_membership(outcome);
         self.update_sides();
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -31,6 +31,7 @@
 mod rate;
 mod rewrite;
 mod server_load;
+mod shares;
 mod side;
 mod software;
 mod store_queue;
@@ -65,6 +66,7 @@
     organisation::{KeyDigest, LimitUnit, Organisation, Organisations, UsageLimit},
     prompt::PromptPart,
     server_load::{Pace, ServerLoad},
+    shares::{ShareAccount, ShareChange, ShareDivider, water_level},
     side::{
         EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
     },
--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -11,6 +11,7 @@
 mod orders;
 mod plan;
 mod report;
+mod shares;
 mod store_queue;
 mod streams;
 mod suspects;
@@ -41,6 +42,7 @@
     member::full_name,
     rate::Rate,
     server_load::Pace,
+    shares::ShareDivider,
 };
 
 /// Milliseconds between polls of the endpoint while an order is in progress: a load takes
@@ -126,6 +128,7 @@
     suspects: SuspectRegistry,
     limits: Limits,
     store_queue: StoreLoads,
+    shares: ShareDivider,
     effects: Vec<SideEffect>,
 }
 
@@ -159,6 +162,7 @@
             suspects: SuspectRegistry::default(),
             limits: Limits::default(),
             store_queue: StoreLoads::default(),
+            shares: ShareDivider::default(),
             streams: StreamRegistry::default(),
             effects: Vec::new(),
         }
@@ -201,6 +205,7 @@
             SideEvent::EntryLost(link, silent) => self.entry_lost(link, silent),
             SideEvent::CreditReport(link, report) => self.issue_credit(link, &report),
             SideEvent::StoreLoads(link, message) => self.queue_store_loads(link, message),
+            SideEvent::Shares(link, message) => self.handle_shares(link, message),
             SideEvent::Suspects(link, message) => self.handle_suspects(link, message),
             SideEvent::Streams(link, message) => self.handle_streams(link, message),
             SideEvent::Tick => self.grant_store_loads(),
@@ -471,6 +476,7 @@
             store_concurrent: late.map_or(self.store_concurrent, |issued| issued.concurrent),
             tracks_suspects: true,
             issues_credit: true,
+            divides_shares: true,
             tracks_streams: true,
             known_entries: self.known_entries(),
             leaving: report.leaving,
--- a/crates/pool/src/side/types.rs
+++ b/crates/pool/src/side/types.rs
@@ -4,8 +4,8 @@
 
 use citronrill_decide::LogEvent;
 use citronrill_wire::{
-    CreditReply, CreditReport, LoadRequest, ModelName, SideState, StoreLoadMessage, StoreLoadReply,
-    StreamMessage, SuspectMessage, UsageReport,
+    CreditReply, CreditReport, LoadRequest, ModelName, ShareMessage, SideState, StoreLoadMessage,
+    StoreLoadReply, StreamMessage, SuspectMessage, UsageReport,
 };
 
 use crate::{config::ServingConfig, incarnation::StartTime, member::HeldModel, server_load::Pace};
@@ -124,6 +124,8 @@
     CreditReport(EntryLink, CreditReport),
     /// An entry sent a message about loads from the weight store.
     StoreLoads(EntryLink, StoreLoadMessage),
+    /// An entry sent a message about shares.
+    Shares(EntryLink, ShareMessage),
     /// An entry sent a message about suspects.
     Suspects(EntryLink, SuspectMessage),
     /// An entry sent a message about streams.
@@ -153,6 +155,8 @@
     Credit(EntryLink, CreditReply),
     /// Send one entry a reply about loads from the weight store.
     StoreLoads(EntryLink, StoreLoadReply),
+    /// Send one entry a message about shares.
+    Shares(EntryLink, ShareMessage),
     /// Write a log line.
     Log(LogEvent),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod frames;
 mod handshake;
 mod pool;
+mod shares;
 mod store_loads;
 mod streams;
 mod suspects;
@@ -28,6 +29,10 @@
         ModelName, ModelRate, ModelState, PoolFrame, PoolKind, Probe, ProbeReply, SideState,
         Snapshot, UsageReport,
     },
+    shares::{
+        OrganisationDemand, OverShare, ServiceDemand, ServiceShares, ShareKind, ShareMessage,
+        ShareReply, ShareReport,
+    },
     store_loads::{
         StoreLoadGrant, StoreLoadKind, StoreLoadMessage, StoreLoadReply, StoreLoadReport,
         StoreLoadSeen, StoreWant,
