Plan the places of rare models by how sizes fit

Nearly all models fit in the endpoints' memory at once, but each swap was decided alone, so that requests for rare models kept waiting for loads from disk.

Each entry computes a plan of which models stay at which endpoint from the sides' reports alone (placement_plan.rs), at most each 500 ms and only where a service is scheduled by expected wait. Another place than the planned one, and the eviction of a planned model, cost more; replicas beyond what the demand needs are added only where the plan has room; models are loaded at their planned places from memory or disk while no request waits there.

--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod load_requests;
 mod membership;
 mod placement;
+mod plan;
 mod preload;
 mod priority;
 mod replicas;
@@ -48,6 +49,7 @@
     demand::Demand,
     dispatch::MAX_DISPATCHES,
     load_requests::SentLoadRequest,
+    plan::Plans,
     preload::PreloadState,
     priority::Priority,
     resume::Losses,
@@ -284,6 +286,7 @@
     streams: StreamTracker,
     ledger: CreditLedger,
     paced: PacedServices,
+    plans: Plans,
     stop: Option<Stop>,
     effects: Vec<EntryEffect>,
 }
@@ -313,6 +316,7 @@
             suspects: Suspects::default(),
             streams: StreamTracker::default(),
             paced: PacedServices::default(),
+            plans: Plans::default(),
             stop: None,
             effects: Vec::new(),
         }
--- a/crates/pool/src/entry/placement.rs
+++ b/crates/pool/src/entry/placement.rs
@@ -52,6 +52,8 @@
     crowding: f64,
     /// Loss caused by the evictions.
     eviction_loss: f64,
+    /// What the evictions cost beyond that, because models are planned at the endpoint.
+    pub(super) plan_loss: f64,
     /// Loss of the callers of the endpoint's other models during the load.
     pub(super) delay: f64,
     pub(super) ready_ms: f64,
@@ -140,7 +142,7 @@
             spec.disk_ms
         };
         let mut ready_ms = (load_ms + side.load_eta_ms) as f64;
-        let (evictions, eviction_loss) = self.select_evictions(endpoint, load)?;
+        let (evictions, eviction_loss, plan_loss) = self.select_evictions(endpoint, load)?;
         let drains = evictions.iter().any(|key| side_rate(endpoint, *key) * RUN_S > 0.5);
         if drains {
             ready_ms += BUSY_EVICTION_MS;
@@ -154,6 +156,7 @@
         // Waiting requests lose the time until the model is loaded. Without waiting requests, only
         // the endpoint's other callers are delayed for that time.
         let crowding = CROWDING_MS * self.concentration_cost(endpoint, load.runs);
+        cost += plan_loss + self.plans.detour_ms(endpoint, model, spec);
         let background_cost = cost + delay * ready_ms / 1_000.0 + eviction_loss;
         cost += delay + ready_ms + eviction_loss + tie_break;
         Some(Place {
@@ -162,6 +165,7 @@
             background_cost,
             crowding,
             eviction_loss,
+            plan_loss,
             delay,
             ready_ms,
             from_store,
@@ -171,12 +175,12 @@
     }
 
     /// Selects the models to evict at `endpoint` to make room for a model, cheapest first, and
-    /// returns them with their total loss.
+    /// returns them with their total loss, and with what they cost beyond that because of the plan.
     fn select_evictions(
         &self,
         endpoint: &Endpoint,
         load: ModelLoad<'_>,
-    ) -> Option<(Vec<ModelKey>, f64)> {
+    ) -> Option<(Vec<ModelKey>, f64, f64)> {
         let ModelLoad { engine, spec, runs, .. } = load;
         let side = endpoint.fresh_side(self.now)?;
         let size = |key: &ModelKey| {
@@ -190,18 +194,22 @@
         let mut free = engine.weights_mb - used - adapters;
         let evictable = endpoint.inventory.models.iter().filter(|key| !side.pinned.contains(key));
         let mut order = evictable
-            .map(|key| (self.eviction_loss(*key, endpoint, runs), *key))
+            .map(|key| {
+                let loss = self.eviction_loss(*key, endpoint, runs);
+                (loss, self.plans.eviction_ms(endpoint, *key, loss, engine), *key)
+            })
             .collect::<Vec<_>>();
-        order.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let (mut evictions, mut eviction_loss) = (Vec::new(), 0.0);
+        order.sort_by(|a, b| (a.0 + a.1).total_cmp(&(b.0 + b.1)));
+        let (mut evictions, mut eviction_loss, mut plan_loss) = (Vec::new(), 0.0, 0.0);
         let mut order = order.into_iter();
         while free < spec.weights_mb {
-            let (value, key) = order.next()?;
+            let (value, plan_value, key) = order.next()?;
             free += size(&key);
             eviction_loss += value;
+            plan_loss += plan_value;
             evictions.push(key);
         }
-        Some((evictions, eviction_loss))
+        Some((evictions, eviction_loss, plan_loss))
     }
 
     /// Returns the loss of evicting `key` from `endpoint`, in milliseconds of callers' waiting.
--- a/crates/pool/src/entry/replicas.rs
+++ b/crates/pool/src/entry/replicas.rs
@@ -96,6 +96,12 @@
                 return place;
             }
         }
+        // A spare replica must not take the only place of another model.
+        let required = (held + loading) as f64 >= required_replicas(rate, engine.slots);
+        let spare = required && !overloaded;
+        if spare && !self.plans.has_room(service, key, held + loading) {
+            return None;
+        }
         let gain =
             if few { self.demand_loss(key, rate) } else { redundancy_gain(rate, held, loading)? };
         let gain = gain + self.sole_copy_loss(key, rate, spec);
@@ -125,7 +131,8 @@
     /// makes way: an unload waits for seconds until the runs of a model have ended.
     fn spread_place(&self, service: &str, name: &str, key: ModelKey) -> Option<Place> {
         let place = self.place(service, name, key, SPREAD_GAIN_MS, None)?;
-        (!place.drains && place.background_cost < SPREAD_GAIN_MS).then_some(place)
+        let cheap = place.plan_loss == 0.0 && place.background_cost < SPREAD_GAIN_MS;
+        (!place.drains && cheap).then_some(place)
     }
 
     /// Returns the milliseconds that callers lose while a model has fewer replicas than its demand
@@ -177,10 +184,15 @@
 }
 
 /// Returns the number of replicas that a busy model should have at this request rate.
-fn desired_replicas(rate: f64, slots: u32) -> f64 {
-    let replica_rate = REPLICA_RATE.min(SLOT_RATE * f64::from(slots.max(1)));
+pub(super) fn desired_replicas(rate: f64, slots: u32) -> f64 {
     let min_replicas = if rate > SPARE_RATE { SPARE_REPLICAS } else { 1.0 };
-    (rate / replica_rate).ceil().max(min_replicas)
+    required_replicas(rate, slots).max(min_replicas)
+}
+
+/// Returns the number of replicas that serve this request rate well, without spare ones.
+pub(super) fn required_replicas(rate: f64, slots: u32) -> f64 {
+    let replica_rate = REPLICA_RATE.min(SLOT_RATE * f64::from(slots.max(1)));
+    (rate / replica_rate).ceil()
 }
 
 /// Returns the expected milliseconds that one more replica saves callers while the `held` ones
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -49,6 +49,7 @@
         self.add_replicas();
         self.load_missed();
         self.preload_scarce();
+        self.follow_plans();
     }
 
     fn end_expired(&mut self) {
--- a/crates/pool/src/entry/waits.rs
+++ b/crates/pool/src/entry/waits.rs
@@ -23,7 +23,6 @@
     ///
     /// The settings call for it where organisations compete for room, and the endpoints themselves where
     /// they share their hosts: the number of their requests then says little about the wait.
-    #[allow(dead_code, reason = "the decisions that ask it follow")]
     pub(super) fn by_wait(&self, service: &str) -> bool {
         self.profile.contended || self.paced.0.contains(service)
     }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -24,6 +24,7 @@
 mod liveness;
 mod member;
 mod organisation;
+mod placement_plan;
 mod pool;
 mod prompt;
 mod rate;
@@ -56,6 +57,7 @@
     },
     member::{HeldModel, Member, MemberChange},
     organisation::{KeyDigest, LimitUnit, Organisation, Organisations, UsageLimit},
+    placement_plan::{PlacementPlan, PlanEndpoint, PlanInput, PlanModel},
     prompt::PromptPart,
     server_load::{Pace, ServerLoad},
     side::{
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod organisations;
 mod overload;
 mod placement;
+mod placement_plan;
 mod poison;
 mod poison_parts;
 mod preload;
