Compute a plan anew for each configuration

The plan kept its last input when the configuration changed. With other models of the same sizes in their places, the input looked unchanged, and the plan still named the old ones. Found by reading; no test.

--- a/crates/pool/src/entry/plan.rs
+++ b/crates/pool/src/entry/plan.rs
@@ -139,7 +139,8 @@
             let keys = engine.models.iter().map(|model| self.names.intern(&model.name));
             let keys = keys.collect::<Vec<_>>();
             let index = keys.iter().enumerate().map(|(index, key)| (*key, index as u16)).collect();
-            *plan = ServicePlan { version, keys, index, ..std::mem::take(plan) };
+            let input = PlanInput::default();
+            *plan = ServicePlan { version, keys, index, input, ..std::mem::take(plan) };
         }
         plan.next_at = now + RENEW_MS;
         self.note_usable(&service.name);
