--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod load_requests;
 mod membership;
 mod placement;
+mod plan;
 mod preload;
 mod priority;
 mod queue;
@@ -53,6 +54,7 @@
     demand::Demand,
     dispatch::MAX_DISPATCHES,
     load_requests::SentLoadRequest,
+    plan::Plans,
     preload::PreloadState,
     priority::Priority,
     resume::Losses,
@@ -283,6 +285,7 @@
     share_check: Millis,
     paced: PacedServices,
     waits: WaitRecords,
+    plans: Plans,
     stop: Option<Stop>,
     effects: Vec<EntryEffect>,
 }
@@ -316,6 +319,7 @@
             streams: StreamTracker::default(),
             paced: PacedServices::default(),
             waits: WaitRecords::default(),
+            plans: Plans::default(),
             stop: None,
             effects: Vec::new(),
         }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -26,6 +26,7 @@
 mod liveness;
 mod member;
 mod organisation;
+mod placement_plan;
 mod pool;
 mod prompt;
 mod rate;
@@ -64,6 +65,7 @@
     },
     member::{HeldModel, Member, MemberChange},
     organisation::{KeyDigest, LimitUnit, Organisation, Organisations, UsageLimit},
+    placement_plan::{PlacementPlan, PlanEndpoint, PlanInput, PlanModel},
     prompt::PromptPart,
     server_load::{Pace, ServerLoad},
     shares::{ShareAccount, ShareChange, ShareDivider, water_level},
