Test that a request over the share does not overtake one that waits

Without the check of waiting requests, a request over the share takes a slot that has just become free.

--- a/crates/pool/tests/all/shares/entry.rs
+++ b/crates/pool/tests/all/shares/entry.rs
@@ -182,6 +182,27 @@
     );
 }
 
+/// Guards against a request over the share that takes the slot that has just become free, before one within a
+/// share that waits for it.
+#[test]
+fn a_request_over_the_share_does_not_overtake() {
+    let mut bench = Bench::competing();
+    bench.observe(5, 0);
+    bench.tell();
+    let (running, _) = bench.request(1);
+    bench.observe(6, 13);
+    let (within, effects) = bench.request(2);
+    assert!(dispatch(&effects).is_none() && refusal(&effects).is_none());
+    assert!(dispatch(&bench.end(running, 6, 0)).is_none());
+    assert!(dispatch(&bench.request(0).1).is_none());
+    let effects = bench.advance(20);
+    let first = effects.iter().find_map(|effect| match effect {
+        EntryEffect::Dispatch(id, _) => Some(*id),
+        _ => None,
+    });
+    assert_eq!(first, Some(within));
+}
+
 /// Guards against a log line that does not say why a request of an organisation over its share was refused.
 #[test]
 fn the_log_says_that_a_request_is_over_its_share() {
