--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -53,6 +53,7 @@
     credit::LimitedUse,
     demand::Demand,
     dispatch::MAX_DISPATCHES,
+    line::LineDelay,
     load_requests::SentLoadRequest,
     plan::Plans,
     preload::PreloadState,
@@ -283,6 +284,8 @@
     shares: ShareAccount,
     /// When shares are checked next.
     share_check: Millis,
+    /// Lines with late requests, by service and model.
+    delays: Map<(String, Option<ModelKey>), LineDelay>,
     paced: PacedServices,
     waits: WaitRecords,
     plans: Plans,
@@ -317,6 +320,7 @@
             crashes: Crashes::default(),
             suspects: Suspects::default(),
             streams: StreamTracker::default(),
+            delays: Map::default(),
             paced: PacedServices::default(),
             waits: WaitRecords::default(),
             plans: Plans::default(),
