Pass an expired grant to another entry, and count loads granted at the same moment

An entry that gets no replies kept every grant. Two loads granted in the same millisecond each counted as alone, so that their lateness did not lower the store's limit.

--- a/crates/pool/src/entry/load_requests.rs
+++ b/crates/pool/src/entry/load_requests.rs
@@ -343,6 +343,7 @@
             request.stage == Stage::Waiting
                 && (request.required == Some(key) || request.base == Some(key))
         });
+        let store_loads = self.store_loads().max(self.store_claims.under_way()) + 1;
         let message = LoadRequest {
             instance: instance.to_owned(),
             model: model.to_owned(),
@@ -355,7 +356,7 @@
             ttl_ms,
             waiting: waiting.count() as u32,
             started: endpoint.started().map(|start| start.0),
-            store_loads: if from_store { self.store_loads() + 1 } else { 0 },
+            store_loads: if from_store { store_loads } else { 0 },
             residency_ms: if from_store { self.residency_ms(service, model) } else { 0 },
         };
         let rates =
--- a/crates/pool/src/entry/store_claims.rs
+++ b/crates/pool/src/entry/store_claims.rs
@@ -65,6 +65,8 @@
     model: ModelKey,
     /// Instances that must not carry it out.
     avoid: Vec<String>,
+    /// Other loads in progress, as far as the granting side knows.
+    under_way: u32,
 }
 
 /// The part of a report whose change is reported early.
@@ -107,6 +109,12 @@
         self.placing.as_ref().is_some_and(|load| load.avoid.iter().any(|name| name == instance))
     }
 
+    /// Returns the number of other loads in progress by the grant that is being used. Two loads that are
+    /// granted at the same moment are not in any side's report yet.
+    pub(super) fn under_way(&self) -> u32 {
+        self.placing.as_ref().map_or(0, |load| load.under_way)
+    }
+
     fn is_granted(&self, model: ModelKey) -> bool {
         self.placing.as_ref().is_some_and(|load| load.model == model)
     }
@@ -222,7 +230,7 @@
             return;
         }
         self.store_claims.examined.insert(key, self.now);
-        self.store_claims.placing = Some(StoreLoad { model: key, avoid: Vec::new() });
+        self.store_claims.placing = Some(StoreLoad { model: key, avoid: Vec::new(), under_way: 0 });
         let place = self.replica_place(service, engine, key, rate);
         self.store_claims.placing = None;
         if place.is_some_and(|place| place.from_store) {
@@ -401,18 +409,15 @@
     fn use_grant(&mut self, grant: &StoreLoadGrant) -> bool {
         let Some(config) = self.config.clone() else { return false };
         let key = self.names.intern(&grant.model);
-        self.store_claims.placing = Some(StoreLoad { model: key, avoid: grant.avoid.clone() });
+        let (avoid, under_way) = (grant.avoid.clone(), grant.under_way);
+        self.store_claims.placing = Some(StoreLoad { model: key, avoid, under_way });
         let place = self.granted_place(&config.services, key);
+        let from_store = place.as_ref().is_some_and(|(place, _)| place.from_store);
+        if let Some((place, ttl_ms)) = place {
+            let ready_ms = place.ready_ms as u64;
+            self.send_load_request(key, &place.instance, place.evictions, ready_ms, ttl_ms);
+        }
         self.store_claims.placing = None;
-        let Some((place, ttl_ms)) = place else { return false };
-        let from_store = place.from_store;
-        self.send_load_request(
-            key,
-            &place.instance,
-            place.evictions,
-            place.ready_ms as u64,
-            ttl_ms,
-        );
         if from_store {
             self.store_claims.used.insert(key, grant.number);
         }
--- a/crates/pool/src/side/store_queue.rs
+++ b/crates/pool/src/side/store_queue.rs
@@ -63,7 +63,7 @@
                 .with("rank", granted.rank)
                 .with("waiting", granted.waiting)
                 .with("refused_milli", granted.refused_milli)
-                .with("under_way", granted.under_way)
+                .with("under_way", granted.grant.under_way)
                 .with("limit", granted.limit);
             self.log(event.with("avoid", granted.grant.avoid.join(",")));
             let reply = StoreLoadReply { number: granted.report, grants: vec![granted.grant] };
--- a/crates/pool/src/store_queue.rs
+++ b/crates/pool/src/store_queue.rs
@@ -76,8 +76,6 @@
     pub waiting: u32,
     /// Requests a second that are refused because it is missing, over all entries, in thousandths.
     pub refused_milli: u32,
-    /// Loads in progress before this one.
-    pub under_way: u32,
     /// Maximum number of loads in progress.
     pub limit: u32,
 }
@@ -171,8 +169,11 @@
 
     fn expire(&mut self, now: Millis) {
         self.reports.retain(|_, entry| now.since(entry.received_at) < REPORT_LIFE_MS);
-        self.grants.retain(|grant| now.since(grant.granted_at) < LEASE_MS);
         self.declined.retain(|(_, _, at)| now.since(*at) < DECLINED_PAUSE_MS);
+        // The entry may be gone, or what is sent to it is lost: another one gets the next grant.
+        let is_expired = |grant: &mut OpenGrant| now.since(grant.granted_at) >= LEASE_MS;
+        let expired = self.grants.extract_if(.., is_expired);
+        self.declined.extend(expired.map(|grant| (grant.model, grant.link, now)));
         if self.reports.is_empty() {
             self.first_report = None;
             self.loads.clear();
@@ -264,12 +265,12 @@
                 model: demand.model.to_owned(),
                 number: self.last_number + 1,
                 lease_ms: LEASE_MS - SEEN_MS,
+                under_way,
                 avoid: stuck.map(|((_, instance), _)| instance.clone()).collect(),
             },
             rank: demand.rank,
             waiting: demand.waiting,
             refused_milli: demand.refused_milli,
-            under_way,
             limit,
         })
     }
--- a/crates/pool/tests/all/store_queue/mod.rs
+++ b/crates/pool/tests/all/store_queue/mod.rs
@@ -19,7 +19,10 @@
     let loads = fleet.loads_of("m1");
     assert_eq!(loads.len(), 1, "{loads:?}");
     let delay_ms = loads[0].at - fleet.first_refusal["m1"];
-    println!("{entries} entries: begun {delay_ms} ms after the first refusal");
+    let ready_ms = fleet.ready["m1"] - fleet.first_refusal["m1"];
+    println!(
+        "{entries} entries: begun {delay_ms} ms and ready {ready_ms} ms after the first refusal"
+    );
     assert!(delay_ms < 1_000, "begun {delay_ms} ms after the first refusal");
     assert!(fleet.served["m1"] > 0);
 }
@@ -45,12 +48,19 @@
 }
 
 /// Deployments whose settings and endpoints do not call for it keep their turns: no reports are sent.
-#[test]
-fn without_scheduling_by_wait_nothing_is_reported() {
-    let mut fleet = Fleet::new(4, 4, false);
+#[rstest]
+fn without_scheduling_by_wait_nothing_is_reported(#[values(4, 22, 68)] entries: usize) {
+    let mut fleet = Fleet::new(entries, 8, false);
     fleet.load = vec![("m1".to_owned(), 20.0)];
-    fleet.run(9_000);
+    fleet.run(15_000);
+    let loads = fleet.loads_of("m1");
+    let first_refusal = fleet.first_refusal["m1"];
+    let begun = loads.iter().map(|load| (load.at - first_refusal, load.concurrent));
+    println!(
+        "{entries} entries in turns: {:?}, ready {:?}",
+        begun.collect::<Vec<_>>(),
+        fleet.ready.get("m1").map(|at| at - first_refusal)
+    );
     assert!(fleet.queues.is_empty());
-    println!("{:?}", fleet.begun);
-    assert!(!fleet.begun.is_empty());
+    assert!(!loads.is_empty());
 }
--- a/crates/pool/tests/all/store_queue/queue.rs
+++ b/crates/pool/tests/all/store_queue/queue.rs
@@ -273,3 +273,19 @@
     second.report(2, vec![want("a", 5, 0)], vec![seen("a", "i1", 0)]);
     assert_eq!((first.granted(), second.granted()), (pairs(&[]), pairs(&[])));
 }
+
+/// Replies to an entry are lost, while its reports arrive: with every grant it would keep the model from being
+/// loaded.
+#[test]
+fn an_expired_grant_goes_to_another_entry() {
+    let mut bench = Bench::new();
+    let wanted = |bench: &mut Bench| {
+        bench.report(1, vec![want("a", 9, 0)], vec![]);
+        bench.report(2, vec![want("a", 1, 0)], vec![]);
+    };
+    wanted(&mut bench);
+    assert_eq!(bench.granted(), pairs(&[("a", 1)]));
+    bench.now += 1_000;
+    wanted(&mut bench);
+    assert_eq!(bench.granted(), pairs(&[("a", 2)]));
+}
--- a/crates/pool/tests/all/store_queue/residency.rs
+++ b/crates/pool/tests/all/store_queue/residency.rs
@@ -103,6 +103,12 @@
 
 /// Grants a load of `model` to the entry; returns the endpoint at which it requests the load.
 fn grant(bench: &mut Bench, model: &str) -> Option<u8> {
+    granted_load(bench, model, Vec::new()).map(|(index, _)| index)
+}
+
+/// Grants a load of `model` away from these instances, beside another load; returns the endpoint at which
+/// the entry requests it, and the request.
+fn granted_load(bench: &mut Bench, model: &str, avoid: Vec<String>) -> Option<(u8, LoadRequest)> {
     let effects = bench.advance(700);
     let sent = effects.iter().rev().find_map(|effect| match effect {
         EntryEffect::StoreLoads(address, report) => Some((*address, report.clone())),
@@ -110,12 +116,13 @@
     });
     let (side, sent) = sent.expect("the entry reports");
     let grant =
-        StoreLoadGrant { model: model.to_owned(), number: 1, lease_ms: 750, avoid: Vec::new() };
+        StoreLoadGrant { model: model.to_owned(), number: 1, lease_ms: 750, avoid, under_way: 1 };
     let reply = StoreLoadReply { number: sent.number, grants: vec![grant] };
     let message = StoreLoadMessage { kind: Some(StoreLoadKind::Reply(reply)) };
     let effects = bench.step(EntryEvent::StoreLoads(side, message));
-    let at = requested_load(&effects).map(|(at, _)| at);
-    [1, 2].into_iter().find(|index| at == Some(address(*index)))
+    let (at, request) = requested_load(&effects)?;
+    let index = [1, 2].into_iter().find(|index| at == address(*index))?;
+    Some((index, request.clone()))
 }
 
 /// Two models at each endpoint fill its memory. `m3` came from the store and is asked for more than `m7`,
@@ -164,6 +171,20 @@
     assert_eq!(unknown, places(700_000.0, &last, &others), "a disk with room gives up nothing");
 }
 
+/// A load that does not end occupies its endpoint, which must not get the load again. The request counts the
+/// load that was granted at the same moment: otherwise two loads at half speed look like late ones alone.
+#[test]
+fn a_grant_names_instances_to_avoid_and_other_loads() {
+    for avoid in [1, 2] {
+        let mut bench = contended(config(1), &[]);
+        report(&mut bench, 1, vec![], &[]);
+        report(&mut bench, 2, vec![], &[]);
+        bench.request("/draft/x", "m7");
+        let (index, request) = granted_load(&mut bench, "m7", vec![format!("i{avoid}")]).unwrap();
+        assert_eq!((index, request.store_loads), (3 - avoid, 2));
+    }
+}
+
 /// A process that was stopped for seconds has not heard from the owner, which is no sign that there is none:
 /// with a turn of its own, it would load what another entry is loading.
 #[test]
@@ -218,8 +239,13 @@
         report(&mut bench, 1, vec![], &[]);
         report(&mut bench, 2, vec![], &[]);
     }
-    let grant =
-        StoreLoadGrant { model: "m7".to_owned(), number: 5, lease_ms: 750, avoid: Vec::new() };
+    let grant = StoreLoadGrant {
+        model: "m7".to_owned(),
+        number: 5,
+        lease_ms: 750,
+        avoid: Vec::new(),
+        under_way: 0,
+    };
     let reply = StoreLoadReply { number, grants: vec![grant] };
     let message = StoreLoadMessage { kind: Some(StoreLoadKind::Reply(reply)) };
     let effects = bench.step(EntryEvent::StoreLoads(side, message));
--- a/crates/wire/src/store_loads.rs
+++ b/crates/wire/src/store_loads.rs
@@ -110,4 +110,7 @@
     /// Instances at which a load of the model does not end.
     #[prost(string, repeated, tag = "4")]
     pub avoid: Vec<String>,
+    /// Loads in progress, without this one.
+    #[prost(uint32, tag = "5")]
+    pub under_way: u32,
 }
