--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use citronrill_pool::{LimitUsage, Reason, RetryCounts};
+use citronrill_pool::{LimitUsage, Reason, RetryCounts, WaitCounts};
 use hdrhistogram::Histogram;
 use http_body_util::Full;
 use hyper::{Response, StatusCode, server::conn::http1, service::service_fn};
@@ -99,11 +99,17 @@
     pub(crate) credit_reports: Counter,
     /// Reports to the side that queues loads from the weight store.
     pub(crate) store_reports: Counter,
+    /// Reports to the side that divides organisations' shares.
+    pub(crate) share_reports: Counter,
+    /// Requests over their organisation's share.
+    pub(crate) over_share: Counter,
     /// Streams of callers' earlier attempts that went on here.
     pub(crate) streams_reconnected: Counter,
     limits: Mutex<Vec<LimitUsage>>,
     /// Further dispatches by service.
     retries: Mutex<BTreeMap<String, RetryCounts>>,
+    /// Dispatches by expected wait, by service.
+    waits: Mutex<BTreeMap<String, WaitCounts>>,
     statuses: Mutex<BTreeMap<u16, u64>>,
     refusals: Mutex<BTreeMap<&'static str, u64>>,
     resources: Arc<Resources>,
@@ -122,9 +128,12 @@
             ttfb: DurationHistogram::default(),
             credit_reports: Counter::default(),
             store_reports: Counter::default(),
+            share_reports: Counter::default(),
+            over_share: Counter::default(),
             streams_reconnected: Counter::default(),
             limits: Mutex::default(),
             retries: Mutex::default(),
+            waits: Mutex::default(),
             statuses: Mutex::default(),
             refusals: Mutex::default(),
             logs,
@@ -151,6 +160,13 @@
         retries.extend(counts.map(|(service, counts)| (service.to_owned(), counts)));
     }
 
+    /// Sets the dispatches by expected wait by service.
+    pub(crate) fn set_waits<'a>(&self, counts: impl Iterator<Item = (&'a str, WaitCounts)>) {
+        let mut waits = self.waits.lock().unwrap_or_else(PoisonError::into_inner);
+        waits.clear();
+        waits.extend(counts.map(|(service, counts)| (service.to_owned(), counts)));
+    }
+
     /// Counts a refusal.
     pub(crate) fn count_refusal(&self, reason: Reason) {
         let mut refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
@@ -181,6 +197,8 @@
         write_sample(&mut text, "citronrill_streams_reconnected_total", "", reconnects);
         write_sample(&mut text, "citronrill_credit_reports_total", "", self.credit_reports.value());
         write_sample(&mut text, "citronrill_store_reports_total", "", self.store_reports.value());
+        write_sample(&mut text, "citronrill_share_reports_total", "", self.share_reports.value());
+        write_sample(&mut text, "citronrill_over_share_total", "", self.over_share.value());
         let limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
         for usage in limits.iter() {
             let label = format!("{{org=\"{}\"}}", usage.organisation);
@@ -201,6 +219,12 @@
         let (connections, bytes) = (self.resources.connections(), self.resources.buffered_bytes());
         write_sample(&mut text, "citronrill_caller_connections", "", connections);
         write_sample(&mut text, "citronrill_buffered_bytes", "", bytes);
+        let waits = self.waits.lock().unwrap_or_else(PoisonError::into_inner);
+        for (service, counts) in waits.iter() {
+            let label = format!("{{service=\"{service}\"}}");
+            write_sample(&mut text, "citronrill_expected_wait_ms_count", &label, counts.dispatches);
+            write_sample(&mut text, "citronrill_expected_wait_ms_sum", &label, counts.wait_ms);
+        }
         write_log_counts(&mut text, &self.logs);
         text
     }
--- a/crates/gateway/src/side/mod.rs
+++ b/crates/gateway/src/side/mod.rs
@@ -39,6 +39,8 @@
     credit_replies: Counter,
     /// Grants of loads from the weight store.
     store_grants: Counter,
+    /// Replies to entries' reports on shares.
+    share_replies: Counter,
     logs: Arc<LogStats>,
 }
 
@@ -53,6 +55,8 @@
         write_sample(&mut text, "citronrill_credit_replies_total", "", replies);
         let grants = self.store_grants.value();
         write_sample(&mut text, "citronrill_store_grants_total", "", grants);
+        let replies = self.share_replies.value();
+        write_sample(&mut text, "citronrill_share_replies_total", "", replies);
         write_log_counts(&mut text, &self.logs);
         text
     }
@@ -79,6 +83,7 @@
         configs: Counter::default(),
         credit_replies: Counter::default(),
         store_grants: Counter::default(),
+        share_replies: Counter::default(),
         logs,
     });
     let connections = Arc::new(EntryConnections::default());
@@ -205,6 +210,11 @@
                 self.connections.send(link, PoolKind::StoreLoads(StoreLoadMessage { kind }));
                 return;
             }
+            SideEffect::Shares(link, message) => {
+                self.metrics.share_replies.increment();
+                self.connections.send(link, PoolKind::Shares(message));
+                return;
+            }
             SideEffect::Log(event) => {
                 let now_ms = self.start.elapsed().as_millis() as u64;
                 if self.log_limit.allow(event.event, now_ms) {
--- a/crates/pool/src/endpoint.rs
+++ b/crates/pool/src/endpoint.rs
@@ -6,6 +6,7 @@
 use crate::{
     advertised::Advertised,
     delisted::Delisted,
+    expected_wait::LoadView,
     incarnation::{IncarnationChange, KnownIncarnation, StartTime},
     liveness::Liveness,
     member::{Member, full_name},
@@ -38,6 +39,8 @@
 /// Weight of the latest result in the failure average: six failures in a row raise it above one
 /// half.
 const FAILURE_WEIGHT: f64 = 0.12;
+/// Failure rate below which an endpoint is considered healthy: single failures are normal.
+pub(crate) const FAILURE_TOLERANCE: f64 = 0.2;
 
 /// Models that an endpoint holds, with the sequence number of that information.
 #[derive(Debug, Clone, Default)]
@@ -116,6 +119,8 @@
     pub(crate) tracks_suspects: bool,
     /// Whether the side issues credit for organisations' limits.
     pub(crate) issues_credit: bool,
+    /// Whether the side divides organisations' shares.
+    pub(crate) divides_shares: bool,
     /// Whether the side keeps the software versions at which streams began.
     pub(crate) tracks_streams: bool,
     /// Number of entries that the side knows of.
@@ -158,6 +163,8 @@
     load_at: Millis,
     /// Dispatches of this entry since the load was last reported.
     pub(crate) unreported: u32,
+    /// What it states of its load and pace, and how long its work takes.
+    pub(crate) load_view: LoadView,
     /// What it has said of itself in its responses.
     pub(crate) advertised: Advertised,
     pub(crate) avoid_until: Millis,
@@ -194,6 +201,7 @@
             load: 0,
             load_at: now,
             unreported: 0,
+            load_view: LoadView::default(),
             advertised: Advertised::default(),
             avoid_until: Millis(0),
             declined_until: Millis(0),
@@ -291,6 +299,11 @@
         }
     }
 
+    /// Returns the milliseconds since the load was last reported.
+    pub(crate) fn load_age_ms(&self, now: Millis) -> u64 {
+        now.since(self.load_at)
+    }
+
     /// Returns the load as a fraction of the slots.
     pub(crate) fn load_ratio(&self) -> f64 {
         f64::from(self.load()) / f64::from(self.member.slots.max(1))
@@ -352,6 +365,11 @@
         self.failure_rate += FAILURE_WEIGHT * (f64::from(u8::from(failed)) - self.failure_rate);
     }
 
+    /// Returns whether it fails more than single requests.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.failure_rate > FAILURE_TOLERANCE
+    }
+
     /// Avoids the endpoint for a while, because it could not be reached.
     pub(crate) fn avoid(&mut self, now: Millis) {
         self.avoid_until = now + AVOID_MS;
--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -11,6 +11,7 @@
 };
 use crate::{
     config::{Route, ServingConfig},
+    expected_wait::WaitEstimate,
     organisation::Organisation,
     software::StreamKey,
 };
@@ -25,6 +26,7 @@
                 self.budget(&service).record_first(now);
                 self.requests.insert(id, request);
                 self.inquire_origin(id);
+                self.schedule_before(id);
                 self.schedule(id);
             }
             Err(reason) => {
@@ -87,6 +89,8 @@
         }
         let allowed = arrival.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
         let idle_timeout = idle_timeout_ms(route).unwrap_or(allowed);
+        let name = organisation.map(|organisation| organisation.name.clone());
+        let over_share = self.count_share(service, name.as_ref(), route.rank);
         Ok(Request {
             caller_id: arrival.caller_id.clone(),
             caller: arrival.caller,
@@ -96,7 +100,8 @@
             retry_policy: route.retry_policy,
             priority: Priority::new(organisation, route),
             limited: LimitedUse::new(organisation, arrival.tokens),
-            organisation: organisation.map(|organisation| organisation.name.clone()),
+            organisation: name,
+            over_share,
             max_attempts: route.max_attempts.max(1),
             target_ms: route.target_ms,
             model: model.to_owned(),
@@ -110,6 +115,8 @@
             idle_deadline: self.now + allowed.min(idle_timeout),
             stage: Stage::Waiting,
             sent_at: self.now,
+            expected: WaitEstimate::default(),
+            queue_rounds: 1.0,
             head_ms: 0,
             instance: None,
             tried: Vec::new(),
@@ -132,6 +139,10 @@
             retry_reserved: false,
             retry_denied: false,
             queued: false,
+            awaits_slot: false,
+            admitted: false,
+            pressing: false,
+            placed: false,
             lost_runs: 0,
             trial: None,
             from_copy: false,
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Dispatch, EntryEffect, FailureKind, LimitedUse, PoolEntry, Reason, Refusal, Request, RequestId,
-    ResponseEnd, ResponseHead, Resume, Stage, Verdict, classify_response,
+    ResponseEnd, ResponseHead, Resume, Stage, Verdict, classify_response, line::Forecast,
 };
 use crate::{prompt::join_parts, software::SoftwareKey};
 
@@ -51,6 +51,9 @@
         let backup_address = backup.as_ref().and_then(|backup| self.pool.endpoints.get(backup));
         let backup_address = backup_address.map(|endpoint| endpoint.member.address);
         let (eligible, fleet_load) = self.alternatives(id);
+        let expected = self.pool.endpoints.get(instance).map(|to| self.wait_estimate(to));
+        let expected = expected.unwrap_or_default();
+        let wait_ms = self.count_wait(id, expected);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(endpoint) = self.pool.endpoints.get_mut(instance) else { return };
         request.backup = backup;
@@ -58,9 +61,12 @@
         endpoint.own_requests += 1;
         endpoint.load += 1;
         endpoint.unreported += 1;
+        endpoint.load_view.record_dispatch();
+        request.queue_rounds = endpoint.load_ratio().max(1.0);
         request.stage = Stage::Sent;
         request.has_progress = false;
         request.sent_at = now;
+        request.expected = expected;
         request.instance = Some(instance.to_owned());
         request.sent_software = Some(endpoint.software);
         request.dispatches += 1;
@@ -90,6 +96,11 @@
             .with("copy", copy)
             .with("list", self.pool.list_version)
             .with("sequence", endpoint.inventory.sequence);
+        let event = match wait_ms {
+            Some(wait_ms) => event.with("wait_ms", wait_ms),
+            None => event,
+        };
+        let event = request.mark_over_share(event);
         if request.required.is_some() {
             let (model, adapter) = (request.model.clone(), request.adapter.clone());
             let usage = UsageReport { model, adapter, missed: false };
@@ -125,6 +136,7 @@
     pub(super) fn response_started(&mut self, id: RequestId, head: ResponseHead) {
         let now = self.now;
         self.learn_from_response(id, head);
+        self.learn_load(id, head);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let verdict = classify_response(head, request.retry_policy);
         // Once the caller has the head of a successful response, an endpoint's error response can
@@ -145,7 +157,7 @@
             endpoint.liveness.record_traffic(now);
             if let Some(load) = head.load {
                 endpoint.set_load(load.requests(), now);
-                self.paced.record(&endpoint.member.service, load);
+                request.queue_rounds = endpoint.load_ratio().max(1.0);
             }
             if verdict == Verdict::Forward {
                 request.head_ms = now.since(request.sent_at);
@@ -165,6 +177,7 @@
             Verdict::Forward => {
                 // Told first: this process may end as soon as the caller has the first event.
                 self.record_origin(id);
+                self.record_call_time(id);
                 self.forward(id);
             }
             Verdict::NotRun => {
@@ -261,6 +274,9 @@
 
     pub(super) fn response_ended(&mut self, id: RequestId, end: ResponseEnd) {
         let complete = matches!(end, ResponseEnd::Complete | ResponseEnd::Unverified);
+        if end == ResponseEnd::Complete {
+            self.record_stream_time(id);
+        }
         let instance = self.requests.get(&id).and_then(|request| request.instance.clone());
         if let Some(endpoint) = instance.and_then(|instance| self.pool.endpoints.get_mut(&instance))
         {
@@ -269,6 +285,7 @@
         self.release(id);
         if let Some(request) = self.requests.remove(&id) {
             self.cancel_retry(&request);
+            self.record_occupancy(&request, end);
             // An error response does not show that anything began to run.
             if end == ResponseEnd::Complete && request.succeeded {
                 self.clear_suspect(&request);
@@ -315,6 +332,7 @@
         if let Some(endpoint) = endpoint {
             endpoint.own_requests = endpoint.own_requests.saturating_sub(1);
             endpoint.load = endpoint.load.saturating_sub(1);
+            endpoint.load_view.record_end();
         }
     }
 
@@ -331,8 +349,11 @@
         // status that guarantees that it has not would be wrong, whatever prevented the second run.
         let contradicts = request.runs > 0 && reason.status() == NOT_RUN_STATUS;
         let reason = if contradicts { Reason::Broken } else { reason };
-        let retry_ms = self.retry_after(reason, &request);
+        let full = matches!(reason, Reason::Full | Reason::Displaced);
+        let forecast = full.then(|| self.forecast(&request)).flatten();
+        let retry_ms = self.retry_after(reason, &request, forecast.as_ref());
         self.return_credit(&request, reason);
+        self.record_share_refusal(&request, reason);
         let (holders, copies, loading) =
             request.base.map_or((0, 0, 0), |base| self.availability(base));
         let first_attempt = request.first_attempt.clone().unwrap_or_default();
@@ -342,6 +363,13 @@
             Some(cause) => event.with(cause.field(), cause),
             None => event,
         };
+        let event = match forecast {
+            Some(Forecast { wait_ms, left_ms }) => {
+                event.with("wait_ms", wait_ms).with("left_ms", left_ms)
+            }
+            None => event,
+        };
+        let event = request.mark_over_share(event);
         self.log(
             event
                 .with("reason", reason.as_str())
@@ -368,11 +396,23 @@
     /// again after half of it. A hash of the caller's request ID spreads the retries. If the model
     /// is not loaded, callers retry when it should be ready: earlier retries are refused again, and
     /// most callers retry only once.
-    fn retry_after(&self, reason: Reason, request: &Request) -> Option<u64> {
+    ///
+    /// Where requests are scheduled by expected wait, a `forecast` says when the queue has drained.
+    fn retry_after(
+        &self,
+        reason: Reason,
+        request: &Request,
+        forecast: Option<&Forecast>,
+    ) -> Option<u64> {
+        if let Some(forecast) = forecast {
+            return Some(self.drained_ms(request, forecast));
+        }
         let soon = || (request.target_ms / 2).max(self.backoff_retry_ms(request));
         let spread = |ms: u64| hash_bytes(request.caller_id.as_bytes()) % (ms + 1);
         match reason {
-            Reason::Full | Reason::Backoff => Some(soon() + spread(request.target_ms / 4)),
+            Reason::Full | Reason::Displaced | Reason::Backoff => {
+                Some(soon() + spread(request.target_ms / 4))
+            }
             Reason::NoEndpoint | Reason::TooLate => {
                 let ms = self.ready_ms(request).unwrap_or(0).max(soon());
                 Some(ms + spread((request.target_ms / 4).max(ms / RETRY_SPREAD)))
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -7,7 +7,7 @@
 
 use citronrill_decide::LogEvent;
 use citronrill_wire::{
-    CreditReply, CreditReport, LoadRequest, ModelName, SideState, StoreLoadMessage,
+    CreditReply, CreditReport, LoadRequest, ModelName, ShareMessage, SideState, StoreLoadMessage,
     StoreLoadReport, StreamMessage, SuspectMessage, SuspectRecord, SuspectUpdate, UsageReport,
 };
 
@@ -179,6 +179,8 @@
     StoreLoads(SocketAddr, StoreLoadMessage),
     /// The side of the endpoint at this address sent a message about streams.
     Streams(SocketAddr, StreamMessage),
+    /// The side of the endpoint at this address sent a message about shares.
+    Shares(SocketAddr, ShareMessage),
     /// The quarantined requests were read from the platform store.
     QuarantineRead(SuspectUpdate),
     /// The endpoint at this address was checked.
@@ -258,6 +260,8 @@
     NoEndpoint,
     /// Every endpoint that could run it is full.
     Full,
+    /// Every endpoint that could run it is full, and a more urgent request took its place in the queue.
+    Displaced,
     /// The model cannot be ready in time.
     TooLate,
     /// Its deadline has passed and it has not run.
@@ -295,6 +299,7 @@
             Reason::StaleConfig => "old_text",
             Reason::NoEndpoint => "no_endpoint",
             Reason::Full => "full",
+            Reason::Displaced => "displaced",
             Reason::TooLate => "too_far",
             Reason::Expired => "expired",
             Reason::Stopping => "stopping",
@@ -322,6 +327,7 @@
             | Reason::StaleConfig
             | Reason::NoEndpoint
             | Reason::Full
+            | Reason::Displaced
             | Reason::TooLate
             | Reason::Stopping
             | Reason::Quarantined
@@ -375,6 +381,8 @@
     CreditReport(SocketAddr, CreditReport),
     /// Send a report on loads from the weight store to the side of the endpoint at this address.
     StoreLoads(SocketAddr, StoreLoadReport),
+    /// Send a message about shares to the side of the endpoint at this address.
+    Shares(SocketAddr, ShareMessage),
     /// Write a quarantined request to the platform store.
     SaveQuarantined(SuspectRecord),
     /// Check whether the process of the endpoint at this address accepts connections.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -8,6 +8,7 @@
 //! because nothing here is agreed through the platform table: a side is the only process that gives
 //! orders to its endpoint, and entries act on views that each carry a sequence number.
 
+mod admission;
 mod advertised;
 mod cause;
 mod check_timer;
@@ -19,16 +20,19 @@
 mod digest;
 mod endpoint;
 mod entry;
+mod expected_wait;
 mod incarnation;
 mod limits;
 mod liveness;
 mod member;
 mod organisation;
+mod placement_plan;
 mod pool;
 mod prompt;
 mod rate;
 mod rewrite;
 mod server_load;
+mod shares;
 mod side;
 mod software;
 mod store_queue;
@@ -37,6 +41,7 @@
 mod table_follower;
 
 pub use crate::{
+    admission::{Admission, Candidate, QueueState, admit, has_room},
     cause::Cause,
     check_timer::{CheckTimer, DueCheck},
     config::{CallerLimits, EngineSpec, ModelSpec, RetryPolicy, Route, Service, ServingConfig},
@@ -48,7 +53,10 @@
     entry::{
         Arrival, Dispatch, EndpointCheck, EntryEffect, EntryEvent, EntryProfile, FailureKind,
         PoolEntry, Reason, Refusal, RequestId, ResponseEnd, ResponseHead, Resume, SideLoss,
-        TokenCount, Verdict, classify_response,
+        TokenCount, Verdict, WaitCounts, classify_response,
+    },
+    expected_wait::{
+        BadLoad, EndpointOption, LoadView, OwnView, WaitEstimate, WorkTime, choose_by_wait,
     },
     incarnation::StartTime,
     limits::{
@@ -57,8 +65,10 @@
     },
     member::{HeldModel, Member, MemberChange},
     organisation::{KeyDigest, LimitUnit, Organisation, Organisations, UsageLimit},
+    placement_plan::{PlacementPlan, PlanEndpoint, PlanInput, PlanModel},
     prompt::PromptPart,
     server_load::{Pace, ServerLoad},
+    shares::{ShareAccount, ShareChange, ShareDivider, water_level},
     side::{
         EngineReport, EntryLink, Order, OrderKind, OrderOutcome, PoolSide, SideEffect, SideEvent,
     },
--- a/crates/pool/src/side/credit.rs
+++ b/crates/pool/src/side/credit.rs
@@ -28,6 +28,7 @@
         self.forget_entry(link);
         self.limits.issuer.remove(link);
         self.store_queue.queue.remove(link);
+        self.shares.remove(link);
         if let Some(ip) = self.limits.addresses.remove(&link) {
             self.limits.roster.remove(ip, silent, self.now);
         }
--- a/crates/pool/src/side/mod.rs
+++ b/crates/pool/src/side/mod.rs
@@ -11,6 +11,7 @@
 mod orders;
 mod plan;
 mod report;
+mod shares;
 mod store_queue;
 mod streams;
 mod suspects;
@@ -40,6 +41,8 @@
     limits::LimitBounds,
     member::full_name,
     rate::Rate,
+    server_load::Pace,
+    shares::ShareDivider,
 };
 
 /// Milliseconds between polls of the endpoint while an order is in progress: a load takes
@@ -50,7 +53,7 @@
 /// Milliseconds between published states that contain no change.
 const PUBLISH_INTERVAL_MS: u64 = 500;
 /// Minimum milliseconds between two states that are published because of the load alone.
-const LOAD_INTERVAL_MS: u64 = 100;
+pub(crate) const LOAD_INTERVAL_MS: u64 = 100;
 /// Typical milliseconds of an unload: 20 to 70 ms without running requests, 400 ms with them.
 const TYPICAL_UNLOAD_MS: u64 = 150;
 /// Typical milliseconds of an adapter load, including the poll that shows it.
@@ -125,6 +128,7 @@
     suspects: SuspectRegistry,
     limits: Limits,
     store_queue: StoreLoads,
+    shares: ShareDivider,
     effects: Vec<SideEffect>,
 }
 
@@ -158,6 +162,7 @@
             suspects: SuspectRegistry::default(),
             limits: Limits::default(),
             store_queue: StoreLoads::default(),
+            shares: ShareDivider::default(),
             streams: StreamRegistry::default(),
             effects: Vec::new(),
         }
@@ -200,6 +205,7 @@
             SideEvent::EntryLost(link, silent) => self.entry_lost(link, silent),
             SideEvent::CreditReport(link, report) => self.issue_credit(link, &report),
             SideEvent::StoreLoads(link, message) => self.queue_store_loads(link, message),
+            SideEvent::Shares(link, message) => self.handle_shares(link, message),
             SideEvent::Suspects(link, message) => self.handle_suspects(link, message),
             SideEvent::Streams(link, message) => self.handle_streams(link, message),
             SideEvent::Tick => self.grant_store_loads(),
@@ -470,10 +476,12 @@
             store_concurrent: late.map_or(self.store_concurrent, |issued| issued.concurrent),
             tracks_suspects: true,
             issues_credit: true,
+            divides_shares: true,
             tracks_streams: true,
             known_entries: self.known_entries(),
             leaving: report.leaving,
             queues_store_loads: true,
+            pace: report.pace.map_or(0, Pace::percent),
         })
     }
 
--- a/crates/pool/src/side/types.rs
+++ b/crates/pool/src/side/types.rs
@@ -4,11 +4,11 @@
 
 use citronrill_decide::LogEvent;
 use citronrill_wire::{
-    CreditReply, CreditReport, LoadRequest, ModelName, SideState, StoreLoadMessage, StoreLoadReply,
-    StreamMessage, SuspectMessage, UsageReport,
+    CreditReply, CreditReport, LoadRequest, ModelName, ShareMessage, SideState, StoreLoadMessage,
+    StoreLoadReply, StreamMessage, SuspectMessage, UsageReport,
 };
 
-use crate::{config::ServingConfig, incarnation::StartTime, member::HeldModel};
+use crate::{config::ServingConfig, incarnation::StartTime, member::HeldModel, server_load::Pace};
 
 /// State that the endpoint reports.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -35,6 +35,8 @@
     pub on_disk: Vec<String>,
     /// Whether it says that it leaves.
     pub leaving: bool,
+    /// How long work takes there at this moment, if stated.
+    pub pace: Option<Pace>,
 }
 
 impl EngineReport {
@@ -122,6 +124,8 @@
     CreditReport(EntryLink, CreditReport),
     /// An entry sent a message about loads from the weight store.
     StoreLoads(EntryLink, StoreLoadMessage),
+    /// An entry sent a message about shares.
+    Shares(EntryLink, ShareMessage),
     /// An entry sent a message about suspects.
     Suspects(EntryLink, SuspectMessage),
     /// An entry sent a message about streams.
@@ -151,6 +155,8 @@
     Credit(EntryLink, CreditReply),
     /// Send one entry a reply about loads from the weight store.
     StoreLoads(EntryLink, StoreLoadReply),
+    /// Send one entry a message about shares.
+    Shares(EntryLink, ShareMessage),
     /// Write a log line.
     Log(LogEvent),
 }
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -2,10 +2,12 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that cannot go on must fail")]
 
+mod admission;
 mod advertised;
 mod collector;
 mod config_transfer;
 mod entry;
+mod expected_wait;
 mod exposure;
 mod incarnation;
 mod limits;
@@ -15,11 +17,13 @@
 mod organisations;
 mod overload;
 mod placement;
+mod placement_plan;
 mod poison;
 mod poison_parts;
 mod preload;
 mod resume;
 mod retry_budget;
+mod shares;
 mod side;
 mod simulated_loads;
 mod simulation;
--- a/crates/pool/tests/all/simulation/mod.rs
+++ b/crates/pool/tests/all/simulation/mod.rs
@@ -524,6 +524,11 @@
                 let event = SideEvent::StoreLoads(EntryLink(entry as u64), message);
                 self.after_hop(SimEvent::SideInput(side, event));
             }
+            EntryEffect::Shares(address, message) => {
+                let side = self.engine_at(address);
+                let event = SideEvent::Shares(EntryLink(entry as u64), message);
+                self.after_hop(SimEvent::SideInput(side, event));
+            }
             EntryEffect::CheckEndpoint(address) => {
                 let engine = self.engine_at(address);
                 self.after_hop(SimEvent::EndpointCheck(engine, entry));
@@ -605,6 +610,10 @@
                     let event = EntryEvent::StoreLoads(address(side as u8), message);
                     self.after_hop(SimEvent::entry_input(link.0 as usize, event));
                 }
+                SideEffect::Shares(link, message) => {
+                    let event = EntryEvent::Shares(address(side as u8), message);
+                    self.after_hop(SimEvent::entry_input(link.0 as usize, event));
+                }
                 SideEffect::Log(_) => {}
             }
         }
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     credit::{CreditReply, CreditReport, EndpointLimit},
+    shares::ShareMessage,
     store_loads::StoreLoadMessage,
     streams::StreamMessage,
     suspects::SuspectMessage,
@@ -13,7 +14,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PoolFrame {
     /// The message.
-    #[prost(oneof = "PoolKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
+    #[prost(oneof = "PoolKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
     pub kind: Option<PoolKind>,
 }
 
@@ -69,6 +70,10 @@
     /// that it queues them, and for an entry that has sent one.
     #[prost(message, tag = "16")]
     StoreLoads(StoreLoadMessage),
+    /// A message about organisations' shares of services, in either direction. Only for a side whose state
+    /// says that it divides them, and for an entry that has sent one.
+    #[prost(message, tag = "17")]
+    Shares(ShareMessage),
 }
 
 /// A liveness probe.
@@ -318,6 +323,13 @@
     /// Whether the side understands [`PoolKind::StoreLoads`].
     #[prost(bool, tag = "29")]
     pub queues_store_loads: bool,
+    /// Whether the side understands [`PoolKind::Shares`].
+    #[prost(bool, tag = "30")]
+    pub divides_shares: bool,
+    /// How long work takes at the endpoint at this moment, in per cent of the usual time; 0 if it does not
+    /// state that.
+    #[prost(uint32, tag = "31")]
+    pub pace: u32,
 }
 
 /// One loaded model of an endpoint.
