--- a/crates/pool/src/entry/store_claims.rs
+++ b/crates/pool/src/entry/store_claims.rs
@@ -301,7 +301,7 @@
             number: 0,
             wanted: self.store_wants(services),
             seen: self.store_loads_seen(services),
-            limit: self.store_limit.proven(),
+            limit: self.store_limit.limit(),
             declined: self.store_claims.declined.iter().map(|(number, _)| *number).collect(),
         }
     }
--- a/crates/pool/src/entry/store_limit.rs
+++ b/crates/pool/src/entry/store_limit.rs
@@ -23,20 +23,13 @@
 #[derive(Debug, Clone)]
 pub(super) struct StoreLimit {
     limit: u32,
-    /// Whether any load has shown how fast the store is.
-    observed: bool,
     last_slowdown: Map<String, u32>,
     slowed_at: Option<Millis>,
 }
 
 impl Default for StoreLimit {
     fn default() -> StoreLimit {
-        StoreLimit {
-            limit: INITIAL_LIMIT,
-            observed: false,
-            last_slowdown: Map::default(),
-            slowed_at: None,
-        }
+        StoreLimit { limit: INITIAL_LIMIT, last_slowdown: Map::default(), slowed_at: None }
     }
 }
 
@@ -46,12 +39,6 @@
         self.limit
     }
 
-    /// Returns the maximum number of concurrent loads that is known not to slow them down: one until a load
-    /// has shown how fast the store is.
-    pub(super) fn proven(&self) -> u32 {
-        if self.observed { self.limit } else { 1 }
-    }
-
     /// Records the duration of an endpoint's last load; `loads` is the number of concurrent loads
     /// when it started.
     pub(super) fn record_finished(
@@ -65,7 +52,6 @@
             return;
         }
         self.last_slowdown.insert(instance.to_owned(), slowdown);
-        self.observed = true;
         let slowed_recently = self.slowed_at.is_some_and(|at| now.since(at) < SLOW_HOLD_MS);
         if slowdown >= LATE_LOAD_MILLI {
             self.lower(slowdown, loads, now);
@@ -84,7 +70,6 @@
 
     fn lower(&mut self, slowdown: u32, loads: u32, now: Millis) {
         self.slowed_at = Some(now);
-        self.observed = true;
         self.limit = self.limit.min(loads * 1_000 / slowdown).max(1);
     }
 }
--- a/crates/pool/src/store_queue.rs
+++ b/crates/pool/src/store_queue.rs
@@ -21,9 +21,6 @@
 /// Duration so far of a load in thousandths of the time that it should take, from which it counts as one
 /// that does not end.
 const STUCK_MILLI: f64 = 1_500.0;
-/// Requests that wait for a model or are refused for want of it in a second, in thousandths, from which it may
-/// take the last place: a load for a few callers would slow down one that many wait for later.
-const URGENT_MILLI: u64 = 1_000;
 /// Lower bound, in milliseconds, on the usual time of a load: guards against a reported time of 0.
 const MIN_LOAD_MS: u64 = 1;
 
@@ -248,8 +245,8 @@
             a.rank.cmp(&b.rank).then(b.score.total_cmp(&a.score)).then(a.model.cmp(b.model))
         });
         let fits = |demand: &&Demand<'_>| {
-            // The last place is reserved for models in demand that no endpoint has.
-            let reserved = u32::from(limit > 1 && !demand.is_urgent());
+            // The last place is reserved for models that no endpoint has.
+            let reserved = u32::from(demand.rank > 0 && limit > 1);
             under_way + reserved < limit
         };
         let candidates = demands.iter().filter(fits).filter_map(|demand| {
@@ -318,12 +315,6 @@
 }
 
 impl Demand<'_> {
-    /// Returns whether no endpoint has the model and callers ask for it often.
-    fn is_urgent(&self) -> bool {
-        let refused_milli = u64::from(self.refused_milli) + 1_000 * u64::from(self.waiting);
-        self.rank == 0 && refused_milli >= URGENT_MILLI
-    }
-
     fn add(&mut self, link: EntryLink, want: &StoreWant) {
         let score = score(want);
         self.rank = self.rank.max(want.rank);
