--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -37,10 +37,6 @@
     pub spare_behind: f64,
     /// Milliseconds until its caller leaves, or until the endpoint must have begun it.
     pub left_ms: f64,
-    /// Milliseconds until its latency objective has passed.
-    pub objective_ms: f64,
-    /// Whether the queue has lasted for longer than the latency objective, and has not been short since.
-    pub standing: bool,
     /// Whether the response must have ended by then, not only have begun.
     pub must_end: bool,
     /// Whether an endpoint has room for it now.
@@ -69,18 +65,13 @@
 /// A request is not admitted if that makes one too late that was admitted before: its caller would have waited
 /// for nothing.
 ///
-/// While a queue is standing, a request that cannot meet its objective is not admitted. During a lasting overload
-/// each would otherwise be served just before its caller leaves, and none in time for its objective.
-///
 /// A request that outranks another one is refused only if it would come too late in the first place of the
 /// queue: the less urgent one would otherwise be served where the more urgent one is not.
 pub fn admit(queue: &QueueState, candidate: &Candidate) -> Admission {
     let work_ms = if candidate.must_end { queue.work_ms } else { 0.0 };
     let spare_ms = candidate.left_ms - work_ms;
     let fits = |ms: f64| ms <= spare_ms;
-    let wait_ms = queue.wait_ms(candidate.ahead);
-    let timely = !candidate.standing || wait_ms + work_ms <= 0.5 * candidate.objective_ms;
-    let in_turn = timely && fits(wait_ms) && candidate.spare_behind >= 0.0;
+    let in_turn = fits(queue.wait_ms(candidate.ahead)) && candidate.spare_behind >= 0.0;
     if candidate.room && fits(queue.first_ms) {
         Admission::Dispatch
     } else if in_turn || candidate.placed && fits(queue.first_ms) {
--- a/crates/pool/src/entry/line.rs
+++ b/crates/pool/src/entry/line.rs
@@ -37,14 +37,6 @@
     spare_behind: f64,
 }
 
-/// Since when a line has had late requests.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct LineDelay {
-    since: Millis,
-    /// When the line counts as short again, unless a request in it is late meanwhile.
-    until: Millis,
-}
-
 /// What made it certain that a request cannot be served in time.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Forecast {
@@ -116,9 +108,7 @@
     pub(super) fn review_waiting(&mut self) {
         let mut pressing = Set::default();
         let mut judged = Vec::new();
-        let lines = self.lines();
-        self.follow_lines(&lines);
-        for line in lines {
+        for line in self.lines() {
             let first = line.first().and_then(|place| self.requests.get(&place.order.id));
             let Some(queue) = first.and_then(|request| self.queue_state(request)) else { continue };
             self.judge_line(&line, &queue, &mut judged);
@@ -163,46 +153,18 @@
         }
     }
 
-    /// Records since when requests of a line have been late.
-    fn follow_lines(&mut self, lines: &[Vec<Waiting>]) {
-        let now = self.now;
-        for line in lines {
-            let requests = line.iter().filter_map(|place| self.requests.get(&place.order.id));
-            let Some(late) = requests.into_iter().find(|request| request.is_late(now)) else {
-                continue;
-            };
-            let key = (late.service.clone(), late.base);
-            let timeout_ms = late.deadline.since(late.arrived);
-            let delay = self.delays.entry(key).or_insert(LineDelay { since: now, until: now });
-            delay.until = now + timeout_ms;
-        }
-        self.delays.retain(|_, delay| now < delay.until);
-    }
-
-    /// Returns whether requests in the line of a request have been late for longer than its objective.
-    fn is_standing(&self, request: &Request) -> bool {
-        let delay = self.delays.get(&(request.service.clone(), request.base));
-        delay.is_some_and(|delay| self.now.since(delay.since) >= request.target_ms)
-    }
-
     /// Returns the requests of a line that must be served before all others of their class: one of them, or
     /// one that follows them, has less than a latency objective to spare.
-    ///
-    /// Only requests with a longer objective than others in the line, which would pass them over for good.
-    /// Among requests of one objective, late ones first would make all of them late.
     fn pressing(&self, line: &[Waiting], queue: &QueueState) -> Vec<RequestId> {
-        let targets = line.iter().filter_map(|place| self.requests.get(&place.order.id));
-        let shortest = targets.map(|request| request.target_ms).min().unwrap_or(0);
         let mut pressing = Vec::new();
         let mut hurried = None;
         for (index, place) in line.iter().enumerate().rev() {
             let Some(request) = self.requests.get(&place.order.id) else { continue };
             let spare_ms = place.left_ms - work_ms(request, queue) - queue.wait_ms(index + 1);
-            let patient = request.target_ms > shortest;
-            if patient && spare_ms < request.target_ms as f64 {
+            if spare_ms < request.target_ms as f64 {
                 hurried = Some(place.order.class);
             }
-            if patient && hurried == Some(place.order.class) {
+            if hurried == Some(place.order.class) {
                 pressing.push(place.order.id);
             }
         }
@@ -292,10 +254,7 @@
 
     /// Returns what decides on the admission of a request at this place in its line.
     fn candidate(&self, request: &Request, queue: &QueueState, place: &PlaceInLine) -> Candidate {
-        let waited_ms = self.now.since(request.arrived);
         let candidate = Candidate {
-            objective_ms: request.target_ms.saturating_sub(waited_ms) as f64,
-            standing: !request.admitted && self.is_standing(request),
             ahead: place.ahead,
             admitted: place.admitted,
             spare_behind: place.spare_behind,
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -53,7 +53,6 @@
     credit::LimitedUse,
     demand::Demand,
     dispatch::MAX_DISPATCHES,
-    line::LineDelay,
     load_requests::SentLoadRequest,
     plan::Plans,
     preload::PreloadState,
@@ -284,8 +283,6 @@
     shares: ShareAccount,
     /// When shares are checked next.
     share_check: Millis,
-    /// Lines with late requests, by service and model.
-    delays: Map<(String, Option<ModelKey>), LineDelay>,
     paced: PacedServices,
     waits: WaitRecords,
     plans: Plans,
@@ -320,7 +317,6 @@
             crashes: Crashes::default(),
             suspects: Suspects::default(),
             streams: StreamTracker::default(),
-            delays: Map::default(),
             paced: PacedServices::default(),
             waits: WaitRecords::default(),
             plans: Plans::default(),
--- a/crates/pool/src/entry/room.rs
+++ b/crates/pool/src/entry/room.rs
@@ -1,6 +1,6 @@
 //! Room at endpoints, by their expected wait and by this entry's share.
 
-use super::{PoolEntry, Request, choose::PLAIN_FULL, waits::OVERDUE_FACTOR};
+use super::{PoolEntry, Request, choose::PLAIN_FULL};
 use crate::{admission::has_room, endpoint::Endpoint, expected_wait::WaitEstimate};
 
 /// Requests that a plain endpoint runs and queues, in slots: it turns others away. Its queue holds four times its
@@ -52,8 +52,7 @@
     /// together they dispatched more than the endpoints' queues hold; those without a request there
     /// learned of no room. Each therefore keeps to its share of the room, whatever load it last saw.
     fn room_shares(&self, request: &Request, full: f64) -> Shares {
-        // Requests at an endpoint that hangs take no room at the others.
-        let holders = self.holders(request).filter(|endpoint| !self.hangs(endpoint, request));
+        let holders = self.holders(request);
         let (own, slots) = holders.fold((0, 0), |(own, slots), endpoint| {
             (own + endpoint.own_requests, slots + endpoint.member.slots)
         });
@@ -64,12 +63,6 @@
         Shares { own, slots, least, most, room }
     }
 
-    /// Returns whether an endpoint has left a request without a response for longer than it takes to serve it.
-    fn hangs(&self, endpoint: &Endpoint, request: &Request) -> bool {
-        let expected_ms = OVERDUE_FACTOR * self.wait_estimate(endpoint).total_ms();
-        endpoint.unanswered_ms as f64 > expected_ms.max(request.target_ms as f64)
-    }
-
     /// Returns the least expected wait at the endpoints of a plain service while this entry's share of their
     /// room is in use: the other entries then use theirs as well, whatever load was last seen.
     pub(super) fn shared_wait_ms(&self, request: &Request, work_ms: f64) -> f64 {
--- a/crates/pool/src/entry/waits.rs
+++ b/crates/pool/src/entry/waits.rs
@@ -16,7 +16,7 @@
 const MISDIRECTED_STATUS: u16 = 421;
 /// Expected response times after which a call has no response because its endpoint hangs: stated queues
 /// are exact only to the requests that several entries send at the same moment.
-pub(super) const OVERDUE_FACTOR: f64 = 2.0;
+const OVERDUE_FACTOR: f64 = 2.0;
 
 /// Services whose endpoints state how long work takes on their hosts.
 #[derive(Debug, Default)]
--- a/crates/pool/tests/all/admission.rs
+++ b/crates/pool/tests/all/admission.rs
@@ -21,8 +21,6 @@
 
 fn candidate(ahead: usize, left_ms: f64) -> Candidate {
     Candidate {
-        objective_ms: 150.0,
-        standing: false,
         ahead,
         admitted: ahead,
         spare_behind: f64::INFINITY,
