--- a/crates/insight/src/explain.rs
+++ b/crates/insight/src/explain.rs
@@ -191,15 +191,7 @@
             "organisation {} was over its share of the service, and no slot was free",
             last.get("org")
         ),
-        "full" if !last.get("wait_ms").is_empty() => format!(
-            "it would have waited {} ms, and its caller had {} ms left",
-            last.get("wait_ms"),
-            last.get("left_ms")
-        ),
         "full" => "every endpoint that could run it was full".to_owned(),
-        "displaced" => {
-            "the endpoints were full, and a more urgent request took its place".to_owned()
-        }
         "too_far" => format!("{model} could not be loaded in time"),
         "version_unknown" => format!(
             "it reconnects to the stream that attempt {} began, at a software version that nobody knows",
--- a/crates/pool/src/advertised.rs
+++ b/crates/pool/src/advertised.rs
@@ -36,14 +36,6 @@
     until: Millis,
     /// When the next request may be dispatched: at the end, then one at a time.
     next_dispatch: Millis,
-    /// When it last asked for it.
-    asked_at: Millis,
-    /// When a request may be dispatched before the end, if no other endpoint takes one.
-    next_probe: Millis,
-    /// Milliseconds from one such request to the next.
-    probe_pause: u64,
-    /// When the last such request was dispatched.
-    probed_at: Option<Millis>,
 }
 
 impl Advertised {
@@ -57,29 +49,12 @@
         !std::mem::replace(&mut self.leaving, true)
     }
 
-    /// Records at `now` until when it wants no requests, in the response to one that was dispatched at
-    /// `sent_at`; returns false if it has asked for a longer time before.
-    pub(crate) fn record_backoff(&mut self, until: Millis, sent_at: Millis, now: Millis) -> bool {
-        let known = self.backoff;
-        let longer = known.is_none_or(|known| until > known.until);
-        let mut backoff = known.unwrap_or(Backoff {
-            until,
-            next_dispatch: until,
-            asked_at: now,
-            next_probe: now + FIRST_DISPATCHES_MS,
-            probe_pause: FIRST_DISPATCHES_MS,
-            probed_at: None,
-        });
+    /// Records until when it wants no requests; returns false if it has asked for a longer time before.
+    pub(crate) fn record_backoff(&mut self, until: Millis) -> bool {
+        let longer = self.backoff.is_none_or(|known| until > known.until);
         if longer {
-            (backoff.until, backoff.next_dispatch) = (until, until);
+            self.backoff = Some(Backoff { until, next_dispatch: until });
         }
-        // Requests that were under way when it first asked say nothing new.
-        if known.is_some() && sent_at >= backoff.asked_at {
-            backoff.probe_pause = (2 * backoff.probe_pause).min(backoff.until.since(now));
-            backoff.next_probe = now + backoff.probe_pause;
-            backoff.asked_at = now;
-        }
-        self.backoff = Some(backoff);
         longer
     }
 
@@ -88,34 +63,18 @@
         self.backoff.map_or(0, |backoff| backoff.next_dispatch.since(now))
     }
 
-    /// Returns the milliseconds until a request may be dispatched to it although its backoff has not ended.
-    pub(crate) fn probe_ms(&self, now: Millis) -> u64 {
-        self.backoff.map_or(0, |backoff| backoff.next_probe.min(backoff.until).since(now))
-    }
-
-    /// Permits one request before the end of the backoff.
-    pub(crate) fn begin_probe(&mut self, now: Millis) {
-        if let Some(backoff) = &mut self.backoff {
-            backoff.next_dispatch = now;
-            backoff.next_probe = now + backoff.probe_pause;
-            backoff.probed_at = Some(now);
-        }
-    }
-
     /// Records a dispatch. Right after a backoff the next one follows only after a pause, so that not all
     /// requests that have waited reach an endpoint that still turns them away.
     pub(crate) fn record_dispatch(&mut self, now: Millis) {
         if let Some(backoff) = &mut self.backoff {
-            backoff.next_dispatch = backoff.until.max(now + FIRST_DISPATCHES_MS);
+            backoff.next_dispatch = backoff.next_dispatch.max(now + FIRST_DISPATCHES_MS);
         }
     }
 
     /// Records that it took a request that was dispatched at `sent_at`. Returns whether that ended a
-    /// backoff: one that had not passed by then goes on, unless the request was let through before the end.
+    /// backoff: one that had not passed by then goes on.
     pub(crate) fn record_accepted(&mut self, sent_at: Millis) -> bool {
-        let ends =
-            |backoff: &mut Backoff| backoff.until <= sent_at || backoff.probed_at == Some(sent_at);
-        self.backoff.take_if(ends).is_some()
+        self.backoff.take_if(|backoff| backoff.until <= sent_at).is_some()
     }
 
     /// Returns the limit that it names.
--- a/crates/pool/src/entry/admit.rs
+++ b/crates/pool/src/entry/admit.rs
@@ -26,7 +26,6 @@
                 self.budget(&service).record_first(now);
                 self.requests.insert(id, request);
                 self.inquire_origin(id);
-                self.schedule_before(id);
                 self.schedule(id);
             }
             Err(reason) => {
@@ -139,10 +138,6 @@
             retry_reserved: false,
             retry_denied: false,
             queued: false,
-            awaits_slot: false,
-            admitted: false,
-            pressing: false,
-            placed: false,
             lost_runs: 0,
             trial: None,
             from_copy: false,
--- a/crates/pool/src/entry/advertised.rs
+++ b/crates/pool/src/entry/advertised.rs
@@ -59,12 +59,10 @@
 
     fn learn_backoff(&mut self, statement: &Statement<'_>) {
         let Statement { instance, said_at, head, .. } = *statement;
-        let bound_ms = self.max_backoff_ms(instance);
-        let until = head.backoff_ms.map(|ms| self.now + ms.min(bound_ms));
-        let now = self.now;
+        let until = head.backoff_ms.map(|ms| self.now + ms);
         let Some(advertised) = self.pool.advertised_mut(instance, said_at) else { return };
         let changed = match until {
-            Some(until) => advertised.record_backoff(until, said_at, now),
+            Some(until) => advertised.record_backoff(until),
             None if head.not_run => false,
             None => advertised.record_accepted(said_at),
         };
--- a/crates/pool/src/entry/choose.rs
+++ b/crates/pool/src/entry/choose.rs
@@ -5,7 +5,7 @@
 use super::{PoolEntry, Reason, Request};
 use crate::{
     endpoint::{Endpoint, FAILURE_TOLERANCE},
-    expected_wait::{EndpointOption, choose_by_wait},
+    expected_wait::{Candidate, choose_by_wait},
 };
 
 /// Decision for a waiting request.
@@ -63,7 +63,7 @@
 /// Fill level at which a plain endpoint takes no more requests: its slots plus twice as many queued
 /// requests. This keeps the slots busy, and keeps the endpoint's own queue, which holds four times
 /// its slots, from refusing requests that several entries dispatch at the same moment.
-pub(super) const PLAIN_FULL: f64 = 3.0;
+const PLAIN_FULL: f64 = 3.0;
 /// Fill level at which an engine takes no more requests: its batch plus a short queue. A request
 /// that waits at the entry can still be dispatched to a replica that is being loaded; one that
 /// waits at the engine cannot.
@@ -85,25 +85,24 @@
             return any.map_or_else(|| self.choice_without_endpoint(request), |_| Choice::Full);
         }
         let full = match request.required {
-            Some(_) if request.is_late(self.now) && !request.pressing => LATE_FULL,
+            Some(_) if request.is_late(self.now) => LATE_FULL,
             Some(_) => ENGINE_FULL,
             None => PLAIN_FULL,
         };
-        let has_room = |endpoint: &Endpoint| {
-            if self.by_wait(&request.service) {
-                self.has_room(endpoint, request, full)
-            } else {
-                endpoint.load_ratio() < full
-            }
-        };
         match best {
             Some(endpoint) if self.prefers_reload(endpoint, request, runs) => Choice::Reload,
-            Some(endpoint) if !has_room(endpoint) => Choice::Full,
-            Some(endpoint) if self.throttled(endpoint, request) => Choice::Throttle,
-            Some(endpoint) if self.needs_confirmation(endpoint, request) => {
+            Some(endpoint) if endpoint.load_ratio() < full && self.throttled(endpoint, request) => {
+                Choice::Throttle
+            }
+            Some(endpoint)
+                if endpoint.load_ratio() < full && self.needs_confirmation(endpoint, request) =>
+            {
                 Choice::Confirm(endpoint.member.instance.clone())
             }
-            Some(endpoint) => Choice::Dispatch(endpoint.member.instance.clone()),
+            Some(endpoint) if endpoint.load_ratio() < full => {
+                Choice::Dispatch(endpoint.member.instance.clone())
+            }
+            Some(_) => Choice::Full,
             None => self.choice_without_endpoint(request),
         }
     }
@@ -131,7 +130,7 @@
             endpoints.filter(|endpoint| self.eligible(endpoint, request) && admitted(endpoint));
         if self.by_wait(&request.service) {
             let key = hash_bytes(request.caller_id.as_bytes());
-            let candidates = eligible.map(|endpoint| EndpointOption {
+            let candidates = eligible.map(|endpoint| Candidate {
                 item: endpoint,
                 cost: self.cost(endpoint, request, runs),
                 has_room: self.has_room_now(endpoint, request),
@@ -211,7 +210,7 @@
     /// A stalled instance accepts connections. Its silence is noticed only after some hundred
     /// milliseconds, and by an entry without streams there after more than a second. Without this
     /// check, the callers that arrive meanwhile hang there until they disconnect.
-    pub(super) fn needs_confirmation(&self, endpoint: &Endpoint, request: &Request) -> bool {
+    fn needs_confirmation(&self, endpoint: &Endpoint, request: &Request) -> bool {
         request.required.is_some() && !endpoint.liveness.is_confirmed(self.now)
     }
 
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Dispatch, EntryEffect, FailureKind, LimitedUse, PoolEntry, Reason, Refusal, Request, RequestId,
-    ResponseEnd, ResponseHead, Resume, Stage, Verdict, classify_response, line::Forecast,
+    ResponseEnd, ResponseHead, Resume, Stage, Verdict, classify_response,
 };
 use crate::{prompt::join_parts, software::SoftwareKey};
 
@@ -349,9 +349,7 @@
         // status that guarantees that it has not would be wrong, whatever prevented the second run.
         let contradicts = request.runs > 0 && reason.status() == NOT_RUN_STATUS;
         let reason = if contradicts { Reason::Broken } else { reason };
-        let full = matches!(reason, Reason::Full | Reason::Displaced);
-        let forecast = full.then(|| self.forecast(&request)).flatten();
-        let retry_ms = self.retry_after(reason, &request, forecast.as_ref());
+        let retry_ms = self.retry_after(reason, &request);
         self.return_credit(&request, reason);
         self.record_share_refusal(&request, reason);
         let (holders, copies, loading) =
@@ -363,12 +361,6 @@
             Some(cause) => event.with(cause.field(), cause),
             None => event,
         };
-        let event = match forecast {
-            Some(Forecast { wait_ms, left_ms }) => {
-                event.with("wait_ms", wait_ms).with("left_ms", left_ms)
-            }
-            None => event,
-        };
         let event = request.mark_over_share(event);
         self.log(
             event
@@ -396,23 +388,11 @@
     /// again after half of it. A hash of the caller's request ID spreads the retries. If the model
     /// is not loaded, callers retry when it should be ready: earlier retries are refused again, and
     /// most callers retry only once.
-    ///
-    /// Where requests are scheduled by expected wait, a `forecast` says when the queue has drained.
-    fn retry_after(
-        &self,
-        reason: Reason,
-        request: &Request,
-        forecast: Option<&Forecast>,
-    ) -> Option<u64> {
-        if let Some(forecast) = forecast {
-            return Some(self.drained_ms(request, forecast));
-        }
+    fn retry_after(&self, reason: Reason, request: &Request) -> Option<u64> {
         let soon = || (request.target_ms / 2).max(self.backoff_retry_ms(request));
         let spread = |ms: u64| hash_bytes(request.caller_id.as_bytes()) % (ms + 1);
         match reason {
-            Reason::Full | Reason::Displaced | Reason::Backoff => {
-                Some(soon() + spread(request.target_ms / 4))
-            }
+            Reason::Full | Reason::Backoff => Some(soon() + spread(request.target_ms / 4)),
             Reason::NoEndpoint | Reason::TooLate => {
                 let ms = self.ready_ms(request).unwrap_or(0).max(soon());
                 Some(ms + spread((request.target_ms / 4).max(ms / RETRY_SPREAD)))
--- a/crates/pool/src/entry/endpoint_limits.rs
+++ b/crates/pool/src/entry/endpoint_limits.rs
@@ -144,7 +144,7 @@
         }
         let Some(request) = self.requests.get(&id) else { return };
         let wait_ms = request.wait_ms(self.now);
-        if self.limit_wait_ms(id, request) > wait_ms || self.waited_too_long(request) {
+        if self.limit_wait_ms(id, request) > wait_ms || request.waited_too_long(self.now) {
             self.refuse(id, Reason::EndpointLimit);
         }
     }
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -9,18 +9,15 @@
 mod demand;
 mod dispatch;
 mod endpoint_limits;
-mod line;
 mod load_requests;
 mod membership;
 mod placement;
 mod plan;
 mod preload;
 mod priority;
-mod queue;
 mod replicas;
 mod resume;
 mod retries;
-mod room;
 mod rules;
 mod shares;
 mod stalls;
@@ -87,6 +84,14 @@
 const MIN_ENTRIES: u32 = 3;
 /// Minimum milliseconds before a request's deadline to start any new work for it.
 const MIN_REMAINING_MS: u64 = 20;
+/// Milliseconds in which every slot of an endpoint becomes free once. A stream runs for about that
+/// long, a plain call for less.
+const SLOT_TURNOVER_MS: f64 = 500.0;
+/// Maximum time that a request waits for a slot, in latency objectives. A request that has waited
+/// longer, although its queue was estimated to be shorter, is refused with a retry time.
+const QUEUE_TARGETS: u64 = 4;
+/// Lower bound, in milliseconds, on the maximum wait given by [`QUEUE_TARGETS`].
+const QUEUE_MIN_MS: u64 = 500;
 /// Milliseconds that an endpoint with free slots takes to the first event of a stream. A prompt of
 /// 9,000 tokens is read in 240 ms.
 const FIRST_EVENT_MS: u64 = 250;
@@ -153,14 +158,6 @@
     dispatches: u32,
     /// Whether the request has waited for a model or a free slot, or was taken back from an endpoint.
     queued: bool,
-    /// Whether it was last found that the endpoints that can run it are full.
-    awaits_slot: bool,
-    /// Whether it has a place among the requests that wait for a slot.
-    admitted: bool,
-    /// Whether it would be too late if others of its class were served first.
-    pressing: bool,
-    /// Whether a less urgent request was refused in its favour.
-    placed: bool,
     /// Whether the request was counted as a miss: no replica had room.
     missed: bool,
     tokens: TokenCount,
@@ -230,6 +227,28 @@
         if started { now.since(self.sent_at + self.head_ms) } else { 0 }
     }
 
+    /// Returns whether the latency objective has already passed.
+    fn is_late(&self, now: Millis) -> bool {
+        now.since(self.arrived) >= self.target_ms
+    }
+
+    /// Returns the scheduling key among requests with the same requirements: by priority, then
+    /// those first that are within their organisation's share, then those that can still meet their
+    /// latency objective.
+    fn schedule_key(&self, now: Millis) -> (Priority, bool, bool) {
+        (self.priority, self.over_share, self.is_late(now))
+    }
+
+    /// Returns whether the request has waited for a slot for the maximum time.
+    fn waited_too_long(&self, now: Millis) -> bool {
+        now.since(self.arrived) > self.max_queue_ms()
+    }
+
+    /// Returns the maximum milliseconds from its arrival for which it waits for a slot.
+    fn max_queue_ms(&self) -> u64 {
+        (QUEUE_TARGETS * self.target_ms).max(QUEUE_MIN_MS)
+    }
+
     /// Returns the priority in the endpoint's queue, 0 first.
     fn urgency(&self, now: Millis) -> u8 {
         self.priority.urgency(self.is_late(now) || self.over_share)
@@ -387,7 +406,7 @@
                 if end == ResponseEnd::Broken {
                     self.record_lost_run(id);
                 }
-                self.schedule_after(id, end);
+                self.response_ended(id, end);
             }
             EntryEvent::StreamBroken(id, last_event) => self.stream_broken(id, last_event),
             EntryEvent::StreamEndUnproven(id, last_event) => self.end_unproven(id, last_event),
@@ -455,10 +474,7 @@
         }
         self.want_limited(id);
         let Some(request) = self.requests.get(&id) else { return };
-        let choice = self.choose(request);
-        self.set_awaits_slot(id, &choice);
-        let Some(request) = self.requests.get(&id) else { return };
-        match choice {
+        match self.choose(request) {
             Choice::Dispatch(_) if self.needs_trial(request) => self.request_trial(id),
             Choice::Dispatch(instance) => self.dispatch(id, &instance, false),
             Choice::Confirm(instance) => self.confirm(&instance),
@@ -481,6 +497,57 @@
         }
     }
 
+    fn mark_queued(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.mark_queued();
+        }
+    }
+
+    /// Keeps a request waiting for a slot, unless it cannot get one in time.
+    ///
+    /// During a burst beyond the endpoints' capacity, this bounds the queue to what can be served
+    /// before the last request's deadline. Later requests are refused at once.
+    fn queue_or_refuse(&mut self, id: RequestId) {
+        if let Some(base) = self.requests.get(&id).and_then(|request| request.base) {
+            self.count_miss(id, base);
+        }
+        let Some(request) = self.requests.get(&id) else { return };
+        let ahead = self.requests_ahead(id, request);
+        let holders = self.pool.endpoints.values().filter(|endpoint| {
+            endpoint.accepts_requests()
+                && !endpoint.backs_off(self.now)
+                && endpoint.member.service == request.service
+                && request.base.is_none_or(|base| endpoint.inventory.models.contains(&base))
+        });
+        let slots = holders.map(|endpoint| endpoint.member.slots).sum::<u32>();
+        let entries = self.entries();
+        let rounds = (ahead + 1) as f64 * f64::from(entries) / f64::from(slots.max(1));
+        let wait_ms = request.wait_ms(self.now) as f64;
+        let too_long = request.waited_too_long(self.now);
+        if rounds * SLOT_TURNOVER_MS > wait_ms - SLOT_TURNOVER_MS || too_long {
+            self.refuse(id, Reason::Full);
+        }
+    }
+
+    /// Returns how many requests before `id` wait for the same endpoints as `request` and go first.
+    fn requests_ahead(&self, id: RequestId, request: &Request) -> usize {
+        let schedule_key = request.schedule_key(self.now);
+        let same = |other: &&Request| {
+            other.stage == Stage::Waiting
+                && other.service == request.service
+                && other.base == request.base
+                && other.schedule_key(self.now) <= schedule_key
+        };
+        self.requests.range(..id).map(|(_, other)| other).filter(same).count()
+    }
+
+    /// Returns the number of entries that the sides report.
+    fn entries(&self) -> u32 {
+        let sides = self.pool.endpoints.values().filter_map(|endpoint| endpoint.side.as_ref());
+        let entries = sides.map(|side| side.entry_count).max().filter(|entries| *entries > 0);
+        entries.map_or(ASSUMED_ENTRIES, |entries| entries.max(MIN_ENTRIES))
+    }
+
     fn log(&mut self, event: LogEvent) {
         self.effects.push(EntryEffect::Log(event));
     }
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -1,6 +1,11 @@
 //! Timers: deadlines, silent endpoints and queued requests.
 
-use super::{EntryEffect, MIN_REMAINING_MS, PoolEntry, Reason, RequestId, ResponseEnd, Stage};
+use citronrill_base::Set;
+
+use super::{
+    Choice, EntryEffect, MIN_REMAINING_MS, PoolEntry, Reason, Request, RequestId, ResponseEnd,
+    Stage,
+};
 
 /// Time to first byte, in latency objectives, above which a request is retried elsewhere. At two
 /// objectives, the response to the retry still arrives within three if the other endpoint takes its
@@ -40,7 +45,6 @@
         self.pool.delisted.expire(self.now);
         self.forget_old_limits();
         self.pool.endpoints.values_mut().for_each(|endpoint| endpoint.expire_load(self.now));
-        self.review_waiting();
         self.schedule_waiting();
         self.add_replicas();
         self.load_missed();
@@ -137,6 +141,23 @@
         }
     }
 
+    /// Refuses requests that have waited too long for a slot, while requests that are not late
+    /// occupy the slots.
+    fn refuse_long_waits(&mut self) {
+        let too_long = self.requests.iter().filter(|(_, request)| {
+            request.stage == Stage::Waiting
+                && request.runs == 0
+                && request.waited_too_long(self.now)
+        });
+        let full = |request: &Request| {
+            matches!(self.choose(request), Choice::Full | Choice::Throttle | Choice::Limited)
+        };
+        let full = too_long.filter(|(_, request)| full(request));
+        for id in full.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.refuse(id, Reason::Full);
+        }
+    }
+
     /// During a planned stop, refuses requests that would otherwise be cut off when the process
     /// ends.
     ///
@@ -157,4 +178,37 @@
             }
         }
     }
+
+    /// Tries to dispatch the waiting requests, the most urgent first.
+    ///
+    /// If a model is requested more often than its replicas can serve, dispatch in order of arrival
+    /// makes every request wait for longer than the objective, and none is answered in time. Late
+    /// requests therefore get only the capacity that the others leave.
+    ///
+    /// Once a request cannot be dispatched, later ones with the same requirements are skipped: the
+    /// queue may hold hundreds, and an entry has a fifth of a core.
+    pub(super) fn schedule_waiting(&mut self) {
+        let waiting = self.requests.iter().filter(|(_, request)| request.stage == Stage::Waiting);
+        let mut order =
+            waiting.map(|(id, request)| (request.schedule_key(self.now), *id)).collect::<Vec<_>>();
+        order.sort_unstable();
+        let mut blocked = Set::default();
+        for (_, id) in order {
+            let Some(request) = self.requests.get(&id) else { continue };
+            let requirement = (request.service.clone(), request.required, request.bound_software());
+            if blocked.contains(&requirement) {
+                continue;
+            }
+            self.schedule(id);
+            let waits = self.requests.get(&id).is_some_and(|request| {
+                request.stage == Stage::Waiting
+                    && request.trial.is_none()
+                    && !request.awaits_credit()
+                    && !request.awaits_origin()
+            });
+            if waits {
+                blocked.insert(requirement);
+            }
+        }
+    }
 }
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -260,8 +260,6 @@
     NoEndpoint,
     /// Every endpoint that could run it is full.
     Full,
-    /// Every endpoint that could run it is full, and a more urgent request took its place in the queue.
-    Displaced,
     /// The model cannot be ready in time.
     TooLate,
     /// Its deadline has passed and it has not run.
@@ -299,7 +297,6 @@
             Reason::StaleConfig => "old_text",
             Reason::NoEndpoint => "no_endpoint",
             Reason::Full => "full",
-            Reason::Displaced => "displaced",
             Reason::TooLate => "too_far",
             Reason::Expired => "expired",
             Reason::Stopping => "stopping",
@@ -327,7 +324,6 @@
             | Reason::StaleConfig
             | Reason::NoEndpoint
             | Reason::Full
-            | Reason::Displaced
             | Reason::TooLate
             | Reason::Stopping
             | Reason::Quarantined
--- a/crates/pool/src/entry/waits.rs
+++ b/crates/pool/src/entry/waits.rs
@@ -5,7 +5,7 @@
 use citronrill_base::{Map, Set};
 use citronrill_decide::LogEvent;
 
-use super::{FIRST_EVENT_MS, PoolEntry, Request, RequestId, ResponseHead, queue::SLOT_TURNOVER_MS};
+use super::{FIRST_EVENT_MS, PoolEntry, Request, RequestId, ResponseHead, SLOT_TURNOVER_MS};
 use crate::{
     endpoint::Endpoint,
     expected_wait::{BadLoad, OwnView, WaitEstimate, WorkTime},
--- a/crates/pool/src/expected_wait.rs
+++ b/crates/pool/src/expected_wait.rs
@@ -313,7 +313,7 @@
 
 /// An endpoint that can run a request.
 #[derive(Debug, Clone, Copy)]
-pub struct EndpointOption<T> {
+pub struct Candidate<T> {
     /// The endpoint.
     pub item: T,
     /// What a dispatch there costs.
@@ -329,7 +329,7 @@
 ///
 /// All entries see the same endpoint idle at once. If each chose the cheapest one, it would be full before
 /// its next report.
-pub fn choose_by_wait<T: Copy>(candidates: &[EndpointOption<T>]) -> Option<T> {
+pub fn choose_by_wait<T: Copy>(candidates: &[Candidate<T>]) -> Option<T> {
     let mut room = candidates.iter().filter(|candidate| candidate.has_room).collect::<Vec<_>>();
     room.sort_unstable_by_key(|candidate| candidate.draw);
     room.truncate(DRAWN);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -8,7 +8,6 @@
 //! because nothing here is agreed through the platform table: a side is the only process that gives
 //! orders to its endpoint, and entries act on views that each carry a sequence number.
 
-mod admission;
 mod advertised;
 mod cause;
 mod check_timer;
@@ -41,7 +40,6 @@
 mod table_follower;
 
 pub use crate::{
-    admission::{Admission, Candidate, QueueState, admit, has_room},
     cause::Cause,
     check_timer::{CheckTimer, DueCheck},
     config::{CallerLimits, EngineSpec, ModelSpec, RetryPolicy, Route, Service, ServingConfig},
@@ -56,7 +54,7 @@
         TokenCount, Verdict, WaitCounts, classify_response,
     },
     expected_wait::{
-        BadLoad, EndpointOption, LoadView, OwnView, WaitEstimate, WorkTime, choose_by_wait,
+        BadLoad, Candidate, LoadView, OwnView, WaitEstimate, WorkTime, choose_by_wait,
     },
     incarnation::StartTime,
     limits::{
--- a/crates/pool/tests/all/expected_wait/model.rs
+++ b/crates/pool/tests/all/expected_wait/model.rs
@@ -7,7 +7,7 @@
 
 use citronrill_base::{Millis, hash_bytes};
 use citronrill_pool::{
-    EndpointOption, LoadView, OwnView, Pace, ServerLoad, WaitEstimate, WorkTime, choose_by_wait,
+    Candidate, LoadView, OwnView, Pace, ServerLoad, WaitEstimate, WorkTime, choose_by_wait,
 };
 
 /// How an entry chooses the endpoint of a request.
@@ -224,7 +224,7 @@
                     let (item, own) = (*holder, self.own(entry, *holder));
                     let cost = self.entries[entry].views[item].backlog_ms(own, now);
                     let has_room = estimate(item).wait_ms <= 0.0;
-                    EndpointOption { item, cost, has_room, draw: mixed(key, item) }
+                    Candidate { item, cost, has_room, draw: mixed(key, item) }
                 };
                 choose_by_wait(&holders.iter().map(candidate).collect::<Vec<_>>()).unwrap()
             }
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -2,7 +2,6 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that cannot go on must fail")]
 
-mod admission;
 mod advertised;
 mod collector;
 mod config_transfer;
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -250,16 +250,6 @@
         Bench::with_profile(Bench::profile(learn_ms))
     }
 
-    /// An entry whose settings say that organisations compete for room, with this configuration.
-    pub(crate) fn contended(seed: u64, config: Arc<ServingConfig>, members: Vec<Member>) -> Bench {
-        let profile = EntryProfile { contended: true, seed, ..Bench::profile(0) };
-        let mut bench = Bench::with_profile(profile);
-        bench.step(EntryEvent::Config(config));
-        bench.step(EntryEvent::ConfigCurrent(true));
-        bench.set_members(1, members);
-        bench
-    }
-
     fn profile(learn_ms: u64) -> EntryProfile {
         EntryProfile { learn_ms, ..profile() }
     }
