Judge foreign responses, the serving collector and a service's routes in one place each

Which responses may be of another endpoint was decided in two modules with a status of their own each, and the first collector that does something was looked for three times with the same loop (credit, shares, store loads). ResponseHead::is_foreign, first_collector and ServingConfig::routes_to serve them now.

--- a/crates/pool/src/config.rs
+++ b/crates/pool/src/config.rs
@@ -40,6 +40,12 @@
         (2 * longest).max(MIN_HORIZON_MS)
     }
 
+    /// Returns the routes that lead to a service.
+    pub(crate) fn routes_to(&self, service: &str) -> impl Iterator<Item = &Route> {
+        let leads = move |route: &&Route| route.shares.iter().any(|(name, _)| name == service);
+        self.routes.iter().filter(leads)
+    }
+
     /// Returns the service of this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
--- a/crates/pool/src/entry/advertised.rs
+++ b/crates/pool/src/entry/advertised.rs
@@ -6,9 +6,6 @@
 use super::{PoolEntry, RequestId, ResponseHead};
 use crate::advertised::Advertised;
 
-/// Status of a response to a request that was meant for another endpoint, or for a model that is not there.
-const MISDIRECTED_STATUS: u16 = 421;
-
 /// What an endpoint said in the response to one request.
 pub(super) struct Statement<'a> {
     pub(super) instance: &'a str,
@@ -25,7 +22,7 @@
     /// Responses of another incarnation and to another request tell nothing of it. Nor does status 421, which
     /// whatever listens at the address by now may have sent.
     pub(super) fn learn_from_response(&mut self, id: RequestId, head: ResponseHead) {
-        if head.other_incarnation || head.misdirected || head.status == MISDIRECTED_STATUS {
+        if head.is_foreign() {
             return;
         }
         let Some(request) = self.requests.get(&id) else { return };
--- a/crates/pool/src/entry/credit.rs
+++ b/crates/pool/src/entry/credit.rs
@@ -7,6 +7,7 @@
 
 use super::{EntryEffect, PoolEntry, Reason, Request, RequestId, Stage, TokenCount};
 use crate::{
+    endpoint::SideView,
     limits::{Charge, Claim},
     organisation::{LimitUnit, Organisation, UsageLimit},
 };
@@ -155,16 +156,18 @@
         organisations.is_some_and(|all| all.iter().any(|organisation| organisation.limit.is_some()))
     }
 
-    /// Returns the address of the endpoint whose side issues credit: the first of the collectors, on
-    /// which all entries agree.
+    /// Returns the address of the endpoint whose side issues credit.
     fn issuer(&self) -> Option<SocketAddr> {
-        let collectors = self.suspects.collectors.iter().copied();
-        let issues = |address: &SocketAddr| {
+        self.first_collector(|side| side.issues_credit)
+    }
+
+    /// Returns the address of the first collector whose side does what is asked: all entries agree on it.
+    pub(super) fn first_collector(&self, does: impl Fn(&SideView) -> bool) -> Option<SocketAddr> {
+        let serves = |address: &SocketAddr| {
             let endpoint = self.pool.endpoint_listed_at(*address);
-            let side = endpoint.and_then(|endpoint| endpoint.side.as_ref());
-            side.is_some_and(|side| side.issues_credit)
+            endpoint.and_then(|endpoint| endpoint.side.as_ref()).is_some_and(&does)
         };
-        collectors.into_iter().find(issues)
+        self.suspects.collectors.iter().copied().find(serves)
     }
 
     /// Returns the number of entries, with those that a side has lost in silence.
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -165,7 +165,7 @@
             }
             if verdict != Verdict::NotRun {
                 endpoint.record_result(verdict == Verdict::Failed || head.status >= 500);
-            } else if head.status == 421 {
+            } else if head.is_rejected() {
                 // The endpoint does not have the model that it was known to have. The key is
                 // removed until the member list or the side reports something newer; otherwise
                 // requests would be dispatched there in a loop.
--- a/crates/pool/src/entry/rules.rs
+++ b/crates/pool/src/entry/rules.rs
@@ -41,7 +41,7 @@
 pub fn classify_response(head: ResponseHead, retry_policy: RetryPolicy) -> Verdict {
     let unsigned = head.success() && !head.signed;
     let failed = head.status >= 500 && retry_policy.may_retry();
-    if !head.misdirected && (head.not_run || head.status == 421) {
+    if !head.misdirected && (head.not_run || head.is_rejected()) {
         Verdict::NotRun
     } else if head.misdirected || unsigned || failed {
         Verdict::Failed
--- a/crates/pool/src/entry/shares.rs
+++ b/crates/pool/src/entry/shares.rs
@@ -168,16 +168,9 @@
         }
     }
 
-    /// Returns the address of the endpoint whose side divides shares: the first of the collectors, on which
-    /// all entries agree.
+    /// Returns the address of the endpoint whose side divides shares.
     fn divider(&self) -> Option<SocketAddr> {
-        let collectors = self.suspects.collectors.iter().copied();
-        let divides = |address: &SocketAddr| {
-            let endpoint = self.pool.endpoint_listed_at(*address);
-            let side = endpoint.and_then(|endpoint| endpoint.side.as_ref());
-            side.is_some_and(|side| side.divides_shares)
-        };
-        collectors.into_iter().find(divides)
+        self.first_collector(|side| side.divides_shares)
     }
 
     fn log_share_changes(&mut self) {
--- a/crates/pool/src/entry/store_claims.rs
+++ b/crates/pool/src/entry/store_claims.rs
@@ -278,14 +278,9 @@
         self.effects.push(EntryEffect::StoreLoads(queue, report));
     }
 
-    /// Chooses the side that queues the loads: the first of the collectors, on which all entries agree.
+    /// Chooses the side that queues the loads.
     fn choose_store_queue(&mut self) {
-        let queues = |address: &SocketAddr| {
-            let endpoint = self.pool.endpoint_listed_at(*address);
-            let side = endpoint.and_then(|endpoint| endpoint.side.as_ref());
-            side.is_some_and(|side| side.queues_store_loads)
-        };
-        let queue = self.suspects.collectors.iter().copied().find(queues);
+        let queue = self.first_collector(|side| side.queues_store_loads);
         if queue == self.store_claims.queue {
             return;
         }
@@ -471,9 +466,7 @@
         let engine = config.service(service).and_then(|service| service.engine.as_ref());
         let store_ms =
             engine.and_then(|engine| engine.model(model)).map_or(0, |spec| spec.store_ms);
-        let routes = config.routes.iter();
-        let routes = routes.filter(|route| route.shares.iter().any(|(name, _)| name == service));
-        let target_ms = routes.map(|route| route.target_ms).max().unwrap_or(0);
+        let target_ms = config.routes_to(service).map(|route| route.target_ms).max().unwrap_or(0);
         (target_ms / 4).max(store_ms / RETRY_SPREAD)
     }
 
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -116,7 +116,21 @@
     pub backoff_ms: Option<u64>,
 }
 
+/// Status of a response to a request that was meant for another endpoint, or for a model that is not there.
+const MISDIRECTED_STATUS: u16 = 421;
+
 impl ResponseHead {
+    /// Returns whether the endpoint turned the request away as not meant for it.
+    pub(super) fn is_rejected(&self) -> bool {
+        self.status == MISDIRECTED_STATUS
+    }
+
+    /// Returns whether the response may come from another endpoint than the intended one, or belong to another
+    /// request. Whatever listens at the address by now may have sent status 421.
+    pub(super) fn is_foreign(&self) -> bool {
+        self.other_incarnation || self.misdirected || self.is_rejected()
+    }
+
     /// Returns whether the status means that the request was served.
     pub fn success(&self) -> bool {
         (200..300).contains(&self.status)
--- a/crates/pool/src/entry/waits.rs
+++ b/crates/pool/src/entry/waits.rs
@@ -11,9 +11,6 @@
     expected_wait::{BadLoad, OwnView, WaitEstimate, WorkTime},
 };
 
-/// Status of a response to a request that was meant for another endpoint, or for a model that is not
-/// there.
-const MISDIRECTED_STATUS: u16 = 421;
 /// Expected response times after which a call has no response because its endpoint hangs: stated queues
 /// are exact only to the requests that several entries send at the same moment.
 const OVERDUE_FACTOR: f64 = 2.0;
@@ -87,9 +84,7 @@
         if self.is_engine(service) {
             return SLOT_TURNOVER_MS;
         }
-        let routes = config.routes.iter();
-        let routes = routes.filter(|route| route.shares.iter().any(|(name, _)| name == service));
-        let shortest = routes.map(|route| route.target_ms).min();
+        let shortest = config.routes_to(service).map(|route| route.target_ms).min();
         shortest.map_or(SLOT_TURNOVER_MS, |ms| SLOT_TURNOVER_MS.min(ms as f64))
     }
 
@@ -165,10 +160,8 @@
         let now = self.now;
         let Some(request) = self.requests.get(&id) else { return };
         let Some(instance) = request.instance.clone() else { return };
-        let foreign =
-            head.other_incarnation || head.misdirected || head.status == MISDIRECTED_STATUS;
         let Some(endpoint) = self.pool.endpoints.get_mut(&instance) else { return };
-        if foreign || request.sent_at < endpoint.known_since {
+        if head.is_foreign() || request.sent_at < endpoint.known_since {
             return;
         }
         if head.load.is_some_and(|load| load.pace.is_some()) {
