--- a/review/tool/reclaimed.rs
+++ b/review/tool/reclaimed.rs
@@ -25,7 +25,10 @@
 /// Workers; the one that is taken away is an eighth.
 const WORKERS: u8 = 8;
 const CONSUMERS: u32 = 40;
-const PAUSE: Duration = Duration::from_millis(50);
+/// Pause of the first consumer between an answer and its next request, and by how much that of the next one
+/// is longer: they do not go in step.
+const PAUSE: Duration = Duration::from_millis(20);
+const PAUSE_STEP: Duration = Duration::from_millis(7);
 const BEFORE: Duration = Duration::from_secs(6);
 const AFTER: Duration = Duration::from_secs(8);
 
@@ -61,7 +64,13 @@
         let (whole, cut, truncated) = (whole.clone(), cut.clone(), truncated.clone());
         let (stop, record) = (stop.clone(), record.clone());
         thread::spawn(move || {
-            consume(entry, &record, &stop, &[&whole, &cut, &truncated]);
+            consume(
+                entry,
+                &record,
+                &stop,
+                PAUSE + PAUSE_STEP * number,
+                &[&whole, &cut, &truncated],
+            );
         })
     });
     let consumers = consumers.collect::<Vec<_>>();
@@ -89,7 +98,13 @@
 }
 
 /// ORDER: a stream that ends as complete before its last piece.
-fn consume(entry: SocketAddr, record: &Record, stop: &AtomicBool, counts: &[&AtomicU32; 3]) {
+fn consume(
+    entry: SocketAddr,
+    record: &Record,
+    stop: &AtomicBool,
+    pause: Duration,
+    counts: &[&AtomicU32; 3],
+) {
     let mut consumer = Consumer::new(entry, record);
     while !stop.load(Ordering::Relaxed) {
         let answer = consumer.call(Kind::Chat("/chat/", "m0"));
@@ -104,6 +119,6 @@
             (false, _) => counts[1],
         };
         count.fetch_add(1, Ordering::Relaxed);
-        thread::sleep(PAUSE);
+        thread::sleep(pause);
     }
 }
