Judge each endpoint response by its bytes, in one place

What callers saw: an endpoint in trouble sent a response whose head was spoilt where it tells the end of the body; the caller got status 200, framed as complete, with a body that was not the endpoint's: the raw chunks of a misspelt or repeated Transfer-Encoding, or the first bytes of a body with both a length and chunks. It also got statuses 600 and 999, an unasked 101, a 204 with a body, and final responses after interim ones that announced a body.

Cause: two owners. The HTTP library decided where a body ends, and took every transfer coding that is not chunks last for "until the connection closes", a length beside chunks for nothing, and any repeated coding for the last one; body_framing.rs decided again from the decoded headers, where "has a Transfer-Encoding" meant chunks. Where the two differ, a cut or raw body counts as complete; the length beside chunks was even forwarded, so that the server side cut the body to it.

Evidence: the table platform/standin/src/response_cases.rs (146 responses, RFC 9112 sections 2 to 7) sent by a raw worker on each kind of route.

Fix: response::ResponseDecoder in crates/http follows the raw bytes of every response on a connection, before the HTTP library sees them, and is the only judge of its framing: a head that permits several readings is no response. It sits under all HTTP connections of the pool (requests, resumed streams, store, endpoint reports and orders), and its verdict travels with the response. A field name that is a framing field's but for one letter, and a response without length that says that its connection persists, have lost the field that marks the end: they are refused. A length that is repeated with the same value is stated once to the caller. Bytes after a response make the connection unfit for another request.

Handled before (tests kept): status 000, blanks and control bytes in names, lines that are no field, bad lengths and bad chunks, by the library's parser. head_limit.rs goes: the decoder bounds a head (64 KiB) and interim heads (16).

--- a/crates/gateway/src/body_end.rs
+++ b/crates/gateway/src/body_end.rs
@@ -1,8 +1,9 @@
 //! Decides how an endpoint's response body ended.
 
 use bytes::Bytes;
+use citronrill_http::response::Framing;
 
-use crate::{body_framing::Framing, event_splitter::EventSplitter};
+use crate::event_splitter::EventSplitter;
 
 /// How a response body ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -34,7 +35,9 @@
         let Some(splitter) = splitter else { return BodyEnd::Complete(Bytes::new()) };
         match (splitter.finish(), framing) {
             (Err(inside), _) => BodyEnd::Truncated(inside.bytes),
-            (Ok(rest), Framing::Length | Framing::Chunked) => BodyEnd::Complete(rest),
+            (Ok(rest), Framing::NoBody | Framing::Length(_) | Framing::Chunked) => {
+                BodyEnd::Complete(rest)
+            }
             (Ok(rest), Framing::UntilClose) if splitter.has_events() => BodyEnd::Unproven(rest),
             (Ok(_), Framing::UntilClose) => BodyEnd::Truncated(0),
         }
--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -12,6 +12,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
+use citronrill_http::response::Framing;
 use citronrill_pool::{Arrival, CallerLimits, EntryEvent, Refusal, RequestId};
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::{
@@ -30,13 +31,12 @@
 };
 
 use crate::{
-    body_framing::Framing,
     dialect::Dialect,
     digest::request_digest,
     entry::{EntryStatus, EventSender, ProgressCounter, RequestHandle, StopPlan},
     error::GatewayError,
     exchange::{Exchange, Outcome, OutgoingRequest, strip_connection_headers},
-    http_client::{ConnectionGuard, set_socket_options},
+    http_client::{OpenResponse, set_socket_options},
     metrics::EntryMetrics,
     relay::Relay,
     resources::{BufferedBytes, READ_AHEAD_BYTES, Resources},
@@ -339,7 +339,7 @@
         let (exchange, outcome) = exchange.next_outcome().await;
         notifier.armed = false;
         match outcome {
-            Outcome::Forward(response, guard) => self.forward(response, guard, exchange),
+            Outcome::Forward(open) => self.forward(open, exchange),
             Outcome::Refuse(refusal) => refusal_response(refusal),
             Outcome::Finish | Outcome::Abort => {
                 problem_response(StatusCode::BAD_GATEWAY, "broken", None)
@@ -347,18 +347,16 @@
         }
     }
 
-    fn forward(
-        &self,
-        response: Response<Incoming>,
-        guard: ConnectionGuard,
-        exchange: Exchange,
-    ) -> Response<ResponseBody> {
+    fn forward(&self, open: OpenResponse, exchange: Exchange) -> Response<ResponseBody> {
+        let OpenResponse { response, framing, guard } = open;
         let (mut parts, body) = response.into_parts();
-        let framing = Framing::of(&parts.headers);
         strip_connection_headers(&mut parts.headers);
+        state_length_once(&mut parts.headers, framing);
         parts.version = Version::HTTP_11;
         self.metrics.count_response(parts.status);
-        let event_stream = parts.status.is_success() && is_event_stream(&parts.headers);
+        let open_ended = matches!(framing, Framing::Chunked | Framing::UntilClose);
+        let event_stream =
+            open_ended && parts.status.is_success() && is_event_stream(&parts.headers);
         let relay = Relay::new(body, framing, guard, exchange, self.events.clone(), event_stream);
         Response::from_parts(parts, Either::Left(relay))
     }
@@ -420,14 +418,27 @@
     Ok(bytes.freeze())
 }
 
-/// Returns whether a response is an event stream without a fixed length.
+/// Returns whether a response is an event stream.
 ///
-/// No other response can be resumed: the attempt that resumes it may produce a response of another
+/// One of a fixed length cannot be resumed: the attempt that resumes it may produce a response of another
 /// length.
 fn is_event_stream(headers: &HeaderMap) -> bool {
     let media_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
-    let is_stream = media_type.is_some_and(|media_type| media_type.starts_with(EVENT_STREAM));
-    is_stream && !headers.contains_key(CONTENT_LENGTH)
+    media_type.is_some_and(|media_type| media_type.starts_with(EVENT_STREAM))
+}
+
+/// Leaves one length in a head, as callers may read a repeated one in several ways.
+fn state_length_once(headers: &mut HeaderMap, framing: Framing) {
+    match framing {
+        Framing::Length(length) => {
+            headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+        }
+        // The length that the body would have.
+        Framing::NoBody if headers.get_all(CONTENT_LENGTH).iter().count() == 1 => {}
+        Framing::NoBody | Framing::Chunked | Framing::UntilClose => {
+            headers.remove(CONTENT_LENGTH);
+        }
+    }
 }
 
 /// Returns a request ID that is unique in this process.
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -34,6 +34,9 @@
     /// The peer violated HTTP, or closed the connection.
     #[error("HTTP error: {0}")]
     Http(#[from] hyper::Error),
+    /// The head of a response did not say where its body ends.
+    #[error("response without a known end")]
+    Unframed,
     /// A request could not be built.
     #[error("invalid request: {0}")]
     Request(#[from] hyper::http::Error),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,8 +10,7 @@
 use citronrill_pool::{Dispatch, EntryEvent, FailureKind, Refusal, RequestId};
 use http_body_util::Full;
 use hyper::{
-    HeaderMap, Request, Response,
-    body::Incoming,
+    HeaderMap, Request,
     header::{CONNECTION, CONTENT_LENGTH},
     http::{Method, Uri},
 };
@@ -21,7 +20,7 @@
     dialect::Dialect,
     entry::{Command, EventSender, ProgressCounter},
     error::GatewayError,
-    http_client::{ConnectionGuard, HttpConnection},
+    http_client::{HttpConnection, OpenResponse},
     metrics::EntryMetrics,
     resources::BufferedBytes,
 };
@@ -42,7 +41,7 @@
 /// Final decision of the control thread for a request.
 pub(crate) enum Outcome {
     /// The endpoint's response is forwarded to the caller.
-    Forward(Response<Incoming>, ConnectionGuard),
+    Forward(OpenResponse),
     /// The caller gets a refusal.
     Refuse(Refusal),
     /// The response that was forwarded is complete.
@@ -52,7 +51,7 @@
 }
 
 /// The response of an endpoint that is held until the control thread decides whether to forward it.
-type HeldResponse = Option<(Response<Incoming>, ConnectionGuard)>;
+type HeldResponse = Option<OpenResponse>;
 
 /// A request with the channel of its commands.
 pub(crate) struct Exchange {
@@ -107,10 +106,8 @@
                     };
                 }
                 Some(Command::Forward) => {
-                    let response = held.take();
-                    let outcome =
-                        response.map(|(response, guard)| Outcome::Forward(response, guard));
-                    return (self, outcome.unwrap_or(Outcome::Abort));
+                    let outcome = held.take().map_or(Outcome::Abort, Outcome::Forward);
+                    return (self, outcome);
                 }
                 // The endpoint broke off the stream before it could be disconnected.
                 Some(Command::Disconnect) => command = self.commands.recv().await,
@@ -126,16 +123,16 @@
     fn report_result(
         &self,
         dispatch: &Dispatch,
-        result: Result<(Response<Incoming>, ConnectionGuard), (FailureKind, GatewayError)>,
+        result: Result<OpenResponse, (FailureKind, GatewayError)>,
     ) -> HeldResponse {
         match result {
-            Ok((response, guard)) => {
-                let (status, headers) = (response.status(), response.headers());
+            Ok(open) => {
+                let (status, headers) = (open.response.status(), open.response.headers());
                 let caller_id = &self.outgoing.caller_id;
                 let head =
                     self.dialect.response_head(status, headers, caller_id, &dispatch.instance);
                 self.events.send(EntryEvent::ResponseHead(self.id, dispatch.number, head));
-                Some((response, guard))
+                Some(open)
             }
             Err((kind, error)) => {
                 log::info!("event=send_failed id={} error=\"{error}\"", self.outgoing.caller_id);
@@ -151,10 +148,10 @@
     dispatch: &Dispatch,
     dialect: &dyn Dialect,
     metrics: &EntryMetrics,
-) -> Result<(Response<Incoming>, ConnectionGuard), (FailureKind, GatewayError)> {
+) -> Result<OpenResponse, (FailureKind, GatewayError)> {
     let started = Instant::now();
     let opened = HttpConnection::open(dispatch.address).await;
-    let mut connection = opened.map_err(|error| (FailureKind::Unreachable, error))?;
+    let connection = opened.map_err(|error| (FailureKind::Unreachable, error))?;
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
@@ -163,10 +160,10 @@
     headers.remove(CONTENT_LENGTH);
     dialect.rewrite_headers(&mut headers, dispatch);
     *request.headers_mut() = headers;
-    let response = connection.send(request).await;
+    let response = connection.send_only(request).await;
     let response = response.map_err(|error| (FailureKind::Broken, error))?;
     metrics.ttfb.record(started.elapsed());
-    Ok((response, connection.into_guard()))
+    Ok(response)
 }
 
 /// Hop-by-hop headers, besides those that `Connection` lists.
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -11,16 +11,17 @@
 };
 
 use bytes::{Bytes, BytesMut};
+use citronrill_http::response::Framing;
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper::{Method, Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
 use crate::{
     error::GatewayError,
-    head_limit::{HeadLimit, LimitedStream},
     resources::READ_AHEAD_BYTES,
+    response_stream::{ResponseStream, ResponseTracker},
 };
 
 /// Milliseconds to connect: a round trip between zones takes under 5 ms, and TCP resends a lost
@@ -76,10 +77,19 @@
     }
 }
 
+/// A response whose body has not been read.
+pub(crate) struct OpenResponse {
+    pub(crate) response: Response<Incoming>,
+    /// What marks the end of its body.
+    pub(crate) framing: Framing,
+    /// Dropping it closes the connection.
+    pub(crate) guard: ConnectionGuard,
+}
+
 /// An HTTP/1 client connection.
 pub(crate) struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
-    head_limit: HeadLimit,
+    tracker: ResponseTracker,
     guard: ConnectionGuard,
 }
 
@@ -87,7 +97,7 @@
     /// Connects to `address`.
     pub(crate) async fn open(address: SocketAddr) -> Result<HttpConnection, GatewayError> {
         let stream = connect(address, CONNECT_TIMEOUT_MS).await?;
-        let (stream, head_limit) = LimitedStream::new(stream);
+        let (stream, tracker) = ResponseStream::new(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_AHEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -97,7 +107,7 @@
                 log::trace!("event=connection_ended error=\"{error}\"");
             }
         });
-        Ok(HttpConnection { sender, head_limit, guard: ConnectionGuard(task) })
+        Ok(HttpConnection { sender, tracker, guard: ConnectionGuard(task) })
     }
 
     /// Sends a request and returns the head of its response.
@@ -106,15 +116,23 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, GatewayError> {
         self.sender.ready().await?;
-        self.head_limit.begin();
-        let response = self.sender.send_request(request).await?;
-        self.head_limit.lift();
-        Ok(response)
+        self.tracker.expect(request.method() == Method::HEAD);
+        Ok(self.sender.send_request(request).await?)
+    }
+
+    /// Sends the only request of this connection and returns its response.
+    pub(crate) async fn send_only(
+        mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<OpenResponse, GatewayError> {
+        let response = self.send(request).await?;
+        let framing = self.tracker.framing().ok_or(GatewayError::Unframed)?;
+        Ok(OpenResponse { response, framing, guard: self.guard })
     }
 
-    /// Returns the guard that keeps the connection open.
-    pub(crate) fn into_guard(self) -> ConnectionGuard {
-        self.guard
+    /// Returns whether another request may be sent.
+    fn is_reusable(&self) -> bool {
+        !self.sender.is_closed() && self.tracker.is_reusable()
     }
 }
 
@@ -184,7 +202,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, GatewayError> {
         let connection = match &mut self.connection {
-            Some(connection) if !connection.sender.is_closed() => connection,
+            Some(connection) if connection.is_reusable() => connection,
             slot => slot.insert(HttpConnection::open(self.address).await?),
         };
         connection.send(request).await
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,6 @@
 //! [`Dialect`], so this crate doesn't depend on them.
 
 mod body_end;
-mod body_framing;
 mod caller_server;
 mod config_transfer;
 mod dialect;
@@ -17,7 +16,6 @@
 mod event_splitter;
 mod exchange;
 mod framing;
-mod head_limit;
 mod http_client;
 mod logs;
 mod metrics;
@@ -25,6 +23,7 @@
 mod quarantine;
 mod relay;
 mod resources;
+mod response_stream;
 mod seeds;
 mod side;
 mod sides;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,17 +7,17 @@
 };
 
 use bytes::Bytes;
+use citronrill_http::response::Framing;
 use citronrill_pool::{EntryEvent, RequestId, ResponseEnd};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use thiserror::Error;
 
 use crate::{
     body_end::BodyEnd,
-    body_framing::Framing,
     entry::{Command, EventSender},
     event_splitter::{EventSplitter, EventTooLarge},
     exchange::{Exchange, Outcome},
-    http_client::ConnectionGuard,
+    http_client::{ConnectionGuard, OpenResponse},
 };
 
 /// Why a response ends early.
@@ -216,8 +216,8 @@
                     let Poll::Ready((exchange, outcome)) = decision.as_mut().poll(context) else {
                         return Poll::Pending;
                     };
-                    let (response, guard) = match outcome {
-                        Outcome::Forward(response, guard) => (response, guard),
+                    let OpenResponse { response, framing, guard } = match outcome {
+                        Outcome::Forward(open) => open,
                         Outcome::Finish => {
                             self.source = Source::Ended;
                             return Poll::Ready(None);
@@ -227,7 +227,7 @@
                             return Poll::Ready(Some(Err(RelayError::Aborted)));
                         }
                     };
-                    self.framing = Framing::of(response.headers());
+                    self.framing = framing;
                     let body = response.into_body();
                     self.source = Source::Endpoint(body, Box::new(exchange), guard);
                 }
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -4,19 +4,16 @@
 
 #[path = "../src/body_end.rs"]
 mod body_end;
-#[path = "../src/body_framing.rs"]
-#[allow(dead_code, reason = "the test uses a part of the module")]
-mod body_framing;
 #[path = "../src/event_splitter.rs"]
 mod event_splitter;
 
 use bytes::Bytes;
+use citronrill_http::response::Framing;
 use proptest::{prelude::*, test_runner::RngSeed};
 use rstest::rstest;
 
 use self::{
     body_end::BodyEnd,
-    body_framing::Framing,
     event_splitter::{EventSplitter, InsideEvent},
 };
 
@@ -106,7 +103,7 @@
 #[case(Framing::UntilClose, "", BodyEnd::Truncated(0))]
 #[case(Framing::UntilClose, ": wait\n\n", BodyEnd::Truncated(0))]
 #[case(Framing::Chunked, "", BodyEnd::Complete(Bytes::new()))]
-#[case(Framing::Length, "id: 0\n\n", BodyEnd::Complete(Bytes::new()))]
+#[case(Framing::Length(7), "id: 0\n\n", BodyEnd::Complete(Bytes::new()))]
 #[case(Framing::UntilClose, "id: 0\n\n", BodyEnd::Unproven(Bytes::new()))]
 #[case(Framing::UntilClose, "id: 0\n\n: end", BodyEnd::Unproven(Bytes::from_static(b": end")))]
 fn the_end_of_a_body_is_classified(
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,9 +1,11 @@
-//! HTTP responses over `tiny_http` that are flushed after each part.
+//! HTTP responses: written over `tiny_http` and flushed after each part, and read.
 //!
 //! `tiny_http` collects a response that it reads itself into chunks of 8 KiB, so that streamed
 //! tokens would arrive in bursts. This crate uses the raw writer instead and flushes it after each
 //! part, so that tokens arrive one by one.
 
+pub mod response;
+
 use std::{
     io::{self, Write},
     net::{SocketAddr, TcpListener},
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -16,6 +16,7 @@
 mod requests;
 mod resources;
 mod responses;
+mod responses_spoilt;
 mod resume;
 mod software;
 mod store_era;
--- a/tests/pool/support/messages.rs
+++ b/tests/pool/support/messages.rs
@@ -111,6 +111,20 @@
         Response { status, body: body.to_owned(), complete, head }
     }
 
+    /// Returns the body without chunks.
+    pub(crate) fn decoded_body(&self) -> String {
+        if self.header("transfer-encoding").is_none() {
+            return self.body.clone();
+        }
+        let (mut rest, mut body) = (self.body.as_str(), String::new());
+        while let Some((size, after)) = rest.split_once("\r\n") {
+            let size = usize::from_str_radix(size, 16).unwrap();
+            body.push_str(&after[..size]);
+            rest = after[size..].trim_start_matches("\r\n");
+        }
+        body
+    }
+
     pub(crate) fn header(&self, name: &str) -> Option<&str> {
         let prefix = format!("{name}: ");
         self.head.lines().find_map(|line| line.strip_prefix(prefix.as_str()))
