Do not let a response that ended with its connection look complete unverified

Cause: the end of the input was taken for the end of the message where nothing in the message shows it. The kernel closes the connections of a process that has ended like those of one that has sent everything. Only event streams waited until their endpoint was checked, and where the check got no answer within 150 ms the end counted in favour of a complete response.

Fix: BodyEnd classifies by the framing alone: whatever has neither length nor chunks is unproven at its end. Its end waits for the check of the endpoint, as that of streams did; refused, restarted or not verified in time is broken: a resumable stream goes on elsewhere, anything else is cut.

--- a/crates/gateway/src/body_end.rs
+++ b/crates/gateway/src/body_end.rs
@@ -10,7 +10,7 @@
 pub(crate) enum BodyEnd {
     /// It is whole; carries the bytes that follow the last event.
     Complete(Bytes),
-    /// An event stream has ended with its connection between two events: it may be whole or cut off.
+    /// It has ended with its connection, an event stream between two events: it may be whole or cut off.
     Unproven(Bytes),
     /// An event stream was cut off after this many bytes of an event, or before the first one.
     Truncated(usize),
@@ -23,7 +23,8 @@
     /// connection reported an error.
     ///
     /// The connection of a process that has ended is closed like that of one that has sent its whole
-    /// response. Where nothing else marks the end, only the events show that a stream was cut off.
+    /// response. Where nothing else marks the end, only the events show that a stream was cut off, and nothing
+    /// shows it of any other body.
     pub(crate) fn classify(
         framing: Framing,
         splitter: Option<&mut EventSplitter>,
@@ -32,14 +33,16 @@
         if failed {
             return BodyEnd::Broken;
         }
-        let Some(splitter) = splitter else { return BodyEnd::Complete(Bytes::new()) };
-        match (splitter.finish(), framing) {
-            (Err(inside), _) => BodyEnd::Truncated(inside.bytes),
-            (Ok(rest), Framing::NoBody | Framing::Length(_) | Framing::Chunked) => {
-                BodyEnd::Complete(rest)
-            }
-            (Ok(rest), Framing::UntilClose) if splitter.has_events() => BodyEnd::Unproven(rest),
-            (Ok(_), Framing::UntilClose) => BodyEnd::Truncated(0),
+        let marked = framing != Framing::UntilClose;
+        let Some(splitter) = splitter else {
+            let rest = Bytes::new();
+            return if marked { BodyEnd::Complete(rest) } else { BodyEnd::Unproven(rest) };
+        };
+        match splitter.finish() {
+            Err(inside) => BodyEnd::Truncated(inside.bytes),
+            Ok(rest) if marked => BodyEnd::Complete(rest),
+            Ok(rest) if splitter.has_events() => BodyEnd::Unproven(rest),
+            Ok(_) => BodyEnd::Truncated(0),
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use citronrill_http::response::Framing;
-use citronrill_pool::{EntryEvent, RequestId, ResponseEnd};
+use citronrill_pool::{EndedBody, EntryEvent, RequestId, ResponseEnd};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use thiserror::Error;
 
@@ -114,7 +114,12 @@
                 Some(data_frame(rest))
             }
             BodyEnd::Unproven(rest) => {
-                self.await_decision(EntryEvent::StreamEndUnproven);
+                let stream = self.splitter.is_some();
+                self.await_decision(|id, last_event| {
+                    let body =
+                        if stream { EndedBody::Events(last_event) } else { EndedBody::Plain };
+                    EntryEvent::EndUnproven(id, body)
+                });
                 data_frame(rest).map(Some)
             }
             BodyEnd::Truncated(bytes) => {
@@ -157,7 +162,7 @@
 
     /// Disconnects from the endpoint, reports the event with the last one that was forwarded to the
     /// caller, and waits for the control thread to decide how the response goes on.
-    fn await_decision(&mut self, event: fn(RequestId, Option<u64>) -> EntryEvent) {
+    fn await_decision(&mut self, event: impl Fn(RequestId, Option<u64>) -> EntryEvent) {
         let last_event = self.splitter.as_mut().and_then(|splitter| {
             splitter.start_attempt();
             splitter.last_id()
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -118,7 +118,11 @@
     };
     assert_eq!(BodyEnd::classify(framing, Some(&mut splitter()), false), end);
     assert_eq!(BodyEnd::classify(framing, Some(&mut splitter()), true), BodyEnd::Broken);
-    assert_eq!(BodyEnd::classify(framing, None, false), BodyEnd::Complete(Bytes::new()));
+    let plain = match framing {
+        Framing::UntilClose => BodyEnd::Unproven(Bytes::new()),
+        _ => BodyEnd::Complete(Bytes::new()),
+    };
+    assert_eq!(BodyEnd::classify(framing, None, false), plain);
     assert_eq!(BodyEnd::classify(framing, None, true), BodyEnd::Broken);
 }
 
--- a/crates/pool/src/entry/dispatch.rs
+++ b/crates/pool/src/entry/dispatch.rs
@@ -273,8 +273,8 @@
     }
 
     pub(super) fn response_ended(&mut self, id: RequestId, end: ResponseEnd) {
-        let complete = matches!(end, ResponseEnd::Complete | ResponseEnd::Unverified);
-        if end == ResponseEnd::Complete {
+        let complete = end == ResponseEnd::Complete;
+        if complete {
             self.record_stream_time(id);
         }
         let instance = self.requests.get(&id).and_then(|request| request.instance.clone());
@@ -287,7 +287,7 @@
             self.cancel_retry(&request);
             self.record_occupancy(&request, end);
             // An error response does not show that anything began to run.
-            if end == ResponseEnd::Complete && request.succeeded {
+            if complete && request.succeeded {
                 self.clear_suspect(&request);
             }
             self.log(
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -24,12 +24,12 @@
 mod store_claims;
 mod store_limit;
 mod store_loads;
-mod stream_end;
 mod streams;
 mod suspects;
 mod timers;
 mod trials;
 mod types;
+mod unproven_end;
 mod waits;
 
 use std::{collections::BTreeMap, net::IpAddr, sync::Arc};
@@ -40,8 +40,8 @@
 pub use self::crashes::EndpointCheck;
 pub use self::rules::classify_response;
 pub use self::types::{
-    Arrival, Dispatch, EntryEffect, EntryEvent, EntryProfile, FailureKind, Reason, Refusal,
-    RequestId, ResponseEnd, ResponseHead, Resume, SideLoss, TokenCount, Verdict,
+    Arrival, Dispatch, EndedBody, EntryEffect, EntryEvent, EntryProfile, FailureKind, Reason,
+    Refusal, RequestId, ResponseEnd, ResponseHead, Resume, SideLoss, TokenCount, Verdict,
 };
 pub use self::waits::WaitCounts;
 use self::{
@@ -57,10 +57,10 @@
     resume::Losses,
     store_claims::StoreClaims,
     store_limit::StoreLimit,
-    stream_end::UnprovenEnd,
     streams::{Origin, StreamTracker},
     suspects::Suspects,
     trials::Trial,
+    unproven_end::UnprovenEnd,
     waits::{PacedServices, WaitRecords},
 };
 use crate::{
@@ -409,7 +409,7 @@
                 self.response_ended(id, end);
             }
             EntryEvent::StreamBroken(id, last_event) => self.stream_broken(id, last_event),
-            EntryEvent::StreamEndUnproven(id, last_event) => self.end_unproven(id, last_event),
+            EntryEvent::EndUnproven(id, body) => self.end_unproven(id, body),
             EntryEvent::CallerLeft(id) => self.caller_left(id),
             EntryEvent::Stop(wait_ms, end_ms) => {
                 self.stop = Some(Stop { wait_until: now + wait_ms, end_by: now + end_ms });
--- a/crates/pool/src/entry/types.rs
+++ b/crates/pool/src/entry/types.rs
@@ -151,14 +151,21 @@
 pub enum ResponseEnd {
     /// It was forwarded completely.
     Complete,
-    /// It was forwarded as far as it came; nothing shows whether it was complete.
-    Unverified,
     /// The endpoint broke it off.
     Broken,
     /// This entry aborted it.
     Aborted,
 }
 
+/// The body of a response that has ended with its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndedBody {
+    /// An event stream, which ended between two events; carries the last one delivered to the caller.
+    Events(Option<u64>),
+    /// Anything else.
+    Plain,
+}
+
 /// How the connection to a side was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SideLoss {
@@ -211,9 +218,8 @@
     ResponseEnded(RequestId, ResponseEnd),
     /// The endpoint broke off a stream; carries the last event delivered to the caller, if any.
     StreamBroken(RequestId, Option<u64>),
-    /// A stream has ended with its connection, between two events; carries the last event delivered to
-    /// the caller.
-    StreamEndUnproven(RequestId, Option<u64>),
+    /// A response has ended with its connection, which alone does not show whether it is whole.
+    EndUnproven(RequestId, EndedBody),
     /// The caller has disconnected.
     CallerLeft(RequestId),
     /// A planned stop has begun: no request waits for longer than the first number of milliseconds
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -49,9 +49,9 @@
     },
     digest::RequestDigest,
     entry::{
-        Arrival, Dispatch, EndpointCheck, EntryEffect, EntryEvent, EntryProfile, FailureKind,
-        PoolEntry, Reason, Refusal, RequestId, ResponseEnd, ResponseHead, Resume, SideLoss,
-        TokenCount, Verdict, WaitCounts, classify_response,
+        Arrival, Dispatch, EndedBody, EndpointCheck, EntryEffect, EntryEvent, EntryProfile,
+        FailureKind, PoolEntry, Reason, Refusal, RequestId, ResponseEnd, ResponseHead, Resume,
+        SideLoss, TokenCount, Verdict, WaitCounts, classify_response,
     },
     expected_wait::{
         BadLoad, Candidate, LoadView, OwnView, WaitEstimate, WorkTime, choose_by_wait,
--- a/crates/pool/tests/all/suspects.rs
+++ b/crates/pool/tests/all/suspects.rs
@@ -5,8 +5,8 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use citronrill_pool::{
-    EndpointCheck, EntryEffect, EntryEvent, Reason, RequestDigest, RequestId, ResponseEnd,
-    ResponseHead, SideLoss, TokenCount,
+    EndedBody, EndpointCheck, EntryEffect, EntryEvent, Reason, RequestDigest, RequestId,
+    ResponseEnd, ResponseHead, SideLoss, TokenCount,
 };
 use citronrill_wire::{
     CrashRecord, EndpointLimit, SideState, SuspectKind, SuspectMessage, SuspectRecord,
@@ -403,10 +403,10 @@
     let mut bench = pool(5);
     crash_endpoints(&mut bench, 5, ONE, 2);
     let (id, endpoint) = run(&mut bench, DIGEST, ONE);
-    bench.step(EntryEvent::StreamEndUnproven(id, Some(1)));
+    bench.step(EntryEvent::EndUnproven(id, EndedBody::Events(Some(1))));
     bench.step(EntryEvent::EndpointChecked(endpoint, EndpointCheck::Unknown));
-    let effects = bench.advance(200);
-    assert!(effects.contains(&EntryEffect::Finish(id)), "{effects:?}");
+    let effects = bench.advance(1_000);
+    assert!(effects.contains(&EntryEffect::Abort(id)), "{effects:?}");
     report_sides(&mut bench, 5);
     let (_, effects) = bench.attempt("/draft/x", DIGEST, ONE);
     assert!(trial_request(&effects).is_some(), "{effects:?}");
--- a/tests/pool/truncated.rs
+++ b/tests/pool/truncated.rs
@@ -1,10 +1,10 @@
-//! Streams without length or chunks, which end with the endpoint's connection.
+//! Responses without length or chunks, which end with the endpoint's connection.
 
 use std::{io::Write, net::TcpStream};
 
 use rstest::rstest;
 
-use citronrill_platform_standin::{Framing, WorkerMode};
+use citronrill_platform_standin::{Framing, RawEnd, RawResponse, RawWorker, WorkerMode};
 
 use crate::support::{Deployment, Request, Response, WAIT_TIMEOUT};
 
@@ -87,3 +87,27 @@
     let executed = pool.engines.iter().map(|engine| engine.executed().len()).sum::<usize>();
     assert_eq!(executed, 1);
 }
+
+/// Guards against a part of a plain response without length that reaches its caller as the whole one, as the worker
+/// that wrote it has ended.
+#[rstest]
+fn a_plain_response_that_was_cut_by_a_crash_does_not_look_complete(
+    #[values("/book/x", "/status/x")] path: &str,
+    #[values("HTTP/1.0", "HTTP/1.1")] version: &str,
+    #[values("", "a part")] part: &str,
+) {
+    let pool = Deployment::start(&[("e1", &["m0"])]);
+    let head = format!("{version} 200 OK\r\nX-Citronrill-Server-Signature: s\r\n\r\n");
+    let response = RawResponse::new(format!("{head}{part}"), RawEnd::Close);
+    let worker = RawWorker::start(pool.ledger.address().ip(), response.clone());
+    pool.ledger.register_at(worker.address());
+    pool.wait_until("the worker is used", || {
+        pool.request(&Request::call("/book/x", "id-0"));
+        worker.requests() > 0
+    });
+    let whole = pool.request(&Request::call(path, "id-1"));
+    assert_eq!((whole.status, whole.complete), (200, true), "{whole:?}");
+    worker.set_response(RawResponse { end: RawEnd::Crash, ..response });
+    let cut = pool.request(&Request::call(path, "id-2"));
+    assert!(cut.status != 200 || !cut.complete, "{cut:?}");
+}
