Read the responses of the product's own endpoints and services by the same judge

An endpoint's response with a misspelt or repeated transfer coding, a blank in the name of a field, or a status of 999 reached the caller as a whole one, with the raw chunks as its body, and so did a part of a plain response without length whose endpoint had crashed. The clients of the table, the object store, the instance list and the engines took the same for objects and outcomes, and kept any number of bytes.

Fix: citronrill_http::client makes blocking calls and reads them with ResponseDecoder; sides, the platform's clients and the commands use it, with a limit on each body (16 MiB; 1 MiB for a line that `ask` prints). A body that nothing delimits is no object and no outcome; JSON shows its own end. A plain response without length counts as whole only if its endpoint still listens. attohttpc stays in tests and stand-ins: its parser can't be made strict, and httparse, which the decoder is built on, is the nearest library that can.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 //! tokens would arrive in bursts. This crate uses the raw writer instead and flushes it after each
 //! part, so that tokens arrive one by one.
 
+pub mod client;
 pub mod response;
 
 use std::{
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -2,8 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use attohttpc::{RequestBuilder, Response, body::Bytes};
 use citronrill_base::{Outcome, Row, Txn};
+use citronrill_http::client::{Call, Response};
 use prost::Message;
 
 use crate::{
@@ -13,18 +13,20 @@
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Timeout for reading a response.
+/// Timeout for reading a part of a response.
 const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Maximum bytes of a response: the largest is an object with the configuration.
+pub(crate) const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
-pub(crate) fn with_timeouts(builder: RequestBuilder) -> RequestBuilder {
-    builder.connect_timeout(CONNECT_TIMEOUT).read_timeout(READ_TIMEOUT)
+/// Returns a call with the usual timeouts.
+pub(crate) fn call<'a>(method: &'a str, address: SocketAddr, path: &'a str) -> Call<'a> {
+    let call = Call::new(method, address, path);
+    call.connect_timeout(CONNECT_TIMEOUT).read_timeout(READ_TIMEOUT)
 }
 
+/// Returns a response if it is a success.
 pub(crate) fn checked(response: Response) -> Result<Response, PlatformError> {
-    match response.status().as_u16() {
-        200..=299 => Ok(response),
-        status => Err(PlatformError::Status(status)),
-    }
+    if response.is_success() { Ok(response) } else { Err(PlatformError::Status(response.status())) }
 }
 
 /// A client of the platform table.
@@ -44,12 +46,12 @@
         path: &str,
         message: &impl Message,
     ) -> Result<M, PlatformError> {
-        let url = format!("http://{}/table/{path}", self.address);
-        let builder: RequestBuilder<Bytes<Vec<u8>>> =
-            attohttpc::post(url).bytes(message.encode_to_vec());
-        let builder = builder.connect_timeout(CONNECT_TIMEOUT).read_timeout(READ_TIMEOUT);
-        let response = checked(builder.send()?)?;
-        Ok(M::decode(response.bytes()?.as_slice())?)
+        let path = format!("/table/{path}");
+        let message = message.encode_to_vec();
+        let response = call("POST", self.address, &path).send(&mut message.as_slice())?;
+        // A part of a message can be decoded like a whole one.
+        let bytes = checked(response)?.into_bytes(MAX_RESPONSE_BYTES)?;
+        Ok(M::decode(bytes.as_slice())?)
     }
 }
 
@@ -85,24 +87,24 @@
         HttpObjectStore { address }
     }
 
-    fn url(&self, name: &str) -> String {
-        format!("http://{}/objects/{name}", self.address)
+    fn path(name: &str) -> String {
+        format!("/objects/{name}")
     }
 }
 
 impl ObjectStore for HttpObjectStore {
-    fn put(&self, name: &str, body: &[u8]) -> Result<(), PlatformError> {
-        let builder = attohttpc::put(self.url(name)).bytes(body);
-        let builder = builder.connect_timeout(CONNECT_TIMEOUT).read_timeout(READ_TIMEOUT);
-        checked(builder.send()?).map(drop)
+    fn put(&self, name: &str, mut object: &[u8]) -> Result<(), PlatformError> {
+        let path = HttpObjectStore::path(name);
+        checked(call("PUT", self.address, &path).send(&mut object)?).map(drop)
     }
 
     fn get(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
-        let response = with_timeouts(attohttpc::get(self.url(name))).send()?;
-        if response.status().as_u16() == 404 {
+        let path = HttpObjectStore::path(name);
+        let response = call("GET", self.address, &path).send(&mut [].as_slice())?;
+        if response.status() == 404 {
             return Ok(None);
         }
-        Ok(Some(checked(response)?.bytes()?))
+        Ok(Some(checked(response)?.into_bytes(MAX_RESPONSE_BYTES)?))
     }
 }
 
@@ -121,8 +123,7 @@
 
 impl InstanceList for HttpInstanceList {
     fn list(&self) -> Result<Vec<Instance>, PlatformError> {
-        let url = format!("http://{}/instances", self.address);
-        let response = checked(with_timeouts(attohttpc::get(url)).send()?)?;
-        Ok(serde_json::from_slice(&response.bytes()?)?)
+        let response = call("GET", self.address, "/instances").send(&mut [].as_slice())?;
+        Ok(serde_json::from_slice(&checked(response)?.into_text(MAX_RESPONSE_BYTES)?)?)
     }
 }
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -6,13 +6,11 @@
 
 use crate::{
     PlatformError,
-    client::{checked, with_timeouts},
+    client::{MAX_RESPONSE_BYTES, call, checked},
 };
 
 /// Read timeout of an order's connection; the response arrives when the load or unload has finished.
 const ORDER_READ_TIMEOUT: Duration = Duration::from_secs(600);
-/// Timeout for connecting to the engine to send an order.
-const ORDER_CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// A model that an engine has loaded or is loading.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -88,9 +86,8 @@
     /// # Errors
     /// The engine did not respond in time or responded with an error.
     pub fn state(&self) -> Result<EngineState, PlatformError> {
-        let url = format!("http://{}/control/state", self.address);
-        let response = checked(with_timeouts(attohttpc::get(url)).send()?)?;
-        Ok(serde_json::from_slice(&response.bytes()?)?)
+        let response = call("GET", self.address, "/control/state").send(&mut [].as_slice())?;
+        Ok(serde_json::from_slice(&checked(response)?.into_text(MAX_RESPONSE_BYTES)?)?)
     }
 
     /// Orders a load and waits until it has finished.
@@ -112,10 +109,10 @@
     }
 
     fn order<O: Serialize>(&self, action: &str, order: &O) -> Result<(), PlatformError> {
-        let url = format!("http://{}/control/{action}", self.address);
-        let builder = attohttpc::post(url).json(order)?;
-        let builder =
-            builder.connect_timeout(ORDER_CONNECT_TIMEOUT).read_timeout(ORDER_READ_TIMEOUT);
-        checked(builder.send()?).map(drop)
+        let path = format!("/control/{action}");
+        let order = serde_json::to_vec(order)?;
+        let call = call("POST", self.address, &path).read_timeout(ORDER_READ_TIMEOUT);
+        let call = call.header("Content-Type", "application/json");
+        checked(call.send(&mut order.as_slice())?).map(drop)
     }
 }
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of the platform clients.
 
+use citronrill_http::client::ClientError;
 use thiserror::Error;
 
 /// Why a request to a platform service failed.
@@ -7,7 +8,7 @@
 pub enum PlatformError {
     /// Connecting failed, the connection broke, or no response arrived in time.
     #[error("request failed: {0}")]
-    Transport(#[from] attohttpc::Error),
+    Transport(#[from] ClientError),
     /// The connection broke while the response was being read.
     #[error("response truncated: {0}")]
     Truncated(#[from] std::io::Error),
--- a/crates/runtime/src/side/calls.rs
+++ b/crates/runtime/src/side/calls.rs
@@ -9,15 +9,14 @@
     time::{Duration, Instant},
 };
 
-use attohttpc::{
-    ErrorKind, Method, RequestBuilder, Response,
-    body::{Body, BodyKind},
-    header::{HeaderMap, HeaderName},
-};
 use bytes::Bytes;
 use citronrill_base::EventTracker;
 use citronrill_decide::{CallId, Decline};
-use citronrill_http::{Header, is_forwarded};
+use citronrill_http::{
+    client::{self, ClientError, RequestBody, Response, is_token},
+    is_forwarded,
+    response::Framing,
+};
 use citronrill_wire::{self as wire, Call, Frame};
 use crossbeam::channel::{Receiver, Sender, bounded};
 
@@ -289,7 +288,7 @@
         let number = self.exchange.number;
         let complete = match self.call_endpoint(call, body_parts) {
             Ok(response) => self.forward(response),
-            Err(error) if connection_refused(&error) => return self.decline(),
+            Err(error) if error.is_refused() => return self.decline(),
             Err(error) => {
                 log::warn!("event=call_failed number={number} error=\"{error}\"");
                 false
@@ -324,44 +323,37 @@
         &self,
         call: Call,
         body_parts: Receiver<wire::Body>,
-    ) -> Result<Response, attohttpc::Error> {
-        let url = format!("http://{}{}", self.target, call.path);
-        let verb = Method::from_bytes(call.verb.as_bytes()).unwrap_or(Method::POST);
-        let builder = RequestBuilder::new(verb, url).follow_redirects(false);
-        let builder =
-            builder.connect_timeout(CONNECT_TIMEOUT).read_timeout(self.slack + DEADLINE_GRACE);
-        let mut builder = builder.header("x-priority", call.class.to_string());
-        for header in call.headers.iter().filter(|header| is_forwarded(&header.name)) {
-            let name = HeaderName::from_bytes(header.name.as_bytes());
-            if let Ok(name) = name {
-                builder = builder.try_header(name, &header.value)?;
-            }
+    ) -> Result<Response, ClientError> {
+        let request = client::Call::new(&call.verb, self.target, &call.path);
+        let request =
+            request.connect_timeout(CONNECT_TIMEOUT).read_timeout(self.slack + DEADLINE_GRACE);
+        let mut request = request.header("x-priority", &call.class.to_string());
+        let forwarded = |name: &str| is_forwarded(name) && is_token(name);
+        for header in call.headers.iter().filter(|header| forwarded(&header.name)) {
+            request = request.header(&header.name, &header.value);
         }
         match (call.body, call.length) {
-            (Some(body), _) => builder.bytes(body).send(),
+            (Some(body), _) => request.send(&mut &body[..]),
             (None, length) => {
                 let exchange = self.exchange.clone();
-                builder.body(StreamedBody { exchange, body_parts, length, next_part: 0 }).send()
+                request.send(&mut StreamedBody { exchange, body_parts, length, next_part: 0 })
             }
         }
     }
 
     /// Forwards the endpoint's response as it arrives. Returns whether it was complete.
-    fn forward(&self, response: Response) -> bool {
+    fn forward(&self, mut response: Response) -> bool {
         let number = self.exchange.number;
-        let (status, headers, mut reader) = response.split();
-        let mut body = BodyCheck::new(&headers);
-        let headers = headers.iter().filter(|(name, _)| is_forwarded(name.as_str()));
-        let headers = headers
-            .filter_map(|(name, value)| Some(Header::new(name.as_str(), value.to_str().ok()?)));
-        let headers = response::to_wire(headers);
-        let status = u32::from(status.as_u16());
+        let mut body = BodyCheck::new(&response);
+        let headers = response.headers().iter().filter(|header| is_forwarded(&header.name));
+        let headers = response::to_wire(headers.cloned());
+        let status = u32::from(response.status());
         if !self.exchange.push(|_| wire::ResponseHead { number, status, headers }.into()) {
             return false;
         }
         let mut buffer = vec![0; PART_BYTES];
         loop {
-            match reader.read(&mut buffer) {
+            match response.read(&mut buffer) {
                 Ok(0) => return body.is_complete(self.target),
                 Ok(count) => {
                     body.push(&buffer[..count]);
@@ -372,7 +364,10 @@
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return false,
+                Err(error) => {
+                    log::warn!("event=response_broken number={number} error=\"{error}\"");
+                    return false;
+                }
             }
         }
     }
@@ -380,30 +375,23 @@
 
 /// Decides whether the body of an endpoint's response is complete when its connection has ended.
 struct BodyCheck {
-    /// Its length in bytes, if announced.
-    expected: Option<u64>,
     /// Whether nothing but the end of the connection marks its end.
     until_close: bool,
     /// Set for an event stream.
     events: Option<EventTracker>,
-    received: u64,
 }
 
 impl BodyCheck {
-    fn new(headers: &HeaderMap) -> BodyCheck {
-        let value = |name: &str| headers.get(name).and_then(|header| header.to_str().ok());
-        let expected = value("content-length").and_then(|length| length.parse().ok());
-        let stream = value("content-type").is_some_and(|name| name.starts_with(EVENT_STREAM));
+    fn new(response: &Response) -> BodyCheck {
+        let media_type = response.header("content-type");
+        let stream = media_type.is_some_and(|name| name.starts_with(EVENT_STREAM));
         BodyCheck {
-            expected,
-            until_close: expected.is_none() && !headers.contains_key("transfer-encoding"),
+            until_close: response.framing() == Framing::UntilClose,
             events: stream.then(EventTracker::default),
-            received: 0,
         }
     }
 
     fn push(&mut self, bytes: &[u8]) {
-        self.received += bytes.len() as u64;
         if let Some(events) = &mut self.events {
             events.push(bytes);
         }
@@ -412,26 +400,19 @@
     /// Returns whether the body is complete.
     ///
     /// The connections of a process that crashes are closed like that of one that has sent everything.
-    /// A stream that ends inside an event, or without any, was broken off; after a whole event, the
-    /// address of a crashed endpoint refuses connections.
+    /// A stream that ends inside an event, or without any, was broken off; of anything else only the address
+    /// shows whether the endpoint still runs.
     fn is_complete(&self, target: SocketAddr) -> bool {
-        let whole = self.expected.is_none_or(|expected| expected == self.received);
-        let Some(events) = self.events.filter(|_| whole) else { return whole };
-        let cut = events.is_inside_event() || self.until_close && !events.has_events();
-        let crashed = || self.until_close && is_refused(target);
-        !(cut || crashed())
+        let cut = self.events.is_some_and(|events| {
+            events.is_inside_event() || self.until_close && !events.has_events()
+        });
+        !cut && (!self.until_close || runs(target))
     }
 }
 
-/// Returns whether nothing listens at an address.
-fn is_refused(address: SocketAddr) -> bool {
-    let connected = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT);
-    connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
-}
-
-/// Returns whether an error shows that the endpoint has received nothing of the call.
-fn connection_refused(error: &attohttpc::Error) -> bool {
-    matches!(error.kind(), ErrorKind::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+/// Returns whether something listens at an address.
+fn runs(address: SocketAddr) -> bool {
+    TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).is_ok()
 }
 
 /// A request body that arrives in frames.
@@ -442,12 +423,12 @@
     next_part: u64,
 }
 
-impl Body for StreamedBody {
-    fn kind(&mut self) -> io::Result<BodyKind> {
-        Ok(self.length.map_or(BodyKind::Chunked, BodyKind::KnownLength))
+impl RequestBody for StreamedBody {
+    fn length(&self) -> Option<u64> {
+        self.length
     }
 
-    fn write<W: Write>(&mut self, mut writer: W) -> io::Result<()> {
+    fn write(&mut self, writer: &mut dyn Write) -> io::Result<()> {
         loop {
             let body = self.body_parts.recv_timeout(STALL_TIMEOUT);
             let body = body.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
--- a/src/commands/ask.rs
+++ b/src/commands/ask.rs
@@ -1,11 +1,13 @@
 //! `citronrill ask`: sends a question to a model.
 
 use std::{
-    io::{BufRead, BufReader, Write},
+    io::{BufRead, BufReader, Read, Write},
     net::SocketAddr,
+    time::Duration,
 };
 
 use argh::FromArgs;
+use citronrill_http::client::Call;
 use serde_json::{Value, json};
 
 use crate::{
@@ -13,6 +15,13 @@
     files::read_client_settings,
 };
 
+/// Time to wait for the next part of the answer.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum bytes of a line of the answer.
+const MAX_LINE_BYTES: u64 = 1 << 20;
+/// Maximum bytes of a refusal.
+const MAX_PROBLEM_BYTES: usize = 64 << 10;
+
 /// Send a question to a model and stream its answer; if refused, print whether the call ran.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "ask")]
@@ -37,6 +46,14 @@
     }
 }
 
+/// Returns the next line without its end; none if the response has ended or the line is too long.
+fn read_line(reader: &mut impl BufRead) -> Option<String> {
+    let mut line = Vec::new();
+    reader.take(MAX_LINE_BYTES).read_until(b'\n', &mut line).ok()?;
+    let line = line.strip_suffix(b"\n")?;
+    Some(String::from_utf8_lossy(line.strip_suffix(b"\r").unwrap_or(line)).into_owned())
+}
+
 /// Sends a question to the entry at `http` and streams the answer to standard output.
 pub(crate) fn ask(
     http: SocketAddr,
@@ -46,12 +63,14 @@
 ) -> Result<Exit, CommandError> {
     let body = json!({ "model": model, "stream": true,
         "messages": [{ "role": "user", "content": text }] });
-    let url = format!("http://{http}/v1/chat/completions");
-    let request = attohttpc::post(url).bearer_auth(key).json(&body)?;
-    let response = request.send()?;
-    let status = response.status().as_u16();
+    let call = Call::new("POST", http, "/v1/chat/completions").read_timeout(READ_TIMEOUT);
+    let call = call.header("Authorization", &format!("Bearer {key}"));
+    let call = call.header("Content-Type", "application/json");
+    let response = call.send(&mut body.to_string().as_bytes())?;
+    let status = response.status();
     if status != 200 {
-        let problem: Value = response.json_utf8().unwrap_or_default();
+        let problem = response.into_text(MAX_PROBLEM_BYTES)?;
+        let problem: Value = serde_json::from_slice(&problem).unwrap_or_default();
         eprintln!("refused: status {status}: {}", problem["detail"].as_str().unwrap_or("?"));
         eprintln!("ran: {}", problem["ran"].as_str().unwrap_or("unknown"));
         if let Some(millis) = problem["retry_after_ms"].as_u64() {
@@ -59,11 +78,10 @@
         }
         return Ok(Exit::Refused);
     }
-    let (_, _, reader) = response.split();
+    let mut reader = BufReader::new(response);
     let mut complete = false;
     let mut out = std::io::stdout();
-    for line in BufReader::new(reader).lines() {
-        let Ok(line) = line else { break };
+    while let Some(line) = read_line(&mut reader) {
         let Some(data) = line.strip_prefix("data: ") else { continue };
         if data == "[DONE]" {
             complete = true;
--- a/src/commands/dev.rs
+++ b/src/commands/dev.rs
@@ -11,6 +11,7 @@
     SideSettings, hash_api_key,
 };
 use citronrill_decide::Policies;
+use citronrill_http::client::Call;
 use citronrill_platform::{Instance, Role};
 use citronrill_runtime::{
     EntryOptions, EntryProcess, SideOptions, SideProcess, apply_config, fetch_dump_json,
@@ -245,7 +246,7 @@
 }
 
 fn healthy(http: SocketAddr) -> bool {
-    let response = attohttpc::get(format!("http://{http}/healthz")).send();
+    let response = Call::new("GET", http, "/healthz").send(&mut [].as_slice());
     response.is_ok_and(|response| response.is_success())
 }
 
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -4,6 +4,7 @@
 
 use citronrill_config::ConfigErrors;
 use citronrill_gateway::GatewayError;
+use citronrill_http::client::ClientError;
 use citronrill_platform::PlatformError;
 use citronrill_runtime::{ApplyError, StartError};
 use citronrill_standin::StandinError;
@@ -79,7 +80,7 @@
     },
     /// An entry did not answer.
     #[error("entry: {0}")]
-    Http(#[from] attohttpc::Error),
+    Http(#[from] ClientError),
     /// Signal handlers could not be installed.
     #[error("cannot install signal handlers: {0}")]
     Signals(io::Error),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,4 +6,5 @@
 mod configuration;
 mod failures;
 mod path;
+mod responses;
 mod support;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -63,6 +63,15 @@
 impl Deployment {
     /// Starts `entries` entries, `engines` engines with their sides, and a plain service.
     pub(crate) fn start(entries: usize, engines: usize) -> Deployment {
+        Deployment::start_with(entries, engines, None)
+    }
+
+    /// Starts such a deployment whose plain service is at `plain`, if given.
+    pub(crate) fn start_with(
+        entries: usize,
+        engines: usize,
+        target: Option<SocketAddr>,
+    ) -> Deployment {
         let limits = WeightLimits { concurrent_loads: 4, loads_per_second: 7 };
         let platform = PlatformStandin::start(free_address(), limits).unwrap();
         let clients = Clients::new(platform.address());
@@ -82,7 +91,7 @@
             deployment.engines.push(EngineStandin::start(free_address(), options).unwrap());
             deployment.add_side(index);
         }
-        let side = deployment.plain_side();
+        let side = deployment.plain_side(target.unwrap_or(deployment.plain.address()));
         deployment.sides.push(side);
         for index in 0..entries {
             deployment.add_entry(index);
@@ -119,11 +128,11 @@
         self.sides.push(side);
     }
 
-    fn plain_side(&self) -> SideProcess {
+    fn plain_side(&self, target: SocketAddr) -> SideProcess {
         let settings = SideSettings {
             common: self.common_settings("plain-1", 0),
             endpoint: "plain-1".to_owned(),
-            target: self.plain.address(),
+            target,
             kind: SideKind::Plain,
             memory_mb: 0,
             slots: 16,
