Refuse a stream whose version nobody left can know, after all entries have ended

What callers saw, on a system like this one: two software versions were in service, or the endpoints of the old one had just left, when all entries were killed and came back; callers that took up their streams got 200 and a text whose first part was of the old version and whose rest was of the new one.

It can happen here. Cause: a stream that begins while several versions serve is told to two sides, and an entry that is asked for it asks three. A side that does not know it counted as proof that it began while one version served alone, whichever sides were asked. The two that were told may have left with the endpoints of the old version (or the entry that asks is connected to others so far): an entry that has just started then sees the new version alone, and "no side knows it, and all remember long enough" bound the stream to that one. In the same way an entry that lived on took such a stream for one of the version that had served alone before.

Fix: silence is proof only where nothing contradicts it. Entries tell all sides when several listed versions serve in a service, at once, when a side comes, and each second; a side says in its reply for how long it has heard of none. Only if all that were asked have heard of none for the whole time in which a caller may return (and a second) does a stream go on at the only version that an entry which has just started sees. The version before a second one came is taken only while no side that keeps streams was lost in that time. Otherwise the answer is 503, at once, as for streams of unknown version before.

Old sides send no such time, which counts as none.

--- a/crates/pool/src/entry/streams.rs
+++ b/crates/pool/src/entry/streams.rs
@@ -2,23 +2,25 @@
 //!
 //! A stream to which its caller reconnects may have begun at another entry, which has ended since. While
 //! endpoints of several versions serve in a service, entries tell some sides where their streams begin,
-//! and ask them. A stream that no side knows began while one version served alone, if the sides have
-//! kept everything for long enough, or if this entry has seen no other version for as long; otherwise
-//! its version cannot be known, and it is refused.
+//! and ask them. They tell all sides that several versions serve: the sides that know a stream may leave with
+//! the endpoints of its version, and an entry that starts then sees one version. A stream that no side knows began
+//! while one version served alone, if the sides have kept everything for long enough and have heard of no other
+//! version, or if this entry has seen no other version for as long; otherwise its version cannot be known, and it is
+//! refused.
 
 use std::net::SocketAddr;
 
-use citronrill_base::{Map, Millis, Set, rendezvous_score};
+use citronrill_base::{Map, Millis, Set, hash_bytes, rendezvous_score};
 use citronrill_decide::LogEvent;
 use citronrill_wire::{
-    StreamKind, StreamMessage, StreamOrigin, StreamQuery, StreamReply, StreamsBegun,
+    StreamKind, StreamMessage, StreamOrigin, StreamQuery, StreamReply, StreamsBegun, VersionsMixed,
 };
 
 use super::{EntryEffect, PoolEntry, Reason, Request, RequestId, Stage};
 use crate::{
     config::RetryPolicy,
     endpoint::Endpoint,
-    software::{ServingVersion, SoftwareHistory, SoftwareKey, StreamKey},
+    software::{MIXED_NOTICE_MS, ServingVersion, SoftwareHistory, SoftwareKey, StreamKey},
 };
 
 /// Sides that are told of a stream: the second one knows it when the first one is lost.
@@ -49,8 +51,27 @@
     until: Millis,
     /// Sides that have not replied.
     open: Vec<SocketAddr>,
-    /// The shortest memory of the sides that have replied.
-    memory_ms: Option<u64>,
+    /// What the sides that have replied remember; `None` if none has.
+    memory: Option<SideMemory>,
+}
+
+/// What all of several sides remember.
+#[derive(Debug, Clone, Copy)]
+struct SideMemory {
+    /// Milliseconds for which each has kept all that it was told of streams.
+    streams_ms: u64,
+    /// Milliseconds for which none has heard of several versions.
+    alone_ms: u64,
+}
+
+impl SideMemory {
+    /// Returns what is remembered by this side as well.
+    fn with(self, reply: &StreamReply) -> SideMemory {
+        SideMemory {
+            streams_ms: self.streams_ms.min(reply.memory_ms),
+            alone_ms: self.alone_ms.min(reply.alone_ms),
+        }
+    }
 }
 
 /// What an entry knows of software versions, over all streams.
@@ -61,6 +82,12 @@
     mixed: Map<String, Mixture>,
     /// Streams of other attempts that go on here.
     reconnects: u64,
+    /// When the sides are told next that several versions serve.
+    notice_at: Millis,
+    /// The sides that keep streams.
+    keepers: Set<SocketAddr>,
+    /// When one of them was last lost.
+    keeper_lost: Option<Millis>,
 }
 
 /// Since when several versions have served in a service.
@@ -134,8 +161,51 @@
                 self.log(LogEvent::new("versions_mixed").with("service", &service));
                 self.streams.mixed.insert(service.clone(), Mixture { since: now, before });
                 self.record_begun(|request| request.service == service);
+                self.streams.notice_at = now;
             }
         }
+        self.check_streams();
+    }
+
+    /// Follows which sides keep streams, and tells them at intervals in which services several versions serve.
+    pub(super) fn check_streams(&mut self) {
+        let keepers = self.keepers().collect::<Set<_>>();
+        if !self.streams.keepers.is_subset(&keepers) {
+            self.streams.keeper_lost = Some(self.now);
+        }
+        if !keepers.is_subset(&self.streams.keepers) {
+            self.streams.notice_at = self.now;
+        }
+        self.streams.keepers = keepers;
+        self.notify_mixed();
+    }
+
+    fn notify_mixed(&mut self) {
+        if self.now < self.streams.notice_at || self.streams.mixed.is_empty() {
+            return;
+        }
+        let (now, horizon_ms) = (self.now, self.horizon_ms());
+        let mixed = self.streams.mixed.keys();
+        let mixed = mixed.filter(|service| self.streams.history.is_mixed(service, horizon_ms, now));
+        let services = mixed.map(|service| hash_bytes(service.as_bytes())).collect::<Vec<_>>();
+        if services.is_empty() {
+            return;
+        }
+        self.streams.notice_at = now + MIXED_NOTICE_MS;
+        for side in self.keepers().collect::<Vec<_>>() {
+            let notice = VersionsMixed { services: services.clone() };
+            self.send_stream_message(side, StreamKind::Mixed(notice));
+        }
+    }
+
+    /// Returns the sides that keep streams.
+    fn keepers(&self) -> impl Iterator<Item = SocketAddr> {
+        let keeps = |endpoint: &&Endpoint| {
+            let tracks = endpoint.fresh_side(self.now).is_some_and(|side| side.tracks_streams);
+            tracks && endpoint.liveness.is_connected() && !endpoint.liveness.is_stalled(self.now)
+        };
+        let endpoints = self.pool.endpoints.values().filter(keeps);
+        endpoints.map(|endpoint| endpoint.member.address)
     }
 
     /// Replaces the versions of incarnations that only their sides had reported by those in the list.
@@ -215,17 +285,10 @@
 
     /// Returns the sides that keep a stream, in an order that is the same at all entries.
     fn stream_sides(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
-        let keeps = |endpoint: &&Endpoint| {
-            let tracks = endpoint.fresh_side(self.now).is_some_and(|side| side.tracks_streams);
-            tracks && endpoint.liveness.is_connected() && !endpoint.liveness.is_stalled(self.now)
-        };
-        let sides = self.pool.endpoints.values().filter(keeps);
         let item = stream.0.to_string();
-        let mut ranked = sides
-            .map(|endpoint| {
-                let address = endpoint.member.address;
-                (rendezvous_score(&item, &address.to_string()), address)
-            })
+        let mut ranked = self
+            .keepers()
+            .map(|address| (rendezvous_score(&item, &address.to_string()), address))
             .collect::<Vec<_>>();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         ranked.dedup();
@@ -239,16 +302,19 @@
             return;
         }
         let (stream, unnamed) = (request.stream, request.first_attempt.is_none());
+        self.check_streams();
+        let Some(request) = self.requests.get(&id) else { return };
         let sides = self.stream_sides(stream, ASKED_SIDES);
         if sides.is_empty() {
             self.origin_unknown(id, None);
             return;
         }
         let until = self.now + REPLY_MS;
-        let inquiry = Inquiry { until, open: sides.clone(), memory_ms: None };
+        let service = hash_bytes(request.service.as_bytes());
+        let inquiry = Inquiry { until, open: sides.clone(), memory: None };
         self.set_origin(id, Origin::Asked(inquiry));
         for side in sides {
-            let query = StreamQuery { stream: stream.0, unnamed };
+            let query = StreamQuery { stream: stream.0, unnamed, service };
             self.send_stream_message(side, StreamKind::Query(query));
         }
     }
@@ -257,7 +323,7 @@
     pub(super) fn handle_streams(&mut self, side: SocketAddr, message: &StreamMessage) {
         match &message.kind {
             Some(StreamKind::Reply(reply)) => self.origin_replied(side, reply),
-            Some(StreamKind::Begun(_) | StreamKind::Query(_)) | None => {
+            Some(StreamKind::Begun(_) | StreamKind::Query(_) | StreamKind::Mixed(_)) | None => {
                 self.log(LogEvent::new("stream_unreadable").with("from", side));
             }
         }
@@ -276,10 +342,11 @@
             let Some(request) = self.requests.get_mut(&id) else { continue };
             let Origin::Asked(inquiry) = &mut request.origin else { continue };
             inquiry.open.retain(|open| *open != side);
-            let shortest = inquiry.memory_ms.unwrap_or(u64::MAX).min(reply.memory_ms);
-            inquiry.memory_ms = Some(shortest);
+            let all = SideMemory { streams_ms: u64::MAX, alone_ms: u64::MAX };
+            let memory = inquiry.memory.unwrap_or(all).with(reply);
+            inquiry.memory = Some(memory);
             if inquiry.open.is_empty() {
-                self.origin_unknown(id, Some(shortest));
+                self.origin_unknown(id, Some(memory));
             }
         }
     }
@@ -287,11 +354,11 @@
     /// Decides about requests whose sides have not replied in time.
     pub(super) fn end_inquiries(&mut self) {
         let due = self.requests.iter().filter_map(|(id, request)| match &request.origin {
-            Origin::Asked(inquiry) if self.now >= inquiry.until => Some((*id, inquiry.memory_ms)),
+            Origin::Asked(inquiry) if self.now >= inquiry.until => Some((*id, inquiry.memory)),
             _ => None,
         });
-        for (id, memory_ms) in due.collect::<Vec<_>>() {
-            self.origin_unknown(id, memory_ms);
+        for (id, memory) in due.collect::<Vec<_>>() {
+            self.origin_unknown(id, memory);
         }
     }
 
@@ -300,17 +367,20 @@
     ///
     /// Its entry saw one version alone when it began: that which serves alone now, or did so until the
     /// second one came. An entry that reaches neither a side nor the platform store may not know of the
-    /// second one.
-    fn origin_unknown(&mut self, id: RequestId, memory_ms: Option<u64>) {
+    /// second one. The sides that know of a stream may be lost: what is left says nothing then.
+    fn origin_unknown(&mut self, id: RequestId, memory: Option<SideMemory>) {
         let (now, horizon_ms) = (self.now, self.horizon_ms());
         let Some(request) = self.requests.get(&id) else { return };
-        let covered = memory_ms.is_some_and(|memory_ms| memory_ms >= horizon_ms);
-        let reachable = memory_ms.is_some() || self.config_current;
+        let covered = memory.is_some_and(|memory| memory.streams_ms >= horizon_ms);
+        let alone = memory.is_some_and(|memory| memory.alone_ms >= horizon_ms + MIXED_NOTICE_MS);
+        let keepers_lost =
+            self.streams.keeper_lost.is_some_and(|lost| now.since(lost) < horizon_ms);
+        let reachable = memory.is_some() || self.config_current;
         let mut recent = self.streams.history.recent(&request.service, horizon_ms, now);
         let version = match (recent.next(), recent.next()) {
-            (only, None) if covered => only,
+            (only, None) if covered && alone => only,
             (Some(_), None) if reachable => self.only_version(&request.service),
-            _ if covered => self.version_before(&request.service),
+            _ if covered && !keepers_lost => self.version_before(&request.service),
             _ => None,
         };
         drop(recent);
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -41,6 +41,7 @@
         let outcome = self.pool.end_rewrite(&mut self.names, self.now);
         self.handle_membership(outcome);
         self.check_suspects();
+        self.check_streams();
         self.log_limits_kept();
         self.pool.delisted.expire(self.now);
         self.forget_old_limits();
--- a/crates/pool/src/software.rs
+++ b/crates/pool/src/software.rs
@@ -7,6 +7,9 @@
 
 use citronrill_base::{Map, Millis, hash_bytes};
 
+/// Milliseconds between two notices of an entry to the sides that several versions serve.
+pub(crate) const MIXED_NOTICE_MS: u64 = 1_000;
+
 /// Identifies a software version of a service. Only equality counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct SoftwareKey(pub u64);
@@ -111,6 +114,12 @@
         recent.map(|(key, _)| *key)
     }
 
+    /// Returns whether several listed versions of a service have served within the horizon.
+    pub(crate) fn is_mixed(&self, service: &str, horizon_ms: u64, now: Millis) -> bool {
+        let recent = self.recent(service, horizon_ms, now);
+        recent.filter(|key| !self.versions[key].unlisted).nth(1).is_some()
+    }
+
     /// Returns whether the member list has been known for the whole horizon.
     pub(crate) fn covers(&self, horizon_ms: u64, now: Millis) -> bool {
         self.since.is_some_and(|since| now.since(since) >= horizon_ms)
--- a/crates/pool/tests/all/main.rs
+++ b/crates/pool/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod poison;
 mod poison_parts;
 mod preload;
+mod rejoined;
 mod resume;
 mod retry_budget;
 mod shares;
--- a/crates/pool/tests/all/software.rs
+++ b/crates/pool/tests/all/software.rs
@@ -51,10 +51,11 @@
     }
 }
 
-/// Messages about streams among effects, with the sides that they go to.
+/// Messages about single streams among effects, with the sides that they go to.
 fn messages(effects: &[EntryEffect]) -> Vec<(SocketAddr, StreamKind)> {
     let messages = effects.iter().filter_map(|effect| match effect {
-        EntryEffect::Streams(side, message) => Some((*side, message.kind.clone().unwrap())),
+        EntryEffect::Streams(side, message) => Some((*side, message.kind.clone().unwrap()))
+            .filter(|(_, kind)| !matches!(kind, StreamKind::Mixed(_))),
         _ => None,
     });
     messages.collect()
@@ -68,7 +69,13 @@
 
 fn reply(query: StreamQuery, software: Option<&str>, memory_ms: u64) -> StreamMessage {
     let software = software.map(|software| key(software).0);
-    StreamKind::Reply(StreamReply { stream: query.stream, software, memory_ms }).into()
+    StreamKind::Reply(StreamReply {
+        stream: query.stream,
+        software,
+        memory_ms,
+        alone_ms: memory_ms,
+    })
+    .into()
 }
 
 /// Returns the queries among effects, with the sides that they go to.
@@ -282,7 +289,7 @@
     let (side, query) = queries(&asked)[0];
     let StreamKind::Begun(begun) = &told[0].1 else { panic!("{told:?}") };
     let software = Some(begun.streams[0].software);
-    let reply = StreamReply { stream: query.stream, software, memory_ms: 0 };
+    let reply = StreamReply { stream: query.stream, software, memory_ms: 0, alone_ms: 0 };
     let effects = bench.step(EntryEvent::Streams(side, StreamKind::Reply(reply).into()));
     assert!(dispatch(&effects).is_some(), "{effects:?}");
 }
@@ -531,7 +538,8 @@
         side.step(Millis(now), SideEvent::Streams(link, message));
     };
     let ask = |side: &mut PoolSide, now: u64, stream: u64| {
-        let message = StreamKind::Query(StreamQuery { stream, unnamed: stream == 0 }).into();
+        let message =
+            StreamKind::Query(StreamQuery { stream, unnamed: stream == 0, service: 0 }).into();
         let effects = side.step(Millis(now), SideEvent::Streams(link, message));
         let mut replies = effects.into_iter().filter_map(|effect| match effect {
             SideEffect::Streams(_, StreamMessage { kind: Some(StreamKind::Reply(reply)) }) => {
--- a/crates/pool/tests/all/support.rs
+++ b/crates/pool/tests/all/support.rs
@@ -256,8 +256,13 @@
 
     /// An entry that does not know when the system started: streams may have begun before.
     pub(crate) fn restarted(members: Vec<Member>) -> Bench {
+        Bench::restarted_at(1_000, members)
+    }
+
+    /// Such an entry that starts at `now`.
+    pub(crate) fn restarted_at(now: u64, members: Vec<Member>) -> Bench {
         let profile = EntryProfile { first_start: false, ..Bench::profile(0) };
-        let mut bench = Bench::with_profile(profile);
+        let mut bench = Bench { now, ..Bench::with_profile(profile) };
         bench.step(EntryEvent::Config(config(1)));
         bench.set_members(1, members);
         bench
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -37,7 +37,10 @@
         StoreLoadGrant, StoreLoadKind, StoreLoadMessage, StoreLoadReply, StoreLoadReport,
         StoreLoadSeen, StoreWant,
     },
-    streams::{StreamKind, StreamMessage, StreamOrigin, StreamQuery, StreamReply, StreamsBegun},
+    streams::{
+        StreamKind, StreamMessage, StreamOrigin, StreamQuery, StreamReply, StreamsBegun,
+        VersionsMixed,
+    },
     suspects::{
         CrashRecord, QuarantineRow, SuspectCleared, SuspectKind, SuspectMessage, SuspectRecord,
         SuspectUpdate, TrialEnded, TrialReply, TrialRequest,
--- a/crates/wire/src/streams.rs
+++ b/crates/wire/src/streams.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct StreamMessage {
     /// The message.
-    #[prost(oneof = "StreamKind", tags = "1, 2, 3")]
+    #[prost(oneof = "StreamKind", tags = "1, 2, 3, 4")]
     pub kind: Option<StreamKind>,
 }
 
@@ -22,6 +22,9 @@
     /// A side's reply to the query.
     #[prost(message, tag = "3")]
     Reply(StreamReply),
+    /// An entry tells in which services several versions have served of late.
+    #[prost(message, tag = "4")]
+    Mixed(VersionsMixed),
 }
 
 impl From<StreamKind> for StreamMessage {
@@ -49,6 +52,14 @@
     pub software: u64,
 }
 
+/// Services in which several software versions have served of late.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct VersionsMixed {
+    /// Hashes of their names.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub services: Vec<u64>,
+}
+
 /// Asks at which software version a stream began.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct StreamQuery {
@@ -58,6 +69,9 @@
     /// Whether the caller does not name that attempt, so that no side can know the stream.
     #[prost(bool, tag = "2")]
     pub unnamed: bool,
+    /// Hash of the name of its service.
+    #[prost(fixed64, tag = "3")]
+    pub service: u64,
 }
 
 /// The reply to a query.
@@ -73,4 +87,7 @@
     /// milliseconds for which it was told of none.
     #[prost(uint64, tag = "3")]
     pub memory_ms: u64,
+    /// Milliseconds for which no entry has told the side that several versions serve in the service.
+    #[prost(uint64, tag = "4")]
+    pub alone_ms: u64,
 }
--- a/tests/pool/software.rs
+++ b/tests/pool/software.rs
@@ -9,6 +9,9 @@
 
 use crate::support::{Deployment, Process, Request, Response};
 
+/// Streams of which some are known only to the sides of two workers that leave.
+const STREAMS: usize = 60;
+
 const ENGINES: [(&str, &[&str]); 4] =
     [("e1", &["m0"]), ("e2", &["m0"]), ("e3", &["m0"]), ("e4", &["m0"])];
 
@@ -133,3 +136,37 @@
     let response = reconnect(&pool, address, "first", "second", last);
     assert_eq!((response.status, response.complete), (200, true), "{response:?}");
 }
+
+/// Guards against a stream that goes on at another version after all entries have ended: the workers of its version
+/// have left with their sides, and those that remain were not told of it.
+#[test]
+fn a_stream_of_a_version_that_left_before_all_entries_restarted_is_refused() {
+    let mut pool = mixed_pool();
+    let begun = (0..STREAMS).map(|number| {
+        let first = format!("first-{number}");
+        let (stream, last) = begin(&pool, pool.caller_address, &first);
+        (stream, last, runners(&pool, &first)[0].software(), first)
+    });
+    let begun = begun.collect::<Vec<_>>();
+    let old = begun[0].2;
+    for (index, engine) in pool.engines.iter().enumerate() {
+        if engine.software() == old {
+            engine.deregister();
+            pool.sides[index].kill();
+        }
+    }
+    pool.restart_entry();
+    pool.wait_until("the entry is ready", || pool.ready());
+    pool.wait_until("the sides are connected", || {
+        let staying = pool.engines.iter().zip(&pool.sides);
+        let mut staying = staying.filter(|(engine, _)| engine.software() != old);
+        staying.all(|(_, side)| side.count(&["entry_connected"]) >= 2)
+    });
+    for (_stream, last, _, first) in begun.into_iter().filter(|(_, _, version, _)| *version == old)
+    {
+        let second = first.replace("first", "second");
+        let response = reconnect(&pool, pool.caller_address, &first, &second, last);
+        assert_eq!(response.status, 503, "{first}");
+        assert!(runners(&pool, &second).is_empty(), "{first} goes on at another version");
+    }
+}
