Bound the bytes of all pages of a table

What was seen: an entry whose store answers every read of a table with one more page kept them all: 760 to 830 MB within three seconds, of 160 MB that its instance has; the process would be killed, and all its requests with it.

Cause: a bound on each response, but none on what is made of them: read_table went on as long as a page said that more follow, also where the pages made no progress.

Evidence: tests/pool/endless.rs measures the peak memory of real processes. Handled before, tests kept: garbage and rows without end on one page, and, from endpoints, status lines, heads, fields, chunk extensions, chunks and trailers without end.

Fix: MAX_TABLE_BYTES (32 MiB) over all pages of a table, and a page must go on from the one before.

--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -53,6 +53,9 @@
     /// A response exceeds the size limit.
     #[error("response exceeds {0} bytes")]
     TooLarge(usize),
+    /// A page of a table does not go on from the one before.
+    #[error("the pages of a table make no progress")]
+    NoProgress,
     /// The peer responded with an error status.
     #[error("unexpected status {0}")]
     Status(u16),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -24,6 +24,8 @@
 /// second, so each long poll would return at once. A leaving endpoint must stop receiving requests
 /// within two seconds; this pause and the store's response take half of that.
 const MEMBERS_PAUSE_MS: u64 = 900;
+/// Maximum bytes of all pages of a table; those of the member list have some kilobytes for each endpoint.
+const MAX_TABLE_BYTES: usize = 32 << 20;
 /// Maximum number of failed calls that are logged per outage.
 const MAX_LOGGED_FAILURES: u32 = 16;
 
@@ -148,7 +150,7 @@
 
     async fn read_table(&mut self, timeout_ms: u64) -> Result<u64, GatewayError> {
         let sent_at = Instant::now();
-        let (mut from, mut era) = (None, None);
+        let (mut from, mut era, mut bytes) = (None, None, 0);
         let mut table = RowPage::default();
         loop {
             let path = self.dialect.read_path(self.table, from.as_deref());
@@ -164,11 +166,20 @@
             if *era.get_or_insert(self.era) != self.era {
                 return Ok(self.follower.history_gone());
             }
-            from = page.rows.last().map(|row| format!("{}\0", row.key));
+            bytes += body.len();
+            if bytes > MAX_TABLE_BYTES {
+                return Err(GatewayError::TooLarge(MAX_TABLE_BYTES));
+            }
+            let next = page.rows.last().map(|row| format!("{}\0", row.key));
             table.rows.extend(page.rows);
             if !page.truncated {
                 break;
             }
+            // Pages that do not go on from the one before have no end.
+            if next <= from {
+                return Err(GatewayError::NoProgress);
+            }
+            from = next;
         }
         let version = self.dated(table.version);
         let answer = self.follower.answered(version, millis_since(sent_at));
--- a/tests/pool/endless.rs
+++ b/tests/pool/endless.rs
@@ -1,9 +1,14 @@
 //! Endpoints whose responses have no end.
 
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
 use citronrill_platform_standin::{Endless, EndlessWorker};
 use rstest::rstest;
 
-use crate::support::{Deployment, Request, Response};
+use crate::support::{Deployment, Process, Request, Response};
 
 /// Memory in kB that an entry may take for the responses of one such endpoint; it has 160 MB in all.
 const MAX_MEMORY_KB: u64 = 16_384;
@@ -20,8 +25,14 @@
         Endless::HeadField,
         Endless::HeadFields,
         Endless::Interim,
+        Endless::StatusLine,
         Endless::Event,
-        Endless::Comments
+        Endless::Comments,
+        Endless::ChunkSize,
+        Endless::ChunkExtension,
+        Endless::Chunk,
+        Endless::TrailerField,
+        Endless::Trailer
     )]
     endless: Endless,
     #[values("/chat/x", "/draft/x")] path: &str,
@@ -55,3 +66,31 @@
         assert!(matches!(response.status, 200 | 502 | 504), "{}", response.status);
     }
 }
+
+/// Memory in kB that an entry may take for the pages of one table; it has 160 MB in all.
+const MAX_TABLE_KB: u64 = 65_536;
+/// Time in which memory is measured.
+const MEASURED: Duration = Duration::from_secs(3);
+
+/// Returns the memory in kB that a process takes in some seconds from now, more than at its highest before.
+fn taken_kb(process: &Process) -> u64 {
+    let (before, began) = (process.peak_kb(), Instant::now());
+    while began.elapsed() < MEASURED {
+        thread::yield_now();
+    }
+    process.peak_kb().saturating_sub(before)
+}
+
+/// Guards against an entry whose memory is filled by a table without end, or which reads one for good.
+#[rstest]
+fn a_table_without_end_is_cut_off(
+    #[values(Endless::Garbage, Endless::Rows, Endless::Pages, Endless::NewPages)] endless: Endless,
+) {
+    let pool = Deployment::start(&[("e1", &["m0"])]);
+    let endless = EndlessWorker::start(pool.engines[0].address().ip(), endless);
+    let entry = pool.add_entry_at_store(endless.address());
+    pool.wait_until("a table is asked for", || endless.begun() > 0);
+    let taken = taken_kb(&entry);
+    assert!(taken < MAX_TABLE_KB, "{taken} kB");
+    pool.wait_until("it is cut off", || entry.logged(&["event=store_lost"]));
+}
--- a/tests/pool/support/mod.rs
+++ b/tests/pool/support/mod.rs
@@ -129,8 +129,12 @@
                 load_ms: 200,
             };
             let worker = platform.worker(&store, SocketAddr::from((ip, 0)), spec);
-            let settings =
-                side_settings(instance, SocketAddr::from((ip, peer_port)), &store, &worker);
+            let settings = side_settings(
+                instance,
+                SocketAddr::from((ip, peer_port)),
+                &store,
+                worker.address(),
+            );
             sides.push(Process::start("pool-side", &settings));
             workers.push(worker);
         }
@@ -219,6 +223,17 @@
         (start_entry(self.peer_port, proxy.address(), "").0, proxy)
     }
 
+    /// Starts another entry, whose platform store is at this address.
+    pub(crate) fn add_entry_at_store(&self, store: SocketAddr) -> Process {
+        start_entry(self.peer_port, store, "").0
+    }
+
+    /// Starts another side, whose endpoint is at this address.
+    pub(crate) fn add_side(&self, name: &str, endpoint: SocketAddr) -> Process {
+        let peers = SocketAddr::from((next_ip(), self.peer_port));
+        Process::start("pool-side", &side_settings(name, peers, &self.store, endpoint))
+    }
+
     /// Starts another entry, which bootstraps from these peers if the store is unavailable.
     pub(crate) fn add_entry_with_seeds(&self, seeds: &str) -> Process {
         start_entry(self.peer_port, self.store.address(), seeds).0
@@ -339,11 +354,11 @@
     )
 }
 
-fn side_settings(name: &str, peers: SocketAddr, store: &Store, worker: &Worker) -> String {
+fn side_settings(name: &str, peers: SocketAddr, store: &Store, endpoint: SocketAddr) -> String {
     format!(
         "{}callers =\nreadiness =\n[endpoint]\naddress = {}\nservice = engines\n",
         common_settings(name, peers, store.address()),
-        worker.address()
+        endpoint
     )
 }
 
