Bound what an endpoint answers to its side by the size of a report

What was seen: a side whose endpoint sends a well-formed report of 11 MB took 448 MB of the 192 MB that it has.

Cause: one limit of 16 MiB for all control responses was set by the configuration, the largest of all, while a decoded report takes forty times its bytes.

Fix: MAX_REPORT_BYTES (1 MiB) for what an endpoint answers to its side, MAX_PAGE_BYTES (16 MiB, as before) for the store. ControlClient gets its limit when it is made.

--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -30,9 +30,11 @@
 /// Milliseconds after which unacknowledged bytes end a connection: a peer without power or behind a
 /// network partition sends no reset, and the connection would hang for minutes.
 const TCP_USER_TIMEOUT_MS: u64 = 2_500;
-/// Maximum size of a control response in bytes. The largest is a page with the configuration, which has
-/// no size limit of its own: 1,400 routes take 345 KB as the store encodes them.
-const MAX_CONTROL_BYTES: usize = 16 << 20;
+/// Maximum bytes of a response of the store. The largest is a page with the configuration, which has no size limit of
+/// its own: 1,400 routes take 345 KB as the store encodes them.
+pub(crate) const MAX_PAGE_BYTES: usize = 16 << 20;
+/// Maximum bytes of an endpoint's report or of its response to an order; a report has some kilobytes.
+pub(crate) const MAX_REPORT_BYTES: usize = 1 << 20;
 /// Size in bytes from which a response's transfer time is logged: a response of this size takes 50
 /// ms on the slowest link, 10 Mbit/s.
 const LARGE_RESPONSE_BYTES: usize = 64 << 10;
@@ -40,7 +42,7 @@
 /// TCP sends a lost packet again within one second, and a saturated link of 10 Mbit/s queues half a
 /// second of bytes.
 const PART_TIMEOUT_MS: u64 = 1_500;
-/// Timeout in milliseconds for a whole body: [`MAX_CONTROL_BYTES`] take 14 s on a link of 10 Mbit/s.
+/// Timeout in milliseconds for a whole body: [`MAX_PAGE_BYTES`] take 14 s on a link of 10 Mbit/s.
 const BODY_TIMEOUT_MS: u64 = 20_000;
 
 /// Aborts the connection's task when the call is dropped, so that the endpoint sees its caller
@@ -139,12 +141,15 @@
 /// A client for control calls; connects when needed and reuses its connection until a call fails.
 pub(crate) struct ControlClient {
     address: SocketAddr,
+    /// Maximum bytes of a response.
+    max_bytes: usize,
     connection: Option<HttpConnection>,
 }
 
 impl ControlClient {
-    pub(crate) fn new(address: SocketAddr) -> ControlClient {
-        ControlClient { address, connection: None }
+    /// Creates a client of a server whose responses have at most `max_bytes`.
+    pub(crate) fn new(address: SocketAddr, max_bytes: usize) -> ControlClient {
+        ControlClient { address, max_bytes, connection: None }
     }
 
     /// Makes a call and returns the complete response.
@@ -153,9 +158,10 @@
         request: Request<Full<Bytes>>,
         timeout_ms: u64,
     ) -> Result<Response<Bytes>, GatewayError> {
+        let max_bytes = self.max_bytes;
         let exchange = async {
             let response = self.response_head(request).await?;
-            read_body(response, timeout_ms, || ()).await
+            read_body(response, max_bytes, timeout_ms, || ()).await
         };
         let result = with_timeout(timeout_ms, exchange).await;
         self.drop_if_failed(result)
@@ -181,7 +187,8 @@
         };
         let result = match head {
             Ok(response) => {
-                with_timeout(BODY_TIMEOUT_MS, read_body(response, PART_TIMEOUT_MS, progress)).await
+                let body = read_body(response, self.max_bytes, PART_TIMEOUT_MS, progress);
+                with_timeout(BODY_TIMEOUT_MS, body).await
             }
             Err(error) => Err(error),
         };
@@ -217,9 +224,10 @@
     result.unwrap_or(Err(GatewayError::Timeout(timeout_ms)))
 }
 
-/// Reads a whole body; each part must arrive within `part_timeout_ms` of the previous one.
+/// Reads a whole body of at most `max_bytes`; each part must arrive within `part_timeout_ms` of the previous one.
 async fn read_body(
     response: Response<Incoming>,
+    max_bytes: usize,
     part_timeout_ms: u64,
     progress: impl Fn(),
 ) -> Result<Response<Bytes>, GatewayError> {
@@ -233,8 +241,8 @@
             bytes.extend_from_slice(&data);
             progress();
         }
-        if bytes.len() > MAX_CONTROL_BYTES {
-            return Err(GatewayError::TooLarge(MAX_CONTROL_BYTES));
+        if bytes.len() > max_bytes {
+            return Err(GatewayError::TooLarge(max_bytes));
         }
     }
     if bytes.len() >= LARGE_RESPONSE_BYTES {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -28,7 +28,7 @@
     dialect::{Dialect, RowValue, StoreRow},
     entry::EventSender,
     error::GatewayError,
-    http_client::{ControlClient, get},
+    http_client::{ControlClient, MAX_PAGE_BYTES, get},
 };
 
 /// Timeout of a call in milliseconds: the store takes some milliseconds.
@@ -71,7 +71,7 @@
 
     /// Runs until the control thread ends.
     pub(crate) async fn run(mut self, mut records: UnboundedReceiver<SuspectRecord>) {
-        let mut client = ControlClient::new(self.address);
+        let mut client = ControlClient::new(self.address, MAX_PAGE_BYTES);
         let rows = self.read_with_retries(&mut client).await;
         self.apply(&mut client, rows).await;
         let mut era = *self.era.borrow_and_update();
--- a/crates/gateway/src/side/endpoint_client.rs
+++ b/crates/gateway/src/side/endpoint_client.rs
@@ -12,7 +12,7 @@
 use crate::{
     dialect::Dialect,
     error::GatewayError,
-    http_client::{ControlClient, get},
+    http_client::{ControlClient, MAX_REPORT_BYTES, get},
 };
 
 /// Timeout in milliseconds for a state report: it normally takes a few milliseconds, and an old
@@ -42,7 +42,7 @@
     /// Makes the requested calls until the control thread ends.
     pub(super) async fn run(self, mut calls: mpsc::UnboundedReceiver<EndpointCall>) {
         let this = Arc::new(self);
-        let mut report_client = ControlClient::new(this.address);
+        let mut report_client = ControlClient::new(this.address, MAX_REPORT_BYTES);
         while let Some(call) = calls.recv().await {
             match call {
                 EndpointCall::Poll => {
@@ -96,7 +96,9 @@
     async fn query_name(&self, path: &str) {
         let response = async {
             let request = get(self.address, path)?;
-            ControlClient::new(self.address).call(request, REPORT_TIMEOUT_MS).await
+            ControlClient::new(self.address, MAX_REPORT_BYTES)
+                .call(request, REPORT_TIMEOUT_MS)
+                .await
         };
         match response.await {
             Ok(response) => match self.dialect.incarnation_name(response.headers()) {
@@ -118,7 +120,8 @@
         if let Ok(host) = hyper::header::HeaderValue::from_str(&self.address.to_string()) {
             request.headers_mut().insert(hyper::header::HOST, host);
         }
-        match ControlClient::new(self.address).call(request, ORDER_TIMEOUT_MS).await {
+        let mut client = ControlClient::new(self.address, MAX_REPORT_BYTES);
+        match client.call(request, ORDER_TIMEOUT_MS).await {
             Ok(response) => {
                 let status = response.status();
                 log::debug!("event=order_status order={} status={status}", order.number);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -16,7 +16,7 @@
 use crate::{
     dialect::{Dialect, RowPage, Table},
     error::GatewayError,
-    http_client::{ControlClient, get},
+    http_client::{ControlClient, MAX_PAGE_BYTES, get},
     platform_view::PlatformView,
 };
 
@@ -51,8 +51,10 @@
     view: PlatformView,
 ) -> impl Future<Output = ()> + use<> {
     let store = settings.store;
-    let (client, follower) =
-        (ControlClient::new(store), TableFollower::new(follower_profile(settings, table)));
+    let (client, follower) = (
+        ControlClient::new(store, MAX_PAGE_BYTES),
+        TableFollower::new(follower_profile(settings, table)),
+    );
     let watcher = TableWatcher { store, era: None, table, dialect, view, client, follower };
     watcher.run()
 }
--- a/tests/pool/endless.rs
+++ b/tests/pool/endless.rs
@@ -67,6 +67,8 @@
     }
 }
 
+/// Memory in kB that a side may take for the reports of its endpoint; it has 192 MB in all.
+const MAX_SIDE_KB: u64 = 32_768;
 /// Memory in kB that an entry may take for the pages of one table; it has 160 MB in all.
 const MAX_TABLE_KB: u64 = 65_536;
 /// Time in which memory is measured.
@@ -81,6 +83,27 @@
     process.peak_kb().saturating_sub(before)
 }
 
+/// Guards against a side whose memory is filled by a report without end.
+#[rstest]
+fn a_report_without_end_is_cut_off(
+    #[values(
+        Endless::Garbage,
+        Endless::Report,
+        Endless::LongReport,
+        Endless::Chunk,
+        Endless::HeadField
+    )]
+    endless: Endless,
+) {
+    let pool = Deployment::start(&[("e1", &["m0"])]);
+    let endless = EndlessWorker::start(pool.engines[0].address().ip(), endless);
+    let side = pool.add_side("e2", endless.address());
+    pool.wait_until("a report is asked for", || endless.begun() > 0);
+    let taken = taken_kb(&side);
+    assert!(taken < MAX_SIDE_KB, "{taken} kB");
+    assert!(endless.closed() + 1 >= endless.begun(), "not cut off");
+}
+
 /// Guards against an entry whose memory is filled by a table without end, or which reads one for good.
 #[rstest]
 fn a_table_without_end_is_cut_off(
