Count what is collected for callers without chunks against the entry's memory

What was seen: an endpoint sends a body without end; callers that know no chunks (HTTP/1.0) get a response with its length, so that the entry collects it: twelve of them took 193 to 205 MB, of 160 MB that an entry has.

Cause: the bound of 16 MiB held for each response, not for all of them, and what was collected was not counted in the bytes that are buffered for callers, which half of the instance's memory bounds.

Evidence: a_body_without_end_is_not_collected_beyond_the_memory (an instance of 64 MB) fails on on both routes.

Fix: with_length counts what it collects, twice as the buffer grows in steps, against that bound, and answers 502 (run unknown) beyond it, as for a response that is too large.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -263,7 +263,7 @@
         let http_1_0 = request.version() < Version::HTTP_11;
         let mut response = self.respond(request, caller).await;
         if http_1_0 && response.size_hint().exact().is_none() {
-            response = with_length(response).await;
+            response = with_length(response, self.resources.buffer()).await;
         }
         if self.status.stopping.load(Ordering::Relaxed) && !http_1_0 {
             let close = HeaderValue::from_static("close");
@@ -449,15 +449,32 @@
 
 /// Collects a response for a caller that knows no chunks: the end of its connection would mark the end
 /// of the response, also of one that was aborted.
-async fn with_length(response: Response<ResponseBody>) -> Response<ResponseBody> {
-    let (parts, body) = response.into_parts();
-    match Limited::new(body, MAX_COLLECTED_BYTES).collect().await {
-        Ok(body) => Response::from_parts(parts, Either::Right(Full::new(body.to_bytes()))),
-        Err(error) => {
-            log::debug!("event=response_aborted error=\"{error}\"");
-            problem_response(StatusCode::BAD_GATEWAY, "broken", None)
+async fn with_length(
+    response: Response<ResponseBody>,
+    mut buffered: BufferedBytes,
+) -> Response<ResponseBody> {
+    let (parts, mut body) = response.into_parts();
+    let mut bytes = BytesMut::new();
+    loop {
+        match body.frame().await {
+            None => return Response::from_parts(parts, Either::Right(Full::new(bytes.freeze()))),
+            Some(Ok(frame)) => {
+                let Ok(data) = frame.into_data() else { continue };
+                let fits = bytes.len() + data.len() <= MAX_COLLECTED_BYTES;
+                // The buffer grows to up to twice what is in it.
+                if !fits || !buffered.add(2 * data.len() as u64) {
+                    log::info!("event=response_too_large bytes={}", bytes.len() + data.len());
+                    break;
+                }
+                bytes.extend_from_slice(&data);
+            }
+            Some(Err(error)) => {
+                log::debug!("event=response_aborted error=\"{error}\"");
+                break;
+            }
         }
     }
+    problem_response(StatusCode::BAD_GATEWAY, "broken", None)
 }
 
 fn refusal_response(refusal: Refusal) -> Response<ResponseBody> {
--- a/tests/pool/endless.rs
+++ b/tests/pool/endless.rs
@@ -1,6 +1,8 @@
 //! Endpoints whose responses have no end.
 
 use std::{
+    io::Write,
+    net::TcpStream,
     thread,
     time::{Duration, Instant},
 };
@@ -8,7 +10,7 @@
 use citronrill_platform_standin::{Endless, EndlessWorker};
 use rstest::rstest;
 
-use crate::support::{Deployment, Process, Request, Response};
+use crate::support::{Deployment, Process, Request, Response, WAIT_TIMEOUT};
 
 /// Memory in kB that an entry may take for the responses of one such endpoint; it has 160 MB in all.
 const MAX_MEMORY_KB: u64 = 16_384;
@@ -71,6 +73,8 @@
 const MAX_SIDE_KB: u64 = 32_768;
 /// Memory in kB that an entry may take for the pages of one table; it has 160 MB in all.
 const MAX_TABLE_KB: u64 = 65_536;
+/// Memory in kB of an entry's instance in the test of callers without chunks; half of it is for callers.
+const INSTANCE_KB: u64 = 65_536;
 /// Time in which memory is measured.
 const MEASURED: Duration = Duration::from_secs(3);
 
@@ -117,3 +121,35 @@
     assert!(taken < MAX_TABLE_KB, "{taken} kB");
     pool.wait_until("it is cut off", || entry.logged(&["event=store_lost"]));
 }
+
+/// Guards against an entry whose memory is filled by responses that it collects for callers without chunks.
+#[rstest]
+fn a_body_without_end_is_not_collected_beyond_the_memory(
+    #[values("/book/x", "/status/x")] path: &str,
+) {
+    let mut pool = Deployment::start(&[("e1", &["m0"])]);
+    let memory_mb = INSTANCE_KB >> 10;
+    pool.restart_entry_with(&format!("[resources]\nmemory_mb = {memory_mb}\n"));
+    pool.wait_until("the entry is ready", || pool.ready());
+    let endless = EndlessWorker::start(pool.ledger.address().ip(), Endless::Body);
+    pool.ledger.register_at(endless.address());
+    pool.wait_until("the worker is used", || {
+        drop(pool.request_head(&Request::call("/book/x", "id-0")));
+        endless.begun() > 0
+    });
+    let before = pool.entry.peak_kb();
+    let send = |number: usize| {
+        let request = Request::call(path, &format!("id-{number}")).bytes();
+        let request = String::from_utf8(request).unwrap().replace("HTTP/1.1", "HTTP/1.0");
+        let mut stream = TcpStream::connect(pool.caller_address).unwrap();
+        stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+        stream.write_all(request.as_bytes()).unwrap();
+        stream
+    };
+    for mut stream in (1..=REQUESTS).map(send).collect::<Vec<_>>() {
+        let response = Response::read(&mut stream);
+        assert!(matches!(response.status, 502 | 503), "{}", response.status);
+    }
+    let taken = pool.entry.peak_kb().saturating_sub(before);
+    assert!(taken < INSTANCE_KB * 3 / 4, "{taken} kB");
+}
