Count the parts of a stream without events, not only their bytes

What callers saw: an endpoint sends an event without end in chunks of one byte; the callers of its resumable streams got 200 and nothing until their deadline, though another endpoint could have served them.

Cause: a stream without an event is given up after 256 KiB, and a part of one byte counted one byte, while it costs as much processor time as one of 64 KiB: the entry handled hundreds of thousands of parts for each stream.

Evidence: a_response_without_end_is_cut_off with SmallChunks on /chat/x fails on (status 200, not whole) and passes now. The test of callers that do not read has plain bodies as well (handled before).

Fix: a part counts 64 bytes beside its own, which gives such a stream up after some 4,000 parts. An event of an endpoint has a few tokens, and comes in far fewer.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -12,6 +12,10 @@
 /// Maximum bytes of an event, and of comments between two events: an event has a few tokens.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// What a part counts beside its bytes: a stream of parts of one byte each costs as much processor time as one of
+/// much longer parts.
+const PART_COST_BYTES: usize = 64;
+
 /// A stream has sent more than [`MAX_EVENT_BYTES`] without an event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct EventTooLarge;
@@ -68,7 +72,7 @@
     /// # Errors
     /// The attempt goes on without an event.
     pub(crate) fn push(&mut self, bytes: Bytes) -> Result<Bytes, EventTooLarge> {
-        self.since_event += bytes.len();
+        self.since_event += bytes.len() + PART_COST_BYTES;
         let events = self.take_events(bytes);
         if self.since_event > MAX_EVENT_BYTES { Err(EventTooLarge) } else { Ok(events) }
     }
--- a/tests/pool/endless.rs
+++ b/tests/pool/endless.rs
@@ -33,6 +33,7 @@
         Endless::ChunkSize,
         Endless::ChunkExtension,
         Endless::Chunk,
+        Endless::SmallChunks,
         Endless::TrailerField,
         Endless::Trailer
     )]
--- a/tests/pool/resources.rs
+++ b/tests/pool/resources.rs
@@ -3,6 +3,7 @@
 use std::{io::Write, net::TcpStream, time::Duration};
 
 use citronrill_platform_standin::{Endless, EndlessWorker};
+use rstest::rstest;
 
 use crate::support::{Deployment, Request, Response};
 
@@ -16,21 +17,29 @@
 
 /// Guards against an entry whose memory is filled by callers that do not read, and against other callers
 /// who wait for these.
-#[test]
-fn callers_that_do_not_read_are_bounded() {
+#[rstest]
+#[case(Endless::Events, "/chat/x", "/book/x", "to=e1")]
+#[case(Endless::Body, "/book/x", "/chat/x", "to=ledger-1")]
+fn callers_that_do_not_read_are_bounded(
+    #[case] kind: Endless,
+    #[case] path: &str,
+    #[case] other_path: &str,
+    #[case] endpoint: &str,
+) {
     let pool = Deployment::start(&[("e1", &["m0"])]);
-    let endless = EndlessWorker::start(pool.engines[0].address().ip(), Endless::Events);
-    pool.engines[0].register_at(endless.address());
+    let listed = if path == "/book/x" { &pool.ledger } else { &pool.engines[0] };
+    let endless = EndlessWorker::start(listed.address().ip(), kind);
+    listed.register_at(endless.address());
     pool.wait_until("the endpoint is used", || {
-        drop(pool.request_head(&Request::stream("/chat/x", "id-0", "m0")));
+        drop(pool.request_head(&Request::on(path, "id-0")));
         endless.begun() > 0
     });
     let before = pool.entry.peak_kb();
-    let send = |number| pool.send(&Request::stream("/chat/x", &format!("id-{number}"), "m0"));
+    let send = |number| pool.send(&Request::on(path, &format!("id-{number}")));
     let slow = (1..=SLOW_CALLERS).map(send).collect::<Vec<_>>();
-    let dispatched = || pool.entry.count(&["event=sent", "to=e1"]);
-    pool.wait_until("streams run", || dispatched() > 20);
-    let response = pool.request(&Request::call("/book/x", "id-call"));
+    let dispatched = || pool.entry.count(&["event=sent", endpoint]);
+    pool.wait_until("responses run", || dispatched() > 20);
+    let response = pool.request(&Request::on(other_path, "id-call"));
     assert_eq!(response.status, 200);
     std::thread::sleep(Duration::from_millis(READ_MS));
     let taken = pool.entry.peak_kb().saturating_sub(before);
