Refuse at once what a planned stop leaves no time for

What callers saw, on systems like this one: in a planned stop of one entry, in calm, requests that came late in the grace were taken and passed on, and cut at its end with no answer, among them some that may not be repeated.

It can happen here: a request whose body arrives late in the stop (connections that are idle are closed, one that is being read is not) was sent to an endpoint whatever time was left. It got 504 (run unknown) at the end, or a cut response if one had begun; and one that was still being read at the end got no answer at all.

Cause: waiting requests were refused at the end of the time for new connections, but an arrival is dispatched before the next tick, and nobody asked whether it could end. The reader of a request's body knew nothing of the stop.

Fix: before a request is sent in a planned stop, can_end asks whether it ends by its deadline or, for a call, usually ends within a third of what is left (its objective, while nothing was measured). If not, it is refused as not run, with a retry time that any other entry can meet. Streams last long and vary: after the time for new connections one is sent only if its deadline lies before the end. A request whose body is not whole when the last answers are due gets 503 as well.

The product's own interface refuses new requests for the whole of a planned stop, as before.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -59,7 +59,7 @@
 const LAST_RESPONSES_MS: u64 = 300;
 /// Time between two checks whether connections can be accepted again.
 const FULL_PAUSE: Duration = Duration::from_millis(20);
-/// Retry time in milliseconds of a request that this entry cannot buffer: the load balancer directs
+/// Retry time in milliseconds of a request that this entry cannot buffer or read to its end: the load balancer directs
 /// retries to other entries.
 const BUFFER_RETRY_MS: u64 = 50;
 /// Milliseconds for which a stopping entry waits for the first request on an accepted connection: a
@@ -75,6 +75,8 @@
     pub(crate) metrics: Arc<EntryMetrics>,
     pub(crate) limits: watch::Receiver<CallerLimits>,
     pub(crate) resources: Arc<Resources>,
+    /// Whether the end of a planned stop is so near that no request is read on.
+    pub(crate) ending: watch::Receiver<bool>,
 }
 
 /// Binds a listener to `address`.
@@ -88,6 +90,7 @@
     readiness: SocketAddr,
     server: CallerServer,
     plan: StopPlan,
+    ending: watch::Sender<bool>,
 ) -> Result<(), GatewayError> {
     let listener = listen(callers).await?;
     let readiness_listener = listen(readiness).await?;
@@ -106,6 +109,10 @@
         let wait_ms = plan.accept_time.as_millis() as u64;
         let end_ms = last_ms.saturating_sub(LAST_RESPONSES_MS);
         server.events.send(EntryEvent::Stop(wait_ms, end_ms));
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(end_ms)).await;
+            ending.send_replace(true);
+        });
         sleep(plan.accept_time).await;
     };
     tokio::pin!(shutdown);
@@ -283,10 +290,20 @@
         let limit = self.limits.borrow().body_bytes;
         let body_timeout = Duration::from_millis(meta.deadline_ms.unwrap_or(BODY_TIMEOUT_MS));
         let mut buffered = self.resources.buffer();
-        let body = match timeout(body_timeout, read_body(body, limit, &mut buffered)).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(error)) => return error.response(),
-            Err(_) => return problem_response(StatusCode::REQUEST_TIMEOUT, "body_too_slow", None),
+        let mut ending = self.ending.clone();
+        let read = timeout(body_timeout, read_body(body, limit, &mut buffered));
+        let body = tokio::select! {
+            read = read => match read {
+                Ok(Ok(body)) => body,
+                Ok(Err(error)) => return error.response(),
+                Err(_) => {
+                    return problem_response(StatusCode::REQUEST_TIMEOUT, "body_too_slow", None);
+                }
+            },
+            Ok(_) = ending.wait_for(|ending| *ending) => {
+                let retry_ms = Some(BUFFER_RETRY_MS);
+                return problem_response(StatusCode::SERVICE_UNAVAILABLE, "stopping", retry_ms);
+            }
         };
         let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
         let host = host.split(':').next().unwrap_or("");
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -220,8 +220,10 @@
         let quarantine = QuarantineStore::new(settings, era, dialect.clone(), events.clone());
         tokio::spawn(quarantine.run(quarantined));
         tokio::spawn(serve_metrics(settings.metrics, metrics.clone()));
-        let server = CallerServer { dialect, events, status, metrics, limits, resources };
-        serve(callers, readiness, server, stop_plan(stop, settings.stop_ms)).await
+        let (ending_sender, ending) = watch::channel(false);
+        let server = CallerServer { dialect, events, status, metrics, limits, resources, ending };
+        let plan = stop_plan(stop, settings.stop_ms);
+        serve(callers, readiness, server, plan, ending_sender).await
     });
     // Dropping the runtime ends every task that holds a sender to the control thread; its channel
     // then closes and the thread returns.
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -21,6 +21,7 @@
 mod rules;
 mod shares;
 mod stalls;
+mod stop;
 mod store_claims;
 mod store_limit;
 mod store_loads;
@@ -55,6 +56,7 @@
     preload::PreloadState,
     priority::Priority,
     resume::Losses,
+    stop::Stop,
     store_claims::StoreClaims,
     store_limit::StoreLimit,
     streams::{Origin, StreamTracker},
@@ -262,15 +264,6 @@
     }
 }
 
-/// Deadlines of a planned stop.
-#[derive(Debug, Clone, Copy)]
-struct Stop {
-    /// No request waits after this time: another entry serves it sooner than this one could.
-    wait_until: Millis,
-    /// No request is left without a response after this time: the process ends.
-    end_by: Millis,
-}
-
 /// Routes, queues, dispatches and refuses the requests that callers send to one entry.
 #[derive(Debug)]
 pub struct PoolEntry {
@@ -411,9 +404,7 @@
             EntryEvent::StreamBroken(id, last_event) => self.stream_broken(id, last_event),
             EntryEvent::EndUnproven(id, body) => self.end_unproven(id, body),
             EntryEvent::CallerLeft(id) => self.caller_left(id),
-            EntryEvent::Stop(wait_ms, end_ms) => {
-                self.stop = Some(Stop { wait_until: now + wait_ms, end_by: now + end_ms });
-            }
+            EntryEvent::Stop(wait_ms, end_ms) => self.begin_stop(wait_ms, end_ms),
             EntryEvent::UrgentTick => self.check_deadlines(),
             EntryEvent::Tick => self.tick(),
         }
@@ -450,6 +441,10 @@
             self.refuse(id, Reason::Quarantined);
             return;
         }
+        if self.refuse_unending(id) {
+            return;
+        }
+        let Some(request) = self.requests.get(&id) else { return };
         if request.awaits_origin() {
             return;
         }
--- a/crates/pool/src/entry/timers.rs
+++ b/crates/pool/src/entry/timers.rs
@@ -159,27 +159,6 @@
         }
     }
 
-    /// During a planned stop, refuses requests that would otherwise be cut off when the process
-    /// ends.
-    ///
-    /// Otherwise a request may wait for its model at an entry that is being stopped, and its caller
-    /// sees a closed connection without knowing whether the request ran.
-    fn refuse_on_stop(&mut self) {
-        let Some(stop) = self.stop else { return };
-        let open = self.requests.iter().map(|(id, request)| (*id, request.stage, request.runs));
-        for (id, stage, runs) in open.collect::<Vec<_>>() {
-            match stage {
-                Stage::Waiting if runs == 0 && self.now >= stop.wait_until => {
-                    self.refuse(id, Reason::Stopping);
-                }
-                Stage::Waiting | Stage::Sent if self.now >= stop.end_by => {
-                    self.refuse(id, Reason::TimedOut);
-                }
-                Stage::Waiting | Stage::Sent | Stage::Responding => {}
-            }
-        }
-    }
-
     /// Tries to dispatch the waiting requests, the most urgent first.
     ///
     /// If a model is requested more often than its replicas can serve, dispatch in order of arrival
--- a/crates/pool/src/entry/waits.rs
+++ b/crates/pool/src/entry/waits.rs
@@ -72,9 +72,13 @@
     }
 
     /// Returns the average work time of a service in milliseconds at the usual pace.
-    fn service_work_ms(&self, service: &str) -> f64 {
-        let measured = self.waits.work.get(service).and_then(WorkTime::ms);
-        measured.unwrap_or_else(|| self.assumed_work_ms(service))
+    pub(super) fn service_work_ms(&self, service: &str) -> f64 {
+        self.measured_work_ms(service).unwrap_or_else(|| self.assumed_work_ms(service))
+    }
+
+    /// Returns that work time if any response has shown it.
+    pub(super) fn measured_work_ms(&self, service: &str) -> Option<f64> {
+        self.waits.work.get(service).and_then(WorkTime::ms)
     }
 
     /// Returns the work time that is assumed until responses show it: that of a stream for an engine, and
--- a/crates/pool/tests/all/entry.rs
+++ b/crates/pool/tests/all/entry.rs
@@ -261,6 +261,58 @@
     assert_eq!(refusal(&effects).unwrap().0, Reason::TimedOut);
 }
 
+/// Guards against requests that are sent so late in a planned stop that they are cut at its end: they are refused at
+/// once as not run. What ends in time is sent.
+#[rstest]
+#[case::stream("/draft/x", 5_000, false)]
+#[case::resumable_stream("/chat/x", 5_000, false)]
+#[case::stream_with_a_short_deadline("/draft/x", 1_500, true)]
+#[case::call("/book/x", 5_000, true)]
+fn a_request_late_in_a_planned_stop_is_sent_if_it_can_end(
+    #[case] path: &str,
+    #[case] deadline_ms: u64,
+    #[case] sent: bool,
+) {
+    let mut bench = Bench::new(vec![member(1, ENGINE, &["m0"]), member(2, PLAIN, &[])]);
+    bench.step(EntryEvent::Stop(1_000, 3_000));
+    bench.advance(1_100);
+    bench.step(EntryEvent::SideReport(address(1), state(1, &["m0"])));
+    let model = if path == "/book/x" { "" } else { "m0" };
+    let (_, effects) = bench.request_with_deadline(path, model, deadline_ms);
+    assert_eq!(dispatch(&effects).is_some(), sent, "{effects:?}");
+    if !sent {
+        let (reason, retry_ms) = refusal(&effects).unwrap();
+        assert_eq!((reason, reason.status()), (Reason::Stopping, 503));
+        assert!(retry_ms.unwrap() < 200, "another entry can take it at once");
+    }
+}
+
+/// Guards against a call that is sent although its endpoint usually takes longer than what is left of a planned
+/// stop; before the last moments it is sent.
+#[rstest]
+#[case(100, true)]
+#[case(700, false)]
+fn a_call_late_in_a_planned_stop_is_sent_if_it_usually_ends(
+    #[case] usual_ms: u64,
+    #[case] sent: bool,
+) {
+    let mut bench = Bench::new(vec![member(2, PLAIN, &[])]);
+    for _ in 0..4 {
+        let (id, _) = bench.request("/book/x", "");
+        bench.now += usual_ms;
+        bench.respond(id, ok());
+        bench.step(EntryEvent::ResponseEnded(id, ResponseEnd::Complete));
+    }
+    bench.step(EntryEvent::Stop(1_000, 3_000));
+    bench.advance(2_000);
+    let (_, effects) = bench.request("/book/x", "");
+    assert_eq!(dispatch(&effects).is_some(), sent, "{effects:?}");
+    assert_eq!(refusal(&effects).is_none(), sent);
+    bench.advance(980);
+    let (_, effects) = bench.request("/book/x", "");
+    assert_eq!(refusal(&effects).unwrap().0, Reason::Stopping, "at the end");
+}
+
 /// A caller leaves while its request runs. The endpoint's request count must decrease, or the
 /// endpoint would look busy forever.
 #[test]
--- a/tests/pool/life.rs
+++ b/tests/pool/life.rs
@@ -6,7 +6,8 @@
     time::Duration,
 };
 
-use citronrill_platform_standin::{Fault, Outage};
+use citronrill_platform_standin::{Fault, Outage, WorkerMode};
+use rstest::rstest;
 
 use crate::support::{Deployment, Process, Request, Response, WAIT_TIMEOUT, config, wait_until};
 
@@ -266,3 +267,51 @@
     }
     assert_eq!(pool.entry.wait_exit(), Some(0));
 }
+
+/// Milliseconds after the start of a planned stop at which little of it is left, in these tests.
+const LATE_MS: u64 = 2_950;
+
+/// Guards against requests that come late in a planned stop, are passed on and cut at its end: they are refused at once
+/// as not run.
+#[rstest]
+fn a_request_late_in_a_planned_stop_is_refused_at_once(
+    #[values("/book/x", "/status/x", "/draft/x", "/chat/x")] path: &str,
+) {
+    let mut pool = Deployment::start(&[("e1", &["m0"])]);
+    pool.ledger.set_mode(WorkerMode::Hang);
+    pool.engines[0].set_mode(WorkerMode::Hang);
+    let request = match path {
+        "/book/x" | "/status/x" => Request::call(path, "id-1"),
+        _ => Request::stream(path, "id-1", "m0"),
+    };
+    // It is being read when the stop begins, as the connection would be closed otherwise.
+    let (mut stream, bytes) = (TcpStream::connect(pool.caller_address).unwrap(), request.bytes());
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    let (begun, rest) = bytes.split_at(bytes.len() - 1);
+    stream.write_all(begun).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    pool.entry.signal(SIGTERM);
+    wait_until("the stop is logged", || pool.entry.logged(&["event=stopping"]));
+    std::thread::sleep(Duration::from_millis(LATE_MS));
+    stream.write_all(rest).unwrap();
+    let response = Response::read(&mut stream);
+    assert_eq!((response.status, response.complete), (503, true), "{response:?}");
+    assert!(response.header("retry-after").is_some());
+    assert_eq!(pool.entry.wait_exit(), Some(0));
+    assert!(pool.ledger.received().is_empty() && pool.engines[0].received().is_empty());
+}
+
+/// Guards against a request that is not read to its end before a planned stop ends, and gets no answer.
+#[test]
+fn a_request_that_is_never_whole_is_refused_before_a_planned_stop_ends() {
+    let mut pool = Deployment::start(&[("e1", &["m0"])]);
+    let bytes = Request::call("/book/x", "id-1").bytes();
+    let mut stream = TcpStream::connect(pool.caller_address).unwrap();
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    stream.write_all(&bytes[..bytes.len() - 1]).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    pool.entry.signal(SIGTERM);
+    let response = Response::read(&mut stream);
+    assert_eq!((response.status, response.complete), (503, true), "{response:?}");
+    assert_eq!(pool.entry.wait_exit(), Some(0));
+}
