Add cases of the decoder that its guards lacked, and say why a response was not taken

Taking each guard of the decoder out once showed five that no test needed. Two guards did nothing that the rest does not do (the largest length and size: what is announced and does not come is an early end) and are gone, as is the one of a line feed alone in the line of a chunk, which the check of the line covers.

`send_failed` and `report_failed` name the cause behind the library's error, such as "unclear end of the body: two lengths", so that whoever is called sees why an endpoint's response was refused.

--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors of sockets and calls.
 
-use std::{io, net::SocketAddr};
+use std::{error::Error as _, io, net::SocketAddr};
 
 use thiserror::Error;
 
@@ -32,7 +32,7 @@
         source: io::Error,
     },
     /// The peer violated HTTP, or closed the connection.
-    #[error("HTTP error: {0}")]
+    #[error("HTTP error: {0}{cause}", cause = cause(.0))]
     Http(#[from] hyper::Error),
     /// The head of a response did not say where its body ends.
     #[error("response without a known end")]
@@ -63,3 +63,8 @@
     #[error("{0}")]
     Dialect(#[from] DialectError),
 }
+
+/// Returns what the library's error was caused by, such as a response that was not taken for one.
+fn cause(error: &hyper::Error) -> String {
+    error.source().map(|source| format!(": {source}")).unwrap_or_default()
+}
--- a/crates/http/src/response/chunks.rs
+++ b/crates/http/src/response/chunks.rs
@@ -8,8 +8,6 @@
 pub const MAX_TRAILER_BYTES: usize = 8 << 10;
 /// Maximum number of fields of a trailer section.
 const MAX_TRAILER_FIELDS: usize = 64;
-/// The largest size of a chunk that is taken for one: 1 PiB.
-const MAX_CHUNK_BYTES: u64 = 1 << 50;
 
 /// Where a reader is in the chunks of a body.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -100,21 +98,18 @@
         return Err(ResponseError::TooLong(limit));
     }
     line.extend_from_slice(&bytes[..count]);
-    if end.is_some() && !line.ends_with(b"\r\n") {
-        return Err(ResponseError::MalformedChunk("a line feed alone"));
-    }
     Ok(count)
 }
 
-/// Parses the line before a chunk: its size, and extensions that are ignored.
+/// Parses the line before a chunk: its size, and extensions that are ignored. A line feed or carriage return alone in
+/// it ends the line for some readers.
 fn parse_size(line: &[u8]) -> Result<u64, ResponseError> {
     let size = line.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii_end();
     let hexadecimal = !size.is_empty() && size.iter().all(u8::is_ascii_hexdigit);
     let size = str::from_utf8(size).ok().filter(|_| hexadecimal);
     let size = size.and_then(|size| u64::from_str_radix(size, 16).ok());
     let clean = !line.iter().any(|byte| byte.is_ascii_control() && *byte != b'\t');
-    size.filter(|size| clean && *size <= MAX_CHUNK_BYTES)
-        .ok_or(ResponseError::MalformedChunk("the size is no number"))
+    size.filter(|_| clean).ok_or(ResponseError::MalformedChunk("the size is no number"))
 }
 
 fn check_trailer(section: &[u8]) -> Result<(), ResponseError> {
--- a/crates/http/src/response/framing.rs
+++ b/crates/http/src/response/framing.rs
@@ -10,9 +10,6 @@
 const KEEP_ALIVE: &str = "keep-alive";
 const CHUNKED: &str = "chunked";
 
-/// The largest length that is taken for one: 1 PiB.
-const MAX_BODY_BYTES: u64 = 1 << 50;
-
 /// What marks the end of a response body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -158,7 +155,7 @@
     if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
         return None;
     }
-    str::from_utf8(digits).ok()?.parse().ok().filter(|length| *length <= MAX_BODY_BYTES)
+    str::from_utf8(digits).ok()?.parse().ok()
 }
 
 fn has_option(value: &[u8], option: &str) -> bool {
--- a/crates/http/tests/response_cases.rs
+++ b/crates/http/tests/response_cases.rs
@@ -1,6 +1,8 @@
 //! The table of responses, read by the decoder.
 
-use citronrill_http::response::{MAX_HEAD_BYTES, ResponseDecoder, Sink};
+use citronrill_http::response::{
+    MAX_HEAD_BYTES, MAX_INTERIM, ResponseDecoder, ResponseError, Sink,
+};
 use citronrill_platform_standin::{CASES, Outcome, RawEnd, ResponseCase};
 use rstest::rstest;
 
@@ -75,3 +77,14 @@
         assert!(read <= MAX_HEAD_BYTES);
     }
 }
+
+/// Guards against interim responses without end, which keep their reader busy.
+#[test]
+fn interim_responses_without_end_are_refused() {
+    let mut decoder = ResponseDecoder::new();
+    decoder.expect(false);
+    let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+    assert!(decoder.push(&interim.repeat(MAX_INTERIM), &mut ()).is_ok());
+    let error = decoder.push(interim, &mut ());
+    assert_eq!(error, Err(ResponseError::TooManyInterim(MAX_INTERIM)));
+}
--- a/tests/pool/responses_spoilt.rs
+++ b/tests/pool/responses_spoilt.rs
@@ -2,7 +2,9 @@
 
 use std::{io::Write, net::TcpStream};
 
-use citronrill_platform_standin::{CASES, Outcome, RawEnd, RawResponse, RawWorker, ResponseCase};
+use citronrill_platform_standin::{
+    CASES, Outcome, RawEnd, RawResponse, RawWorker, ResponseCase, WorkerMode,
+};
 use rstest::rstest;
 
 use crate::support::{Deployment, Request, Response, WAIT_TIMEOUT};
@@ -72,3 +74,37 @@
         faults.join("\n")
     );
 }
+
+/// Guards against a stream that is resumed with a broken response, whose bytes are not the worker's events.
+#[rstest]
+fn a_spoilt_response_does_not_resume_a_stream(
+    #[values(
+        "chunks misspelt",
+        "chunks twice, in one line",
+        "a length and chunks",
+        "name of the chunks misspelt",
+        "an unknown coding after chunks",
+        "an interim response with a length"
+    )]
+    name: &str,
+) {
+    let pool = Deployment::start(&[("e1", &["m0"]), ("e2", &["m0"])]);
+    pool.engines[0].set_mode(WorkerMode::Break);
+    let case = CASES.iter().find(|case| case.name == name).unwrap();
+    let fields = format!("{SIGNATURE}Content-Type: text/event-stream\r\n");
+    let rest = "id: 2\ndata: spoilt\n\nid: 3\ndata: spoilt\n\n";
+    let ip = pool.engines[1].address().ip();
+    let worker = RawWorker::start(ip, case.response(&fields, rest));
+    pool.engines[1].register_at(worker.address());
+    pool.wait_until("the worker is used", || {
+        pool.request(&Request::stream("/chat/x", "id-0", "m0"));
+        worker.requests() > 0
+    });
+    let before = worker.requests();
+    pool.wait_until("streams are resumed", || {
+        let response = pool.request(&Request::stream("/chat/x", "id", "m0"));
+        assert!(response.status != 200 || !response.complete, "{response:?}");
+        assert!(!response.body.contains("spoilt"), "{response:?}");
+        worker.requests() > before + 2 && pool.entry.count(&["event=sent", "to=e1"]) > 2
+    });
+}
