--- a/crates/pool/tests/all/entry.rs
+++ b/crates/pool/tests/all/entry.rs
@@ -313,6 +313,68 @@
     assert_eq!(refusal(&effects).unwrap().0, Reason::Stopping, "at the end");
 }
 
+/// Guards against a stream that is taken at the start of a planned stop although streams usually last beyond its end.
+#[rstest]
+#[case(500, true)]
+#[case(2_500, false)]
+fn a_stream_in_a_planned_stop_is_sent_if_it_usually_ends(
+    #[case] usual_ms: u64,
+    #[case] sent: bool,
+) {
+    let mut bench = Bench::new(vec![member(1, ENGINE, &["m0"])]);
+    for _ in 0..4 {
+        bench.step(EntryEvent::SideReport(address(1), state(1, &["m0"])));
+        let (id, _) = bench.request("/draft/x", "m0");
+        bench.respond(id, ok());
+        bench.now += usual_ms;
+        bench.step(EntryEvent::ResponseEnded(id, ResponseEnd::Complete));
+    }
+    bench.step(EntryEvent::SideReport(address(1), state(1, &["m0"])));
+    bench.step(EntryEvent::Stop(1_000, 2_000));
+    let (_, effects) = bench.request("/draft/x", "m0");
+    assert_eq!(dispatch(&effects).is_some(), sent, "{effects:?}");
+    assert_eq!(refusal(&effects).map(|(reason, _)| reason), (!sent).then_some(Reason::Stopping));
+}
+
+/// Guards against a stream that breaks off late in a planned stop and is not resumed, though its caller has a part.
+#[test]
+fn a_stream_that_breaks_off_late_in_a_planned_stop_is_resumed() {
+    let members = (1..=2).map(|index| member(index, ENGINE, &["m0"])).collect();
+    let mut bench = Bench::new(members);
+    let report = |bench: &mut Bench| {
+        for index in 1..=2 {
+            bench.step(EntryEvent::SideReport(address(index), state(1, &["m0"])));
+        }
+    };
+    report(&mut bench);
+    let (id, _) = bench.request("/chat/x", "m0");
+    bench.respond(id, ok());
+    bench.step(EntryEvent::Stop(1_000, 3_000));
+    bench.now += 1_100;
+    report(&mut bench);
+    let effects = bench.step(EntryEvent::StreamBroken(id, Some(3)));
+    assert!(dispatch(&effects).is_some(), "{effects:?}");
+}
+
+/// Guards against a request that ran, broke off late in a planned stop, and is said not to have run.
+#[test]
+fn a_request_that_ran_is_not_refused_as_not_run_in_a_planned_stop() {
+    let mut bench = Bench::new(vec![member(1, PLAIN, &[]), member(2, PLAIN, &[])]);
+    for _ in 0..4 {
+        let (id, _) = bench.request("/book/x", "");
+        bench.now += 700;
+        bench.respond(id, ok());
+        bench.step(EntryEvent::ResponseEnded(id, ResponseEnd::Complete));
+    }
+    let (id, effects) = bench.request("/status/x", "");
+    assert!(dispatch(&effects).is_some());
+    bench.step(EntryEvent::Stop(1_000, 3_000));
+    bench.now += 2_000;
+    let effects = bench.step(EntryEvent::DispatchFailed(id, 1, FailureKind::Broken));
+    let (reason, _) = refusal(&effects).unwrap();
+    assert_eq!((reason, reason.status()), (Reason::TimedOut, 504));
+}
+
 /// A caller leaves while its request runs. The endpoint's request count must decrease, or the
 /// endpoint would look busy forever.
 #[test]
--- a/crates/pool/tests/all/rejoined.rs
+++ b/crates/pool/tests/all/rejoined.rs
@@ -13,6 +13,8 @@
 
 /// Streams that begin before the entries end.
 const STREAMS: usize = 100;
+/// Milliseconds in which both versions serve, longer than that in which callers reconnect.
+const LONG_MIXED_MS: u64 = 15_000;
 /// Milliseconds between two reports of a side.
 const REPORT_MS: u64 = 200;
 /// Milliseconds from the start of the system to the second version.
@@ -90,6 +92,7 @@
 /// if `old`, or the new one.
 fn begin(bench: &mut Bench, sides: &mut Sides, old: bool) -> Vec<String> {
     let mut begun = Vec::new();
+    sides.report(bench);
     for number in 0..STREAMS {
         let arrival = bench.arrival("/chat/x", "m0");
         let caller_id = format!("first-{number}");
@@ -140,10 +143,12 @@
 /// the old version have left with the sides that were told of the stream, and the others have heard of none.
 #[rstest]
 fn a_stream_of_a_version_that_left_before_all_entries_restarted_is_refused(
+    #[values(0, LONG_MIXED_MS)] mixed_ms: u64,
     #[values(0, 3_000)] later_ms: u64,
 ) {
     let mut sides = Sides::start();
     let mut first = mixed(&mut sides);
+    sides.advance(&mut first, mixed_ms);
     let streams = begin(&mut first, &mut sides, true);
     let effects = first.set_members(3, new());
     sides.deliver(&mut first, effects);
--- a/crates/pool/tests/all/software.rs
+++ b/crates/pool/tests/all/software.rs
@@ -563,3 +563,39 @@
     // It was told of a stream one second ago.
     assert_eq!(ask(&mut side, 102_000, 0).memory_ms, 1_000);
 }
+
+/// Guards against streams that are refused after a mere restart: an incarnation that is not listed yet is no second
+/// version, of which the sides would be told.
+#[test]
+fn a_restart_is_no_second_version_to_the_sides() {
+    let mut bench = Bench::new((1..=2).map(|index| versioned(index, "v1", &["m0"])).collect());
+    report_sides(&mut bench, &[&["m0"], &["m0"]]);
+    let mut effects = bench.step(EntryEvent::SideReport(address(1), renamed()));
+    effects.extend(bench.advance(100));
+    let mixed = |effect: &EntryEffect| match effect {
+        EntryEffect::Streams(_, message) => matches!(message.kind, Some(StreamKind::Mixed(_))),
+        _ => false,
+    };
+    assert!(!effects.iter().any(mixed), "{effects:?}");
+}
+
+/// Guards against a side that has just started and is taken for a witness that one version served alone.
+#[rstest]
+#[case(false, 5_000)]
+#[case(true, u64::MAX)]
+fn a_side_has_heard_of_no_second_version_since_its_start(
+    #[case] first_start: bool,
+    #[case] alone_ms: u64,
+) {
+    let mut side = PoolSide::new(ENGINE).with_first_start(first_start);
+    let query = StreamQuery { stream: 1, unnamed: false, service: 7 };
+    let message = StreamKind::Query(query).into();
+    let effects = side.step(Millis(5_000), SideEvent::Streams(EntryLink(1), message));
+    let replies = effects.iter().filter_map(|effect| match effect {
+        SideEffect::Streams(_, StreamMessage { kind: Some(StreamKind::Reply(reply)) }) => {
+            Some(reply.alone_ms)
+        }
+        _ => None,
+    });
+    assert_eq!(replies.collect::<Vec<_>>(), [alone_ms]);
+}
--- a/tests/pool/endless.rs
+++ b/tests/pool/endless.rs
@@ -112,7 +112,14 @@
 /// Guards against an entry whose memory is filled by a table without end, or which reads one for good.
 #[rstest]
 fn a_table_without_end_is_cut_off(
-    #[values(Endless::Garbage, Endless::Rows, Endless::Pages, Endless::NewPages)] endless: Endless,
+    #[values(
+        Endless::Garbage,
+        Endless::Rows,
+        Endless::Pages,
+        Endless::NewPages,
+        Endless::EmptyPages
+    )]
+    endless: Endless,
 ) {
     let pool = Deployment::start(&[("e1", &["m0"])]);
     let endless = EndlessWorker::start(pool.engines[0].address().ip(), endless);
