Split the longer functions and the table of cases

`can_finish` and `refuse_unfinishable` say what `can_end` and `refuse_unending` meant. No change of behaviour, and the same cases and assertions.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -292,18 +292,13 @@
         let mut buffered = self.resources.buffer();
         let mut ending = self.ending.clone();
         let read = timeout(body_timeout, read_body(body, limit, &mut buffered));
-        let body = tokio::select! {
-            read = read => match read {
-                Ok(Ok(body)) => body,
-                Ok(Err(error)) => return error.response(),
-                Err(_) => {
-                    return problem_response(StatusCode::REQUEST_TIMEOUT, "body_too_slow", None);
-                }
-            },
-            Ok(_) = ending.wait_for(|ending| *ending) => {
-                let retry_ms = Some(BUFFER_RETRY_MS);
-                return problem_response(StatusCode::SERVICE_UNAVAILABLE, "stopping", retry_ms);
-            }
+        let read = tokio::select! {
+            read = read => read.unwrap_or(Err(BodyError::TooSlow)),
+            Ok(_) = ending.wait_for(|ending| *ending) => Err(BodyError::Stopping),
+        };
+        let body = match read {
+            Ok(body) => body,
+            Err(error) => return error.response(),
         };
         let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
         let host = host.split(':').next().unwrap_or("");
@@ -387,6 +382,10 @@
     Unreadable,
     /// This entry holds too many bytes already.
     NoBuffer,
+    /// It did not arrive before the caller's deadline.
+    TooSlow,
+    /// It did not arrive before the end of a planned stop.
+    Stopping,
 }
 
 impl BodyError {
@@ -402,6 +401,13 @@
                 let retry_ms = Some(BUFFER_RETRY_MS);
                 problem_response(StatusCode::SERVICE_UNAVAILABLE, "entry_full", retry_ms)
             }
+            BodyError::TooSlow => {
+                problem_response(StatusCode::REQUEST_TIMEOUT, "body_too_slow", None)
+            }
+            BodyError::Stopping => {
+                let retry_ms = Some(BUFFER_RETRY_MS);
+                problem_response(StatusCode::SERVICE_UNAVAILABLE, "stopping", retry_ms)
+            }
         }
     }
 }
@@ -470,28 +476,30 @@
     response: Response<ResponseBody>,
     mut buffered: BufferedBytes,
 ) -> Response<ResponseBody> {
-    let (parts, mut body) = response.into_parts();
+    let (parts, body) = response.into_parts();
+    match collect(body, &mut buffered).await {
+        Some(bytes) => Response::from_parts(parts, Either::Right(Full::new(bytes))),
+        None => problem_response(StatusCode::BAD_GATEWAY, "broken", None),
+    }
+}
+
+/// Collects a body, and counts it as buffered; returns nothing if it breaks off or there is no room for it.
+async fn collect(mut body: ResponseBody, buffered: &mut BufferedBytes) -> Option<Bytes> {
     let mut bytes = BytesMut::new();
-    loop {
-        match body.frame().await {
-            None => return Response::from_parts(parts, Either::Right(Full::new(bytes.freeze()))),
-            Some(Ok(frame)) => {
-                let Ok(data) = frame.into_data() else { continue };
-                let fits = bytes.len() + data.len() <= MAX_COLLECTED_BYTES;
-                // The buffer grows to up to twice what is in it.
-                if !fits || !buffered.add(2 * data.len() as u64) {
-                    log::info!("event=response_too_large bytes={}", bytes.len() + data.len());
-                    break;
-                }
-                bytes.extend_from_slice(&data);
-            }
-            Some(Err(error)) => {
-                log::debug!("event=response_aborted error=\"{error}\"");
-                break;
-            }
+    while let Some(frame) = body.frame().await {
+        let frame = frame.inspect_err(|error| {
+            log::debug!("event=response_aborted error=\"{error}\"");
+        });
+        let Ok(data) = frame.ok()?.into_data() else { continue };
+        let length = bytes.len() + data.len();
+        // The buffer grows to up to twice what is in it.
+        if length > MAX_COLLECTED_BYTES || !buffered.add(2 * data.len() as u64) {
+            log::info!("event=response_too_large bytes={length}");
+            return None;
         }
+        bytes.extend_from_slice(&data);
     }
-    problem_response(StatusCode::BAD_GATEWAY, "broken", None)
+    Some(bytes.freeze())
 }
 
 fn refusal_response(refusal: Refusal) -> Response<ResponseBody> {
--- a/crates/http/src/response/decoder.rs
+++ b/crates/http/src/response/decoder.rs
@@ -41,6 +41,18 @@
     Failed(ResponseError),
 }
 
+impl State {
+    /// Returns where a reader is after the final head.
+    fn of_body(framing: Framing) -> State {
+        match framing {
+            Framing::NoBody | Framing::Length(0) => State::Idle,
+            Framing::Length(length) => State::Length(length),
+            Framing::Chunked => State::Chunks(Chunks::new()),
+            Framing::UntilClose => State::UntilClose,
+        }
+    }
+}
+
 /// Follows the bytes of responses on a connection, and decides where each ends and whether it is whole.
 #[derive(Debug)]
 pub struct ResponseDecoder {
@@ -143,48 +155,39 @@
     fn read_head(&mut self, bytes: &[u8], sink: &mut impl Sink) -> Result<usize, ResponseError> {
         let State::Head(head) = &mut self.state else { return Ok(0) };
         let before = head.len();
-        let room = MAX_HEAD_BYTES - before;
-        let added = &bytes[..bytes.len().min(room)];
+        let added = &bytes[..bytes.len().min(MAX_HEAD_BYTES - before)];
         head.extend_from_slice(added);
+        let full = head.len() == MAX_HEAD_BYTES;
         if !PREFIX.starts_with(&head[..head.len().min(PREFIX.len())]) {
             return Err(ResponseError::MalformedHead("no status line"));
         }
-        let full = head.len() == MAX_HEAD_BYTES;
+        // A head is parsed when another line of it has arrived.
         if !full && !added.contains(&b'\n') {
             return Ok(added.len());
         }
         let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut response = httparse::Response::new(&mut fields);
-        let length = match response.parse(head) {
-            Ok(httparse::Status::Complete(length)) => length,
-            Ok(httparse::Status::Partial) if full => {
-                return Err(ResponseError::TooLong(MAX_HEAD_BYTES));
-            }
-            Ok(httparse::Status::Partial) => return Ok(added.len()),
-            Err(error) => return Err(ResponseError::MalformedHead(reason(error))),
-        };
-        let line = StatusLine {
-            status: response.code.unwrap_or(0),
-            version: response.version.unwrap_or(0),
-            head_only: self.head_only,
+        let parsed = response.parse(head);
+        let parsed = parsed.map_err(|error| ResponseError::MalformedHead(reason(error)))?;
+        let httparse::Status::Complete(length) = parsed else {
+            return if full {
+                Err(ResponseError::TooLong(MAX_HEAD_BYTES))
+            } else {
+                Ok(added.len())
+            };
         };
-        check_status(line)?;
+        let line = status_line(&response, self.head_only)?;
         let framing = framing(line, response.headers)?;
         if line.is_interim() {
             self.interim += 1;
-            if self.interim > MAX_INTERIM {
-                return Err(ResponseError::TooManyInterim(MAX_INTERIM));
-            }
             self.state = State::Head(Vec::new());
         } else {
             sink.head(&response);
             self.framing = Some(framing);
-            self.state = match framing {
-                Framing::NoBody | Framing::Length(0) => State::Idle,
-                Framing::Length(length) => State::Length(length),
-                Framing::Chunked => State::Chunks(Chunks::new()),
-                Framing::UntilClose => State::UntilClose,
-            };
+            self.state = State::of_body(framing);
+        }
+        if self.interim > MAX_INTERIM {
+            return Err(ResponseError::TooManyInterim(MAX_INTERIM));
         }
         Ok(length - before)
     }
@@ -196,12 +199,16 @@
     }
 }
 
-/// Checks that a status is one that was defined, and asked for.
-fn check_status(line: StatusLine) -> Result<(), ResponseError> {
-    match line.status {
+/// Returns the start of a response whose status is one that was defined, and asked for.
+fn status_line(
+    response: &httparse::Response<'_, '_>,
+    head_only: bool,
+) -> Result<StatusLine, ResponseError> {
+    let (status, version) = (response.code.unwrap_or(0), response.version.unwrap_or(0));
+    match status {
         // No request of ours asks for another protocol.
         101 => Err(ResponseError::MalformedHead("another protocol")),
-        100..600 => Ok(()),
+        100..600 => Ok(StatusLine { status, version, head_only }),
         _ => Err(ResponseError::MalformedHead("no such status")),
     }
 }
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -5,7 +5,7 @@
 use std::{io::Read, net::Ipv4Addr, time::Duration};
 
 use citronrill_http::client::{Call, ClientError, Response};
-use citronrill_platform_standin::{CASES, Outcome, RawEnd, RawResponse, RawWorker};
+use citronrill_platform_standin::{Outcome, RawEnd, RawResponse, RawWorker, response_cases};
 use rstest::rstest;
 
 const BODY: &str = "the whole body";
@@ -24,7 +24,7 @@
 fn each_response_has_its_outcome() {
     let worker = worker(RawResponse::new("", RawEnd::Close));
     let mut wrong = Vec::new();
-    for case in CASES {
+    for case in response_cases() {
         worker.set_response(case.response("X-A: a\r\n", BODY));
         let body = call(&worker).and_then(|mut response| {
             let mut body = String::new();
@@ -48,7 +48,7 @@
 #[case(BODY.len(), true)]
 #[case(BODY.len() - 1, false)]
 fn a_body_has_a_limit(#[case] limit: usize, #[case] fits: bool) {
-    let worker = worker(CASES[0].response("", BODY));
+    let worker = worker(response_cases().next().unwrap().response("", BODY));
     let bytes = call(&worker).unwrap().into_bytes(limit);
     assert_eq!(bytes.is_ok(), fits, "{bytes:?}");
 }
@@ -56,7 +56,7 @@
 /// Guards against a request that a header or path divides in two.
 #[test]
 fn a_request_that_would_become_two_is_not_sent() {
-    let worker = worker(CASES[0].response("", BODY));
+    let worker = worker(response_cases().next().unwrap().response("", BODY));
     let send = |call: Call<'_>| call.send(&mut [].as_slice()).is_err();
     assert!(send(Call::new("GET", worker.address(), "/ HTTP/1.1\r\nx: y")));
     assert!(send(Call::new("GET", worker.address(), "/").header("a", "b\r\nc: d")));
--- a/crates/http/tests/response_cases.rs
+++ b/crates/http/tests/response_cases.rs
@@ -3,7 +3,7 @@
 use citronrill_http::response::{
     MAX_HEAD_BYTES, MAX_INTERIM, ResponseDecoder, ResponseError, Sink,
 };
-use citronrill_platform_standin::{CASES, Outcome, RawEnd, ResponseCase};
+use citronrill_platform_standin::{Outcome, RawEnd, ResponseCase, response_cases};
 use rstest::rstest;
 
 const BODY: &str = "the whole body";
@@ -40,7 +40,7 @@
         Outcome::Empty => Some(Vec::new()),
         Outcome::Refused => None,
     };
-    let wrong = CASES.iter().filter(|case| read(case, size) != expected(case));
+    let wrong = response_cases().filter(|case| read(case, size) != expected(case));
     let wrong = wrong.map(|case| format!("{} {}", case.section, case.name)).collect::<Vec<_>>();
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
--- a/crates/platform/tests/responses.rs
+++ b/crates/platform/tests/responses.rs
@@ -6,7 +6,7 @@
 
 use citronrill_base::Outcome as Committed;
 use citronrill_platform::{HttpObjectStore, HttpTable, ObjectStore, PlatformError, Table};
-use citronrill_platform_standin::{CASES, Outcome, RawEnd, RawResponse, RawWorker};
+use citronrill_platform_standin::{Outcome, RawEnd, RawResponse, RawWorker, response_cases};
 
 const OBJECT: &str = "the whole object";
 
@@ -24,7 +24,7 @@
     let service = service(RawResponse::new("", RawEnd::Close));
     let store = HttpObjectStore::new(service.address());
     let mut wrong = Vec::new();
-    for case in CASES.iter().filter(|case| case.outcome != Outcome::Empty) {
+    for case in response_cases().filter(|case| case.outcome != Outcome::Empty) {
         service.set_response(case.response("", OBJECT));
         let marked = case.text.contains("ength:") || case.text.contains("hunked");
         let whole = case.outcome == Outcome::Whole && marked;
--- a/crates/pool/src/entry/mod.rs
+++ b/crates/pool/src/entry/mod.rs
@@ -441,7 +441,7 @@
             self.refuse(id, Reason::Quarantined);
             return;
         }
-        if self.refuse_unending(id) {
+        if self.refuse_unfinishable(id) {
             return;
         }
         let Some(request) = self.requests.get(&id) else { return };
--- a/crates/pool/src/entry/stop.rs
+++ b/crates/pool/src/entry/stop.rs
@@ -27,7 +27,7 @@
     ///
     /// One that is cut at the end leaves its caller without an answer, though any other entry could have served it.
     /// Streams last long, and their ends vary: late in the stop one is sent only if it ends by its deadline.
-    pub(super) fn can_end(&self, request: &Request) -> bool {
+    pub(super) fn can_finish(&self, request: &Request) -> bool {
         let Some(stop) = self.stop else { return true };
         if request.deadline <= stop.end_by {
             return true;
@@ -68,9 +68,9 @@
 
     /// Refuses a request that could not end in a planned stop if it were sent now; returns whether it was. A response
     /// that has begun goes on as long as it can.
-    pub(super) fn refuse_unending(&mut self, id: RequestId) -> bool {
+    pub(super) fn refuse_unfinishable(&mut self, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
-        if request.head_sent || self.can_end(request) {
+        if request.head_sent || self.can_finish(request) {
             return false;
         }
         let reason = if request.runs == 0 { Reason::Stopping } else { Reason::TimedOut };
--- a/tests/all/responses.rs
+++ b/tests/all/responses.rs
@@ -5,7 +5,7 @@
     net::{Ipv4Addr, TcpStream},
 };
 
-use citronrill_platform_standin::{CASES, Outcome, RawEnd, RawResponse, RawWorker};
+use citronrill_platform_standin::{Outcome, RawEnd, RawResponse, RawWorker, response_cases};
 use rstest::rstest;
 
 use crate::support::{Deployment, WAIT_TIMEOUT};
@@ -61,7 +61,7 @@
 ) {
     let worker = worker();
     let deployment = Deployment::start_with(1, 1, Some(worker.address()));
-    let case = CASES.iter().find(|case| case.name == name).unwrap();
+    let case = response_cases().find(|case| case.name == name).unwrap();
     worker.set_response(case.response("X-Entry: yes\r\n", BODY));
     let (status, body, complete) = call(&deployment, "/x");
     assert!(worker.requests() > 0);
--- a/tests/pool/responses_spoilt.rs
+++ b/tests/pool/responses_spoilt.rs
@@ -3,7 +3,7 @@
 use std::{io::Write, net::TcpStream};
 
 use citronrill_platform_standin::{
-    CASES, Outcome, RawEnd, RawResponse, RawWorker, ResponseCase, WorkerMode,
+    Outcome, RawEnd, RawResponse, RawWorker, ResponseCase, WorkerMode, response_cases,
 };
 use rstest::rstest;
 
@@ -55,13 +55,13 @@
     let (body, kind) =
         if plain { (PLAIN_BODY, "") } else { (EVENTS, "Content-Type: text/event-stream\r\n") };
     let fields = format!("{SIGNATURE}{kind}");
-    worker.set_response(CASES[0].response(&fields, body));
+    worker.set_response(response_cases().next().unwrap().response(&fields, body));
     pool.wait_until("the worker is used", || {
         send("id-0");
         worker.requests() > 0
     });
     let mut faults = Vec::new();
-    for (index, case) in CASES.iter().enumerate() {
+    for (index, case) in response_cases().enumerate() {
         worker.set_response(case.response(&fields, body));
         let response = send(&format!("id-{index}"));
         faults.extend(fault(case, &response, body));
@@ -70,7 +70,7 @@
         faults.is_empty(),
         "{} of {} on {path}:\n{}",
         faults.len(),
-        CASES.len(),
+        response_cases().count(),
         faults.join("\n")
     );
 }
@@ -90,7 +90,7 @@
 ) {
     let pool = Deployment::start(&[("e1", &["m0"]), ("e2", &["m0"])]);
     pool.engines[0].set_mode(WorkerMode::Break);
-    let case = CASES.iter().find(|case| case.name == name).unwrap();
+    let case = response_cases().find(|case| case.name == name).unwrap();
     let fields = format!("{SIGNATURE}Content-Type: text/event-stream\r\n");
     let rest = "id: 2\ndata: spoilt\n\nid: 3\ndata: spoilt\n\n";
     let ip = pool.engines[1].address().ip();
