--- a/crates/pool/tests/all/rejoined.rs
+++ b/crates/pool/tests/all/rejoined.rs
@@ -6,7 +6,7 @@
 use citronrill_pool::{
     Arrival, EntryEffect, EntryEvent, EntryLink, Member, PoolSide, Reason, SideEffect, SideEvent,
 };
-use citronrill_wire::SideState;
+use citronrill_wire::{SideState, StreamKind, StreamMessage, StreamQuery};
 use rstest::rstest;
 
 use crate::support::{Bench, ENGINE, address, config, dispatch, member, ok, refusal, state};
@@ -202,3 +202,24 @@
     let at = reconnect(&mut second, &mut sides, "unknown");
     assert_eq!(at.is_some(), goes_on, "{at:?}");
 }
+
+/// Guards against a side that has just started and is taken for a witness that one version served alone.
+#[rstest]
+#[case(false, 5_000)]
+#[case(true, u64::MAX)]
+fn a_side_has_heard_of_no_second_version_since_its_start(
+    #[case] first_start: bool,
+    #[case] alone_ms: u64,
+) {
+    let mut side = PoolSide::new(ENGINE).with_first_start(first_start);
+    let query = StreamQuery { stream: 1, unnamed: false, service: 7 };
+    let message = StreamKind::Query(query).into();
+    let effects = side.step(Millis(5_000), SideEvent::Streams(EntryLink(1), message));
+    let replies = effects.iter().filter_map(|effect| match effect {
+        SideEffect::Streams(_, StreamMessage { kind: Some(StreamKind::Reply(reply)) }) => {
+            Some(reply.alone_ms)
+        }
+        _ => None,
+    });
+    assert_eq!(replies.collect::<Vec<_>>(), [alone_ms]);
+}
--- a/crates/pool/tests/all/software.rs
+++ b/crates/pool/tests/all/software.rs
@@ -578,24 +578,3 @@
     };
     assert!(!effects.iter().any(mixed), "{effects:?}");
 }
-
-/// Guards against a side that has just started and is taken for a witness that one version served alone.
-#[rstest]
-#[case(false, 5_000)]
-#[case(true, u64::MAX)]
-fn a_side_has_heard_of_no_second_version_since_its_start(
-    #[case] first_start: bool,
-    #[case] alone_ms: u64,
-) {
-    let mut side = PoolSide::new(ENGINE).with_first_start(first_start);
-    let query = StreamQuery { stream: 1, unnamed: false, service: 7 };
-    let message = StreamKind::Query(query).into();
-    let effects = side.step(Millis(5_000), SideEvent::Streams(EntryLink(1), message));
-    let replies = effects.iter().filter_map(|effect| match effect {
-        SideEffect::Streams(_, StreamMessage { kind: Some(StreamKind::Reply(reply)) }) => {
-            Some(reply.alone_ms)
-        }
-        _ => None,
-    });
-    assert_eq!(replies.collect::<Vec<_>>(), [alone_ms]);
-}
