--- a/review/tool-2/cases.rs
+++ b/review/tool-2/cases.rs
@@ -1,7 +1,7 @@
 //! The cases.
 
-mod deployment;
 mod delisted;
+mod deployment;
 mod reborn;
 mod slow_reader;
 
--- a/review/tool-2/cases/delisted.rs
+++ b/review/tool-2/cases/delisted.rs
@@ -2,21 +2,25 @@
 
 use std::{path::Path, thread, time::Duration};
 
-use super::deployment::{Deployment, Record, describe, manifest, plain_route, send, wait_until_ready};
+use super::deployment::{
+    Deployment, Record, describe, manifest, plain_route, send, wait_until_ready,
+};
 use crate::worker::{BODY_BYTES, whole_body};
 
 const REQUESTS: usize = 36;
 
 pub fn run(dir: &Path, trouble: bool) -> i32 {
     let mut record = Record::new(dir);
-    let deployment = Deployment::new(&manifest(&[plain_route("/book/", "non_idempotent")], ""));
+    let deployment = Deployment::new(&manifest(&[plain_route("/book/", "non_idempotent")]));
     let workers = deployment.plain_workers((1_600, 0), "close", BODY_BYTES, |own| own);
     let entry = deployment.entry(1);
     if !wait_until_ready(&entry) {
         return 2;
     }
     let consumers = send(entry.callers, REQUESTS);
-    record.line(&format!("{REQUESTS} requests are sent to the entry, each on a kept channel of its own"));
+    record.line(&format!(
+        "{REQUESTS} requests are sent to the entry, each on a kept channel of its own"
+    ));
     thread::sleep(Duration::from_millis(300));
     let (number, runs) = deployment.busiest();
     let leaving = format!("i-{number}");
--- a/review/tool-2/cases/deployment.rs
+++ b/review/tool-2/cases/deployment.rs
@@ -18,10 +18,9 @@
 };
 
 pub const HOST: &str = "ficu95.example";
-/// The plain service, and the model workers' one.
+/// The service of the cases.
 pub const PLAIN: &str = "booking";
-pub const ENGINES: &str = "engines";
-const RULES: &str = "base,drain,config,cost,retry,recover,fleet,stream,engine,tenants,quota,platform";
+const RULES: &str = "base,drain,config,cost,retry,recover,fleet,stream,engine,platform";
 
 /// Writes `record.txt`, with milliseconds since the start of the case.
 pub struct Record {
@@ -31,7 +30,8 @@
 
 impl Record {
     pub fn new(dir: &Path) -> Record {
-        let file = fs::File::create(dir.join("record.txt")).expect("the case's folder can be written");
+        let file =
+            fs::File::create(dir.join("record.txt")).expect("the case's folder can be written");
         Record { file, started: now_ms() }
     }
 
@@ -61,13 +61,6 @@
     pub readiness: SocketAddr,
 }
 
-pub struct Side {
-    pub process: Process,
-    pub ip: IpAddr,
-    pub name: String,
-    worker: SocketAddr,
-}
-
 pub struct Deployment {
     pub store: Store,
     /// Folder for settings and logs; removed at the end.
@@ -103,21 +96,29 @@
     }
 
     /// Starts a worker of the plain service; the times are those of the two halves of its answers.
-    pub fn plain_worker(&self, address: SocketAddr, id: &str, framing: &str, times: (u64, u64), bytes: usize) -> Process {
+    pub fn plain_worker(
+        &self,
+        address: SocketAddr,
+        id: &str,
+        framing: &str,
+        times: (u64, u64),
+        bytes: usize,
+    ) -> Process {
         let log = self.log().display().to_string();
-        let args = [&address.to_string(), id, &log, framing, &times.0.to_string(), &times.1.to_string(), &bytes.to_string()];
+        let args = [
+            &address.to_string(),
+            id,
+            &log,
+            framing,
+            &times.0.to_string(),
+            &times.1.to_string(),
+            &bytes.to_string(),
+        ];
         let process = start_worker(&args.map(str::to_owned));
         wait_until_open(address);
         process
     }
 
-    /// Starts a model worker.
-    pub fn engine(&self, address: SocketAddr, id: &str) -> Process {
-        let process = start_worker(&[address.to_string(), id.to_owned(), "engine".to_owned()]);
-        wait_until_open(address);
-        process
-    }
-
     pub fn entry(&self, number: u8) -> Entry {
         let ip = Ipv4Addr::new(127, 0, 1, number);
         let address = || SocketAddr::from((ip, free_port()));
@@ -126,52 +127,15 @@
         let machine = Machine {
             name: &name,
             ip: IpAddr::V4(ip),
-            first_start: true,
             store: self.store.address,
             ports: self.ports,
-            entry: Some((callers, readiness, control)),
-            worker: None,
+            entry: (callers, readiness, control),
             rules: RULES,
         };
         let process = start_role("pool-entry", &machine, &self.temp);
         Entry { _process: process, callers, readiness }
     }
 
-    /// Starts the side beside a model worker.
-    pub fn side(&self, name: &str, worker: SocketAddr, first_start: bool) -> Side {
-        let machine = Machine {
-            name,
-            ip: worker.ip(),
-            first_start,
-            store: self.store.address,
-            ports: self.ports,
-            entry: None,
-            worker: Some((worker, ENGINES)),
-            rules: RULES,
-        };
-        let process = start_role("pool-side", &machine, &self.temp);
-        Side { process, ip: worker.ip(), name: name.to_owned(), worker }
-    }
-
-    /// Kills a side and starts it again after a short delay, as the platform does.
-    pub fn restart_side(&self, side: &mut Side, delay: Duration) {
-        side.process.kill();
-        thread::sleep(delay);
-        *side = self.side(&side.name, side.worker, false);
-    }
-
-    /// Returns a metric of the process on this machine.
-    pub fn metric(&self, ip: IpAddr, name: &str) -> Option<u64> {
-        use std::io::Read;
-        let mut stream = TcpStream::connect(SocketAddr::new(ip, self.ports.1)).ok()?;
-        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
-        stream.write_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").ok()?;
-        let mut text = String::new();
-        let _ = stream.read_to_string(&mut text);
-        let line = text.lines().find_map(|line| line.strip_prefix(name))?;
-        line.trim().parse().ok()
-    }
-
     /// Removes the temporary folder; keeps it if `KEEP` is set.
     pub fn clean_up(&self) {
         if std::env::var_os("KEEP").is_none() {
@@ -189,7 +153,15 @@
 
 /// Waits until an entry says that it is ready; returns whether it does within ten seconds.
 pub fn wait_until_ready(entry: &Entry) -> bool {
-    let probe = Call { method: "GET", path: "/api/readyz", host: "x", id: "probe", deadline_ms: 500, headers: "", body: b"" };
+    let probe = Call {
+        method: "GET",
+        path: "/api/readyz",
+        host: "x",
+        id: "probe",
+        deadline_ms: 500,
+        headers: "",
+        body: b"",
+    };
     let until = Instant::now() + Duration::from_secs(10);
     while Instant::now() < until {
         if call(entry.readiness, &probe).is_ok_and(|answer| answer.status == 200) {
@@ -219,7 +191,8 @@
         bytes: usize,
         mut listed: impl FnMut(SocketAddr) -> SocketAddr,
     ) -> PlainWorkers {
-        let mut workers = PlainWorkers { own: Vec::new(), listed: Vec::new(), processes: Vec::new() };
+        let mut workers =
+            PlainWorkers { own: Vec::new(), listed: Vec::new(), processes: Vec::new() };
         for number in 1..=WORKERS {
             let own = SocketAddr::from((Ipv4Addr::new(127, 0, 3, number), free_port()));
             let id = format!("i-{number}");
@@ -241,18 +214,33 @@
     /// Returns the worker that runs most requests, and their number.
     pub fn busiest(&self) -> (usize, usize) {
         let log = fs::read_to_string(self.log()).unwrap_or_default();
-        let runs = |number: u8| log.lines().filter(|line| line.contains(" runs ") && line.ends_with(&format!(" i-{number}"))).count();
+        let runs = |number: u8| {
+            log.lines()
+                .filter(|line| line.contains(" runs ") && line.ends_with(&format!(" i-{number}")))
+                .count()
+        };
         let busiest = (1..=WORKERS).max_by_key(|number| runs(*number)).unwrap_or(1);
         (usize::from(busiest), runs(busiest))
     }
 }
 
 /// Sends this many requests that may run once, each on a kept channel of its own.
-pub fn send(callers: SocketAddr, count: usize) -> Vec<thread::JoinHandle<(String, std::io::Result<Answer>)>> {
+pub fn send(
+    callers: SocketAddr,
+    count: usize,
+) -> Vec<thread::JoinHandle<(String, std::io::Result<Answer>)>> {
     let consumers = (0..count).map(|number| {
         thread::spawn(move || {
             let id = format!("9c41d07be2a3{number:04x}");
-            let request = Call { method: "POST", path: "/book/a", host: HOST, id: &id, deadline_ms: 5_000, headers: "", body: b"{}" };
+            let request = Call {
+                method: "POST",
+                path: "/book/a",
+                host: HOST,
+                id: &id,
+                deadline_ms: 5_000,
+                headers: "",
+                body: b"{}",
+            };
             let answer = call(callers, &request);
             (id, answer)
         })
@@ -264,7 +252,12 @@
 pub fn describe(answer: &Answer) -> String {
     let end = if answer.complete { "complete" } else { "incomplete" };
     let signed = if answer.signed { "signed" } else { "unsigned" };
-    format!("{} {signed}, {} bytes of body, {end}, after {} ms", answer.status, answer.body.len(), answer.took.as_millis())
+    format!(
+        "{} {signed}, {} bytes of body, {end}, after {} ms",
+        answer.status,
+        answer.body.len(),
+        answer.took.as_millis()
+    )
 }
 
 /// A route of the manifest to the plain service.
@@ -275,16 +268,12 @@
     )
 }
 
-/// A manifest of these routes, with this text after its limits.
-pub fn manifest(routes: &[String], tail: &str) -> String {
+/// A manifest of these routes.
+pub fn manifest(routes: &[String]) -> String {
     format!(
-        "{{\"version\":3,\"routes\":[{}],\"services\":[\
-         {{\"name\":\"{PLAIN}\",\"health_path\":\"/healthz\",\"max_connections\":100,\"protocol\":\"h1\",\"tls\":false}},\
-         {{\"name\":\"{ENGINES}\",\"health_path\":\"/healthz\",\"max_connections\":200,\"protocol\":\"h1\",\"tls\":false,\
-         \"engine\":{{\"slots\":24,\"kv_capacity\":90000,\"kv_token_bytes\":163840,\"backups\":false,\"weights_mb\":200000.0,\
-         \"max_adapters\":8,\"loads_per_s\":7.0,\"models\":[{{\"name\":\"m0\",\"weights_mb\":60000.0,\"load_time_s\":6.0,\
-         \"adapters\":0,\"adapter_size_mb\":12.0,\"warmup_s\":0.4,\"disk_load_s\":0.6}}]}}}}],\
-         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}{tail}}}",
+        "{{\"version\":3,\"routes\":[{}],\"services\":[{{\"name\":\"{PLAIN}\",\"health_path\":\"/healthz\",\
+         \"max_connections\":100,\"protocol\":\"h1\",\"tls\":false}}],\"limits\":{{\"max_header_bytes\":16384,\
+         \"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
         routes.join(",")
     )
 }
--- a/review/tool-2/cases/reborn.rs
+++ b/review/tool-2/cases/reborn.rs
@@ -2,7 +2,9 @@
 
 use std::{path::Path, thread, time::Duration};
 
-use super::deployment::{Deployment, PLAIN, Record, describe, manifest, plain_route, send, wait_until_ready};
+use super::deployment::{
+    Deployment, PLAIN, Record, describe, manifest, plain_route, send, wait_until_ready,
+};
 use crate::{
     net::{Link, free_port},
     worker::{BODY_BYTES, whole_body},
@@ -12,7 +14,7 @@
 
 pub fn run(dir: &Path, trouble: bool) -> i32 {
     let mut record = Record::new(dir);
-    let deployment = Deployment::new(&manifest(&[plain_route("/book/", "non_idempotent")], ""));
+    let deployment = Deployment::new(&manifest(&[plain_route("/book/", "non_idempotent")]));
     let mut links = Vec::new();
     let mut workers = deployment.plain_workers((50, 1_500), "close", BODY_BYTES, |own| {
         let mut at = own;
@@ -36,7 +38,8 @@
         workers.processes[index].kill();
         record.line(&format!("{name} crashes behind the cut (SIGKILL)"));
         thread::sleep(Duration::from_millis(400));
-        workers.processes[index] = deployment.plain_worker(workers.own[index], "i-7", "close", (50, 1_500), BODY_BYTES);
+        workers.processes[index] =
+            deployment.plain_worker(workers.own[index], "i-7", "close", (50, 1_500), BODY_BYTES);
         record.line("it starts again as i-7 at the same address");
         thread::sleep(Duration::from_millis(1_000));
         links[index].set_cut(false);
--- a/review/tool-2/cases/slow_reader.rs
+++ b/review/tool-2/cases/slow_reader.rs
@@ -20,7 +20,7 @@
 
 pub fn run(dir: &Path, trouble: bool) -> i32 {
     let mut record = Record::new(dir);
-    let deployment = Deployment::new(&manifest(&[plain_route("/book/", "non_idempotent")], ""));
+    let deployment = Deployment::new(&manifest(&[plain_route("/book/", "non_idempotent")]));
     let workers = deployment.plain_workers((20, 0), "length", BYTES, |own| own);
     let entry = deployment.entry(1);
     if !wait_until_ready(&entry) {
@@ -37,7 +37,10 @@
     let consumers = consumers.collect::<Vec<_>>();
     record.line(&format!("{CONSUMERS} consumers ask for {BYTES} bytes each, on kept channels, with a time limit of {} ms", DEADLINE.as_millis()));
     if trouble {
-        record.line(&format!("each reads the first part of its answer, then nothing for {} ms, then the rest", PAUSE.as_millis()));
+        record.line(&format!(
+            "each reads the first part of its answer, then nothing for {} ms, then the rest",
+            PAUSE.as_millis()
+        ));
     }
     let mut lost = 0;
     for consumer in consumers {
@@ -58,7 +61,11 @@
 }
 
 /// Sends a request and reads its answer; returns what was read, how the channel failed, and the time taken.
-fn consume(to: SocketAddr, id: &str, pause: bool) -> std::io::Result<(Vec<u8>, Option<String>, Duration)> {
+fn consume(
+    to: SocketAddr,
+    id: &str,
+    pause: bool,
+) -> std::io::Result<(Vec<u8>, Option<String>, Duration)> {
     let started = Instant::now();
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
     let head = format!(
--- a/review/tool-2/http.rs
+++ b/review/tool-2/http.rs
@@ -8,7 +8,6 @@
 
 /// A request as a stand-in server reads it.
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub query: String,
     headers: Vec<(String, String)>,
@@ -27,20 +26,14 @@
         let head = String::from_utf8_lossy(&kept[..head_end]).into_owned();
         let mut lines = head.split("\r\n");
         let mut words = lines.next()?.split(' ');
-        let method = words.next()?.to_owned();
-        let target = words.next()?;
+        let target = words.nth(1)?;
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let headers = lines
             .filter_map(|line| line.split_once(':'))
             .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
             .collect::<Vec<_>>();
-        let mut request = Request {
-            method,
-            path: path.to_owned(),
-            query: query.to_owned(),
-            headers,
-            body: Vec::new(),
-        };
+        let mut request =
+            Request { path: path.to_owned(), query: query.to_owned(), headers, body: Vec::new() };
         let length = request.header("content-length").parse::<usize>().unwrap_or(0);
         while kept.len() < head_end + length {
             read_more(stream, kept)?;
@@ -58,7 +51,11 @@
 
     /// Returns a parameter of the query.
     pub fn param(&self, name: &str) -> Option<&str> {
-        self.query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, value)| value)
+        self.query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value)
     }
 }
 
@@ -78,7 +75,12 @@
 }
 
 /// Writes a response with a length on a connection that is kept.
-pub fn respond(stream: &mut TcpStream, status: u16, headers: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
+pub fn respond(
+    stream: &mut TcpStream,
+    status: u16,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
     let mut head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n", body.len());
     for (name, value) in headers {
         head.push_str(&format!("{name}: {value}\r\n"));
@@ -117,7 +119,13 @@
     stream.set_nodelay(true)?;
     let head = format!(
         "{} {} HTTP/1.1\r\nHost: {}\r\nX-Citronrill-Attempt-Id: {}\r\nX-Citronrill-Deadline-Ms: {}\r\n{}Content-Length: {}\r\n\r\n",
-        call.method, call.path, call.host, call.id, call.deadline_ms, call.headers, call.body.len()
+        call.method,
+        call.path,
+        call.host,
+        call.id,
+        call.deadline_ms,
+        call.headers,
+        call.body.len()
     );
     stream.write_all(&[head.as_bytes(), call.body].concat())?;
     let until = started + Duration::from_millis(call.deadline_ms + 1_000);
@@ -175,7 +183,9 @@
             }
             rest = &chunk[size + 2..];
         }
-    } else if let Some(length) = header("content-length").and_then(|text| text.parse::<usize>().ok()) {
+    } else if let Some(length) =
+        header("content-length").and_then(|text| text.parse::<usize>().ok())
+    {
         answer.body = rest[..rest.len().min(length)].to_vec();
         answer.complete = rest.len() >= length;
     }
--- a/review/tool-2/net.rs
+++ b/review/tool-2/net.rs
@@ -27,7 +27,6 @@
 /// end of a channel too, arrives when it is whole again.
 #[derive(Clone)]
 pub struct Link {
-    pub address: SocketAddr,
     cut: Arc<AtomicBool>,
 }
 
@@ -35,14 +34,16 @@
     pub fn start(address: SocketAddr, target: SocketAddr) -> Link {
         let listener = TcpListener::bind(address).expect("the link's address is free");
         let cut = Arc::new(AtomicBool::new(false));
-        let link = Link { address, cut: cut.clone() };
+        let link = Link { cut: cut.clone() };
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let cut = cut.clone();
                 thread::spawn(move || {
                     wait_while(&cut);
                     let Ok(far) = TcpStream::connect(target) else { return };
-                    let (Ok(near_in), Ok(far_in)) = (stream.try_clone(), far.try_clone()) else { return };
+                    let (Ok(near_in), Ok(far_in)) = (stream.try_clone(), far.try_clone()) else {
+                        return;
+                    };
                     let back = cut.clone();
                     let there = thread::spawn(move || forward(near_in, far, &cut));
                     forward(far_in, stream, &back);
--- a/review/tool-2/process.rs
+++ b/review/tool-2/process.rs
@@ -7,35 +7,17 @@
     process::{Child, Command, Stdio},
 };
 
-unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
-pub const SIGTERM: i32 = 15;
-
 /// A process that ends with this value.
 pub struct Process {
     child: Child,
 }
 
 impl Process {
-    /// Sends a signal to this process alone.
-    pub fn signal(&self, signal: i32) {
-        unsafe { kill(self.child.id() as i32, signal) };
-    }
-
     /// Kills it and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-
-    /// Waits for its end.
-    pub fn wait(&mut self) {
-        let _ = self.child.wait();
-    }
 }
 
 impl Drop for Process {
@@ -48,40 +30,36 @@
 pub struct Machine<'a> {
     pub name: &'a str,
     pub ip: IpAddr,
-    pub first_start: bool,
     pub store: SocketAddr,
     /// The first and the second port of the range for the daemons among themselves.
     pub ports: (u16, u16),
-    /// Addresses for consumers, of the readiness check and for other daemons, of an entry.
-    pub entry: Option<(SocketAddr, SocketAddr, SocketAddr)>,
-    /// Address and service of the worker beside a side.
-    pub worker: Option<(SocketAddr, &'a str)>,
+    /// Addresses for consumers, of the readiness check and for other daemons.
+    pub entry: (SocketAddr, SocketAddr, SocketAddr),
     pub rules: &'a str,
 }
 
 impl Machine<'_> {
     /// Fills in `deploy/settings.ini` with the bounds of a small deployment.
     pub fn settings(&self) -> String {
-        let template = fs::read_to_string("deploy/settings.ini").expect("run in the repository's root");
-        let bootstrap = if self.first_start { "yes" } else { "no" };
-        let text = |address: Option<SocketAddr>| address.map(|address| address.to_string()).unwrap_or_default();
-        let entry = |pick: fn(&(SocketAddr, SocketAddr, SocketAddr)) -> SocketAddr| text(self.entry.as_ref().map(pick));
+        let template =
+            fs::read_to_string("deploy/settings.ini").expect("run in the repository's root");
+        let (callers, readiness, control) = self.entry;
         let values = [
-            ("{{#bootstrap}}yes{{/bootstrap}}{{^bootstrap}}no{{/bootstrap}}", bootstrap.to_owned()),
+            ("{{#bootstrap}}yes{{/bootstrap}}{{^bootstrap}}no{{/bootstrap}}", "yes".to_owned()),
             ("{{node_name}}", self.name.to_owned()),
             ("{{zone}}", "zone-a".to_owned()),
             ("{{bounds.grace_period_s}}", "8".to_owned()),
-            ("{{listen.frontend}}", entry(|entry| entry.0)),
-            ("{{listen.readiness}}", entry(|entry| entry.1)),
-            ("{{listen.control_plane}}", entry(|entry| entry.2)),
+            ("{{listen.frontend}}", callers.to_string()),
+            ("{{listen.readiness}}", readiness.to_string()),
+            ("{{listen.control_plane}}", control.to_string()),
             ("{{ip}}", self.ip.to_string()),
             ("{{port_range.0}}", self.ports.0.to_string()),
             ("{{port_range.1}}", self.ports.1.to_string()),
             ("{{seed_nodes}}", String::new()),
             ("{{platform.address}}", self.store.to_string()),
             ("{{bounds.contact_ms}}", "3000".to_owned()),
-            ("{{app}}", text(self.worker.map(|worker| worker.0))),
-            ("{{service}}", self.worker.map(|worker| worker.1.to_owned()).unwrap_or_default()),
+            ("{{app}}", String::new()),
+            ("{{service}}", String::new()),
             ("{{bounds.retry_budget_ratio}}", "0.2".to_owned()),
             ("{{bounds.budget_slack}}", "54".to_owned()),
             ("{{bounds.retry_window_s}}", "10".to_owned()),
@@ -100,7 +78,8 @@
 pub fn start_role(role: &str, machine: &Machine<'_>, dir: &Path) -> Process {
     let file: PathBuf = dir.join(format!("{}.ini", machine.name));
     fs::write(&file, machine.settings()).expect("the temporary folder can be written");
-    let log = File::options().create(true).append(true).open(dir.join(format!("{}.log", machine.name)));
+    let log =
+        File::options().create(true).append(true).open(dir.join(format!("{}.log", machine.name)));
     let log = log.expect("the temporary folder can be written");
     let child = Command::new("target/release/citronrill")
         .arg(role)
--- a/review/tool-2/store.rs
+++ b/review/tool-2/store.rs
@@ -61,7 +61,9 @@
                 _ => "{}".to_owned(),
             };
             thread::sleep(Duration::from_millis(4));
-            if respond(&mut stream, 200, &[("Content-Type", "application/json")], body.as_bytes()).is_err() {
+            if respond(&mut stream, 200, &[("Content-Type", "application/json")], body.as_bytes())
+                .is_err()
+            {
                 return;
             }
         }
@@ -70,7 +72,8 @@
     fn rows(&self, request: &Request) -> String {
         let state = self.state.0.lock().unwrap();
         let table = request.param("table").unwrap_or("");
-        let rows = state.rows.iter().filter(|((name, _), (value, _))| name == table && value.is_some());
+        let rows =
+            state.rows.iter().filter(|((name, _), (value, _))| name == table && value.is_some());
         let rows = rows.map(|(key, row)| row_json(key, row)).collect::<Vec<_>>();
         self.page(&rows, state.version)
     }
@@ -91,7 +94,8 @@
             rows.sort_by_key(|(_, (_, version))| *version);
             let left = until.saturating_duration_since(Instant::now());
             if !rows.is_empty() || left.is_zero() {
-                let rows = rows.into_iter().map(|(key, row)| row_json(key, row)).collect::<Vec<_>>();
+                let rows =
+                    rows.into_iter().map(|(key, row)| row_json(key, row)).collect::<Vec<_>>();
                 return self.page(&rows, state.version);
             }
             state = changed.wait_timeout(state, left).unwrap().0;
@@ -106,7 +110,10 @@
 
     fn page(&self, rows: &[String], version: u64) -> String {
         let now_ms = self.started.elapsed().as_millis();
-        format!("{{\"rows\":[{}],\"truncated\":false,\"ver\":{version},\"now_ms\":{now_ms}}}", rows.join(","))
+        format!(
+            "{{\"rows\":[{}],\"truncated\":false,\"ver\":{version},\"now_ms\":{now_ms}}}",
+            rows.join(",")
+        )
     }
 }
 
@@ -122,7 +129,8 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for part in bytes.chunks(3) {
-        let number = part.iter().fold(0u32, |sum, byte| sum << 8 | u32::from(*byte)) << (8 * (3 - part.len()));
+        let number = part.iter().fold(0u32, |sum, byte| sum << 8 | u32::from(*byte))
+            << (8 * (3 - part.len()));
         for place in 0..4 {
             let digit = DIGITS[(number >> (18 - 6 * place) & 63) as usize] as char;
             text.push(if place <= part.len() { digit } else { '=' });
--- a/review/tool-2/worker.rs
+++ b/review/tool-2/worker.rs
@@ -3,7 +3,6 @@
 //! `worker ADDRESS ID LOG FRAMING FIRST_MS SECOND_MS [BYTES]`: runs each request and answers with the first half of
 //! the body after FIRST_MS and the second half after SECOND_MS more. FRAMING is `length`, or `close` for
 //! an answer without a length that ends with its channel. It appends a line to LOG for each run.
-//! `worker ADDRESS ID engine`: a model worker that holds no request, for a side to stand beside.
 
 use std::{
     fs::File,
@@ -45,9 +44,12 @@
 }
 
 pub fn run(args: &[&str]) -> i32 {
-    let Some(address) = args.first().and_then(|text| text.parse::<SocketAddr>().ok()) else { return 2 };
+    let Some(address) = args.first().and_then(|text| text.parse::<SocketAddr>().ok()) else {
+        return 2;
+    };
     let number = |at: usize| args.get(at).and_then(|text| text.parse().ok()).unwrap_or(0);
-    let log = args.get(3).and_then(|_| File::options().create(true).append(true).open(args[2]).ok());
+    let log =
+        args.get(3).and_then(|_| File::options().create(true).append(true).open(args[2]).ok());
     let worker = Arc::new(Worker {
         id: args.get(1).copied().unwrap_or("").to_owned(),
         log: log.map(Mutex::new),
@@ -93,25 +95,24 @@
     /// Answers a request; returns whether the channel is kept.
     fn answer(&self, stream: &mut TcpStream, request: &Request) -> bool {
         let instance = ("X-Citronrill-Instance-Id", self.id.as_str());
-        match request.path.as_str() {
-            "/healthz" => return respond(stream, 200, &[instance], b"").is_ok(),
-            "/api/report" => {
-                let body = br#"{"stage":"mixed","models":[],"busy":false,"sequence":0,"queued":0,"active":0,"kv_used":0,"kv_total":90000,"handles":0}"#;
-                return respond(stream, 200, &[], body).is_ok();
-            }
-            "/api/order" => return respond(stream, 409, &[], b"{}").is_ok(),
-            _ => {}
+        if request.path == "/healthz" {
+            return respond(stream, 200, &[instance], b"").is_ok();
         }
         let id = request.header("x-citronrill-attempt-id");
         let expected = request.header("x-citronrill-expect-instance");
         if !expected.is_empty() && expected != self.id {
             self.note("rejects", id);
-            return respond(stream, 421, &[instance, ("X-Citronrill-Not-Executed", "1")], b"").is_ok();
+            return respond(stream, 421, &[instance, ("X-Citronrill-Not-Executed", "1")], b"")
+                .is_ok();
         }
         self.note("runs", id);
         let body = whole_body_of(self.bytes, id, &self.id);
         let (first, second) = body.split_at(body.len() / 2);
-        let framing = if self.close { "Connection: close".to_owned() } else { format!("Content-Length: {}", body.len()) };
+        let framing = if self.close {
+            "Connection: close".to_owned()
+        } else {
+            format!("Content-Length: {}", body.len())
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\n{framing}\r\nContent-Type: text/plain\r\nX-Citronrill-Attempt-Id: {id}\r\n\
              X-Citronrill-Server-Signature: s.{id}\r\nX-Citronrill-Instance-Id: {}\r\n\r\n",
